--- /dev/null
+++ b/crates/coordination/src/error.rs
@@ -0,0 +1,18 @@
+//! Errors of the coordination layer.
+
+use lagoonshore_state::StateError;
+use snafu::Snafu;
+
+/// `CoordinationError` says why a decision could not be taken.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum CoordinationError {
+    /// The state refused the change.
+    #[snafu(display("{source}"), context(false))]
+    State {
+        /// Cause in the state layer.
+        source: StateError,
+    },
+}
+
+/// `Result` of the coordination layer.
+pub type Result<T, E = CoordinationError> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/coordination/tests/admission.rs
@@ -0,0 +1,122 @@
+//! Scenarios of admission, in goldenscript. `at MS` sets the clock of the scenario.
+
+use goldenscript::{Command, Context, Runner};
+use lagoonshore_coordination::admission::{
+    AdmissionControl, AdmissionOffer, AdmissionVerdict, QueueChange,
+};
+use lagoonshore_state::{
+    policy::LanePolicy,
+    queue::EntryKey,
+    units::{RequestImportance, SlotCount},
+};
+use std::{collections::BTreeMap, error::Error, fmt::Write, time::Duration};
+use tokio::time::Instant;
+
+/// Runs the commands of a scenario against one admission control.
+struct AdmissionRunner {
+    control: AdmissionControl,
+    origin: Instant,
+    now: Instant,
+    names: BTreeMap<EntryKey, String>,
+}
+
+impl AdmissionRunner {
+    fn new() -> Self {
+        let now = Instant::now();
+        let control = AdmissionControl::new(SlotCount(1));
+        Self {
+            control,
+            origin: now,
+            now,
+            names: BTreeMap::new(),
+        }
+    }
+
+    fn describe(&self, change: &QueueChange) -> String {
+        let mut text = String::new();
+        for key in &change.admitted {
+            let _ = writeln!(text, "{} admitted", self.names[key]);
+        }
+        for (key, reason) in &change.refused {
+            let _ = writeln!(text, "{} refused: {}", self.names[key], reason.as_str());
+        }
+        text
+    }
+
+    fn offer(&mut self, name: &str, offer: AdmissionOffer) -> String {
+        let mut change = QueueChange::default();
+        let verdict = self.control.offer(self.now, offer, &mut change);
+        let text = match verdict {
+            AdmissionVerdict::Admitted => format!("{name} admitted\n"),
+            AdmissionVerdict::Refused(reason) => format!("{name} refused: {}\n", reason.as_str()),
+            AdmissionVerdict::Queued(key) => {
+                self.names.insert(key, name.to_owned());
+                format!("{name} queued\n")
+            }
+        };
+        self.describe(&change) + &text
+    }
+}
+
+impl Runner for AdmissionRunner {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Result<String, Box<dyn Error>> {
+        let mut arguments = command.consume_args();
+        let output = match command.name.as_str() {
+            "at" => {
+                let millis: u64 = arguments.next_pos().ok_or("at MS")?.parse()?;
+                self.now = self.origin + Duration::from_millis(millis);
+                let change = self.control.refill(self.now);
+                self.describe(&change)
+            }
+            "slots" => {
+                let slots = SlotCount(arguments.next_pos().ok_or("slots N")?.parse()?);
+                let mut lanes = Vec::new();
+                while let Some((name, share)) = arguments.next_key() {
+                    lanes.push(LanePolicy {
+                        name: name.into(),
+                        share: share.parse()?,
+                    });
+                }
+                self.control.configure(slots, &lanes);
+                String::new()
+            }
+            "offer" => {
+                let name = arguments.next_pos().ok_or("offer NAME")?;
+                let importance = arguments.take_key("importance").unwrap_or("3").parse()?;
+                let deadline = arguments.take_key("deadline").unwrap_or("1000").parse()?;
+                let lane = arguments.take_key("lane").unwrap_or("short");
+                let offer = AdmissionOffer {
+                    importance: RequestImportance(importance),
+                    lane: lane.into(),
+                    deadline: self.origin + Duration::from_millis(deadline),
+                };
+                self.offer(name, offer)
+            }
+            "release" => {
+                let lane = arguments.next_pos().unwrap_or("short");
+                let change = self.control.release(self.now, lane);
+                self.describe(&change)
+            }
+            name => return Err(format!("unknown command {name}").into()),
+        };
+        arguments.reject_next()?;
+        Ok(output)
+    }
+}
+
+#[test]
+fn importance_goes_first() {
+    run("importance");
+}
+
+#[test]
+fn lanes_hold_their_share() {
+    run("lanes");
+}
+
+fn run(name: &str) {
+    let path = format!("tests/scripts/admission_{name}");
+    goldenscript::run(&mut AdmissionRunner::new(), path).expect("the scenario cannot be read");
+}
--- /dev/null
+++ b/crates/daemon/src/admin_door.rs
@@ -0,0 +1,60 @@
+//! The door for operators. It shows; it changes nothing.
+
+use crate::{node::SharedNode, state_dump};
+
+use bytes::Bytes;
+use lagoonshore_protocol::headers::HeaderField;
+use lagoonshore_transport::http_door::{DoorAnswer, DoorRequest};
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// Answers one request of an operator.
+#[must_use]
+pub fn answer(node: &SharedNode, metrics: &PrometheusHandle, request: &DoorRequest) -> DoorAnswer {
+    if request.method != "GET" {
+        return text(405, "only GET is served here\n");
+    }
+    match request.path.split('?').next().unwrap_or_default() {
+        "/health" => text(200, "ok\n"),
+        "/ready" => ready(node),
+        "/metrics" => text(200, &metrics.render()),
+        "/state" => state(node),
+        _ => text(
+            404,
+            "no such page; there are /health, /ready, /metrics and /state\n",
+        ),
+    }
+}
+
+fn ready(node: &SharedNode) -> DoorAnswer {
+    let has_policy = node.policy(&node.settings.service).is_some();
+    if node.drain.borrow().is_draining() {
+        text(503, "draining\n")
+    } else if has_policy {
+        text(200, "ready\n")
+    } else {
+        text(503, "no policy is in force\n")
+    }
+}
+
+fn state(node: &SharedNode) -> DoorAnswer {
+    match serde_json::to_vec(&state_dump::take(node)) {
+        Ok(body) => answer_of(200, "application/json", body.into()),
+        Err(fault) => text(500, &format!("{fault}\n")),
+    }
+}
+
+fn text(status: u16, body: &str) -> DoorAnswer {
+    answer_of(
+        status,
+        "text/plain; charset=utf-8",
+        Bytes::copy_from_slice(body.as_bytes()),
+    )
+}
+
+fn answer_of(status: u16, media_type: &str, body: Bytes) -> DoorAnswer {
+    DoorAnswer {
+        status,
+        headers: vec![HeaderField::new("content-type", media_type)],
+        body,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admission_gate.rs
@@ -0,0 +1,206 @@
+//! Lets requests wait for their admission.
+
+use lagoonshore_coordination::{
+    admission::{AdmissionControl, AdmissionOffer, AdmissionVerdict, QueueChange},
+    outcome::RefusalReason,
+};
+use lagoonshore_state::{ids::LaneName, policy::ServicePolicy, queue::EntryKey, units::SlotCount};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+use tokio::{sync::oneshot, time::Instant};
+
+/// Slots before a policy is in force; no request is served then.
+const INITIAL_SLOTS: SlotCount = SlotCount(1);
+
+/// A permit inside the answer gives its slot back even if the waiter left before it read it.
+type GateAnswer = Result<SlotPermit, RefusalReason>;
+
+/// `AdmissionGate` joins the admission decisions with the requests that wait for them.
+#[derive(Clone)]
+pub struct AdmissionGate {
+    inner: Rc<RefCell<GateState>>,
+}
+
+struct GateState {
+    control: AdmissionControl,
+    waiters: BTreeMap<EntryKey, WaitingRequest>,
+}
+
+struct WaitingRequest {
+    lane: LaneName,
+    sender: oneshot::Sender<GateAnswer>,
+}
+
+/// `SlotPermit` holds a slot until it is dropped.
+pub struct SlotPermit {
+    gate: AdmissionGate,
+    lane: LaneName,
+}
+
+/// `GateLoad` is the load of a gate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct GateLoad {
+    /// Requests in progress.
+    pub in_progress: u32,
+    /// Limit on requests in progress.
+    pub limit: u32,
+    /// Requests that wait.
+    pub queued: u32,
+}
+
+impl Default for AdmissionGate {
+    fn default() -> Self {
+        let control = AdmissionControl::new(INITIAL_SLOTS);
+        let state = GateState {
+            control,
+            waiters: BTreeMap::new(),
+        };
+        Self {
+            inner: Rc::new(RefCell::new(state)),
+        }
+    }
+}
+
+impl AdmissionGate {
+    /// Applies the bounds of a policy.
+    pub fn configure(&self, policy: &ServicePolicy) {
+        let mut state = self.inner.borrow_mut();
+        state.control.configure(policy.slots, &policy.lanes);
+        let change = state.control.refill(Instant::now());
+        let answers = self.answers(&mut state, change);
+        drop(state);
+        send_all(answers);
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    /// Why the request gets none.
+    pub async fn acquire(&self, offer: AdmissionOffer) -> Result<SlotPermit, RefusalReason> {
+        let (lane, deadline) = (offer.lane.clone(), offer.deadline);
+        let verdict = self.offer(offer);
+        match verdict {
+            GateVerdict::Admitted => {}
+            GateVerdict::Refused(reason) => return Err(reason),
+            GateVerdict::Queued(key, receiver) => {
+                let ticket = WaitTicket {
+                    gate: self.clone(),
+                    key,
+                    receiver,
+                };
+                return ticket.wait(deadline).await;
+            }
+        }
+        Ok(SlotPermit {
+            gate: self.clone(),
+            lane,
+        })
+    }
+
+    /// Load of the gate.
+    #[must_use]
+    pub fn load(&self) -> GateLoad {
+        let state = self.inner.borrow();
+        GateLoad {
+            in_progress: state.control.in_progress(),
+            limit: state.control.limit().0,
+            queued: u32::try_from(state.control.queued()).unwrap_or(u32::MAX),
+        }
+    }
+
+    fn offer(&self, offer: AdmissionOffer) -> GateVerdict {
+        let mut state = self.inner.borrow_mut();
+        let mut change = QueueChange::default();
+        let lane = offer.lane.clone();
+        let verdict = state.control.offer(Instant::now(), offer, &mut change);
+        let answers = self.answers(&mut state, change);
+        let verdict = match verdict {
+            AdmissionVerdict::Admitted => GateVerdict::Admitted,
+            AdmissionVerdict::Refused(reason) => GateVerdict::Refused(reason),
+            AdmissionVerdict::Queued(key) => {
+                let (sender, receiver) = oneshot::channel();
+                state.waiters.insert(key, WaitingRequest { lane, sender });
+                GateVerdict::Queued(key, receiver)
+            }
+        };
+        drop(state);
+        send_all(answers);
+        verdict
+    }
+
+    fn release(&self, lane: &str) {
+        let mut state = self.inner.borrow_mut();
+        let change = state.control.release(Instant::now(), lane);
+        let answers = self.answers(&mut state, change);
+        drop(state);
+        send_all(answers);
+    }
+
+    /// Pairs what became of waiting requests with those who wait. A permit in an answer releases
+    /// its slot when the waiter left, so answers are sent after the state is no longer borrowed.
+    fn answers(&self, state: &mut GateState, change: QueueChange) -> Vec<PendingAnswer> {
+        let mut answers = Vec::new();
+        for key in change.admitted {
+            if let Some(WaitingRequest { lane, sender }) = state.waiters.remove(&key) {
+                answers.push((
+                    sender,
+                    Ok(SlotPermit {
+                        gate: self.clone(),
+                        lane,
+                    }),
+                ));
+            }
+        }
+        for (key, reason) in change.refused {
+            if let Some(WaitingRequest { sender, .. }) = state.waiters.remove(&key) {
+                answers.push((sender, Err(reason)));
+            }
+        }
+        answers
+    }
+}
+
+type PendingAnswer = (oneshot::Sender<GateAnswer>, GateAnswer);
+
+fn send_all(answers: Vec<PendingAnswer>) {
+    for (sender, answer) in answers {
+        // An answer that nobody waits for is dropped, with the permit in it.
+        let _ = sender.send(answer);
+    }
+}
+
+enum GateVerdict {
+    Admitted,
+    Queued(EntryKey, oneshot::Receiver<GateAnswer>),
+    Refused(RefusalReason),
+}
+
+struct WaitTicket {
+    gate: AdmissionGate,
+    key: EntryKey,
+    receiver: oneshot::Receiver<GateAnswer>,
+}
+
+impl WaitTicket {
+    async fn wait(mut self, deadline: Instant) -> GateAnswer {
+        let answer = tokio::time::timeout_at(deadline, &mut self.receiver).await;
+        match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) => Err(RefusalReason::Overload),
+            Err(_) => Err(RefusalReason::Timeout),
+        }
+    }
+}
+
+impl Drop for WaitTicket {
+    fn drop(&mut self) {
+        let mut state = self.gate.inner.borrow_mut();
+        state.waiters.remove(&self.key);
+        state.control.abandon(self.key);
+    }
+}
+
+impl Drop for SlotPermit {
+    fn drop(&mut self) {
+        self.gate.release(&self.lane);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/events.rs
@@ -0,0 +1,16 @@
+//! Numbers of the log events; `docs/EVENTS.md` is their catalogue.
+
+/// The node opened its doors.
+pub const NODE_STARTED: u16 = 1001;
+/// A planned stop began.
+pub const DRAIN_STARTED: u16 = 1002;
+/// A planned stop ended.
+pub const DRAIN_FINISHED: u16 = 1003;
+/// A policy is in force.
+pub const POLICY_IN_FORCE: u16 = 2001;
+/// A policy record was refused.
+pub const POLICY_REFUSED: u16 = 2002;
+/// The platform cannot be read.
+pub const PLATFORM_UNREACHABLE: u16 = 2003;
+/// The platform can be read again.
+pub const PLATFORM_REACHABLE: u16 = 2004;
--- /dev/null
+++ b/crates/daemon/src/inbound_door.rs
@@ -0,0 +1,99 @@
+//! The door for callers: plain HTTP to the node's own upstream.
+
+use crate::{
+    call_router::{self, RoutedCall},
+    node::SharedNode,
+    refusals, request_server,
+};
+
+use lagoonshore_coordination::{outcome::RefusalReason, retries::TokenPurse};
+use lagoonshore_protocol::{
+    headers::{self, HeaderField},
+    messages::{CallReply, CallRequest, CallResult},
+};
+use lagoonshore_state::policy::RequestClass;
+use lagoonshore_transport::http_door::{DoorAnswer, DoorRequest};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Answers one request of a caller.
+pub async fn answer(node: SharedNode, request: DoorRequest) -> DoorAnswer {
+    let DoorRequest {
+        method,
+        path,
+        headers: fields,
+        body,
+    } = request;
+    let body = match body {
+        Ok(body) => body,
+        Err(fault) => return refusals::refuse_body(fault),
+    };
+    let service = node.settings.service.clone();
+    let Some(policy) = node.policy(&service) else {
+        return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), "");
+    };
+    let class = policy.class_of(&method, &path);
+    let timeout = match timeout(&fields, &class) {
+        Ok(timeout) => timeout,
+        Err(detail) => {
+            return refusals::refuse(refusals::on_arrival(RefusalReason::BadRequest), detail);
+        }
+    };
+    let caller = node.caller_hash(headers::find(&fields, headers::CALLER).unwrap_or_default());
+    let request = CallRequest {
+        service,
+        method,
+        path,
+        headers: headers::relayed(fields),
+        body,
+        importance: class.importance,
+        caller,
+        tokens: policy.retry_allowance(&class),
+    };
+    let result = serve(&node, request, &class, Instant::now() + timeout).await;
+    refusals::to_answer(result)
+}
+
+/// Serves a request here or, where the own upstream takes none, at another instance.
+async fn serve(
+    node: &SharedNode,
+    request: CallRequest,
+    class: &RequestClass,
+    deadline: Instant,
+) -> CallResult {
+    let reply = request_server::serve(node, request.clone(), deadline).await;
+    let CallReply {
+        result: CallResult::Refused(refusal),
+        tokens,
+        ..
+    } = reply
+    else {
+        return reply.result;
+    };
+    let elsewhere = matches!(
+        refusal.reason,
+        RefusalReason::Draining | RefusalReason::UpstreamUnreachable
+    );
+    let mut purse = TokenPurse::new(tokens);
+    if !elsewhere || !refusal.is_not_run() || !purse.spend() {
+        return CallResult::Refused(refusal);
+    }
+    let idempotent = class.idempotent;
+    let call = RoutedCall {
+        request,
+        deadline,
+        idempotent,
+        tried: Vec::new(),
+    };
+    call_router::route(node, call, purse).await.result
+}
+
+fn timeout(fields: &[HeaderField], class: &RequestClass) -> Result<Duration, &'static str> {
+    let Some(text) = headers::find(fields, headers::TIMEOUT_MS) else {
+        return Ok(class.timeout);
+    };
+    match text.parse() {
+        Ok(millis) if millis > 0 => Ok(class.timeout.min(Duration::from_millis(millis))),
+        _ => Err("Lagoonshore-Timeout-Ms: expected a whole number of milliseconds, 1 or more"),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,79 @@
+//! `lagoonshored` is the node that stands beside one upstream instance.
+
+use lagoonshore_daemon::{logging, node_process};
+use lagoonshore_settings::NodeSettings;
+use pico_args::Arguments;
+use std::{path::PathBuf, process::ExitCode};
+
+const HELP: &str = "\
+lagoonshored: the lagoonshore node beside one upstream instance
+
+USAGE:
+  lagoonshored --settings FILE [--check]
+
+OPTIONS:
+  --settings FILE  settings in YAML
+  --check          check the settings and exit
+  --help           print this text
+  --version        print the version
+
+EXIT CODES:
+  0 planned stop, or settings good   1 settings bad or start failed   2 wrong use
+";
+
+const EXIT_BAD: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+struct CommandLine {
+    settings: PathBuf,
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains("--version") {
+        println!("lagoonshored {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match parse(arguments) {
+        Ok(line) => start(&line),
+        Err(message) => fail(&format!("{message}; see --help"), EXIT_USAGE),
+    }
+}
+
+fn parse(mut arguments: Arguments) -> Result<CommandLine, String> {
+    let settings = arguments
+        .value_from_str("--settings")
+        .map_err(|fault| fault.to_string())?;
+    let check = arguments.contains("--check");
+    let rest = arguments.finish();
+    match rest.first() {
+        Some(unknown) => Err(format!("unknown argument {}", unknown.display())),
+        None => Ok(CommandLine { settings, check }),
+    }
+}
+
+fn start(line: &CommandLine) -> ExitCode {
+    let settings = match NodeSettings::load(&line.settings) {
+        Ok(settings) => settings,
+        Err(fault) => return fail(&format!("{}: {fault}", line.settings.display()), EXIT_BAD),
+    };
+    if line.check {
+        println!("{}: settings are good", line.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    logging::install(&settings.log);
+    match actix_rt::System::new().block_on(node_process::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => fail(&fault.to_string(), EXIT_BAD),
+    }
+}
+
+fn fail(message: &str, code: u8) -> ExitCode {
+    eprintln!("lagoonshored: {message}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/daemon/src/outbound_door.rs
@@ -0,0 +1,111 @@
+//! The door for the calls that the node's own upstream makes.
+
+use crate::{
+    call_router::{self, RoutedCall},
+    node::SharedNode,
+    refusals,
+};
+
+use lagoonshore_coordination::{outcome::RefusalReason, retries::TokenPurse};
+use lagoonshore_protocol::{
+    headers::{self, HeaderField},
+    messages::CallRequest,
+};
+use lagoonshore_state::{
+    ids::{CallId, CallerHash},
+    policy::RequestClass,
+    units::{RequestImportance, TokenCount},
+};
+use lagoonshore_transport::http_door::{DoorAnswer, DoorRequest};
+use tokio::time::Instant;
+
+/// What a call inherits from the request that it is made for.
+struct InheritedContext {
+    importance: RequestImportance,
+    deadline: Instant,
+    caller: CallerHash,
+    tokens: TokenCount,
+    parent: Option<CallId>,
+}
+
+/// Answers one call of the upstream.
+pub async fn answer(node: SharedNode, request: DoorRequest) -> DoorAnswer {
+    let DoorRequest {
+        method,
+        path,
+        headers: fields,
+        body,
+    } = request;
+    let body = match body {
+        Ok(body) => body,
+        Err(fault) => return refusals::refuse_body(fault),
+    };
+    let Some(service) = called_service(&fields) else {
+        let refusal = refusals::on_arrival(RefusalReason::BadRequest);
+        return refusals::refuse(refusal, "the Host header must name the called service");
+    };
+    let Some(policy) = node.policy(service) else {
+        let detail = format!("no policy is in force for {service}");
+        return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), &detail);
+    };
+    let class = policy.class_of(&method, &path);
+    let context = inherit(&node, &fields, &class);
+    let request = CallRequest {
+        service: service.into(),
+        method,
+        path,
+        headers: headers::relayed(fields),
+        body,
+        importance: context.importance,
+        caller: context.caller,
+        tokens: TokenCount(0),
+    };
+    let call = RoutedCall {
+        request,
+        deadline: context.deadline,
+        idempotent: class.idempotent,
+        tried: Vec::new(),
+    };
+    let reply = call_router::route(&node, call, TokenPurse::new(context.tokens)).await;
+    if let Some(parent) = context.parent {
+        put_back(&node, parent, reply.tokens, context.tokens);
+    }
+    refusals::to_answer(reply.result)
+}
+
+fn called_service(fields: &[HeaderField]) -> Option<&str> {
+    let host = headers::find(fields, "host")?;
+    let name = host.split(':').next()?;
+    (!name.is_empty()).then_some(name)
+}
+
+/// Takes importance, deadline and a share of the tokens from the request that is being served.
+/// A call that names none counts as least important and has no tokens.
+fn inherit(node: &SharedNode, fields: &[HeaderField], class: &RequestClass) -> InheritedContext {
+    let longest = Instant::now() + class.timeout;
+    let id = headers::find(fields, headers::CALL).and_then(|text| text.parse().ok());
+    let mut calls = node.calls.borrow_mut();
+    let Some((id, parent)) = id.and_then(|id| calls.get_mut(id).map(|parent| (id, parent))) else {
+        return InheritedContext {
+            importance: RequestImportance::LEAST,
+            deadline: longest,
+            caller: CallerHash::default(),
+            tokens: TokenCount(0),
+            parent: None,
+        };
+    };
+    parent.children += 1;
+    InheritedContext {
+        importance: parent.importance,
+        deadline: parent.deadline.min(longest),
+        caller: parent.caller,
+        tokens: parent.purse.split(),
+        parent: Some(id),
+    }
+}
+
+fn put_back(node: &SharedNode, parent: CallId, unspent: TokenCount, granted: TokenCount) {
+    if let Some(parent) = node.calls.borrow_mut().get_mut(parent) {
+        parent.purse.put_back(unspent, granted);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/refusals.rs
@@ -0,0 +1,65 @@
+//! Turns results into answers at the HTTP doors.
+
+use lagoonshore_coordination::{
+    outcome::{CallOutcome, RefusalReason},
+    request_life::{CallRefusal, RequestLife},
+};
+use lagoonshore_protocol::{
+    headers::{self, HeaderField},
+    messages::{CallResult, WholeAnswer},
+    problem,
+};
+use lagoonshore_transport::http_door::{BodyFault, DoorAnswer};
+
+/// Answer for a result.
+#[must_use]
+pub fn to_answer(result: CallResult) -> DoorAnswer {
+    match result {
+        CallResult::Answered(answer) => relay(answer),
+        CallResult::Refused(refusal) => refuse(refusal, ""),
+    }
+}
+
+/// Answer for a refusal; `detail` may be empty.
+#[must_use]
+pub fn refuse(refusal: CallRefusal, detail: &str) -> DoorAnswer {
+    DoorAnswer {
+        status: refusal.reason.status(),
+        headers: problem::fields(refusal),
+        body: problem::body(refusal, detail),
+    }
+}
+
+/// Refusal of a request that has just arrived.
+#[must_use]
+pub const fn on_arrival(reason: RefusalReason) -> CallRefusal {
+    RequestLife::arrived().refuse(reason)
+}
+
+/// Answer for a request whose body could not be taken.
+#[must_use]
+pub fn refuse_body(fault: BodyFault) -> DoorAnswer {
+    match fault {
+        BodyFault::TooLarge(bound) => {
+            let detail = format!("the body is larger than {bound} bytes");
+            refuse(on_arrival(RefusalReason::TooLarge), &detail)
+        }
+        BodyFault::Torn => refuse(
+            on_arrival(RefusalReason::BadRequest),
+            "the body ended early or came too slowly",
+        ),
+    }
+}
+
+fn relay(answer: WholeAnswer) -> DoorAnswer {
+    let mut fields = headers::relayed(answer.headers);
+    fields.push(HeaderField::new(
+        headers::OUTCOME,
+        CallOutcome::Ran.as_str(),
+    ));
+    DoorAnswer {
+        status: answer.status,
+        headers: fields,
+        body: answer.body,
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,140 @@
+//! Small fakes for tests of whole nodes on loopback.
+
+// Each test file uses its own part of the fakes.
+#![allow(dead_code, unreachable_pub)]
+
+use awc::Client;
+use bytes::Bytes;
+use lagoonshore_daemon::{
+    node::{Node, SharedNode},
+    node_process::{self, BoundDoors},
+    platform_watch,
+};
+use lagoonshore_settings::NodeSettings;
+use lagoonshore_state::instance_table::{InstanceRecord, InstanceState};
+use lagoonshore_transport::http_door::{self, DoorAnswer, DoorLimits, DoorRequest};
+use std::{future::Future, net::SocketAddr};
+
+/// Address that takes any free port.
+pub const ANY_PORT: &str = "127.0.0.1:0";
+
+/// `TestNode` is a node whose doors are open on loopback.
+pub struct TestNode {
+    /// State of the node.
+    pub node: SharedNode,
+    /// Addresses of its doors.
+    pub doors: BoundDoors,
+}
+
+/// `TestAnswer` is an answer as a client saw it.
+#[derive(Debug)]
+pub struct TestAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Outcome header.
+    pub outcome: String,
+    /// Reason header.
+    pub reason: String,
+    /// Body as text.
+    pub body: String,
+}
+
+/// Starts an upstream that answers with `handler`.
+pub async fn upstream<H, F>(handler: H) -> SocketAddr
+where
+    H: Fn(DoorRequest) -> F + Clone + 'static,
+    F: Future<Output = DoorAnswer> + 'static,
+{
+    let listener = http_door::listen("upstream", address(ANY_PORT))
+        .await
+        .expect("a free port");
+    let bound = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    actix_rt::spawn(http_door::serve(listener, DoorLimits::default(), handler));
+    bound
+}
+
+/// Starts a node beside `upstream` with `records` in force.
+pub async fn node(service: &str, zone: &str, upstream: SocketAddr, records: &[&str]) -> TestNode {
+    let text = format!(
+        "{{instance: {service}-{zone}, service: {service}, zone: {zone}, region: marmara, \
+         listen: {{inbound: \"{ANY_PORT}\", outbound: \"{ANY_PORT}\", peer: \"{ANY_PORT}\", \
+         admin: \"{ANY_PORT}\"}}, upstream: {{address: \"{upstream}\"}}, \
+         platform: [\"127.0.0.1:1\"]}}"
+    );
+    let settings = NodeSettings::parse(&text).expect("good settings");
+    let node = Node::new(settings).expect("random numbers");
+    for record in records {
+        let policy = lagoonshore_protocol::record::parse(record.as_bytes()).expect("good record");
+        platform_watch::offer(&node, &policy.service, record.as_bytes());
+    }
+    let doors = node_process::open(&node).await.expect("free ports");
+    TestNode { node, doors }
+}
+
+/// Makes `from` know `to` as a live instance.
+pub fn introduce(from: &TestNode, to: &TestNode) {
+    let settings = &to.node.settings;
+    let record = InstanceRecord {
+        name: settings.instance.clone(),
+        service: settings.service.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peer: to.doors.peer,
+        state: InstanceState::Live,
+    };
+    from.node.instances.borrow_mut().upsert(record);
+}
+
+/// Sends a request and takes the whole answer.
+pub async fn send(
+    door: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> TestAnswer {
+    let method = method.parse().expect("a method");
+    let client = Client::builder().disable_timeout().finish();
+    let mut call = client.request(method, format!("http://{door}{path}"));
+    for header in headers {
+        call = call.insert_header(*header);
+    }
+    let mut response = call
+        .send_body(body.to_owned())
+        .await
+        .expect("the door answers");
+    let header = |name| {
+        let value = response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (outcome, reason) = (header("lagoonshore-outcome"), header("lagoonshore-reason"));
+    let status = response.status().as_u16();
+    let body = response.body().await.expect("a whole body");
+    let body = String::from_utf8_lossy(&body).into_owned();
+    TestAnswer {
+        status,
+        outcome,
+        reason,
+        body,
+    }
+}
+
+/// An answer with status 200 and a text body.
+pub fn ok(body: &str) -> DoorAnswer {
+    let body = Bytes::copy_from_slice(body.as_bytes());
+    DoorAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body,
+    }
+}
+
+/// Parses an address.
+pub fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
--- /dev/null
+++ b/crates/protocol/src/peer_service.rs
@@ -0,0 +1,13 @@
+//! The service that nodes offer to each other over tarpc.
+
+// The attribute macro generates items without doc comments.
+#![allow(missing_docs)]
+
+use crate::messages::{CallReply, CallRequest};
+
+/// `PeerService` is what a node does for other nodes.
+#[tarpc::service]
+pub trait PeerService {
+    /// Has the upstream of the node serve a request.
+    async fn call(request: CallRequest) -> CallReply;
+}
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,248 @@
+//! The callers' stand-in: offers traffic at a rate, repeats what may be repeated, and checks
+//! every answer.
+
+use crate::{
+    arguments::{self, StandinResult},
+    deployment::{DeploymentPlan, TrafficPlan},
+    report::{RequestEnd, TrafficReport},
+};
+
+use awc::Client;
+use lagoonshore_protocol::headers;
+use pico_args::Arguments;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::Value;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Tries of one request, the first included; callers retry hard.
+const TRIES_MAX: u32 = 3;
+/// Pause between two tries.
+const TRY_PAUSE: Duration = Duration::from_millis(50);
+/// Time beyond its own timeout that a caller waits, so that an honest refusal still reaches it.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+/// Pause between two lines of progress.
+const PROGRESS_PAUSE: Duration = Duration::from_secs(2);
+
+struct CallerSet {
+    client: Client,
+    entries: Vec<SocketAddr>,
+    turn: Cell<usize>,
+    report: RefCell<TrafficReport>,
+}
+
+#[derive(Clone, Copy)]
+struct SurgePlan {
+    start: f64,
+    length: f64,
+    factor: f64,
+}
+
+/// Offers the traffic and prints the table; fails if an invariant was broken.
+pub async fn run(mut arguments: Arguments) -> StandinResult<ExitCode> {
+    let deployment: PathBuf = arguments::required(&mut arguments, "--deployment")?;
+    let plan = DeploymentPlan::load(&deployment)?;
+    let entries: String = arguments::required(&mut arguments, "--entries")?;
+    let entries: Result<Vec<SocketAddr>, _> = entries.split(',').map(str::parse).collect();
+    let entries = entries.map_err(|fault| format!("--entries: {fault}"))?;
+    let facts: SocketAddr = arguments::required(&mut arguments, "--facts")?;
+    let seconds: f64 = arguments::optional(&mut arguments, "--seconds", 20.0)?;
+    let rate: f64 = arguments::optional(&mut arguments, "--rate", 100.0)?;
+    let surge: String = arguments::optional(&mut arguments, "--surge", "0:0:1".to_owned())?;
+    let seed = arguments::optional(&mut arguments, "--seed", 1)?;
+    let callers = Rc::new(CallerSet {
+        client: Client::builder().disable_timeout().finish(),
+        entries,
+        turn: Cell::new(0),
+        report: RefCell::new(TrafficReport::new(&plan.traffic)),
+    });
+    let progress = actix_rt::spawn(show_progress(Rc::clone(&callers)));
+    offer(
+        &callers,
+        &plan.traffic,
+        seconds,
+        rate,
+        surge_plan(&surge)?,
+        seed,
+    )
+    .await;
+    progress.abort();
+    let runs = read_runs(&callers.client, facts).await?;
+    let report = callers.report.borrow();
+    print!("{}", report.table(&runs));
+    Ok(if report.faults(&runs).is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn surge_plan(text: &str) -> StandinResult<SurgePlan> {
+    let parts: Result<Vec<f64>, _> = text.split(':').map(str::parse).collect();
+    match parts.as_deref() {
+        Ok([start, length, factor]) => Ok(SurgePlan {
+            start: *start,
+            length: *length,
+            factor: *factor,
+        }),
+        _ => Err(format!(
+            "--surge: found {text}, expected START:LENGTH:FACTOR"
+        )),
+    }
+}
+
+/// Starts requests at the rate, whether or not earlier ones have ended, and waits for all.
+async fn offer(
+    callers: &Rc<CallerSet>,
+    traffic: &[TrafficPlan],
+    seconds: f64,
+    rate: f64,
+    surge: SurgePlan,
+    seed: u64,
+) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let started = Instant::now();
+    let mut next = 0.0;
+    let mut requests = Vec::new();
+    let total: u32 = traffic.iter().map(|plan| plan.weight).sum();
+    while next < seconds {
+        let surging = next >= surge.start && next < surge.start + surge.length;
+        let rate = if surging { rate * surge.factor } else { rate };
+        next += -(1.0 - random.random::<f64>()).ln() / rate;
+        actix_rt::time::sleep_until(started + Duration::from_secs_f64(next)).await;
+        let kind = pick(traffic, random.random_range(0..total));
+        let tag = format!("{seed:x}-{:016x}", random.random::<u64>());
+        requests.push(actix_rt::spawn(request(
+            Rc::clone(callers),
+            traffic[kind].clone(),
+            kind,
+            tag,
+        )));
+    }
+    for request in requests {
+        let _ = request.await;
+    }
+}
+
+fn pick(traffic: &[TrafficPlan], mut draw: u32) -> usize {
+    for (kind, plan) in traffic.iter().enumerate() {
+        if draw < plan.weight {
+            return kind;
+        }
+        draw -= plan.weight;
+    }
+    0
+}
+
+async fn request(callers: Rc<CallerSet>, plan: TrafficPlan, kind: usize, tag: String) {
+    callers.report.borrow_mut().offered(kind);
+    let started = Instant::now();
+    let deadline = started + Duration::from_millis(plan.timeout_ms);
+    let mut end = RequestEnd::Refused("none".to_owned());
+    for attempt in 0..TRIES_MAX {
+        if attempt > 0 {
+            actix_rt::time::sleep(TRY_PAUSE).await;
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        let trying = attempt_once(&callers, &plan, &tag, left);
+        let latest = actix_rt::time::timeout(left + ANSWER_GRACE, trying).await;
+        let latest = latest.unwrap_or_else(|_| RequestEnd::Unknown("caller-timeout".to_owned()));
+        end = end.followed_by(latest);
+        if !end.may_repeat(plan.idempotent) || Instant::now() >= deadline {
+            break;
+        }
+    }
+    callers
+        .report
+        .borrow_mut()
+        .ended(kind, &tag, end, started.elapsed());
+}
+
+async fn attempt_once(
+    callers: &CallerSet,
+    plan: &TrafficPlan,
+    tag: &str,
+    left: Duration,
+) -> RequestEnd {
+    let turn = callers.turn.get();
+    callers.turn.set(turn + 1);
+    let entry = callers.entries[turn % callers.entries.len()];
+    let uri = format!("http://{entry}{}/{tag}", plan.path);
+    let Ok(method) = awc::http::Method::from_bytes(plan.method.as_bytes()) else {
+        return RequestEnd::Refused("method".to_owned());
+    };
+    let mut call = callers.client.request(method, uri);
+    call = call.insert_header((headers::TIMEOUT_MS, left.as_millis().max(1).to_string()));
+    if !plan.idempotent {
+        call = call.insert_header((headers::IDEMPOTENCY_KEY, tag));
+    }
+    let mut response = match call.send_body(tag.to_owned()).await {
+        Ok(response) => response,
+        Err(awc::error::SendRequestError::Connect(_)) => {
+            return RequestEnd::Refused("connect".to_owned());
+        }
+        Err(_) => return RequestEnd::Unknown("connection-lost".to_owned()),
+    };
+    let header = |name| {
+        let value = response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (outcome, reason) = (header(headers::OUTCOME), header(headers::REASON));
+    let Ok(body) = response.body().limit(8 << 20).await else {
+        return RequestEnd::Torn;
+    };
+    match outcome.as_str() {
+        "ran" if response.status().is_success() => check(&body, &format!("{}/{tag}", plan.path)),
+        "ran" => RequestEnd::Failed(response.status().as_u16()),
+        "not-run" => RequestEnd::Refused(reason),
+        _ => RequestEnd::Unknown(reason),
+    }
+}
+
+/// An answer is whole if it and every answer inside it belong to the request and are complete.
+fn check(body: &[u8], path: &str) -> RequestEnd {
+    fn is_whole(answer: &Value, path: &str) -> bool {
+        let children = answer["children"].as_array();
+        answer["path"] == path
+            && answer["end"] == true
+            && children.is_some_and(|children| children.iter().all(|child| is_whole(child, path)))
+    }
+    match serde_json::from_slice(body) {
+        Ok(answer) if is_whole(&answer, path) => RequestEnd::Whole,
+        _ => RequestEnd::Torn,
+    }
+}
+
+async fn read_runs(client: &Client, facts: SocketAddr) -> StandinResult<BTreeMap<String, u64>> {
+    let sent = client
+        .get(format!("http://{facts}/standin/runs"))
+        .send()
+        .await;
+    let mut response = sent.map_err(|fault| fault.to_string())?;
+    let body = response
+        .body()
+        .limit(64 << 20)
+        .await
+        .map_err(|fault| fault.to_string())?;
+    serde_json::from_slice(&body).map_err(|fault| fault.to_string())
+}
+
+async fn show_progress(callers: Rc<CallerSet>) {
+    let started = Instant::now();
+    loop {
+        actix_rt::time::sleep(PROGRESS_PAUSE).await;
+        let line = callers.report.borrow_mut().progress();
+        println!("{:>4}s  {line}", started.elapsed().as_secs());
+    }
+}
--- /dev/null
+++ b/crates/standin/src/report.rs
@@ -0,0 +1,206 @@
+//! What became of the offered requests, and the table that shows it.
+
+use crate::deployment::TrafficPlan;
+
+use hdrhistogram::Histogram;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write,
+    time::Duration,
+};
+
+/// Largest latency that the histograms hold, in microseconds.
+const LATENCY_MAX_US: u64 = 120_000_000;
+
+/// `RequestEnd` is what a caller saw in the end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RequestEnd {
+    /// A whole answer to its own request.
+    Whole,
+    /// The upstream answered with an error status.
+    Failed(u16),
+    /// Refused as not run, with the reason.
+    Refused(String),
+    /// The outcome is unknown, with the reason.
+    Unknown(String),
+    /// An answer that was not whole, or not its own.
+    Torn,
+}
+
+impl RequestEnd {
+    /// Joins an earlier try with a later one: once unknown, a refusal does not make it not run.
+    #[must_use]
+    pub fn followed_by(self, latest: Self) -> Self {
+        match (&self, &latest) {
+            (Self::Unknown(_), Self::Refused(_)) => self,
+            _ => latest,
+        }
+    }
+
+    /// Tells whether the caller may send the request again.
+    pub const fn may_repeat(&self, idempotent: bool) -> bool {
+        match self {
+            Self::Refused(_) => true,
+            Self::Unknown(_) | Self::Failed(_) => idempotent,
+            Self::Whole | Self::Torn => false,
+        }
+    }
+}
+
+struct KindReport {
+    name: String,
+    importance: u8,
+    idempotent: bool,
+    offered: u64,
+    whole: u64,
+    failed: u64,
+    torn: u64,
+    refused: BTreeMap<String, u64>,
+    unknown: BTreeMap<String, u64>,
+    latency: Histogram<u64>,
+}
+
+/// `TrafficReport` counts the ends of requests by kind.
+pub struct TrafficReport {
+    kinds: Vec<KindReport>,
+    not_run: BTreeSet<String>,
+    shown: (u64, u64),
+}
+
+impl TrafficReport {
+    /// Creates an empty report.
+    pub fn new(traffic: &[TrafficPlan]) -> Self {
+        let kind = |plan: &TrafficPlan| KindReport {
+            name: plan.name.to_string(),
+            importance: plan.importance,
+            idempotent: plan.idempotent,
+            offered: 0,
+            whole: 0,
+            failed: 0,
+            torn: 0,
+            refused: BTreeMap::new(),
+            unknown: BTreeMap::new(),
+            latency: Histogram::new_with_bounds(1, LATENCY_MAX_US, 3)
+                .unwrap_or_else(|_| unreachable!("the bounds are constant and valid")),
+        };
+        Self {
+            kinds: traffic.iter().map(kind).collect(),
+            not_run: BTreeSet::new(),
+            shown: (0, 0),
+        }
+    }
+
+    /// Counts an offered request.
+    pub fn offered(&mut self, kind: usize) {
+        self.kinds[kind].offered += 1;
+    }
+
+    /// Counts an ended request.
+    pub fn ended(&mut self, kind: usize, tag: &str, end: RequestEnd, latency: Duration) {
+        let kind = &mut self.kinds[kind];
+        match end {
+            RequestEnd::Whole => {
+                kind.whole += 1;
+                kind.latency
+                    .saturating_record(latency.as_micros().try_into().unwrap_or(u64::MAX));
+            }
+            RequestEnd::Failed(_) => kind.failed += 1,
+            RequestEnd::Torn => kind.torn += 1,
+            RequestEnd::Refused(reason) => {
+                *kind.refused.entry(reason).or_default() += 1;
+                if !kind.idempotent {
+                    self.not_run.insert(tag.to_owned());
+                }
+            }
+            RequestEnd::Unknown(reason) => *kind.unknown.entry(reason).or_default() += 1,
+        }
+    }
+
+    /// One line of progress: what was offered and answered whole since the last line.
+    pub fn progress(&mut self) -> String {
+        let offered = self.kinds.iter().map(|kind| kind.offered).sum();
+        let whole = self.kinds.iter().map(|kind| kind.whole).sum();
+        let (offered_before, whole_before) = std::mem::replace(&mut self.shown, (offered, whole));
+        format!(
+            "offered {:>6}  whole {:>6}",
+            offered - offered_before,
+            whole - whole_before
+        )
+    }
+
+    /// Broken invariants, one line each.
+    pub fn faults(&self, runs: &BTreeMap<String, u64>) -> Vec<String> {
+        let mut faults = Vec::new();
+        for (run, count) in runs.iter().filter(|(_, count)| **count > 1) {
+            faults.push(format!("double run: {run} ran {count} times"));
+        }
+        for run in runs.keys() {
+            let key = run.split(' ').nth(1).unwrap_or_default();
+            if self.not_run.contains(key) {
+                faults.push(format!("false not-run: {run} was refused as not run"));
+            }
+        }
+        for kind in self.kinds.iter().filter(|kind| kind.torn > 0) {
+            faults.push(format!("torn answers: {} of {}", kind.torn, kind.name));
+        }
+        faults
+    }
+
+    /// The table for people.
+    pub fn table(&self, runs: &BTreeMap<String, u64>) -> String {
+        let mut text = format!(
+            "\n{:<14} {:>3} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9}\n",
+            "request",
+            "imp",
+            "offered",
+            "whole",
+            "refused",
+            "failed",
+            "unknown",
+            "p50 ms",
+            "p99 ms"
+        );
+        for kind in &self.kinds {
+            let millis = |quantile| micros_to_millis(kind.latency.value_at_quantile(quantile));
+            let _ = writeln!(
+                text,
+                "{:<14} {:>3} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9}",
+                kind.name,
+                kind.importance,
+                kind.offered,
+                kind.whole,
+                kind.refused.values().sum::<u64>(),
+                kind.failed,
+                kind.unknown.values().sum::<u64>(),
+                millis(0.5),
+                millis(0.99),
+            );
+        }
+        text.push_str("\nrefused and unknown, by importance and reason\n");
+        for kind in &self.kinds {
+            for (reason, count) in kind.refused.iter().chain(&kind.unknown) {
+                let _ = writeln!(
+                    text,
+                    "  {} {:<14} {reason:<22} {count:>8}",
+                    kind.importance, kind.name
+                );
+            }
+        }
+        let faults = self.faults(runs);
+        let doubles = runs.values().filter(|count| **count > 1).count();
+        let _ = writeln!(text, "\nkeys run {}, double runs {doubles}", runs.len());
+        for fault in &faults {
+            let _ = writeln!(text, "BROKEN {fault}");
+        }
+        text.push_str(if faults.is_empty() {
+            "every invariant held\n"
+        } else {
+            ""
+        });
+        text
+    }
+}
+
+fn micros_to_millis(micros: u64) -> String {
+    format!("{}.{:02}", micros / 1000, micros % 1000 / 10)
+}
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,165 @@
+//! An upstream's stand-in: works for the time its route says, calls on, and answers whole.
+
+use crate::{
+    arguments::{self, StandinResult, fault_line},
+    deployment::{DeploymentPlan, RoutePlan, ServicePlan},
+};
+
+use awc::Client;
+use bytes::Bytes;
+use lagoonshore_protocol::headers::{self, HeaderField};
+use lagoonshore_transport::http_door::{self, DoorAnswer, DoorLimits, DoorRequest};
+use pico_args::Arguments;
+use serde_json::{Value, json};
+use std::{cell::Cell, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
+use tokio::sync::Semaphore;
+
+/// Bound on connections.
+const CONNECTIONS_MAX: u32 = 4096;
+/// Largest answer of a called service.
+const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
+
+struct StandinUpstream {
+    plan: ServicePlan,
+    instance: String,
+    outbound: PathBuf,
+    facts: SocketAddr,
+    faults: Option<PathBuf>,
+    slots: Semaphore,
+    client: Client,
+}
+
+/// Runs the stand-in until the process ends.
+pub async fn run(mut arguments: Arguments) -> StandinResult<ExitCode> {
+    let deployment: PathBuf = arguments::required(&mut arguments, "--deployment")?;
+    let service: String = arguments::required(&mut arguments, "--service")?;
+    let plan = DeploymentPlan::load(&deployment)?;
+    let plan = plan
+        .service(&service)
+        .ok_or_else(|| format!("no service {service}"))?
+        .clone();
+    let ready: PathBuf = arguments::required(&mut arguments, "--ready")?;
+    let listen = arguments::optional(&mut arguments, "--listen", ([127, 0, 0, 1], 0).into())?;
+    let upstream = Rc::new(StandinUpstream {
+        slots: Semaphore::new(plan.slots),
+        plan,
+        instance: arguments::required(&mut arguments, "--instance")?,
+        outbound: arguments::required(&mut arguments, "--outbound")?,
+        facts: arguments::required(&mut arguments, "--facts")?,
+        faults: arguments
+            .opt_value_from_str("--faults")
+            .map_err(|fault| fault.to_string())?,
+        client: Client::builder().disable_timeout().finish(),
+    });
+    let listener = arguments::listen(listen, &ready).await?;
+    let limits = DoorLimits {
+        connections: Rc::new(Cell::new(CONNECTIONS_MAX)),
+        ..DoorLimits::default()
+    };
+    http_door::serve(listener, limits, move |request| {
+        answer(Rc::clone(&upstream), request)
+    })
+    .await;
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn answer(upstream: Rc<StandinUpstream>, request: DoorRequest) -> DoorAnswer {
+    if request.path == "/health" {
+        return plain(200, Bytes::from_static(b"ok"));
+    }
+    let Some(route) = upstream.plan.route(&request.method, &request.path) else {
+        return plain(404, Bytes::from_static(b"no such route"));
+    };
+    let Ok(slot) = upstream.slots.acquire().await else {
+        return plain(503, Bytes::new());
+    };
+    if let Some(key) = headers::find(&request.headers, headers::IDEMPOTENCY_KEY)
+        && !report_run(&upstream, key).await
+    {
+        return plain(500, Bytes::from_static(b"the tally cannot be reached"));
+    }
+    actix_rt::time::sleep(work(&upstream, route)).await;
+    let answer = call_on(&upstream, route, &request).await;
+    drop(slot);
+    answer
+}
+
+fn work(upstream: &StandinUpstream, route: &RoutePlan) -> Duration {
+    let slow = fault_line(upstream.faults.as_deref(), "slow");
+    route
+        .work()
+        .mul_f64(slow.and_then(|text| text.parse().ok()).unwrap_or(1.0))
+}
+
+/// Counts a run before its work starts; the count is kept where a crash does not lose it.
+async fn report_run(upstream: &StandinUpstream, key: &str) -> bool {
+    let uri = format!("http://{}/standin/runs", upstream.facts);
+    let run = format!("{} {key}", upstream.plan.name);
+    upstream.client.post(uri).send_body(run).await.is_ok()
+}
+
+async fn call_on(
+    upstream: &StandinUpstream,
+    route: &RoutePlan,
+    request: &DoorRequest,
+) -> DoorAnswer {
+    let mut children = Vec::new();
+    for service in &route.calls {
+        match call(upstream, service, request).await {
+            Ok(child) => children.push(child),
+            Err(cause) => {
+                let body = json!({ "service": upstream.plan.name, "failed": cause });
+                return plain(502, body.to_string().into());
+            }
+        }
+    }
+    let body = json!({
+        "service": upstream.plan.name, "instance": upstream.instance, "path": request.path,
+        "children": children, "end": true,
+    });
+    plain(200, body.to_string().into())
+}
+
+/// Calls a service through the node's outbound door; `Err` says why there is no good answer.
+async fn call(
+    upstream: &StandinUpstream,
+    service: &str,
+    request: &DoorRequest,
+) -> Result<Value, String> {
+    let outbound =
+        std::fs::read_to_string(&upstream.outbound).map_err(|fault| fault.to_string())?;
+    let uri = format!("http://{}{}", outbound.trim(), request.path);
+    let method = awc::http::Method::from_bytes(request.method.as_bytes());
+    let mut call = upstream
+        .client
+        .request(method.map_err(|fault| fault.to_string())?, uri);
+    call = call.insert_header(("host", service));
+    for name in [headers::CALL, headers::IDEMPOTENCY_KEY] {
+        if let Some(value) = headers::find(&request.headers, name) {
+            call = call.insert_header((name, value));
+        }
+    }
+    let sent = call
+        .send_body(request.body.clone().unwrap_or_default())
+        .await;
+    let mut response = sent.map_err(|fault| fault.to_string())?;
+    let body = response
+        .body()
+        .limit(ANSWER_BYTES_MAX)
+        .await
+        .map_err(|fault| fault.to_string())?;
+    if response.status().is_success() {
+        serde_json::from_slice(&body).map_err(|fault| fault.to_string())
+    } else {
+        Err(format!("{service}: {}", response.status()))
+    }
+}
+
+fn plain(status: u16, body: Bytes) -> DoorAnswer {
+    let headers = vec![HeaderField::new("content-type", "application/json")];
+    DoorAnswer {
+        status,
+        headers,
+        body,
+    }
+}
--- /dev/null
+++ b/crates/state/src/policy_set.rs
@@ -0,0 +1,80 @@
+//! The policies in force at a node.
+
+use crate::{
+    error::{self, Result},
+    ids::{PolicyRevision, ServiceName},
+    policy::ServicePolicy,
+};
+
+use std::{collections::BTreeMap, rc::Rc};
+
+/// `PolicyEntry` is a policy in force with the bytes it was read from.
+#[derive(Clone, Debug)]
+pub struct PolicyEntry {
+    /// The policy.
+    pub policy: Rc<ServicePolicy>,
+    /// Bytes of the record, handed on verbatim to peers.
+    pub bytes: Rc<[u8]>,
+}
+
+/// `OfferVerdict` says what became of an accepted offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OfferVerdict {
+    /// The policy is newer and now in force.
+    InForce,
+    /// The very same record was in force already.
+    Unchanged,
+}
+
+/// `PolicySet` holds the highest accepted revision of each policy. A revision only rises.
+#[derive(Debug, Default)]
+pub struct PolicySet {
+    entries: BTreeMap<ServiceName, PolicyEntry>,
+}
+
+impl PolicySet {
+    /// Puts `policy` in force if it is newer than the one held.
+    ///
+    /// # Errors
+    /// [`crate::StateError::StaleRevision`] for an older revision,
+    /// [`crate::StateError::ConflictingRevision`] for the same revision with other bytes.
+    pub fn offer(&mut self, policy: ServicePolicy, bytes: &[u8]) -> Result<OfferVerdict> {
+        if let Some(held) = self.entries.get(&policy.service) {
+            let revision = held.policy.revision;
+            if policy.revision < revision {
+                return Err(error::stale(&policy.service, policy.revision, revision));
+            }
+            if policy.revision == revision {
+                return if *held.bytes == *bytes {
+                    Ok(OfferVerdict::Unchanged)
+                } else {
+                    Err(error::conflicting(&policy.service, revision))
+                };
+            }
+        }
+        let service = policy.service.clone();
+        let entry = PolicyEntry {
+            policy: Rc::new(policy),
+            bytes: bytes.into(),
+        };
+        self.entries.insert(service, entry);
+        Ok(OfferVerdict::InForce)
+    }
+
+    /// Policy in force for `service`.
+    #[must_use]
+    pub fn get(&self, service: &str) -> Option<&PolicyEntry> {
+        self.entries.get(service)
+    }
+
+    /// Revision in force for `service`.
+    #[must_use]
+    pub fn revision(&self, service: &str) -> Option<PolicyRevision> {
+        self.get(service).map(|entry| entry.policy.revision)
+    }
+
+    /// All policies in force, by service name.
+    pub fn iter(&self) -> impl Iterator<Item = (&ServiceName, &PolicyEntry)> {
+        self.entries.iter()
+    }
+}
--- /dev/null
+++ b/crates/transport/src/http_door.rs
@@ -0,0 +1,213 @@
+//! Doors that speak HTTP/1.1, each with bounds on connections, bodies and waiting times.
+
+use crate::error::{ListenSnafu, Result};
+
+use actix_http::{
+    HttpMessage, HttpService, Payload, Request, Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+use actix_rt::net::{TcpListener, TcpStream};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use compact_str::CompactString;
+use futures::StreamExt;
+use lagoonshore_protocol::headers::HeaderField;
+use snafu::ResultExt;
+use std::{
+    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// `DoorLimits` bounds what one door takes in.
+#[derive(Clone, Debug)]
+pub struct DoorLimits {
+    /// Connections at the same time; shared with the policy, which may change it.
+    pub connections: Rc<Cell<u32>>,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Time for the head of a request to arrive.
+    pub head_time: Duration,
+    /// Time for the body of a request to arrive.
+    pub body_time: Duration,
+    /// Time for which an idle connection is kept.
+    pub keep_alive: Duration,
+}
+
+impl Default for DoorLimits {
+    fn default() -> Self {
+        Self {
+            connections: Rc::new(Cell::new(1024)),
+            body_bytes: 1024 * 1024,
+            head_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(10),
+            keep_alive: Duration::from_secs(75),
+        }
+    }
+}
+
+/// `DoorRequest` is a whole request as a door received it.
+#[derive(Clone, Debug)]
+pub struct DoorRequest {
+    /// HTTP method.
+    pub method: CompactString,
+    /// Path with query.
+    pub path: CompactString,
+    /// Header fields, names in lower case.
+    pub headers: Vec<HeaderField>,
+    /// The body, or why it could not be taken.
+    pub body: Result<Bytes, BodyFault>,
+}
+
+/// `BodyFault` says why the body of a request could not be taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFault {
+    /// The body is larger than the bound, in bytes.
+    TooLarge(usize),
+    /// The body ended early or came too slowly.
+    Torn,
+}
+
+/// `DoorAnswer` is a whole answer to send.
+#[derive(Clone, Debug)]
+pub struct DoorAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header fields.
+    pub headers: Vec<HeaderField>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Opens a listening socket for the door named `door`.
+///
+/// # Errors
+/// [`crate::TransportError::Listen`] names the door, the address and the cause.
+pub async fn listen(door: &'static str, address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { door, address })
+}
+
+/// Serves requests until the future is dropped. Connections above the bound are closed at once.
+pub async fn serve<H, F>(listener: TcpListener, limits: DoorLimits, handler: H)
+where
+    H: Fn(DoorRequest) -> F + Clone + 'static,
+    F: Future<Output = DoorAnswer> + 'static,
+{
+    let body_limits = limits.clone();
+    let service = HttpService::build()
+        .keep_alive(limits.keep_alive)
+        .client_request_timeout(limits.head_time)
+        .finish(fn_service(move |request| {
+            respond(request, body_limits.clone(), handler.clone())
+        }))
+        .tcp()
+        .new_service(())
+        .await;
+    let Ok(service) = service else { return };
+    let service = Rc::new(service);
+    let open = Rc::new(Cell::new(0_u32));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() < limits.connections.get() {
+            let guard = ConnectionGuard::new(&open);
+            actix_rt::spawn(serve_connection(Rc::clone(&service), stream, guard));
+        }
+    }
+}
+
+async fn serve_connection<S: Service<TcpStream>>(
+    service: Rc<S>,
+    io: TcpStream,
+    guard: ConnectionGuard,
+) {
+    // Faults of one connection, such as a malformed head, concern that connection only.
+    let _ = io.set_nodelay(true);
+    let _ = service.call(io).await;
+    drop(guard);
+}
+
+struct ConnectionGuard(Rc<Cell<u32>>);
+
+impl ConnectionGuard {
+    fn new(open: &Rc<Cell<u32>>) -> Self {
+        open.set(open.get() + 1);
+        Self(Rc::clone(open))
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn respond<H, F>(
+    request: Request,
+    limits: DoorLimits,
+    handler: H,
+) -> Result<Response<Bytes>, Infallible>
+where
+    H: Fn(DoorRequest) -> F,
+    F: Future<Output = DoorAnswer>,
+{
+    let (mut head, payload) = take_head(request);
+    head.body = read_body(payload, &limits).await;
+    Ok(to_response(handler(head).await))
+}
+
+fn take_head(mut request: Request) -> (DoorRequest, Payload) {
+    let payload = request.take_payload();
+    let headers = request.headers().iter().map(|(name, value)| HeaderField {
+        name: name.as_str().into(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    });
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    let head = DoorRequest {
+        method: request.method().as_str().into(),
+        path: path.into(),
+        headers: headers.collect(),
+        body: Ok(Bytes::new()),
+    };
+    (head, payload)
+}
+
+async fn read_body(payload: Payload, limits: &DoorLimits) -> Result<Bytes, BodyFault> {
+    let reading = collect(payload, limits.body_bytes);
+    actix_rt::time::timeout(limits.body_time, reading)
+        .await
+        .unwrap_or(Err(BodyFault::Torn))
+}
+
+async fn collect(mut payload: Payload, bound: usize) -> Result<Bytes, BodyFault> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| BodyFault::Torn)?;
+        if body.len() + chunk.len() > bound {
+            return Err(BodyFault::TooLarge(bound));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn to_response(answer: DoorAnswer) -> Response<Bytes> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::with_body(status, answer.body);
+    for field in answer.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes());
+        let value = HeaderValue::from_bytes(&field.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,12 @@
+//! `lagoonshore-transport` moves bytes: HTTP doors, the client of the upstream, links between
+//! nodes, the platform reader and process signals.
+
+pub mod error;
+pub mod http_door;
+pub mod peer_link;
+pub mod peer_server;
+pub mod platform_reader;
+pub mod signals;
+pub mod upstream_client;
+
+pub use error::{Result, TransportError};
--- /dev/null
+++ b/crates/transport/src/peer_link.rs
@@ -0,0 +1,124 @@
+//! Links to other nodes over tarpc.
+
+use crate::error::{self, Result, TransportError};
+
+use actix_rt::net::TcpStream;
+use lagoonshore_protocol::{
+    messages::{CallReply, CallRequest},
+    peer_service::PeerServiceClient,
+};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tarpc::{
+    client::{Config, NewClient, RpcError},
+    context::Context,
+    serde_transport,
+    tokio_serde::formats::Bincode,
+};
+use tokio::time::Instant;
+use tokio_util::codec::LengthDelimitedCodec;
+
+/// Largest message between nodes, in bytes.
+pub const FRAME_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// Time for a connection to another node.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Calls in flight on one link.
+const IN_FLIGHT_MAX: usize = 4096;
+
+#[derive(Clone)]
+struct PeerLink {
+    client: PeerServiceClient,
+    alive: Rc<Cell<bool>>,
+}
+
+/// `PeerLinks` keeps one connection for each node that calls go to.
+#[derive(Default)]
+pub struct PeerLinks {
+    links: RefCell<BTreeMap<SocketAddr, PeerLink>>,
+}
+
+impl PeerLinks {
+    /// Calls the node at `address`; dropping the future cancels the call there.
+    ///
+    /// # Errors
+    /// [`TransportError::Connect`] if nothing was sent; any other error leaves the outcome unknown.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: CallRequest,
+        deadline: Instant,
+    ) -> Result<CallReply> {
+        let link = self.link(address).await?;
+        let mut context = Context::current();
+        context.deadline = deadline.into_std();
+        link.client
+            .call(context, request)
+            .await
+            .map_err(|fault| match fault {
+                RpcError::DeadlineExceeded => TransportError::TimedOut { address },
+                fault => error::exchange(address, &fault),
+            })
+    }
+
+    /// Number of links that are up.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.links
+            .borrow()
+            .values()
+            .filter(|link| link.alive.get())
+            .count()
+    }
+
+    /// Tells whether no link is up.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    async fn link(&self, address: SocketAddr) -> Result<PeerLink> {
+        let known = self.links.borrow().get(&address).cloned();
+        if let Some(link) = known.filter(|link| link.alive.get()) {
+            return Ok(link);
+        }
+        let link = Self::connect(address).await?;
+        self.links.borrow_mut().insert(address, link.clone());
+        Ok(link)
+    }
+
+    async fn connect(address: SocketAddr) -> Result<PeerLink> {
+        let connecting = actix_rt::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+        let connected = connecting.map_err(|fault| error::connect(address, &fault))?;
+        let stream = connected.map_err(|fault| error::connect(address, &fault))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|fault| error::connect(address, &fault))?;
+        let framed = frame_codec().new_framed(stream);
+        let transport = serde_transport::new(framed, Bincode::default());
+        let mut config = Config::default();
+        config.max_in_flight_requests = IN_FLIGHT_MAX;
+        config.pending_request_buffer = IN_FLIGHT_MAX;
+        let NewClient { client, dispatch } = PeerServiceClient::new(config, transport);
+        let alive = Rc::new(Cell::new(true));
+        let flag = Rc::clone(&alive);
+        actix_rt::spawn(async move {
+            // The calls in flight learn of the fault; the link only has to be marked.
+            let _ = dispatch.await;
+            flag.set(false);
+        });
+        Ok(PeerLink { client, alive })
+    }
+}
+
+/// Codec of the frames between nodes.
+#[must_use]
+pub fn frame_codec() -> tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(FRAME_BYTES_MAX);
+    builder
+}
--- /dev/null
+++ b/crates/transport/src/platform_reader.rs
@@ -0,0 +1,210 @@
+//! Reads the platform: policy records and instance lists. Nothing is written there.
+//!
+//! The adapter speaks the read part of the blocking-query HTTP interface that Consul publishes.
+
+use crate::error::{self, Result, TransportError};
+
+use awc::{Client, ClientResponse, http::StatusCode};
+use base64::{Engine, engine::general_purpose::STANDARD};
+use compact_str::CompactString;
+use futures::future::LocalBoxFuture;
+use lagoonshore_state::instance_table::{InstanceRecord, InstanceState};
+use serde::{Deserialize, de::DeserializeOwned};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+/// Time that one blocking query may wait at the platform.
+const WATCH_TIME: Duration = Duration::from_secs(30);
+/// Time beyond [`WATCH_TIME`] after which a query counts as failed.
+const WATCH_GRACE: Duration = Duration::from_secs(5);
+/// Largest answer of the platform: a value of 1 MB, base64, in JSON.
+const ANSWER_BYTES_MAX: usize = 2 * 1024 * 1024;
+
+/// `WatchReply` is the state of a watched thing at an index.
+#[derive(Clone, Debug)]
+pub struct WatchReply<T> {
+    /// Index to watch from.
+    pub index: u64,
+    /// The value.
+    pub value: T,
+}
+
+/// `PlatformReader` reads the platform; each call may wait until something changed.
+pub trait PlatformReader {
+    /// Reads the record `name`; `None` if there is no such record.
+    fn record<'a>(
+        &'a self,
+        name: &'a str,
+        index: u64,
+    ) -> LocalBoxFuture<'a, Result<WatchReply<Option<Vec<u8>>>>>;
+
+    /// Reads the instances of `service`.
+    fn instances<'a>(
+        &'a self,
+        service: &'a str,
+        index: u64,
+    ) -> LocalBoxFuture<'a, Result<WatchReply<Vec<InstanceRecord>>>>;
+}
+
+/// `ConsulReader` is the adapter for Consul's interface.
+#[derive(Clone)]
+pub struct ConsulReader {
+    client: Client,
+    addresses: Rc<[SocketAddr]>,
+    current: Rc<Cell<usize>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ValueText {
+    value: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct HealthText {
+    node: NodeText,
+    service: ServiceText,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct NodeText {
+    datacenter: CompactString,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ServiceText {
+    #[serde(rename = "ID")]
+    id: CompactString,
+    service: CompactString,
+    address: CompactString,
+    port: u16,
+    meta: MetaText,
+}
+
+#[derive(Deserialize)]
+struct MetaText {
+    zone: CompactString,
+    state: InstanceState,
+}
+
+impl ConsulReader {
+    /// Creates a reader of the platform at `addresses`, tried in order.
+    #[must_use]
+    pub fn new(addresses: &[SocketAddr]) -> Self {
+        let time = WATCH_TIME + WATCH_GRACE;
+        let client = Client::builder().timeout(time).disable_redirects().finish();
+        Self {
+            client,
+            addresses: addresses.into(),
+            current: Rc::new(Cell::new(0)),
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.addresses[self.current.get() % self.addresses.len()]
+    }
+
+    /// Turns to the next address after a failure.
+    fn turn(&self, failure: TransportError) -> TransportError {
+        self.current
+            .set((self.current.get() + 1) % self.addresses.len());
+        failure
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        index: u64,
+    ) -> Result<WatchReply<Option<T>>> {
+        let address = self.address();
+        let reading = self.read_from(address, path, index).await;
+        reading.map_err(|failure| self.turn(failure))
+    }
+
+    async fn read_from<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        index: u64,
+    ) -> Result<WatchReply<Option<T>>> {
+        let wait = WATCH_TIME.as_secs();
+        let uri = format!("http://{address}{path}?index={index}&wait={wait}s");
+        let sent = self.client.get(uri).send().await;
+        let mut response = sent.map_err(|fault| error::exchange(address, &fault))?;
+        let index = watch_index(&response);
+        match response.status() {
+            StatusCode::NOT_FOUND => Ok(WatchReply { index, value: None }),
+            StatusCode::OK => {
+                let body = response.body().limit(ANSWER_BYTES_MAX).await;
+                let body = body.map_err(|fault| error::broken(address, &fault))?;
+                let value = serde_json::from_slice(&body);
+                let value = value.map_err(|fault| error::broken(address, &fault))?;
+                Ok(WatchReply {
+                    index,
+                    value: Some(value),
+                })
+            }
+            status => Err(error::broken(address, &format!("status {status}"))),
+        }
+    }
+}
+
+fn watch_index<S>(response: &ClientResponse<S>) -> u64 {
+    let header = response.headers().get("x-consul-index");
+    let text = header.and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+impl PlatformReader for ConsulReader {
+    fn record<'a>(
+        &'a self,
+        name: &'a str,
+        index: u64,
+    ) -> LocalBoxFuture<'a, Result<WatchReply<Option<Vec<u8>>>>> {
+        Box::pin(async move {
+            let path = format!("/v1/kv/lagoonshore/records/{name}");
+            let reply: WatchReply<Option<Vec<ValueText>>> = self.read(&path, index).await?;
+            let text = reply
+                .value
+                .and_then(|values| values.into_iter().next()?.value);
+            let decoded = text.map(|text| STANDARD.decode(text)).transpose();
+            let value = decoded.map_err(|fault| error::broken(self.address(), &fault))?;
+            Ok(WatchReply {
+                index: reply.index,
+                value,
+            })
+        })
+    }
+
+    fn instances<'a>(
+        &'a self,
+        service: &'a str,
+        index: u64,
+    ) -> LocalBoxFuture<'a, Result<WatchReply<Vec<InstanceRecord>>>> {
+        Box::pin(async move {
+            let path = format!("/v1/health/service/{service}");
+            let reply: WatchReply<Option<Vec<HealthText>>> = self.read(&path, index).await?;
+            let listed = reply.value.unwrap_or_default();
+            let value = listed.into_iter().filter_map(to_record).collect();
+            Ok(WatchReply {
+                index: reply.index,
+                value,
+            })
+        })
+    }
+}
+
+/// Turns an entry of the list into a record; an entry without a numeric address is left out.
+fn to_record(text: HealthText) -> Option<InstanceRecord> {
+    let ip = text.service.address.parse().ok()?;
+    Some(InstanceRecord {
+        name: text.service.id,
+        service: text.service.service,
+        zone: text.service.meta.zone,
+        region: text.node.datacenter,
+        peer: SocketAddr::new(ip, text.service.port),
+        state: text.service.meta.state,
+    })
+}
