--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -4,7 +4,8 @@
 use crate::{
     arguments::{self, StandinResult},
     deployment::{DeploymentPlan, TrafficPlan},
-    report::{RequestEnd, TrafficReport},
+    report::{RequestEnd, TrafficReport, UpstreamWork},
+    upstream::TagWork,
 };
 
 use awc::Client;
@@ -58,26 +59,28 @@
     let rate: f64 = arguments::optional(&mut arguments, "--rate", 100.0)?;
     let surge: String = arguments::optional(&mut arguments, "--surge", "0:0:1".to_owned())?;
     let seed = arguments::optional(&mut arguments, "--seed", 1)?;
+    let only: String = arguments::optional(&mut arguments, "--only", String::new())?;
+    let traffic = chosen_traffic(plan.traffic, &only);
+    let upstreams: String = arguments::optional(&mut arguments, "--upstreams", String::new())?;
+    let report_file: Option<PathBuf> = arguments
+        .opt_value_from_str("--report")
+        .map_err(|fault| fault.to_string())?;
     let callers = Rc::new(CallerSet {
         client: Client::builder().disable_timeout().finish(),
         entries,
         turn: Cell::new(0),
-        report: RefCell::new(TrafficReport::new(&plan.traffic)),
+        report: RefCell::new(TrafficReport::new(&traffic)),
     });
     let progress = actix_rt::spawn(show_progress(Rc::clone(&callers)));
-    offer(
-        &callers,
-        &plan.traffic,
-        seconds,
-        rate,
-        surge_plan(&surge)?,
-        seed,
-    )
-    .await;
+    offer(&callers, &traffic, seconds, rate, surge_plan(&surge)?, seed).await;
     progress.abort();
     let runs = read_runs(&callers.client, facts).await?;
+    let work = read_work(&callers, &upstreams).await?;
     let report = callers.report.borrow();
     print!("{}", report.table(&runs));
+    if let Some(file) = report_file {
+        arguments::replace_file(&file, &report.json(&runs, work))?;
+    }
     Ok(if report.faults(&runs).is_empty() {
         ExitCode::SUCCESS
     } else {
@@ -238,6 +241,44 @@
     serde_json::from_slice(&body).map_err(|fault| fault.to_string())
 }
 
+/// Traffic of the kinds that `only` names, separated by commas; all of it where none is named.
+fn chosen_traffic(mut traffic: Vec<TrafficPlan>, only: &str) -> Vec<TrafficPlan> {
+    if !only.is_empty() {
+        traffic.retain(|plan| only.split(',').any(|name| name == plan.name));
+    }
+    traffic
+}
+
+/// Sums up what the upstreams at the addresses in `upstreams` spent on the offered requests.
+async fn read_work(callers: &CallerSet, upstreams: &str) -> StandinResult<UpstreamWork> {
+    let mut work = UpstreamWork::default();
+    for upstream in upstreams.split(',').filter(|address| !address.is_empty()) {
+        let sent = client
+            .get(format!("http://{upstream}/standin/work"))
+            .send()
+            .await;
+        let mut response = sent.map_err(|fault| fault.to_string())?;
+        let body = response
+            .body()
+            .limit(64 << 20)
+            .await
+            .map_err(|fault| fault.to_string())?;
+        let tags: BTreeMap<String, TagWork> =
+            serde_json::from_slice(&body).map_err(|fault| fault.to_string())?;
+        let report = callers.report.borrow();
+        for (tag, spent) in tags {
+            work.runs += spent.runs;
+            work.busy_us += spent.busy_us;
+            work.wasted_us += if report.is_whole(&tag) {
+                0
+            } else {
+                spent.busy_us
+            };
+        }
+    }
+    Ok(work)
+}
+
 async fn show_progress(callers: Rc<CallerSet>) {
     let started = Instant::now();
     loop {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod arguments;
 pub mod caller;
 pub mod deployment;
+pub mod paired;
 pub mod platform;
 pub mod report;
 pub mod upstream;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,6 @@
 //! Command line of the stand-ins.
 
-use lagoonshore_standin::{caller, platform, upstream};
+use lagoonshore_standin::{caller, paired, platform, upstream};
 use std::process::ExitCode;
 
 const HELP: &str = "\
@@ -13,12 +13,16 @@
                                [--listen ADDR] [--faults FILE]
   lagoonshore-standin caller   --deployment FILE --entries ADDR,ADDR --facts ADDR
                                [--seconds N] [--rate N] [--surge START:LENGTH:FACTOR]
-                               [--seed N] [--report FILE]
+                               [--seed N] [--only KIND,KIND]
+                               [--upstreams ADDR,ADDR] [--report FILE]
+  lagoonshore-standin paired   --direct ADDR --through ADDR --path PATH
+                               [--host NAME] [--seconds N] [--rate N] [--report FILE]
 
   platform   serves DIR/records/NAME.yaml and DIR/instances/NAME.json, and counts runs by key;
              a file DIR/faults may hold 'down', 'stale' or 'slow MS'
   upstream   runs the routes of one service; a file --faults may hold 'slow FACTOR' or 'torn'
   caller     offers the traffic of the deployment and checks what comes back
+  paired     makes the same call directly and through a node in turn, and compares the times
   --ready    file that receives the address once the stand-in listens
 ";
 
@@ -34,7 +38,8 @@
         "platform" => system.block_on(platform::run(arguments)),
         "upstream" => system.block_on(upstream::run(arguments)),
         "caller" => system.block_on(caller::run(arguments)),
-        _ => Err("expected platform, upstream or caller; see --help".into()),
+        "paired" => system.block_on(paired::run(arguments)),
+        _ => Err("expected platform, upstream, caller or paired; see --help".into()),
     };
     match ended {
         Ok(code) => code,
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -3,14 +3,16 @@
 use crate::deployment::TrafficPlan;
 
 use hdrhistogram::Histogram;
+use serde::Serialize;
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt::Write,
     time::Duration,
 };
+use tokio::time::Instant;
 
 /// Largest latency that the histograms hold, in microseconds.
-const LATENCY_MAX_US: u64 = 120_000_000;
+pub const LATENCY_MAX_US: u64 = 120_000_000;
 
 /// `RequestEnd` is what a caller saw in the end.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,13 +60,93 @@
     refused: BTreeMap<String, u64>,
     unknown: BTreeMap<String, u64>,
     latency: Histogram<u64>,
+    ticks: Vec<TrafficTick>,
+}
+
+impl KindReport {
+    /// The tick at `age` after the start of the report.
+    fn tick(&mut self, age: Duration) -> &mut TrafficTick {
+        let tick = age.as_millis() / u128::from(TICK_MS);
+        let tick = usize::try_from(tick).unwrap_or(usize::MAX);
+        if self.ticks.len() <= tick {
+            self.ticks.resize(tick + 1, TrafficTick::default());
+        }
+        &mut self.ticks[tick]
+    }
+
+    fn summary(&self) -> KindSummary<'_> {
+        KindSummary {
+            name: &self.name,
+            importance: self.importance,
+            offered: self.offered,
+            whole: self.whole,
+            failed: self.failed,
+            torn: self.torn,
+            refused: &self.refused,
+            unknown: &self.unknown,
+            p50_us: self.latency.value_at_quantile(0.5),
+            p99_us: self.latency.value_at_quantile(0.99),
+            ticks: &self.ticks,
+        }
+    }
+}
+
+/// Length of one tick, in milliseconds.
+const TICK_MS: u64 = 500;
+
+/// `TrafficTick` counts one tick of one kind.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct TrafficTick {
+    /// Requests that started in the tick.
+    pub offered: u64,
+    /// Requests that ended with a whole answer in the tick.
+    pub whole: u64,
+    /// Requests that started in the tick and ended with a whole answer, whenever that was.
+    pub answered: u64,
+}
+
+/// `UpstreamWork` is what the upstreams spent on the offered requests.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct UpstreamWork {
+    /// Runs at all upstreams.
+    pub runs: u64,
+    /// Time worked, in microseconds.
+    pub busy_us: u64,
+    /// Time worked on requests that did not end with a whole answer, in microseconds.
+    pub wasted_us: u64,
+}
+
+#[derive(Serialize)]
+struct KindSummary<'a> {
+    name: &'a str,
+    importance: u8,
+    offered: u64,
+    whole: u64,
+    failed: u64,
+    torn: u64,
+    refused: &'a BTreeMap<String, u64>,
+    unknown: &'a BTreeMap<String, u64>,
+    p50_us: u64,
+    p99_us: u64,
+    ticks: &'a [TrafficTick],
+}
+
+#[derive(Serialize)]
+struct ReportSummary<'a> {
+    tick_ms: u64,
+    kinds: Vec<KindSummary<'a>>,
+    work: UpstreamWork,
+    keys_run: usize,
+    faults: Vec<String>,
 }
 
 /// `TrafficReport` counts the ends of requests by kind.
 pub struct TrafficReport {
     kinds: Vec<KindReport>,
     not_run: BTreeSet<String>,
+    whole: BTreeSet<String>,
     shown: (u64, u64),
+    started: Instant,
 }
 
 impl TrafficReport {
@@ -82,17 +164,22 @@
             unknown: BTreeMap::new(),
             latency: Histogram::new_with_bounds(1, LATENCY_MAX_US, 3)
                 .unwrap_or_else(|_| unreachable!("the bounds are constant and valid")),
+            ticks: Vec::new(),
         };
         Self {
             kinds: traffic.iter().map(kind).collect(),
             not_run: BTreeSet::new(),
+            whole: BTreeSet::new(),
             shown: (0, 0),
+            started: Instant::now(),
         }
     }
 
     /// Counts an offered request.
     pub fn offered(&mut self, kind: usize) {
-        self.kinds[kind].offered += 1;
+        let kind = &mut self.kinds[kind];
+        kind.offered += 1;
+        kind.tick(self.started.elapsed()).offered += 1;
     }
 
     /// Counts an ended request.
@@ -101,6 +188,10 @@
         match end {
             RequestEnd::Whole => {
                 kind.whole += 1;
+                let age = self.started.elapsed();
+                kind.tick(age).whole += 1;
+                kind.tick(age.saturating_sub(latency)).answered += 1;
+                self.whole.insert(tag.to_owned());
                 kind.latency
                     .saturating_record(latency.as_micros().try_into().unwrap_or(u64::MAX));
             }
@@ -128,6 +219,23 @@
         )
     }
 
+    /// Tells whether the request with `tag` ended with a whole answer.
+    pub fn is_whole(&self, tag: &str) -> bool {
+        self.whole.contains(tag)
+    }
+
+    /// Everything that was counted, as JSON for programs.
+    pub fn json(&self, runs: &BTreeMap<String, u64>, work: UpstreamWork) -> String {
+        let summary = ReportSummary {
+            tick_ms: TICK_MS,
+            kinds: self.kinds.iter().map(KindReport::summary).collect(),
+            work,
+            keys_run: runs.len(),
+            faults: self.faults(runs),
+        };
+        serde_json::to_string_pretty(&summary).unwrap_or_default()
+    }
+
     /// Broken invariants, one line each.
     pub fn faults(&self, runs: &BTreeMap<String, u64>) -> Vec<String> {
         let mut faults = Vec::new();
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -10,15 +10,33 @@
 use lagoonshore_protocol::headers::{self, HeaderField};
 use lagoonshore_transport::http_door::{self, DoorAnswer, DoorLimits, DoorRequest};
 use pico_args::Arguments;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::{cell::Cell, net::SocketAddr, path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
-use tokio::sync::Semaphore;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    process::ExitCode,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::Semaphore, time::Instant};
 
 /// Bound on connections.
 const CONNECTIONS_MAX: u32 = 4096;
 /// Largest answer of a called service.
 const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
 
+/// `TagWork` is what an upstream spent on the request with one tag.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct TagWork {
+    /// Times that the request was run.
+    pub runs: u64,
+    /// Time worked on it, in microseconds; waiting for called services does not count.
+    pub busy_us: u64,
+}
+
 struct StandinUpstream {
     plan: ServicePlan,
     instance: String,
@@ -27,6 +45,7 @@
     faults: Option<PathBuf>,
     slots: Semaphore,
     client: Client,
+    work: RefCell<BTreeMap<String, TagWork>>,
 }
 
 /// Runs the stand-in until the process ends.
@@ -50,6 +69,7 @@
             .opt_value_from_str("--faults")
             .map_err(|fault| fault.to_string())?,
         client: Client::builder().disable_timeout().finish(),
+        work: RefCell::default(),
     });
     let listener = arguments::listen(listen, &ready).await?;
     let limits = DoorLimits {
@@ -67,6 +87,9 @@
     if request.path == "/health" {
         return plain(200, Bytes::from_static(b"ok"));
     }
+    if request.path == "/standin/work" {
+        return plain(200, json!(upstream.work.take()).to_string().into());
+    }
     let Some(route) = upstream.plan.route(&request.method, &request.path) else {
         return plain(404, Bytes::from_static(b"no such route"));
     };
@@ -78,12 +101,39 @@
     {
         return plain(500, Bytes::from_static(b"the tally cannot be reached"));
     }
-    actix_rt::time::sleep(work(&upstream, route)).await;
+    do_work(&upstream, route, &request.path).await;
     let answer = call_on(&upstream, route, &request).await;
     drop(slot);
     answer
 }
 
+/// Works for the time of the route; work that is cancelled counts up to then.
+async fn do_work(upstream: &StandinUpstream, route: &RoutePlan, path: &str) {
+    let tag = path.rsplit('/').next().unwrap_or_default();
+    let meter = WorkMeter {
+        upstream,
+        tag,
+        started: Instant::now(),
+    };
+    actix_rt::time::sleep(work(upstream, route)).await;
+    drop(meter);
+}
+
+struct WorkMeter<'a> {
+    upstream: &'a StandinUpstream,
+    tag: &'a str,
+    started: Instant,
+}
+
+impl Drop for WorkMeter<'_> {
+    fn drop(&mut self) {
+        let mut work = self.upstream.work.borrow_mut();
+        let spent = work.entry(self.tag.to_owned()).or_default();
+        spent.runs += 1;
+        spent.busy_us += u64::try_from(self.started.elapsed().as_micros()).unwrap_or(u64::MAX);
+    }
+}
+
 fn work(upstream: &StandinUpstream, route: &RoutePlan) -> Duration {
     let slow = fault_line(upstream.faults.as_deref(), "slow");
     route
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -69,6 +69,7 @@
 listen: { inbound: "127.0.0.1:0", outbound: "127.0.0.1:0", peer: "127.0.0.1:0", admin: "127.0.0.1:0" }
 upstream: { address: "$(cat "$FLEET_DIR/$instance.ready")" }
 platform: ["$PLATFORM"]
+${FLEET_CONTROL:+control: $FLEET_CONTROL}
 log: { format: json, level: info }
 SETTINGS
   fleet_launch "node-$instance" "$FLEET_BIN/lagoonshored" --settings "$FLEET_DIR/$instance.yaml"
@@ -118,6 +119,38 @@
   done
 }
 
+# fleet_start REGION: starts the platform and one instance of every service in every zone of
+# DEPLOYMENT, and waits until all are ready; sets ENTRIES and UPSTREAMS to lists of addresses.
+fleet_start() {
+  local region=$1 zone service entry
+  local zones services
+  zones=$(sed -n 's/^zones: \[\(.*\)\]/\1/p' "$DEPLOYMENT/deployment.yaml" | tr -d ',')
+  services=$(ls "$DEPLOYMENT/records" | sed 's/\.yaml$//')
+  entry=$(sed -n 's/^entry: //p' "$DEPLOYMENT/deployment.yaml")
+  fleet_platform
+  for zone in $zones; do
+    for service in $services; do
+      fleet_upstream "$service" "$zone"
+      fleet_node "$service" "$zone" "$region"
+    done
+  done
+  for zone in $zones; do
+    for service in $services; do
+      fleet_list "$service" "$zone" "$region"
+    done
+  done
+  ENTRIES= UPSTREAMS=
+  for zone in $zones; do
+    for service in $services; do
+      fleet_ready "$service-$zone" "$service"
+      UPSTREAMS=$UPSTREAMS,$(cat "$FLEET_DIR/$service-$zone.ready")
+    done
+    ENTRIES=$ENTRIES,$(fleet_door "$entry-$zone" inbound)
+  done
+  ENTRIES=${ENTRIES#,} UPSTREAMS=${UPSTREAMS#,}
+  FLEET_ZONES=$zones FLEET_SERVICES=$services
+}
+
 fleet_end() {
   local pid
   for pid in "${FLEET_PIDS[@]}"; do
@@ -126,4 +159,5 @@
   for pid in "${FLEET_PIDS[@]}"; do
     fleet_await "$pid" 5 || kill -KILL "$pid" 2>/dev/null || true
   done
+  FLEET_PIDS=()
 }
