--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -10,6 +10,7 @@
 use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult};
 use lagoonshore_state::{instance_table::InstanceKey, units::TokenCount};
 use lagoonshore_transport::TransportError;
+use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use tokio::time::Instant;
 
@@ -86,7 +87,10 @@
 }
 
 fn spend(node: &SharedNode, purse: &mut TokenPurse) -> bool {
-    purse.balance().0 > 0 && node.budget.borrow_mut().spend() && purse.spend()
+    !node.passes_through()
+        && purse.balance().0 > 0
+        && node.budget.borrow_mut().spend()
+        && purse.spend()
 }
 
 fn choose(node: &SharedNode, call: &RoutedCall) -> Option<(InstanceKey, SocketAddr)> {
@@ -94,6 +98,12 @@
     let selector = node.selector.borrow();
     let mut random = node.random.borrow_mut();
     let service = &call.request.service;
+    if node.passes_through() {
+        let listed: Vec<_> = table.of_service(service).collect();
+        return listed
+            .choose(&mut *random)
+            .map(|(key, record)| (*key, record.peer));
+    }
     let key = selector.choose(Instant::now(), &table, service, &call.tried, &mut *random)?;
     table.get(key).map(|record| (key, record.peer))
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,7 @@
     routing::{PeerSelector, RoutingOrigin},
 };
 use lagoonshore_protocol::messages::LoadReport;
-use lagoonshore_settings::NodeSettings;
+use lagoonshore_settings::{ControlMode, NodeSettings};
 use lagoonshore_state::{
     counters::NodeCounters,
     ids::{CallerHash, IncarnationId, PolicyRevision, ServiceName},
@@ -135,6 +135,12 @@
         policies.get(service).map(|entry| Rc::clone(&entry.policy))
     }
 
+    /// Tells whether the node passes everything through, without decisions.
+    #[must_use]
+    pub fn passes_through(&self) -> bool {
+        self.settings.control == ControlMode::PassThrough
+    }
+
     /// Hash of an opaque caller id.
     #[must_use]
     pub fn caller_hash(&self, caller: &str) -> CallerHash {
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -47,6 +47,9 @@
     let class = policy.class_of(&request.method, &request.path);
     let deadline = deadline.min(Instant::now() + class.timeout);
     let life = RequestLife::arrived();
+    if node.passes_through() {
+        return run(node, life.admit(), request, deadline).await;
+    }
     let lane = class.lane;
     let offer = AdmissionOffer {
         importance: request.importance,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,4 +4,4 @@
 pub mod node_settings;
 
 pub use error::{Result, SettingsError};
-pub use node_settings::{LogFormat, NodeSettings};
+pub use node_settings::{ControlMode, LogFormat, NodeSettings};
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -28,6 +28,20 @@
     /// Logs.
     #[serde(default)]
     pub log: LogSettings,
+    /// Whether decisions are taken.
+    #[serde(default)]
+    pub control: ControlMode,
+}
+
+/// `ControlMode` says whether a node takes decisions.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum ControlMode {
+    /// The node admits, refuses, routes and repeats by its policies.
+    #[default]
+    Enforce,
+    /// The node passes every request on, to any listed instance: the baseline of measurements.
+    PassThrough,
 }
 
 /// `ListenSettings` holds the address of each door; port 0 takes any free one.
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -253,7 +253,8 @@
 async fn read_work(callers: &CallerSet, upstreams: &str) -> StandinResult<UpstreamWork> {
     let mut work = UpstreamWork::default();
     for upstream in upstreams.split(',').filter(|address| !address.is_empty()) {
-        let sent = client
+        let sent = callers
+            .client
             .get(format!("http://{upstream}/standin/work"))
             .send()
             .await;
