Name every bad value of the settings in one pass

Cause: the reader stopped at the first bad value, named no line for values out of range, and its message repeated the place. Values now keep their place in the text until they are checked. The admin door listens beyond loopback only with remote_admin: true.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,9 +1,12 @@
 //! `lagoonshored` is the node that stands beside one upstream instance.
 
 use lagoonshore_daemon::{logging, node_process};
-use lagoonshore_settings::NodeSettings;
+use lagoonshore_settings::{NodeSettings, SettingsError};
 use pico_args::Arguments;
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 const HELP: &str = "\
 lagoonshored: the lagoonshore node beside one upstream instance
@@ -60,7 +63,8 @@
 fn start(line: &CommandLine) -> ExitCode {
     let settings = match NodeSettings::load(&line.settings) {
         Ok(settings) => settings,
-        Err(fault) => return fail(&format!("{}: {fault}", line.settings.display()), EXIT_BAD),
+        Err(fault @ SettingsError::Unreadable { .. }) => return fail(&fault.to_string(), EXIT_BAD),
+        Err(fault) => return fail(&located(&line.settings, &fault), EXIT_BAD),
     };
     if line.check {
         println!("{}: settings are good", line.settings.display());
@@ -73,6 +77,15 @@
     }
 }
 
+/// Puts the name of the file before each line of a fault.
+fn located(file: &Path, fault: &SettingsError) -> String {
+    let text = fault.to_string();
+    let lines = text
+        .lines()
+        .map(|line| format!("{}: {line}", file.display()));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
 fn fail(message: &str, code: u8) -> ExitCode {
     eprintln!("lagoonshored: {message}");
     ExitCode::from(code)
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -15,7 +15,7 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// The text is not valid settings.
+    /// The text does not have the form of settings.
     #[snafu(display("line {line}, column {column}: {message}"))]
     Syntax {
         /// Line of the fault, from 1.
@@ -25,17 +25,54 @@
         /// What is wrong.
         message: String,
     },
-    /// A value is out of range.
-    #[snafu(display("{key}: found {found}, expected {expected}"))]
-    Value {
-        /// Path of the key.
-        key: String,
-        /// Value found.
-        found: String,
-        /// What is expected.
-        expected: String,
+    /// Values are out of range; every one of them is named.
+    #[snafu(display("{}", join(faults)))]
+    Values {
+        /// The values at fault, in the order of the keys.
+        faults: Vec<ValueFault>,
     },
 }
 
+/// `ValueFault` describes one value that is out of range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ValueFault {
+    /// Line of the value, from 1.
+    pub line: u64,
+    /// Path of the key.
+    pub key: String,
+    /// Value found.
+    pub found: String,
+    /// What is expected.
+    pub expected: &'static str,
+}
+
 /// `Result` of reading settings.
 pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
+
+pub(crate) fn syntax(error: &serde_saphyr::Error) -> SettingsError {
+    let location = error.location().unwrap_or(serde_saphyr::Location::UNKNOWN);
+    let (line, column) = (location.line(), location.column());
+    let text = error.without_snippet().to_string();
+    let first = text.lines().next().unwrap_or_default();
+    // The library repeats the place, which the error gives in its own form.
+    let place = format!(" at line {line}, column {column}");
+    let message = first.strip_suffix(&place).unwrap_or(first).to_owned();
+    SettingsError::Syntax {
+        line,
+        column,
+        message,
+    }
+}
+
+fn join(faults: &[ValueFault]) -> String {
+    let line = |fault: &ValueFault| {
+        let ValueFault {
+            line,
+            key,
+            found,
+            expected,
+        } = fault;
+        format!("line {line}: {key}: found {found:?}, expected {expected}")
+    };
+    faults.iter().map(line).collect::<Vec<_>>().join("\n")
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod error;
 pub mod node_settings;
+pub mod settings_text;
+pub mod value_check;
 
 pub use error::{Result, SettingsError};
-pub use node_settings::{ControlMode, LogFormat, NodeSettings};
+pub use node_settings::{ControlMode, LogFormat, LogLevel, NodeSettings};
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -1,15 +1,23 @@
 //! Settings of one node.
 
-use crate::error::{Result, SettingsError, UnreadableSnafu};
+use crate::{
+    error::{self, Result, UnreadableSnafu},
+    settings_text::{ListenText, LogText, PlacedText, SettingsText, UpstreamText},
+    value_check::ValueChecker,
+};
 
 use compact_str::CompactString;
-use serde::Deserialize;
+use serde_saphyr::Spanned;
 use snafu::ResultExt;
 use std::{net::SocketAddr, path::Path};
 
+/// Path of the health endpoint where the settings name none.
+const DEFAULT_HEALTH: &str = "/health";
+/// What is expected of the admin door.
+const LOOPBACK: &str = "a loopback address, or remote_admin: true beside it";
+
 /// `NodeSettings` tells a node where it stands and which addresses it uses.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub struct NodeSettings {
     /// Name of the upstream instance that the node stands beside.
     pub instance: CompactString,
@@ -26,16 +34,13 @@
     /// Addresses of the platform's service, tried in order.
     pub platform: Vec<SocketAddr>,
     /// Logs.
-    #[serde(default)]
     pub log: LogSettings,
     /// Whether decisions are taken.
-    #[serde(default)]
     pub control: ControlMode,
 }
 
 /// `ControlMode` says whether a node takes decisions.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ControlMode {
     /// The node admits, refuses, routes and repeats by its policies.
     #[default]
@@ -45,8 +50,7 @@
 }
 
 /// `ListenSettings` holds the address of each door; port 0 takes any free one.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub struct ListenSettings {
     /// Door for callers.
     pub inbound: SocketAddr,
@@ -59,29 +63,25 @@
 }
 
 /// `UpstreamSettings` says where the upstream listens.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug)]
 pub struct UpstreamSettings {
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Path of its health endpoint.
-    #[serde(default = "default_health")]
     pub health: CompactString,
 }
 
 /// `LogSettings` says how logs are written.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct LogSettings {
     /// Format of a line.
     pub format: LogFormat,
     /// Least level that is written.
-    pub level: CompactString,
+    pub level: LogLevel,
 }
 
 /// `LogFormat` is the format of log lines.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
-#[serde(rename_all = "lowercase")]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogFormat {
     /// One JSON object a line.
     #[default]
@@ -90,27 +90,54 @@
     Text,
 }
 
-impl Default for LogSettings {
-    fn default() -> Self {
-        Self {
-            format: LogFormat::default(),
-            level: CompactString::const_new("info"),
-        }
-    }
+/// `LogLevel` is the least level that is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Faults that need an operator.
+    Error,
+    /// Faults that the node copes with, and all above.
+    Warn,
+    /// Changes of state, and all above.
+    #[default]
+    Info,
+    /// Decisions, and all above.
+    Debug,
+    /// Everything.
+    Trace,
 }
 
-fn default_health() -> CompactString {
-    CompactString::const_new("/health")
+const CONTROL_MODES: [(&str, ControlMode); 2] = [
+    ("enforce", ControlMode::Enforce),
+    ("pass-through", ControlMode::PassThrough),
+];
+const LOG_FORMATS: [(&str, LogFormat); 2] = [("json", LogFormat::Json), ("text", LogFormat::Text)];
+const LOG_LEVELS: [(&str, LogLevel); 5] = [
+    ("error", LogLevel::Error),
+    ("warn", LogLevel::Warn),
+    ("info", LogLevel::Info),
+    ("debug", LogLevel::Debug),
+    ("trace", LogLevel::Trace),
+];
+
+impl LogLevel {
+    /// Name of the level.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
 }
 
-/// Levels that `log.level` may name.
-const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
-
 impl NodeSettings {
     /// Reads settings from a file.
     ///
     /// # Errors
-    /// Names the file, or the line or key at fault.
+    /// Names the file, or every line and key at fault.
     pub fn load(path: &Path) -> Result<Self> {
         let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
         Self::parse(&text)
@@ -119,68 +146,88 @@
     /// Reads settings from text.
     ///
     /// # Errors
-    /// Names the line or key at fault.
+    /// Names every line and key at fault.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self = serde_saphyr::from_str(text).map_err(|error| syntax(&error))?;
-        settings.check()?;
-        Ok(settings)
+        let text: SettingsText =
+            serde_saphyr::from_str(text).map_err(|fault| error::syntax(&fault))?;
+        let mut checker = ValueChecker::default();
+        let settings = Self {
+            instance: checker.name("instance", &text.instance),
+            service: checker.name("service", &text.service),
+            zone: checker.name("zone", &text.zone),
+            region: checker.name("region", &text.region),
+            listen: listen(&mut checker, &text.listen),
+            upstream: upstream(&mut checker, &text.upstream),
+            platform: platform(&mut checker, &text.platform),
+            log: log(&mut checker, &text.log),
+            control: checker.choice(
+                "control",
+                text.control.as_ref(),
+                &CONTROL_MODES,
+                "enforce or pass-through",
+            ),
+        };
+        checker.finish(settings)
     }
+}
 
-    fn check(&self) -> Result<()> {
-        for (key, name) in [
-            ("instance", &self.instance),
-            ("service", &self.service),
-            ("zone", &self.zone),
-            ("region", &self.region),
-        ] {
-            check_value(key, name, !name.is_empty(), "a name")?;
-        }
-        check_value(
-            "platform",
-            "[]",
-            !self.platform.is_empty(),
-            "one address at least",
-        )?;
-        let health = &self.upstream.health;
-        check_value(
+fn listen(checker: &mut ValueChecker, text: &ListenText) -> ListenSettings {
+    let settings = ListenSettings {
+        inbound: checker.address("listen.inbound", &text.inbound),
+        outbound: checker.address("listen.outbound", &text.outbound),
+        peer: checker.address("listen.peer", &text.peer),
+        admin: checker.address("listen.admin", &text.admin),
+    };
+    let admin = &text.admin;
+    let is_local = settings.admin.ip().is_loopback() || text.remote_admin;
+    if !is_local && admin.value.parse::<SocketAddr>().is_ok() {
+        checker.fault(admin.referenced, "listen.admin", &admin.value, LOOPBACK);
+    }
+    settings
+}
+
+fn upstream(checker: &mut ValueChecker, text: &UpstreamText) -> UpstreamSettings {
+    let health = text
+        .health
+        .as_ref()
+        .map_or(DEFAULT_HEALTH, |health| health.value.as_str());
+    if let Some(health) = text
+        .health
+        .as_ref()
+        .filter(|health| !health.value.starts_with('/'))
+    {
+        checker.fault(
+            health.referenced,
             "upstream.health",
-            health,
-            health.starts_with('/'),
-            "a path from /",
-        )?;
-        let level = self.log.level.as_str();
-        check_value(
-            "log.level",
-            level,
-            LEVELS.contains(&level),
-            &LEVELS.join(", "),
-        )
+            &health.value,
+            "a path that starts with /",
+        );
+    }
+    UpstreamSettings {
+        address: checker.address("upstream.address", &text.address),
+        health: health.into(),
     }
 }
 
-fn check_value(key: &str, found: &str, holds: bool, expected: &str) -> Result<()> {
-    if holds {
-        return Ok(());
+fn platform(checker: &mut ValueChecker, text: &Spanned<Vec<PlacedText>>) -> Vec<SocketAddr> {
+    if text.value.is_empty() {
+        checker.fault(text.referenced, "platform", "[]", "one address at least");
     }
-    let (key, found, expected) = (key.to_owned(), found.to_owned(), expected.to_owned());
-    Err(SettingsError::Value {
-        key,
-        found,
-        expected,
-    })
+    let addresses = text.value.iter().enumerate();
+    addresses
+        .map(|(index, text)| checker.address(&format!("platform[{index}]"), text))
+        .collect()
 }
 
-fn syntax(error: &serde_saphyr::Error) -> SettingsError {
-    let location = error.location().unwrap_or(serde_saphyr::Location::UNKNOWN);
-    let message = error
-        .to_string()
-        .lines()
-        .next()
-        .unwrap_or_default()
-        .to_owned();
-    SettingsError::Syntax {
-        line: location.line(),
-        column: location.column(),
-        message,
+fn log(checker: &mut ValueChecker, text: &LogText) -> LogSettings {
+    let levels = "error, warn, info, debug or trace";
+    LogSettings {
+        format: checker.choice(
+            "log.format",
+            text.format.as_ref(),
+            &LOG_FORMATS,
+            "json or text",
+        ),
+        level: checker.choice("log.level", text.level.as_ref(), &LOG_LEVELS, levels),
     }
 }
