--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -5,7 +5,7 @@
 use actix_rt::net::{TcpListener, TcpStream};
 use futures::StreamExt;
 use lagoonshore_protocol::peer_service::PeerService;
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 use tarpc::{
     serde_transport,
     server::{BaseChannel, Channel, Config},
@@ -17,17 +17,28 @@
 /// Answers that wait to be written on one connection.
 const ANSWER_BUFFER: usize = 1024;
 
-/// Serves other nodes until the future is dropped.
+/// Links from other nodes at the same time.
+const LINKS_MAX: usize = 4096;
+
+/// Serves other nodes until the future is dropped. Links above the bound are closed at once.
 pub async fn serve<S>(listener: TcpListener, server: S)
 where
     S: PeerService + Clone + 'static,
 {
+    let open = Rc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        actix_rt::spawn(serve_link(stream, server.clone()));
+        // Every link holds a clone; the last count is the acceptor's own.
+        if Rc::strong_count(&open) <= LINKS_MAX {
+            let (server, guard) = (server.clone(), Rc::clone(&open));
+            actix_rt::spawn(async move {
+                serve_link(stream, server).await;
+                drop(guard);
+            });
+        }
     }
 }
 
