Add schema 2 of policy records and report several faults in one pass

Cause: only schema 1 was read, the first fault hid the others, value faults had no line, and the parser's own place stood twice in a syntax fault.

Ruled out: levels numbered by their position; importance travels along the call chain and is compared across services, so two services would have to list the same levels in the same order. Levels carry a rank instead.

Changed: levels and lanes are lists of their own, routes take what they leave out from the defaults and may set their own retries. Both schemas are turned into one ServicePolicy; values keep their place until all are checked.

Conclusion: the samples of both deployments give the same policy in both schemas; a schema nobody knows is refused with its line.

--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -3,6 +3,37 @@
 use lagoonshore_coordination::CoordinationError;
 use snafu::Snafu;
 
+/// `ValueFault` is one value of a record that is out of range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ValueFault {
+    /// Line of the value, from 1.
+    pub line: u64,
+    /// Column of the value, from 1.
+    pub column: u64,
+    /// Path of the key.
+    pub path: String,
+    /// Value found.
+    pub found: String,
+    /// What is expected.
+    pub expected: String,
+}
+
+impl std::fmt::Display for ValueFault {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            line,
+            column,
+            path,
+            found,
+            expected,
+        } = self;
+        write!(
+            formatter,
+            "line {line}, column {column}: {path}: found {found}, expected {expected}"
+        )
+    }
+}
+
 /// `ProtocolError` says why bytes could not be turned into a message or record.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum ProtocolError {
@@ -30,19 +61,17 @@
         /// What is wrong.
         message: String,
     },
-    /// The record was parsed but a value is out of range.
-    #[snafu(display("{path}: found {found}, expected {expected}"))]
-    Value {
-        /// Path of the key.
-        path: String,
-        /// Value found.
-        found: String,
-        /// What is expected.
-        expected: String,
+    /// The record was parsed but values are out of range.
+    #[snafu(display("{}", join(faults)))]
+    Values {
+        /// The faults, by line; never empty.
+        faults: Vec<ValueFault>,
     },
     /// The record was written for a schema version that this program does not know.
-    #[snafu(display("schema: found {found}, expected 1 or 2"))]
+    #[snafu(display("line {line}: schema: found {found}, expected 1 or 2"))]
     UnknownSchema {
+        /// Line of the schema version, from 1.
+        line: u64,
         /// Version found.
         found: u64,
     },
@@ -57,27 +86,32 @@
 /// `Result` of the protocol layer.
 pub type Result<T, E = ProtocolError> = std::result::Result<T, E>;
 
-pub(crate) fn value(path: &str, found: &impl ToString, expected: &str) -> ProtocolError {
-    let (path, expected) = (path.to_owned(), expected.to_owned());
-    ProtocolError::Value {
-        path,
-        found: found.to_string(),
-        expected,
-    }
-}
-
 pub(crate) fn syntax(error: &serde_saphyr::Error) -> ProtocolError {
     let location = error.location().unwrap_or(serde_saphyr::Location::UNKNOWN);
     let (line, column) = (location.line(), location.column());
-    let message = error
-        .to_string()
-        .lines()
-        .next()
-        .unwrap_or_default()
-        .to_owned();
+    let text = error.to_string();
+    let message = without_place(text.lines().next().unwrap_or_default()).to_owned();
     ProtocolError::Syntax {
         line,
         column,
         message,
     }
 }
+
+/// Drops the place that the parser puts before its message, such as `error: line 3 column 4: `.
+fn without_place(message: &str) -> &str {
+    let rest = message.strip_prefix("error: ").unwrap_or(message);
+    let Some((place, cause)) = rest.split_once(": ") else {
+        return rest;
+    };
+    if place.starts_with("line ") && place.contains(" column ") {
+        cause
+    } else {
+        rest
+    }
+}
+
+fn join(faults: &[ValueFault]) -> String {
+    let texts: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
--- a/crates/protocol/src/record/mod.rs
+++ b/crates/protocol/src/record/mod.rs
@@ -2,39 +2,87 @@
 //! gives the same verdict.
 
 pub mod duration;
+mod fault_list;
+mod fields;
 pub mod schema1;
+pub mod schema2;
 
-use crate::error::{self, ProtocolError, Result};
+use crate::error::{self, ProtocolError, Result, ValueFault};
 
+use compact_str::CompactString;
 use lagoonshore_state::policy::ServicePolicy;
 use serde::Deserialize;
+use serde_saphyr::Spanned;
 
 /// Largest record, the platform's bound on a value.
 pub const RECORD_BYTES_MAX: usize = 1024 * 1024;
 
 #[derive(Deserialize)]
 struct SchemaProbe {
-    schema: u64,
+    schema: Spanned<u64>,
+}
+
+#[derive(Deserialize)]
+struct PlaceProbe {
+    name: Spanned<CompactString>,
+    revision: Spanned<u64>,
 }
 
 /// Reads a record of any known schema.
 ///
 /// # Errors
-/// Names the line or the key at fault.
+/// Names the lines and the keys at fault.
 pub fn parse(bytes: &[u8]) -> Result<ServicePolicy> {
+    let text = text_of(bytes)?;
+    let probe: SchemaProbe = serde_saphyr::from_str(text).map_err(|error| error::syntax(&error))?;
+    match probe.schema.value {
+        1 => schema1::parse(text),
+        2 => schema2::parse(text),
+        found => Err(ProtocolError::UnknownSchema {
+            found,
+            line: probe.schema.referenced.line(),
+        }),
+    }
+}
+
+/// Reads the record of `service`.
+///
+/// # Errors
+/// Those of [`parse`], and a value fault if the record is for another service.
+pub fn parse_for(service: &str, bytes: &[u8]) -> Result<ServicePolicy> {
+    let policy = parse(bytes)?;
+    if policy.service == service {
+        return Ok(policy);
+    }
+    let place: PlaceProbe =
+        serde_saphyr::from_str(text_of(bytes)?).map_err(|error| error::syntax(&error))?;
+    let fault = ValueFault {
+        line: place.name.referenced.line(),
+        column: place.name.referenced.column(),
+        path: "name".to_owned(),
+        found: policy.service.to_string(),
+        expected: service.to_owned(),
+    };
+    Err(ProtocolError::Values {
+        faults: vec![fault],
+    })
+}
+
+/// Line of the revision in a record, from 1; `None` if the record cannot be read.
+#[must_use]
+pub fn revision_line(bytes: &[u8]) -> Option<u64> {
+    let place: PlaceProbe = serde_saphyr::from_str(text_of(bytes).ok()?).ok()?;
+    Some(place.revision.referenced.line())
+}
+
+fn text_of(bytes: &[u8]) -> Result<&str> {
     if bytes.len() > RECORD_BYTES_MAX {
         return Err(ProtocolError::TooLarge {
             found: bytes.len(),
             bound: RECORD_BYTES_MAX,
         });
     }
-    let not_text = |error: std::str::Utf8Error| ProtocolError::NotText {
+    std::str::from_utf8(bytes).map_err(|error| ProtocolError::NotText {
         offset: error.valid_up_to(),
-    };
-    let text = std::str::from_utf8(bytes).map_err(not_text)?;
-    let probe: SchemaProbe = serde_saphyr::from_str(text).map_err(|error| error::syntax(&error))?;
-    match probe.schema {
-        1 => schema1::parse(text),
-        found => Err(ProtocolError::UnknownSchema { found }),
-    }
+    })
 }
--- /dev/null
+++ b/crates/protocol/tests/records.rs
@@ -0,0 +1,128 @@
+//! Both schemas of policy records: the same policy from both, and the faults that are named.
+
+use lagoonshore_protocol::record;
+use lagoonshore_state::{policy::ServicePolicy, units::TokenCount};
+use rstest::rstest;
+
+const SAMPLE: &str = include_str!("../../../examples/kocaeli/records-schema2/medication-log.yaml");
+
+macro_rules! both_schemas {
+    ($deployment:literal, $service:literal) => {
+        (
+            include_str!(concat!(
+                "../../../examples/",
+                $deployment,
+                "/records/",
+                $service,
+                ".yaml"
+            )),
+            include_str!(concat!(
+                "../../../examples/",
+                $deployment,
+                "/records-schema2/",
+                $service,
+                ".yaml"
+            )),
+        )
+    };
+}
+
+fn read(text: &str) -> ServicePolicy {
+    record::parse(text.as_bytes()).expect("a good record")
+}
+
+fn fault(text: &str) -> String {
+    let fault = record::parse(text.as_bytes()).expect_err("a bad record");
+    fault.to_string().replace("; line", "\nline")
+}
+
+#[rstest]
+#[case(both_schemas!("kocaeli", "diary-portal"))]
+#[case(both_schemas!("kocaeli", "medication-log"))]
+#[case(both_schemas!("kocaeli", "kitchen-board"))]
+#[case(both_schemas!("kocaeli", "attendance-desk"))]
+#[case(both_schemas!("cedarmark", "shopfront"))]
+#[case(both_schemas!("cedarmark", "orderdesk"))]
+#[case(both_schemas!("cedarmark", "proofer"))]
+#[case(both_schemas!("cedarmark", "shopboard"))]
+fn both_schemas_give_the_same_policy(#[case] (first, second): (&str, &str)) {
+    let (mut first, second) = (read(first), read(second));
+    assert!(second.revision > first.revision);
+    first.revision = second.revision;
+    assert_eq!(first, second);
+}
+
+#[test]
+fn a_route_may_have_its_own_retry_rule() {
+    let text = SAMPLE.replace(
+        "level: vital }",
+        "level: vital, retries: { per_request: 0 } }",
+    );
+    let policy = read(&text);
+    let dose = policy.class_of("POST", "/doses/7");
+    let meal = policy.class_of("POST", "/meals/7");
+    assert_eq!(policy.retry_allowance(&dose), TokenCount(0));
+    assert_eq!(policy.retry_allowance(&meal), TokenCount(2));
+}
+
+#[test]
+fn several_faults_are_named_in_one_pass() {
+    let text = SAMPLE
+        .replace("slots: 75", "slots: 0")
+        .replace("share: 0.2", "share: 1.5")
+        .replace("timeout: 1s", "timeout: soon")
+        .replace("level: entry }", "level: entries }")
+        .replace("lane: long }", "lane: lang }");
+    insta::assert_snapshot!(fault(&text));
+}
+
+#[test]
+fn several_faults_of_schema_1_are_named_in_one_pass() {
+    let text = include_str!("../../../examples/kocaeli/records/medication-log.yaml")
+        .replace("revision: 1", "revision: 0")
+        .replace("ratio: 0.1", "ratio: 7")
+        .replace("path: /day/*", "path: day")
+        .replace("name: sign-off", "name: dose-entry");
+    insta::assert_snapshot!(fault(&text));
+}
+
+#[rstest]
+#[case::unknown_key("unknown_key", "rank: 0 }", "rank: 0, color: red }")]
+#[case::unknown_schema("unknown_schema", "schema: 2", "schema: 3")]
+#[case::wrong_type("wrong_type", "slots: 75", "slots: many")]
+#[case::missing_key(
+    "missing_key",
+    "  calls: [kitchen-board, attendance-desk]\n  retries: { per_request: 2, ratio: 0.1 }\n",
+    ""
+)]
+#[case::no_level("no_level", ", level: view", "")]
+#[case::same_lane_twice("same_lane_twice", "{ name: long, share: 0.2 }", "{ name: short }")]
+#[case::wrong_kind("wrong_kind", "kind: service-policy", "kind: quota")]
+fn the_line_and_the_key_are_named(#[case] name: &str, #[case] from: &str, #[case] to: &str) {
+    let text = SAMPLE.replace(from, to);
+    assert_ne!(text, SAMPLE);
+    insta::with_settings!({snapshot_suffix => name}, {
+        insta::assert_snapshot!(fault(&text));
+    });
+}
+
+#[test]
+fn a_record_under_another_name_is_refused_with_its_line() {
+    let fault = record::parse_for("diary-portal", SAMPLE.as_bytes()).expect_err("another name");
+    insta::assert_snapshot!(fault, @"line 3, column 7: name: found medication-log, expected diary-portal");
+}
+
+#[test]
+fn bytes_that_are_no_text_or_too_many_are_refused() {
+    let fault = record::parse(b"schema: \xff").expect_err("not text");
+    assert_eq!(
+        fault.to_string(),
+        "the record is not UTF-8: byte 8 is invalid"
+    );
+    let fault = record::parse(&vec![b' '; record::RECORD_BYTES_MAX + 1]).expect_err("too large");
+    assert!(
+        fault
+            .to_string()
+            .starts_with("the record has 1048577 bytes")
+    );
+}
