Carry policies and lists between nodes by digests; wait until the newest is held

Cause: a node knew only what the platform told it, so an outage froze policies, a stale copy or a restart decided what was in force, and every node watched.

Ruled out: every node watching every record it needs; pushing whole records to peers, which costs bytes for those that hold them already.

Changed: nodes exchange digests with a few random peers a second and pull what they are behind on; one node for each service and zone watches the platform; the list is a hint; a new process refuses requests as starting until it holds the highest revision within reach or its wait ends. Refused offers keep their kind, line and source in the dump, the log and a counter.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,9 +3,15 @@
 
 pub mod admission;
 pub mod call_table;
+pub mod digest_schedule;
 pub mod drain;
 pub mod error;
+pub mod membership;
 pub mod outcome;
+pub mod platform_watchers;
+pub mod policy_digest;
+pub mod policy_distribution;
+pub mod readiness;
 pub mod request_life;
 pub mod retries;
 pub mod routing;
--- a/crates/daemon/src/admin_door.rs
+++ b/crates/daemon/src/admin_door.rs
@@ -29,6 +29,8 @@
     let has_policy = node.policy(&node.settings.service).is_some();
     if node.drain.borrow().is_draining() {
         text(503, "draining\n")
+    } else if !node.is_ready() {
+        text(503, "starting\n")
     } else if has_policy {
         text(200, "ready\n")
     } else {
--- /dev/null
+++ b/crates/daemon/src/digest_exchange.rs
@@ -0,0 +1,208 @@
+//! Exchanges digests with peers and pulls what they are ahead in.
+
+use crate::{events, node::SharedNode, policy_keeper};
+
+use lagoonshore_coordination::policy_digest::RecordVersion;
+use lagoonshore_protocol::messages::{
+    InstanceList, NodeDigest, PullReply, PullRequest, RecordBytes,
+};
+use lagoonshore_state::{
+    ids::ServiceName,
+    instance_table::{InstanceKey, InstanceRecord},
+    policy_set::PolicySource,
+};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+use tracing::info;
+
+/// Time for a peer to answer a digest.
+const EXCHANGE_TIME: Duration = Duration::from_secs(1);
+/// Time for a peer to hand over records.
+const PULL_TIME: Duration = Duration::from_secs(2);
+/// Entries that one pull may name.
+const PULL_ENTRIES_MAX: usize = 64;
+/// Bytes of records after which a reply to a pull takes no further one.
+const PULL_BYTES_MAX: usize = 2 * 1024 * 1024;
+/// Suspects that one digest may name.
+const SUSPECTS_MAX: usize = 256;
+
+/// Exchanges digests until the future is dropped.
+pub async fn run(node: SharedNode) {
+    loop {
+        for peer in due_peers(&node) {
+            actix_rt::spawn(exchange_with(node.clone(), peer));
+        }
+        forget_gone(&node);
+        let next = node.policy_link.schedule.borrow().next();
+        actix_rt::time::sleep_until(next).await;
+    }
+}
+
+/// Takes in the digest of a peer and answers with the own one; `None` for one that is not valid.
+pub fn receive(node: &SharedNode, digest: NodeDigest) -> Option<NodeDigest> {
+    if !take_in(node, &digest) {
+        return None;
+    }
+    let (table, members) = (&node.instances, &node.policy_link.members);
+    let mut members = members.borrow_mut();
+    members.meet(Instant::now(), &mut table.borrow_mut(), digest.sender);
+    drop(members);
+    own_digest(node)
+}
+
+/// Hands over what the node holds of `request`.
+#[must_use]
+pub fn hand_over(node: &SharedNode, request: &PullRequest) -> PullReply {
+    let policies = node.policies.borrow();
+    let mut size = 0;
+    let mut reply = PullReply::default();
+    for service in request.records.iter().take(PULL_ENTRIES_MAX) {
+        let Some(entry) = policies.get(service) else {
+            continue;
+        };
+        size += entry.bytes.len();
+        if size > PULL_BYTES_MAX {
+            break;
+        }
+        reply.records.push(RecordBytes {
+            service: service.clone(),
+            bytes: bytes::Bytes::copy_from_slice(&entry.bytes),
+        });
+    }
+    let (members, table) = (node.policy_link.members.borrow(), node.instances.borrow());
+    let lists = request.lists.iter().take(PULL_ENTRIES_MAX);
+    let lists = lists.filter_map(|service| members.list(&table, service));
+    reply.lists = lists
+        .map(|(version, instances)| InstanceList { version, instances })
+        .collect();
+    reply
+}
+
+fn due_peers(node: &SharedNode) -> Vec<InstanceRecord> {
+    let table = node.instances.borrow();
+    let doubtful = node.policy_link.members.borrow().doubtful(&table);
+    let mut schedule = node.policy_link.schedule.borrow_mut();
+    let mut random = node.random.borrow_mut();
+    let due = schedule.due(Instant::now(), &table, &doubtful, &mut *random);
+    let record = |key: InstanceKey| table.get(key).cloned();
+    due.into_iter().filter_map(record).collect()
+}
+
+fn forget_gone(node: &SharedNode) {
+    let mut members = node.policy_link.members.borrow_mut();
+    let gone = members.sweep(Instant::now(), &mut node.instances.borrow_mut());
+    for instance in gone {
+        info!(event = events::MEMBER_FORGOTTEN, %instance, "membership: forgotten");
+    }
+}
+
+fn own_digest(node: &SharedNode) -> Option<NodeDigest> {
+    let sender = node.policy_link.own()?;
+    let policy = node.policy_link.digest(&node.policies.borrow());
+    Some(NodeDigest {
+        sender,
+        policy,
+        suspects: Vec::new(),
+    })
+}
+
+async fn exchange_with(node: SharedNode, peer: InstanceRecord) {
+    let Some(digest) = own_digest(&node) else {
+        return;
+    };
+    let link = &node.policy_link;
+    link.counters.borrow_mut().exchanges += 1;
+    let deadline = Instant::now() + EXCHANGE_TIME;
+    let answer = node.links.exchange(peer.peer, digest, deadline).await;
+    let now = Instant::now();
+    if let Ok(answer) = answer {
+        link.members.borrow_mut().answered(now, &peer.name);
+        if let Some(digest) = answer {
+            take_in(&node, &digest);
+        }
+    } else {
+        link.members.borrow_mut().failed(now, &peer.name);
+        link.counters.borrow_mut().exchange_failures += 1;
+    }
+    link.readiness.borrow_mut().peer_asked(&peer.name);
+}
+
+/// Compares the digest of a peer with what the node holds and starts to pull what is newer.
+/// Tells whether the digest was valid.
+fn take_in(node: &SharedNode, digest: &NodeDigest) -> bool {
+    let link = &node.policy_link;
+    let is_valid = digest.policy.is_within_bounds()
+        && digest.suspects.len() <= SUSPECTS_MAX
+        && digest.sender.name != node.settings.instance;
+    if !is_valid {
+        link.counters.borrow_mut().digests_dropped += 1;
+        return false;
+    }
+    link.counters.borrow_mut().digests += 1;
+    let mut distribution = link.distribution.borrow_mut();
+    let policies = node.policies.borrow();
+    let comparison = distribution.compare(Instant::now(), &policies, &digest.policy);
+    let lists = &digest.policy.lists;
+    let lists = link
+        .members
+        .borrow()
+        .newer_lists(distribution.wanted(), lists);
+    let wanted = distribution.wanted().clone();
+    drop((distribution, policies));
+    note_offers(node, &wanted, &digest.policy.records);
+    for version in &comparison.conflicts {
+        policy_keeper::note_conflict(node, version);
+    }
+    let request = PullRequest {
+        records: comparison.pulls,
+        lists,
+    };
+    if request != PullRequest::default() {
+        actix_rt::spawn(pull(node.clone(), digest.sender.peer, request));
+    }
+    true
+}
+
+fn note_offers(node: &SharedNode, wanted: &BTreeSet<ServiceName>, records: &[RecordVersion]) {
+    let mut readiness = node.policy_link.readiness.borrow_mut();
+    for version in records {
+        if wanted.contains(&version.service) {
+            readiness.note_offer(&version.service, version.revision);
+        }
+    }
+}
+
+async fn pull(node: SharedNode, peer: SocketAddr, request: PullRequest) {
+    node.policy_link.counters.borrow_mut().pulls += 1;
+    let deadline = Instant::now() + PULL_TIME;
+    let reply = node.links.pull(peer, request.clone(), deadline).await;
+    let reply = reply.unwrap_or_default();
+    let mut open: BTreeSet<_> = request.records.into_iter().collect();
+    for RecordBytes { service, bytes } in reply.records {
+        if !open.remove(&service) {
+            continue;
+        }
+        if policy_keeper::offer(&node, &service, &bytes, PolicySource::Peer).is_err() {
+            // What this node cannot take in does not hold up its start.
+            node.policy_link.readiness.borrow_mut().drop_offer(&service);
+        }
+    }
+    note_failures(&node, &open);
+    for InstanceList { version, instances } in reply.lists {
+        if request.lists.contains(&version.service) {
+            let mut members = node.policy_link.members.borrow_mut();
+            let mut table = node.instances.borrow_mut();
+            members.apply_list(Instant::now(), &mut table, &version, instances);
+        }
+    }
+}
+
+fn note_failures(node: &SharedNode, missing: &BTreeSet<ServiceName>) {
+    let link = &node.policy_link;
+    link.counters.borrow_mut().pull_failures += u64::from(!missing.is_empty());
+    let mut random = node.random.borrow_mut();
+    for service in missing {
+        let mut distribution = link.distribution.borrow_mut();
+        distribution.pull_failed(Instant::now(), service, &mut *random);
+    }
+}
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -10,6 +10,8 @@
 pub const POLICY_IN_FORCE: u16 = 2001;
 /// A policy record was refused.
 pub const POLICY_REFUSED: u16 = 2002;
+/// An instance was forgotten.
+pub const MEMBER_FORGOTTEN: u16 = 2005;
 /// The platform cannot be read.
 pub const PLATFORM_UNREACHABLE: u16 = 2003;
 /// The platform can be read again.
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/inbound_door.rs
@@ -29,6 +29,9 @@
         Err(fault) => return refusals::refuse_body(fault),
     };
     let service = node.settings.service.clone();
+    if !node.is_ready() {
+        return refusals::refuse(refusals::on_arrival(RefusalReason::Starting), "");
+    }
     let Some(policy) = node.policy(&service) else {
         return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), "");
     };
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin_door;
 pub mod admission_gate;
 pub mod call_router;
+pub mod digest_exchange;
 pub mod error;
 pub mod events;
 pub mod inbound_door;
@@ -12,6 +13,8 @@
 pub mod outbound_door;
 pub mod peer_door;
 pub mod platform_watch;
+pub mod policy_keeper;
+pub mod policy_link;
 pub mod refusals;
 pub mod request_server;
 pub mod state_dump;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,11 +3,14 @@
 use crate::{
     admission_gate::AdmissionGate,
     error::{DaemonError, Result},
+    policy_keeper::RecordFault,
+    policy_link::PolicyLink,
 };
 
 use lagoonshore_coordination::{
     call_table::CallTable,
     drain::DrainControl,
+    readiness::ReadinessState,
     retries::RetryBudget,
     routing::{PeerSelector, RoutingOrigin},
 };
@@ -15,7 +18,7 @@
 use lagoonshore_settings::NodeSettings;
 use lagoonshore_state::{
     counters::NodeCounters,
-    ids::{CallerHash, IncarnationId, PolicyRevision, ServiceName},
+    ids::{CallerHash, IncarnationId, ServiceName},
     instance_table::InstanceTable,
     policy::ServicePolicy,
     policy_set::PolicySet,
@@ -35,15 +38,6 @@
 /// `SharedNode` is a node as its doors and tasks hold it.
 pub type SharedNode = Rc<Node>;
 
-/// `RecordFault` is the last refused offer of a policy record.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct RecordFault {
-    /// What was wrong with it.
-    pub message: String,
-    /// Revision that stays in force.
-    pub in_force: Option<PolicyRevision>,
-}
-
 /// `PlatformState` is what a node knows of the platform.
 #[derive(Clone, Debug, Default, serde::Serialize)]
 pub struct PlatformState {
@@ -65,6 +59,8 @@
     pub policies: RefCell<PolicySet>,
     /// Last refused record of each service.
     pub faults: RefCell<BTreeMap<ServiceName, RecordFault>>,
+    /// Distribution of policies and membership.
+    pub policy_link: PolicyLink,
     /// Known instances.
     pub instances: RefCell<InstanceTable>,
     /// Admission to the own upstream.
@@ -111,6 +107,7 @@
             incarnation,
             policies: RefCell::default(),
             faults: RefCell::default(),
+            policy_link: PolicyLink::new(&settings),
             instances: RefCell::default(),
             gate: AdmissionGate::default(),
             calls: RefCell::default(),
@@ -135,6 +132,13 @@
         policies.get(service).map(|entry| Rc::clone(&entry.policy))
     }
 
+    /// Tells whether the node serves: a new one first asks what the newest policies are.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let (policies, table) = (self.policies.borrow(), self.instances.borrow());
+        self.policy_link.assess(&policies, &table) == ReadinessState::Ready
+    }
+
     /// Hash of an opaque caller id.
     #[must_use]
     pub fn caller_hash(&self, caller: &str) -> CallerHash {
--- a/crates/daemon/src/node_process.rs
+++ b/crates/daemon/src/node_process.rs
@@ -1,7 +1,7 @@
 //! Runs one node from its start to the end of a planned stop.
 
 use crate::{
-    admin_door,
+    admin_door, digest_exchange,
     error::{Result, SignalsSnafu},
     events, inbound_door,
     node::{Node, SharedNode},
@@ -49,6 +49,7 @@
 pub async fn run(settings: NodeSettings) -> Result<()> {
     let node = Node::new(settings)?;
     let stop = signals::stop_requested();
+    node.policy_link.begin_start(&node.settings);
     let doors = open(&node).await?;
     let BoundDoors {
         inbound,
@@ -63,6 +64,7 @@
     );
     let reader = Rc::new(ConsulReader::new(&node.settings.platform));
     actix_rt::spawn(platform_watch::run(node.clone(), reader));
+    actix_rt::spawn(digest_exchange::run(node.clone()));
     stop.await.context(SignalsSnafu)?;
     drain(&node).await;
     Ok(())
@@ -87,6 +89,7 @@
         peer: address(&peer, listen.peer),
         admin: address(&admin, listen.admin),
     };
+    node.policy_link.announce(&node.settings, doors.peer);
     let limits = DoorLimits {
         connections: Rc::clone(&node.connections),
         ..DoorLimits::default()
--- a/crates/daemon/src/peer_door.rs
+++ b/crates/daemon/src/peer_door.rs
@@ -1,9 +1,9 @@
 //! The door for other nodes.
 
-use crate::{node::SharedNode, request_server};
+use crate::{digest_exchange, node::SharedNode, request_server};
 
 use lagoonshore_protocol::{
-    messages::{CallReply, CallRequest},
+    messages::{CallReply, CallRequest, NodeDigest, PullReply, PullRequest},
     peer_service::PeerService,
 };
 use tarpc::context::Context;
@@ -28,4 +28,12 @@
         let deadline = Instant::from_std(context.deadline);
         request_server::serve(&self.node, request, deadline).await
     }
+
+    async fn exchange(self, _: Context, digest: NodeDigest) -> Option<NodeDigest> {
+        digest_exchange::receive(&self.node, digest)
+    }
+
+    async fn pull(self, _: Context, request: PullRequest) -> PullReply {
+        digest_exchange::hand_over(&self.node, &request)
+    }
 }
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -1,136 +1,146 @@
-//! Watches the platform for the records and instance lists that the node needs.
+//! Reads the platform. Where the node is chosen to watch, it does so with long blocking queries;
+//! elsewhere it reads once at its start, seldom after that, and when no peer delivers a change.
 
-use crate::{
-    events,
-    node::{RecordFault, SharedNode},
-};
+use crate::{events, node::SharedNode, policy_keeper};
 
-use lagoonshore_protocol::record;
-use lagoonshore_state::{
-    ids::ServiceName, instance_table::InstanceRecord, policy_set::OfferVerdict,
-};
+use lagoonshore_coordination::{platform_watchers, policy_digest::ListVersion};
+use lagoonshore_state::{ids::ServiceName, policy_set::PolicySource};
 use lagoonshore_transport::{TransportError, platform_reader::PlatformReader};
 use rand::Rng;
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use tokio::time::Instant;
 use tracing::{info, warn};
 
 /// Mean pause between two queries of one watch; the pause is drawn around it.
 const REARM_PAUSE: Duration = Duration::from_millis(100);
-/// Mean pause after a failed query.
+/// Mean pause of a watch after a failed query.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+/// Mean pause of a node that does not watch, after a read that failed or found nothing.
+const MISSING_PAUSE: Duration = Duration::from_secs(10);
+/// Mean pause between two reads of a node that does not watch.
+const SELDOM_PAUSE: Duration = Duration::from_mins(10);
+/// Time between two looks at whether the node is chosen to watch, or a read is due.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
 
-/// Watches the node's own record and list, then those of each service that it calls.
+/// Reads the node's own record and list, and those of each service that it calls.
 pub async fn run<R: PlatformReader + 'static>(node: SharedNode, reader: Rc<R>) {
-    let mut watched = BTreeSet::new();
+    let mut known = BTreeSet::new();
     loop {
-        for service in wanted(&node) {
-            if watched.insert(service.clone()) {
-                actix_rt::spawn(watch_record(
-                    node.clone(),
-                    Rc::clone(&reader),
-                    service.clone(),
-                ));
-                actix_rt::spawn(watch_instances(node.clone(), Rc::clone(&reader), service));
+        for service in policy_keeper::wanted(&node) {
+            if known.insert(service.clone()) {
+                let (node, reader) = (node.clone(), Rc::clone(&reader));
+                actix_rt::spawn(follow(node, reader, service));
             }
         }
-        pause(&node, REARM_PAUSE).await;
+        for service in due_reads(&node) {
+            let (node, reader) = (node.clone(), Rc::clone(&reader));
+            actix_rt::spawn(async move { read_record(&node, &*reader, &service, 0).await });
+        }
+        pause(&node, LOOK_PAUSE).await;
     }
 }
 
-/// The own service and those that its policy says it calls.
-fn wanted(node: &SharedNode) -> BTreeSet<ServiceName> {
-    let own = node.settings.service.clone();
-    let calls = node
-        .policy(&own)
-        .map(|policy| policy.calls.clone())
-        .unwrap_or_default();
-    calls.into_iter().chain([own]).collect()
+/// Offers the bytes of a record read from the platform.
+pub fn offer(node: &SharedNode, service: &ServiceName, bytes: &[u8]) {
+    // The keeper reports a refused record; there is nobody to answer to.
+    let _ = policy_keeper::offer(node, service, bytes, PolicySource::Platform);
 }
 
-async fn watch_record<R: PlatformReader>(node: SharedNode, reader: Rc<R>, service: ServiceName) {
-    let mut index = 0;
-    loop {
-        let read = reader.record(&service, index).await;
-        note_read(&node, read.as_ref().err());
-        match read {
-            Ok(reply) => {
-                index = reply.index;
-                if let Some(bytes) = reply.value {
-                    offer(&node, &service, &bytes);
-                }
-                pause(&node, REARM_PAUSE).await;
-            }
-            Err(_) => pause(&node, FAILURE_PAUSE).await,
-        }
-    }
+fn due_reads(node: &SharedNode) -> Vec<ServiceName> {
+    let mut distribution = node.policy_link.distribution.borrow_mut();
+    distribution.due_reads(Instant::now())
 }
 
-async fn watch_instances<R: PlatformReader>(node: SharedNode, reader: Rc<R>, service: ServiceName) {
-    let mut index = 0;
-    loop {
-        let read = reader.instances(&service, index).await;
-        note_read(&node, read.as_ref().err());
-        match read {
-            Ok(reply) => {
-                index = reply.index;
-                apply_instances(&node, reply.value);
-                pause(&node, REARM_PAUSE).await;
-            }
-            Err(_) => pause(&node, FAILURE_PAUSE).await,
+async fn follow<R: PlatformReader + 'static>(
+    node: SharedNode,
+    reader: Rc<R>,
+    service: ServiceName,
+) {
+    let (other, lists) = (node.clone(), Rc::clone(&reader));
+    let name = service.clone();
+    // A node asks for its own list before its own record, so that it knows its peers when it
+    // decides whether it is ready.
+    let index = read_list(&node, &*reader, &service, 0).await.unwrap_or(0);
+    actix_rt::spawn(async move {
+        let mut outcome = Some(index).filter(|index| *index > 0);
+        loop {
+            let index = turn(&other, &name, outcome).await;
+            outcome = read_list(&other, &*lists, &name, index).await;
         }
+    });
+    let mut outcome = read_record(&node, &*reader, &service, 0).await;
+    if service == node.settings.service {
+        node.policy_link.readiness.borrow_mut().platform_asked();
+    }
+    loop {
+        let index = turn(&node, &service, outcome).await;
+        outcome = read_record(&node, &*reader, &service, index).await;
     }
 }
 
-/// Offers the bytes of a record; a refused one leaves the policy in force as it is.
-pub fn offer(node: &SharedNode, service: &ServiceName, bytes: &[u8]) {
-    let accepted = accept(node, service, bytes);
-    let in_force = node.policies.borrow().revision(service);
-    match accepted {
-        Ok(OfferVerdict::InForce) => {
-            node.faults.borrow_mut().remove(service);
-            apply_own_policy(node, service);
-            info!(event = events::POLICY_IN_FORCE, %service, revision = in_force, "policy: in force");
-        }
-        Ok(OfferVerdict::Unchanged) => {}
-        Err(message) => {
-            warn!(event = events::POLICY_REFUSED, %service, in_force, message, "policy: refused");
-            node.faults
-                .borrow_mut()
-                .insert(service.clone(), RecordFault { message, in_force });
+/// Waits until the next read is due after one that ended with `outcome`, the index of what was
+/// found; returns the index to wait from, 0 where the node does not watch.
+async fn turn(node: &SharedNode, service: &ServiceName, outcome: Option<u64>) -> u64 {
+    if is_watcher(node, service) {
+        let mean = outcome.map_or(FAILURE_PAUSE, |_| REARM_PAUSE);
+        pause(node, mean).await;
+        return outcome.unwrap_or(0);
+    }
+    let factor = node.random.borrow_mut().random_range(0.5..1.5);
+    let mean = outcome.map_or(MISSING_PAUSE, |_| SELDOM_PAUSE);
+    let due = Instant::now() + mean.mul_f64(factor);
+    while Instant::now() < due {
+        if is_watcher(node, service) {
+            return outcome.unwrap_or(0);
         }
+        pause(node, LOOK_PAUSE).await;
     }
+    0
 }
 
-fn accept(node: &SharedNode, service: &ServiceName, bytes: &[u8]) -> Result<OfferVerdict, String> {
-    let policy = record::parse(bytes).map_err(|fault| fault.to_string())?;
-    if policy.service != *service {
-        return Err(format!(
-            "name: found {}, expected {service}",
-            policy.service
-        ));
-    }
-    node.policies
-        .borrow_mut()
-        .offer(policy, bytes)
-        .map_err(|fault| fault.to_string())
+fn is_watcher(node: &SharedNode, service: &ServiceName) -> bool {
+    let settings = &node.settings;
+    let members = node.policy_link.members.borrow();
+    let table = node.instances.borrow();
+    let (own, zone) = (&settings.instance, &settings.zone);
+    *service == settings.service
+        && platform_watchers::is_watcher(service, own, zone, &table, &members)
 }
 
-fn apply_own_policy(node: &SharedNode, service: &ServiceName) {
-    if *service != node.settings.service {
-        return;
-    }
-    if let Some(policy) = node.policy(service) {
-        node.gate.configure(&policy);
-        node.connections.set(policy.connections);
+async fn read_record<R: PlatformReader>(
+    node: &SharedNode,
+    reader: &R,
+    service: &ServiceName,
+    index: u64,
+) -> Option<u64> {
+    let read = reader.record(service, index).await;
+    note_read(node, read.as_ref().err());
+    let reply = read.ok()?;
+    if let Some(bytes) = &reply.value {
+        offer(node, service, bytes);
     }
+    // A missing record is watched too, but a node that does not watch asks again soon.
+    let is_found = reply.value.is_some() || is_watcher(node, service);
+    is_found.then_some(reply.index)
 }
 
-/// Takes the list as a hint: instances that it no longer names stay known.
-fn apply_instances(node: &SharedNode, listed: Vec<InstanceRecord>) {
+async fn read_list<R: PlatformReader>(
+    node: &SharedNode,
+    reader: &R,
+    service: &ServiceName,
+    index: u64,
+) -> Option<u64> {
+    let read = reader.instances(service, index).await;
+    note_read(node, read.as_ref().err());
+    let reply = read.ok()?;
+    let version = ListVersion {
+        service: service.clone(),
+        index: reply.index,
+    };
+    let mut members = node.policy_link.members.borrow_mut();
     let mut table = node.instances.borrow_mut();
-    for record in listed {
-        table.upsert(record);
-    }
+    members.apply_list(Instant::now(), &mut table, &version, reply.value);
+    Some(reply.index)
 }
 
 fn note_read(node: &SharedNode, failure: Option<&TransportError>) {
--- /dev/null
+++ b/crates/daemon/src/policy_keeper.rs
@@ -0,0 +1,201 @@
+//! Takes offers of policy records from wherever they come, puts newer ones in force and reports
+//! those that are refused.
+
+use crate::{events, node::SharedNode};
+
+use lagoonshore_coordination::policy_digest::RecordVersion;
+use lagoonshore_protocol::{ProtocolError, record};
+use lagoonshore_state::{
+    StateError, id_type,
+    ids::{PolicyRevision, ServiceName},
+    policy_set::{self, OfferVerdict, PolicySource},
+};
+use std::collections::BTreeSet;
+use tracing::{info, warn};
+
+/// Metric that counts refused offers.
+const REFUSED_METRIC: &str = "lagoonshore_policy_refused_total";
+
+id_type! {
+    /// `RefusalVerdict` says what kind of fault a refused offer has.
+    #[serde(rename_all = "kebab-case")]
+    pub enum RefusalVerdict {
+        /// The record cannot be read or has values out of range.
+        Malformed,
+        /// The record has a schema that this program does not know.
+        UnknownSchema,
+        /// The revision is older than the one in force.
+        Older,
+        /// The revision is in force with other content.
+        Conflict,
+    }
+}
+
+/// `RecordFault` is the last refused offer of a policy record.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct RecordFault {
+    /// What kind of fault it has.
+    pub verdict: RefusalVerdict,
+    /// What was wrong with it.
+    pub message: String,
+    /// Where it came from.
+    pub source: PolicySource,
+    /// Revision that stays in force.
+    pub in_force: Option<PolicyRevision>,
+    /// How often the same offer came.
+    pub times: u64,
+}
+
+struct OfferFault {
+    verdict: RefusalVerdict,
+    message: String,
+}
+
+/// Offers the bytes of a record; a refused one leaves the policy in force as it is.
+///
+/// # Errors
+/// What kind of fault the offer has.
+pub fn offer(
+    node: &SharedNode,
+    service: &ServiceName,
+    bytes: &[u8],
+    source: PolicySource,
+) -> Result<(), RefusalVerdict> {
+    match accept(node, service, bytes, source) {
+        Ok(OfferVerdict::InForce) => {
+            note_in_force(node, service, source);
+            Ok(())
+        }
+        Ok(OfferVerdict::Unchanged) => {
+            node.policy_link.distribution.borrow_mut().settle(service);
+            Ok(())
+        }
+        Err(fault) => {
+            let verdict = fault.verdict;
+            note_refused(node, service, bytes, source, fault);
+            Err(verdict)
+        }
+    }
+}
+
+/// Reports that a peer has the revision in force with other content.
+pub fn note_conflict(node: &SharedNode, version: &RecordVersion) {
+    let RecordVersion {
+        service,
+        revision,
+        content,
+    } = version;
+    let message = format!(
+        "revision {revision} is in force with different content; a peer has content {content:016x}"
+    );
+    let fault = OfferFault {
+        verdict: RefusalVerdict::Conflict,
+        message,
+    };
+    report(node, service, PolicySource::Peer, fault);
+}
+
+/// The own service and those that its policy says it calls.
+#[must_use]
+pub fn wanted(node: &SharedNode) -> BTreeSet<ServiceName> {
+    let own = node.settings.service.clone();
+    let calls = node
+        .policy(&own)
+        .map(|policy| policy.calls.clone())
+        .unwrap_or_default();
+    calls.into_iter().chain([own]).collect()
+}
+
+fn accept(
+    node: &SharedNode,
+    service: &ServiceName,
+    bytes: &[u8],
+    source: PolicySource,
+) -> Result<OfferVerdict, OfferFault> {
+    let policy = record::parse_for(service, bytes).map_err(|fault| OfferFault {
+        verdict: match fault {
+            ProtocolError::UnknownSchema { .. } => RefusalVerdict::UnknownSchema,
+            _ => RefusalVerdict::Malformed,
+        },
+        message: fault.to_string(),
+    })?;
+    let accepted = node.policies.borrow_mut().offer(policy, bytes, source);
+    accepted.map_err(|fault| {
+        let line = record::revision_line(bytes).unwrap_or_default();
+        OfferFault {
+            verdict: match fault {
+                StateError::ConflictingRevision { .. } => RefusalVerdict::Conflict,
+                StateError::StaleRevision { .. } => RefusalVerdict::Older,
+            },
+            message: format!("line {line}: {fault}"),
+        }
+    })
+}
+
+fn note_in_force(node: &SharedNode, service: &ServiceName, source: PolicySource) {
+    let revision = node.policies.borrow().revision(service);
+    node.faults.borrow_mut().remove(service);
+    let link = &node.policy_link;
+    link.distribution.borrow_mut().settle(service);
+    link.schedule.borrow_mut().note_change();
+    link.counters.borrow_mut().accepted += 1;
+    if *service == node.settings.service {
+        apply_own_policy(node);
+    }
+    info!(event = events::POLICY_IN_FORCE, %service, revision, ?source, "policy: in force");
+}
+
+fn apply_own_policy(node: &SharedNode) {
+    if let Some(policy) = node.policy(&node.settings.service) {
+        node.gate.configure(&policy);
+        node.connections.set(policy.connections);
+    }
+    let wanted = wanted(node);
+    let link = &node.policy_link;
+    link.distribution.borrow_mut().set_wanted(wanted);
+}
+
+fn note_refused(
+    node: &SharedNode,
+    service: &ServiceName,
+    bytes: &[u8],
+    source: PolicySource,
+    fault: OfferFault,
+) {
+    if source == PolicySource::Peer {
+        let content = policy_set::content_hash(bytes);
+        let mut distribution = node.policy_link.distribution.borrow_mut();
+        distribution.refuse(service, content);
+    }
+    report(node, service, source, fault);
+}
+
+fn report(node: &SharedNode, service: &ServiceName, source: PolicySource, fault: OfferFault) {
+    node.policy_link.counters.borrow_mut().refused += 1;
+    let label = service.to_string();
+    metrics::counter!(REFUSED_METRIC, "service" => label).increment(1);
+    let in_force = node.policies.borrow().revision(service);
+    let mut faults = node.faults.borrow_mut();
+    if let Some(known) = faults
+        .get_mut(service)
+        .filter(|known| known.message == fault.message)
+    {
+        known.times += 1;
+        return;
+    }
+    let OfferFault {
+        verdict, message, ..
+    } = fault;
+    warn!(
+        event = events::POLICY_REFUSED, %service, in_force, ?verdict, ?source, message,
+        "policy: refused"
+    );
+    let fault = RecordFault {
+        verdict,
+        message,
+        source,
+        in_force,
+        times: 1,
+    };
+    faults.insert(service.clone(), fault);
+}
--- /dev/null
+++ b/crates/daemon/src/policy_link.rs
@@ -0,0 +1,126 @@
+//! What a node knows about the distribution of policies and about other nodes.
+
+use lagoonshore_coordination::{
+    digest_schedule::DigestSchedule,
+    membership::MemberTable,
+    policy_digest::PolicyDigest,
+    policy_distribution::PolicyDistribution,
+    readiness::{ReadinessControl, ReadinessState},
+    routing::RoutingOrigin,
+};
+use lagoonshore_settings::NodeSettings;
+use lagoonshore_state::{
+    data_type,
+    instance_table::{InstanceRecord, InstanceState, InstanceTable},
+    policy_set::PolicySet,
+};
+use std::{cell::RefCell, net::SocketAddr};
+use tokio::time::Instant;
+
+data_type! {
+    /// `DistributionCounters` counts what passed between nodes about policies.
+    #[derive(Copy, Default, Eq)]
+    pub struct DistributionCounters {
+        /// Digests exchanged by the node's own choice.
+        pub exchanges: u64,
+        /// Exchanges that failed.
+        pub exchange_failures: u64,
+        /// Digests of peers that were taken in.
+        pub digests: u64,
+        /// Digests that were dropped for their size or their sender.
+        pub digests_dropped: u64,
+        /// Pulls made.
+        pub pulls: u64,
+        /// Pulls that failed or brought nothing newer.
+        pub pull_failures: u64,
+        /// Records accepted.
+        pub accepted: u64,
+        /// Offers that were refused.
+        pub refused: u64,
+    }
+}
+
+/// `PolicyLink` joins the decisions on policies and membership of one node.
+pub struct PolicyLink {
+    /// Records that the node is behind on.
+    pub distribution: RefCell<PolicyDistribution>,
+    /// Rounds of digests.
+    pub schedule: RefCell<DigestSchedule>,
+    /// What the node has seen of instances.
+    pub members: RefCell<MemberTable>,
+    /// The start of the node.
+    pub readiness: RefCell<ReadinessControl>,
+    /// Counters.
+    pub counters: RefCell<DistributionCounters>,
+    own: RefCell<Option<InstanceRecord>>,
+}
+
+impl PolicyLink {
+    /// Creates a link that knows nobody; the node counts as ready until [`Self::begin_start`].
+    #[must_use]
+    pub fn new(settings: &NodeSettings) -> Self {
+        let now = Instant::now();
+        let origin = RoutingOrigin {
+            instance: settings.instance.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+        };
+        let service = settings.service.clone();
+        let mut distribution = PolicyDistribution::default();
+        distribution.set_wanted([service.clone()].into());
+        Self {
+            distribution: RefCell::new(distribution),
+            schedule: RefCell::new(DigestSchedule::new(origin, service.clone(), now)),
+            members: RefCell::default(),
+            readiness: RefCell::new(ReadinessControl::ready(service, now)),
+            counters: RefCell::default(),
+            own: RefCell::default(),
+        }
+    }
+
+    /// Makes the node refuse requests until it holds the newest policies within reach.
+    pub fn begin_start(&self, settings: &NodeSettings) {
+        let service = settings.service.clone();
+        *self.readiness.borrow_mut() = ReadinessControl::starting(service, Instant::now());
+        self.schedule.borrow_mut().note_change();
+    }
+
+    /// Sets the address of the peer door, which digests tell to other nodes.
+    pub fn announce(&self, settings: &NodeSettings, peer: SocketAddr) {
+        *self.own.borrow_mut() = Some(InstanceRecord {
+            name: settings.instance.clone(),
+            service: settings.service.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            peer,
+            state: InstanceState::Live,
+        });
+    }
+
+    /// The node as digests name it; `None` before its peer door is open.
+    #[must_use]
+    pub fn own(&self) -> Option<InstanceRecord> {
+        self.own.borrow().clone()
+    }
+
+    /// Versions that the node holds.
+    #[must_use]
+    pub fn digest(&self, policies: &PolicySet) -> PolicyDigest {
+        PolicyDigest::new(policies, self.members.borrow().list_versions())
+    }
+
+    /// Decides whether the node serves.
+    pub fn assess(&self, policies: &PolicySet, table: &InstanceTable) -> ReadinessState {
+        let state = self.readiness.borrow().state();
+        if state == ReadinessState::Ready {
+            return state;
+        }
+        let own = self.own.borrow();
+        let own = own.as_ref().map(|record| record.name.as_str());
+        let others = table
+            .iter()
+            .filter(|(_, record)| Some(record.name.as_str()) != own);
+        let mut readiness = self.readiness.borrow_mut();
+        readiness.assess(Instant::now(), policies, others.count())
+    }
+}
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -41,6 +41,9 @@
     if node.drain.borrow().is_draining() {
         return Err(refusals::on_arrival(RefusalReason::Draining));
     }
+    if !node.is_ready() {
+        return Err(refusals::on_arrival(RefusalReason::Starting));
+    }
     let Some(policy) = node.policy(&node.settings.service) else {
         return Err(refusals::on_arrival(RefusalReason::NoPolicy));
     };
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -1,12 +1,19 @@
 //! The dump of a node's state: stable order, no bodies, no keys.
 
-use crate::node::{Node, PlatformState, RecordFault};
+use crate::{
+    node::{Node, PlatformState},
+    policy_keeper::RecordFault,
+    policy_link::DistributionCounters,
+};
 
-use lagoonshore_coordination::{drain::DrainState, routing::PeerView};
+use lagoonshore_coordination::{
+    drain::DrainState, policy_digest::ListVersion, readiness::ReadinessState, routing::PeerView,
+};
 use lagoonshore_state::{
     counters::NodeCounters,
     ids::{PolicyRevision, ServiceName},
     instance_table::InstanceRecord,
+    policy_set::PolicySource,
 };
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -16,6 +23,7 @@
 pub struct StateDump {
     node: IdentityPart,
     policy: BTreeMap<ServiceName, PolicyPart>,
+    distribution: DistributionPart,
     admission: AdmissionPart,
     counters: NodeCounters,
     retries: RetriesPart,
@@ -37,9 +45,18 @@
 #[derive(Default, Serialize)]
 struct PolicyPart {
     revision: Option<PolicyRevision>,
+    content: Option<String>,
+    source: Option<PolicySource>,
     refused: Option<RecordFault>,
 }
 
+#[derive(Serialize)]
+struct DistributionPart {
+    readiness: ReadinessState,
+    lists: Vec<ListVersion>,
+    counters: DistributionCounters,
+}
+
 #[derive(Serialize)]
 struct AdmissionPart {
     in_progress: u32,
@@ -75,6 +92,11 @@
             version: env!("CARGO_PKG_VERSION"),
         },
         policy: policies(node),
+        distribution: DistributionPart {
+            readiness: node.policy_link.readiness.borrow().state(),
+            lists: node.policy_link.members.borrow().list_versions(),
+            counters: *node.policy_link.counters.borrow(),
+        },
         admission: AdmissionPart {
             in_progress: load.in_progress,
             limit: load.limit,
@@ -94,7 +116,10 @@
 fn policies(node: &Node) -> BTreeMap<ServiceName, PolicyPart> {
     let mut parts: BTreeMap<ServiceName, PolicyPart> = BTreeMap::new();
     for (service, entry) in node.policies.borrow().iter() {
-        parts.entry(service.clone()).or_default().revision = Some(entry.policy.revision);
+        let part = parts.entry(service.clone()).or_default();
+        part.revision = Some(entry.policy.revision);
+        part.content = Some(format!("{:016x}", entry.content));
+        part.source = Some(entry.source);
     }
     for (service, fault) in node.faults.borrow().iter() {
         parts.entry(service.clone()).or_default().refused = Some(fault.clone());
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -4,10 +4,14 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use lagoonshore_coordination::request_life::CallRefusal;
+use lagoonshore_coordination::{
+    policy_digest::{ListVersion, PolicyDigest},
+    request_life::CallRefusal,
+};
 use lagoonshore_state::{
     data_type,
     ids::{CallerHash, ServiceName},
+    instance_table::InstanceRecord,
     units::{RequestImportance, TokenCount},
 };
 
@@ -73,4 +77,57 @@
         /// Whether the node is leaving.
         pub draining: bool,
     }
+    /// `NodeDigest` is what nodes tell each other without being asked.
+    pub struct NodeDigest {
+        /// The node that sends the digest.
+        pub sender: InstanceRecord,
+        /// Policies and lists that it holds.
+        pub policy: PolicyDigest,
+        /// Requests that crashed upstreams.
+        pub suspects: Vec<SuspectReport>,
+    }
+
+    /// `SuspectReport` names a request that was in progress when upstreams crashed.
+    #[derive(Copy, Eq)]
+    pub struct SuspectReport {
+        /// Fingerprint of the request.
+        pub fingerprint: u64,
+        /// Crashes that it was seen in.
+        pub crashes: u8,
+    }
+
+    /// `PullRequest` asks for what a digest offered.
+    #[derive(Default, Eq)]
+    pub struct PullRequest {
+        /// Services whose policy records are wanted.
+        pub records: Vec<ServiceName>,
+        /// Services whose instance lists are wanted.
+        pub lists: Vec<ServiceName>,
+    }
+
+    /// `PullReply` answers a [`PullRequest`] as far as the node holds what it asks for.
+    #[derive(Default)]
+    pub struct PullReply {
+        /// Policy records, byte by byte as they were published.
+        pub records: Vec<RecordBytes>,
+        /// Instance lists.
+        pub lists: Vec<InstanceList>,
+    }
+
+    /// `RecordBytes` is a policy record.
+    #[derive(Eq)]
+    pub struct RecordBytes {
+        /// Service that the record is for.
+        pub service: ServiceName,
+        /// The record, as it was published.
+        pub bytes: Bytes,
+    }
+
+    /// `InstanceList` is the platform's list of one service as a node holds it.
+    pub struct InstanceList {
+        /// State of the list.
+        pub version: ListVersion,
+        /// Its instances.
+        pub instances: Vec<InstanceRecord>,
+    }
 }
--- a/crates/protocol/src/peer_service.rs
+++ b/crates/protocol/src/peer_service.rs
@@ -3,11 +3,17 @@
 // The attribute macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use crate::messages::{CallReply, CallRequest};
+use crate::messages::{CallReply, CallRequest, NodeDigest, PullReply, PullRequest};
 
 /// `PeerService` is what a node does for other nodes.
 #[tarpc::service]
 pub trait PeerService {
     /// Has the upstream of the node serve a request.
     async fn call(request: CallRequest) -> CallReply;
+
+    /// Tells the node what the sender holds, and learns what the node holds.
+    async fn exchange(digest: NodeDigest) -> Option<NodeDigest>;
+
+    /// Hands over records and lists that the node holds.
+    async fn pull(request: PullRequest) -> PullReply;
 }
--- a/crates/state/src/policy_set.rs
+++ b/crates/state/src/policy_set.rs
@@ -2,11 +2,32 @@
 
 use crate::{
     error::{self, Result},
-    ids::{PolicyRevision, ServiceName},
+    ids::{ContentHash, PolicyRevision, ServiceName},
     policy::ServicePolicy,
 };
 
-use std::{collections::BTreeMap, rc::Rc};
+use siphasher::sip::SipHasher13;
+use std::{collections::BTreeMap, hash::Hasher, rc::Rc};
+
+id_type! {
+    /// `PolicySource` says where the record of a policy came from.
+    #[serde(rename_all = "kebab-case")]
+    pub enum PolicySource {
+        /// Read from the platform.
+        Platform,
+        /// Pulled from another node.
+        Peer,
+    }
+}
+
+/// Hash of the bytes of a record. It has no secret, so that every node finds the same one; it
+/// detects different content, and whoever may publish records is trusted not to forge a match.
+#[must_use]
+pub fn content_hash(bytes: &[u8]) -> ContentHash {
+    let mut hasher = SipHasher13::new();
+    hasher.write(bytes);
+    hasher.finish()
+}
 
 /// `PolicyEntry` is a policy in force with the bytes it was read from.
 #[derive(Clone, Debug)]
@@ -15,6 +36,10 @@
     pub policy: Rc<ServicePolicy>,
     /// Bytes of the record, handed on verbatim to peers.
     pub bytes: Rc<[u8]>,
+    /// Hash of the bytes.
+    pub content: ContentHash,
+    /// Where the record came from.
+    pub source: PolicySource,
 }
 
 /// `OfferVerdict` says what became of an accepted offer.
@@ -38,7 +63,12 @@
     /// # Errors
     /// [`crate::StateError::StaleRevision`] for an older revision,
     /// [`crate::StateError::ConflictingRevision`] for the same revision with other bytes.
-    pub fn offer(&mut self, policy: ServicePolicy, bytes: &[u8]) -> Result<OfferVerdict> {
+    pub fn offer(
+        &mut self,
+        policy: ServicePolicy,
+        bytes: &[u8],
+        source: PolicySource,
+    ) -> Result<OfferVerdict> {
         if let Some(held) = self.entries.get(&policy.service) {
             let revision = held.policy.revision;
             if policy.revision < revision {
@@ -56,6 +86,8 @@
         let entry = PolicyEntry {
             policy: Rc::new(policy),
             bytes: bytes.into(),
+            content: content_hash(bytes),
+            source,
         };
         self.entries.insert(service, entry);
         Ok(OfferVerdict::InForce)
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::net::TcpStream;
 use lagoonshore_protocol::{
-    messages::{CallReply, CallRequest},
+    messages::{CallReply, CallRequest, NodeDigest, PullReply, PullRequest},
     peer_service::PeerServiceClient,
 };
 use std::{
@@ -54,15 +54,38 @@
         deadline: Instant,
     ) -> Result<CallReply> {
         let link = self.link(address).await?;
-        let mut context = Context::current();
-        context.deadline = deadline.into_std();
-        link.client
-            .call(context, request)
-            .await
-            .map_err(|fault| match fault {
-                RpcError::DeadlineExceeded => TransportError::TimedOut { address },
-                fault => error::exchange(address, &fault),
-            })
+        let reply = link.client.call(context(deadline), request).await;
+        reply.map_err(|fault| link_fault(address, fault))
+    }
+
+    /// Exchanges digests with the node at `address`; `None` if it took in none.
+    ///
+    /// # Errors
+    /// Why there is no answer.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        digest: NodeDigest,
+        deadline: Instant,
+    ) -> Result<Option<NodeDigest>> {
+        let link = self.link(address).await?;
+        let reply = link.client.exchange(context(deadline), digest).await;
+        reply.map_err(|fault| link_fault(address, fault))
+    }
+
+    /// Pulls records and lists from the node at `address`.
+    ///
+    /// # Errors
+    /// Why there is no answer.
+    pub async fn pull(
+        &self,
+        address: SocketAddr,
+        request: PullRequest,
+        deadline: Instant,
+    ) -> Result<PullReply> {
+        let link = self.link(address).await?;
+        let reply = link.client.pull(context(deadline), request).await;
+        reply.map_err(|fault| link_fault(address, fault))
     }
 
     /// Number of links that are up.
@@ -115,6 +138,19 @@
     }
 }
 
+fn context(deadline: Instant) -> Context {
+    let mut context = Context::current();
+    context.deadline = deadline.into_std();
+    context
+}
+
+fn link_fault(address: SocketAddr, fault: RpcError) -> TransportError {
+    match fault {
+        RpcError::DeadlineExceeded => TransportError::TimedOut { address },
+        fault => error::exchange(address, &fault),
+    }
+}
+
 /// Codec of the frames between nodes.
 #[must_use]
 pub fn frame_codec() -> tokio_util::codec::length_delimited::Builder {
