--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/membership.rs
@@ -34,6 +34,7 @@
     last_answer: Instant,
     told_itself: Option<Instant>,
     failures: u32,
+    reads_platform: bool,
 }
 
 /// `MemberTable` holds what a node has seen of instances, and which lists it took in.
@@ -92,11 +93,16 @@
         self.view_mut(now, name).failures += 1;
     }
 
-    /// Tells whether nothing speaks against the instance answering.
+    /// Notes whether an instance says that it can read the platform.
+    pub fn note_reading(&mut self, now: Instant, name: &InstanceName, reads: bool) {
+        self.view_mut(now, name).reads_platform = reads;
+    }
+
+    /// Tells whether nothing speaks against the instance answering and reading the platform.
     #[must_use]
-    pub fn is_answering(&self, name: &str) -> bool {
+    pub fn may_watch(&self, name: &str) -> bool {
         let view = self.views.get(name);
-        view.is_none_or(|view| view.failures < SILENT_FAILURES)
+        view.is_none_or(|view| view.failures < SILENT_FAILURES && view.reads_platform)
     }
 
     /// Instances that the list does not name and whose last try failed, or that were never met.
@@ -222,6 +228,7 @@
             last_answer: now,
             told_itself: None,
             failures: 0,
+            reads_platform: true,
         })
     }
 }
--- /dev/null
+++ b/crates/coordination/tests/support/fleet.rs
@@ -0,0 +1,542 @@
+//! A small fake of many nodes: the distribution decisions of each under one chosen clock, with
+//! messages that arrive at once, a platform that counts its reads, and faults of both.
+
+// Each test file and example uses its own part of the fake.
+#![allow(dead_code, unreachable_pub)]
+
+use lagoonshore_coordination::{
+    digest_schedule::DigestSchedule,
+    membership::MemberTable,
+    platform_watchers,
+    policy_digest::{ListVersion, PolicyDigest},
+    policy_distribution::PolicyDistribution,
+    readiness::{ReadinessControl, ReadinessState},
+    routing::RoutingOrigin,
+};
+use lagoonshore_protocol::messages::NodeDigest;
+use lagoonshore_state::{
+    ids::{PolicyRevision, ServiceName, ZoneName},
+    instance_table::{InstanceRecord, InstanceState, InstanceTable},
+    policy::{RetryPolicy, ServicePolicy},
+    policy_set::{self, OfferVerdict, PolicySet, PolicySource},
+    units::{SlotCount, TokenCount},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    pin::Pin,
+    time::Duration,
+};
+use tarpc::tokio_serde::{Serializer, formats::Bincode};
+use tokio::time::Instant;
+
+/// Step of the clock.
+pub const TICK: Duration = Duration::from_millis(50);
+/// Longest wait of one query at the platform.
+const WATCH_TIME: Duration = Duration::from_secs(30);
+/// Bytes around one message: frame, call context, and TCP/IP headers with an acknowledgement.
+const MESSAGE_OVERHEAD_BYTES: u64 = 150;
+/// Bytes of a policy record.
+const RECORD_BYTES: u64 = 1500;
+
+/// What is published: revision and some text that stands for the rest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FakeRecord {
+    pub revision: PolicyRevision,
+    pub text: String,
+}
+
+#[derive(Clone, Default)]
+pub struct FakePlatform {
+    pub up: bool,
+    pub index: u64,
+    pub records: BTreeMap<ServiceName, (u64, FakeRecord)>,
+    pub lists: BTreeMap<ServiceName, (u64, Vec<InstanceRecord>)>,
+    /// An older copy, and whether it answers in place of the platform.
+    pub older: Option<Box<FakePlatform>>,
+    pub is_stale: bool,
+    pub cut_zones: BTreeSet<ZoneName>,
+    pub only_reader: Option<String>,
+    pub reads: u64,
+}
+
+/// One thing that a node reads at the platform.
+struct FakeFollow {
+    service: ServiceName,
+    is_list: bool,
+    due: Instant,
+    waiting: Option<Instant>,
+    index: u64,
+}
+
+pub struct FakeNode {
+    pub record: InstanceRecord,
+    pub up: bool,
+    pub paused: bool,
+    pub policies: PolicySet,
+    pub readiness: ReadinessControl,
+    pub table: InstanceTable,
+    pub members: MemberTable,
+    pub faults: BTreeMap<ServiceName, String>,
+    pub bytes: u64,
+    reads_platform: bool,
+    distribution: PolicyDistribution,
+    schedule: DigestSchedule,
+    follows: Vec<FakeFollow>,
+}
+
+pub struct FleetFake {
+    pub now: Instant,
+    pub nodes: Vec<FakeNode>,
+    pub platform: FakePlatform,
+    pub calls: BTreeMap<ServiceName, Vec<ServiceName>>,
+    pub cuts: BTreeSet<(ZoneName, ZoneName)>,
+    pub random: SmallRng,
+    pub everyone_watches: bool,
+}
+
+impl FakeNode {
+    fn new(record: InstanceRecord, now: Instant) -> Self {
+        let origin = RoutingOrigin {
+            instance: record.name.clone(),
+            zone: record.zone.clone(),
+            region: record.region.clone(),
+        };
+        let service = record.service.clone();
+        let mut schedule = DigestSchedule::new(origin, service.clone(), now);
+        schedule.note_change();
+        let mut distribution = PolicyDistribution::default();
+        distribution.set_wanted([service.clone()].into());
+        let mut node = Self {
+            readiness: ReadinessControl::starting(service.clone(), now),
+            record,
+            up: true,
+            paused: false,
+            policies: PolicySet::default(),
+            table: InstanceTable::default(),
+            members: MemberTable::default(),
+            faults: BTreeMap::new(),
+            bytes: 0,
+            reads_platform: true,
+            distribution,
+            schedule,
+            follows: Vec::new(),
+        };
+        node.follow(&service, now);
+        node
+    }
+
+    fn follow(&mut self, service: &ServiceName, now: Instant) {
+        if self.follows.iter().any(|follow| follow.service == *service) {
+            return;
+        }
+        for is_list in [true, false] {
+            self.follows.push(FakeFollow {
+                service: service.clone(),
+                is_list,
+                due: now,
+                waiting: None,
+                index: 0,
+            });
+        }
+    }
+
+    pub fn runs(&self) -> bool {
+        self.up && !self.paused
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.readiness.state() == ReadinessState::Ready
+    }
+
+    pub fn revision(&self, service: &str) -> PolicyRevision {
+        self.policies.revision(service).unwrap_or(0)
+    }
+
+    pub fn offer(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        record: &FakeRecord,
+        calls: &[ServiceName],
+        source: PolicySource,
+    ) {
+        let bytes = format!("{} {}", record.revision, record.text);
+        let policy = policy(service, record.revision, calls);
+        match self.policies.offer(policy, bytes.as_bytes(), source) {
+            Ok(OfferVerdict::InForce) => {
+                self.faults.remove(service);
+                self.distribution.settle(service);
+                self.schedule.note_change();
+                if *service == self.record.service {
+                    let wanted = calls.iter().chain([service]).cloned();
+                    self.distribution.set_wanted(wanted.collect());
+                    for called in calls {
+                        self.follow(called, now);
+                    }
+                }
+            }
+            Ok(OfferVerdict::Unchanged) => self.distribution.settle(service),
+            Err(fault) => {
+                if source == PolicySource::Peer {
+                    let content = policy_set::content_hash(bytes.as_bytes());
+                    self.distribution.refuse(service, content);
+                }
+                self.faults.insert(service.clone(), fault.to_string());
+            }
+        }
+    }
+
+    fn digest(&self) -> PolicyDigest {
+        PolicyDigest::new(&self.policies, self.members.list_versions())
+    }
+
+    fn is_watcher(&self, service: &ServiceName) -> bool {
+        let (own, zone) = (&self.record.name, &self.record.zone);
+        *service == self.record.service
+            && platform_watchers::is_watcher(service, own, zone, &self.table, &self.members)
+    }
+}
+
+impl FleetFake {
+    pub fn new(seed: u64) -> Self {
+        let platform = FakePlatform {
+            up: true,
+            ..FakePlatform::default()
+        };
+        Self {
+            now: Instant::now(),
+            nodes: Vec::new(),
+            platform,
+            calls: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            random: SmallRng::seed_from_u64(seed),
+            everyone_watches: false,
+        }
+    }
+
+    /// Adds a node and puts it on the platform's list.
+    pub fn add(&mut self, service: &str, zone: &str, number: usize) {
+        let port = u16::try_from(self.nodes.len() + 1).expect("a small fleet");
+        let record = InstanceRecord {
+            name: format!("{service}-{zone}-{number}").into(),
+            service: service.into(),
+            zone: zone.into(),
+            region: "marmara".into(),
+            peer: SocketAddr::from(([127, 0, 0, 1], port)),
+            state: InstanceState::Live,
+        };
+        self.platform.index += 1;
+        let list = self
+            .platform
+            .lists
+            .entry(record.service.clone())
+            .or_default();
+        list.0 = self.platform.index;
+        list.1.push(record.clone());
+        self.nodes.push(FakeNode::new(record, self.now));
+    }
+
+    pub fn publish(&mut self, service: &str, revision: PolicyRevision, text: &str) {
+        self.platform.index += 1;
+        let record = FakeRecord {
+            revision,
+            text: text.to_owned(),
+        };
+        let stored = (self.platform.index, record);
+        self.platform.records.insert(service.into(), stored);
+    }
+
+    /// Replaces a node by a new process with nothing in memory.
+    pub fn restart(&mut self, node: usize) {
+        let record = self.nodes[node].record.clone();
+        self.nodes[node] = FakeNode::new(record, self.now);
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+        }
+    }
+
+    /// Runs until `holds` or `bound` is over; returns the time it took.
+    pub fn run_until(
+        &mut self,
+        bound: Duration,
+        holds: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while !holds(self) {
+            if self.now >= start + bound {
+                return None;
+            }
+            self.tick();
+        }
+        Some(self.now - start)
+    }
+
+    pub fn tick(&mut self) {
+        self.now += TICK;
+        for node in 0..self.nodes.len() {
+            if !self.nodes[node].runs() {
+                continue;
+            }
+            self.read_platform(node);
+            self.exchange_digests(node);
+            let FakeNode {
+                members,
+                table,
+                readiness,
+                policies,
+                ..
+            } = &mut self.nodes[node];
+            members.sweep(self.now, table);
+            let peers = table.iter().count().saturating_sub(1);
+            readiness.assess(self.now, policies, peers);
+        }
+    }
+
+    fn read_platform(&mut self, node: usize) {
+        for service in self.nodes[node].distribution.due_reads(self.now) {
+            if self.count_read(node) {
+                self.take_record(node, &service);
+            }
+        }
+        for place in 0..self.nodes[node].follows.len() {
+            self.follow(node, place);
+        }
+    }
+
+    fn follow(&mut self, node: usize, place: usize) {
+        let now = self.now;
+        let answers = self.platform_answers(node);
+        let follow = &self.nodes[node].follows[place];
+        let (service, is_list) = (follow.service.clone(), follow.is_list);
+        let watches = self.everyone_watches || self.nodes[node].is_watcher(&service);
+        let index = self.index_of(&service, is_list);
+        if let Some(until) = follow.waiting {
+            if answers && index == follow.index && now < until {
+                return;
+            }
+            self.nodes[node].reads_platform = answers;
+        } else if now < follow.due && !(watches && now + WATCH_TIME < follow.due) {
+            return;
+        } else {
+            let waits = watches && index == follow.index && index > 0;
+            if self.count_read(node) && waits {
+                self.nodes[node].follows[place].waiting = Some(now + WATCH_TIME);
+                return;
+            }
+        }
+        let follow = &mut self.nodes[node].follows[place];
+        follow.waiting = None;
+        follow.index = if answers { index } else { 0 };
+        let found = answers && index > 0;
+        follow.due = now + platform_watchers::pause_after(watches, found, &mut self.random);
+        if answers && is_list {
+            self.take_list(node, &service);
+        } else if answers {
+            self.take_record(node, &service);
+        }
+        let node = &mut self.nodes[node];
+        if !is_list && service == node.record.service {
+            node.readiness.platform_asked();
+        }
+    }
+
+    /// Counts a read of a node; tells whether the platform answers it.
+    fn count_read(&mut self, node: usize) -> bool {
+        let answers = self.platform_answers(node);
+        self.platform.reads += 1;
+        self.nodes[node].reads_platform = answers;
+        answers
+    }
+
+    fn platform_answers(&self, node: usize) -> bool {
+        let record = &self.nodes[node].record;
+        let reader = self.platform.only_reader.as_deref();
+        let is_reader = reader.is_none_or(|reader| record.name == reader);
+        self.platform.up && is_reader && !self.platform.cut_zones.contains(&record.zone)
+    }
+
+    fn platform_copy(&self) -> &FakePlatform {
+        let older = self.platform.older.as_deref();
+        older
+            .filter(|_| self.platform.is_stale)
+            .unwrap_or(&self.platform)
+    }
+
+    fn index_of(&self, service: &str, is_list: bool) -> u64 {
+        let copy = self.platform_copy();
+        if is_list {
+            copy.lists.get(service).map_or(0, |(index, _)| *index)
+        } else {
+            copy.records.get(service).map_or(0, |(index, _)| *index)
+        }
+    }
+
+    fn take_record(&mut self, node: usize, service: &ServiceName) {
+        let stored = self.platform_copy().records.get(service).cloned();
+        if let Some((_, record)) = stored {
+            let calls = self.calls.get(service).cloned().unwrap_or_default();
+            self.nodes[node].offer(self.now, service, &record, &calls, PolicySource::Platform);
+        }
+    }
+
+    fn take_list(&mut self, node: usize, service: &ServiceName) {
+        let Some((index, listed)) = self.platform_copy().lists.get(service).cloned() else {
+            return;
+        };
+        let version = ListVersion {
+            service: service.clone(),
+            index,
+        };
+        let FakeNode { members, table, .. } = &mut self.nodes[node];
+        members.apply_list(self.now, table, &version, listed);
+    }
+
+    fn exchange_digests(&mut self, node: usize) {
+        let FakeNode {
+            schedule,
+            table,
+            members,
+            ..
+        } = &mut self.nodes[node];
+        let doubtful = members.doubtful(table);
+        let due = schedule.due(self.now, table, &doubtful, &mut self.random);
+        let addresses: Vec<_> = due
+            .into_iter()
+            .filter_map(|key| {
+                table
+                    .get(key)
+                    .map(|record| (record.name.clone(), record.peer))
+            })
+            .collect();
+        for (name, address) in addresses {
+            let peer = usize::from(address.port()) - 1;
+            if self.reaches(node, peer) {
+                self.exchange(node, peer);
+                self.nodes[node].members.answered(self.now, &name);
+            } else {
+                self.nodes[node].members.failed(self.now, &name);
+            }
+            self.nodes[node].readiness.peer_asked(&name);
+        }
+    }
+
+    /// Exchanges the digests of two nodes that reach each other.
+    pub fn exchange(&mut self, node: usize, peer: usize) {
+        let record = self.nodes[node].record.clone();
+        let (sent, received) = (self.nodes[node].digest(), self.nodes[peer].digest());
+        let size = digest_bytes(&record, &sent) + digest_bytes(&record, &received);
+        self.nodes[node].bytes += size;
+        self.nodes[peer].bytes += size;
+        let other = self.nodes[peer].record.name.clone();
+        let (sent_reads, received_reads) = (
+            self.nodes[node].reads_platform,
+            self.nodes[peer].reads_platform,
+        );
+        let members = &mut self.nodes[node].members;
+        members.note_reading(self.now, &other, received_reads);
+        let FakeNode { members, table, .. } = &mut self.nodes[peer];
+        members.note_reading(self.now, &record.name, sent_reads);
+        members.meet(self.now, table, record);
+        self.compare(peer, node, &sent);
+        self.compare(node, peer, &received);
+    }
+
+    fn compare(&mut self, node: usize, peer: usize, digest: &PolicyDigest) {
+        let FakeNode {
+            distribution,
+            policies,
+            members,
+            readiness,
+            faults,
+            ..
+        } = &mut self.nodes[node];
+        let comparison = distribution.compare(self.now, policies, digest);
+        let lists = members.newer_lists(distribution.wanted(), &digest.lists);
+        for version in &digest.records {
+            if distribution.wanted().contains(&version.service) {
+                readiness.note_offer(&version.service, version.revision);
+            }
+        }
+        for version in comparison.conflicts {
+            let fault = format!("a peer has other content of revision {}", version.revision);
+            faults.insert(version.service, fault);
+        }
+        for service in comparison.pulls {
+            self.pull(node, peer, &service);
+        }
+        for service in lists {
+            let FakeNode { members, table, .. } = &self.nodes[peer];
+            if let Some((version, listed)) = members.list(table, &service) {
+                let FakeNode { members, table, .. } = &mut self.nodes[node];
+                members.apply_list(self.now, table, &version, listed);
+            }
+        }
+    }
+
+    fn pull(&mut self, node: usize, peer: usize, service: &ServiceName) {
+        let Some(entry) = self.nodes[peer].policies.get(service) else {
+            let node = &mut self.nodes[node];
+            node.distribution
+                .pull_failed(self.now, service, &mut self.random);
+            return;
+        };
+        let text = String::from_utf8_lossy(&entry.bytes).into_owned();
+        let (revision, text) = text.split_once(' ').expect("a revision and a text");
+        let record = FakeRecord {
+            revision: revision.parse().expect("a revision"),
+            text: text.to_owned(),
+        };
+        for side in [node, peer] {
+            self.nodes[side].bytes += RECORD_BYTES + 2 * MESSAGE_OVERHEAD_BYTES;
+        }
+        let calls = self.calls.get(service).cloned().unwrap_or_default();
+        self.nodes[node].offer(self.now, service, &record, &calls, PolicySource::Peer);
+    }
+
+    pub fn reaches(&self, from: usize, to: usize) -> bool {
+        let (left, right) = (&self.nodes[from], &self.nodes[to]);
+        let zones = (left.record.zone.clone(), right.record.zone.clone());
+        let back = (zones.1.clone(), zones.0.clone());
+        left.runs() && right.runs() && !self.cuts.contains(&zones) && !self.cuts.contains(&back)
+    }
+
+    /// Draws one of the nodes.
+    pub fn draw(&mut self) -> usize {
+        self.random.random_range(0..self.nodes.len())
+    }
+}
+
+fn policy(service: &ServiceName, revision: PolicyRevision, calls: &[ServiceName]) -> ServicePolicy {
+    ServicePolicy {
+        service: service.clone(),
+        revision,
+        slots: SlotCount(1),
+        connections: 1,
+        calls: calls.to_vec(),
+        retries: RetryPolicy {
+            per_request: TokenCount(0),
+            ratio: 0.0,
+        },
+        lanes: Vec::new(),
+        classes: Vec::new(),
+    }
+}
+
+/// Size of a digest as links between nodes write it, with what stands around it.
+fn digest_bytes(sender: &InstanceRecord, digest: &PolicyDigest) -> u64 {
+    let message = NodeDigest {
+        sender: sender.clone(),
+        reads_platform: true,
+        policy: digest.clone(),
+        suspects: Vec::new(),
+    };
+    let mut codec: Bincode<NodeDigest, NodeDigest> = Bincode::default();
+    let bytes = Pin::new(&mut codec).serialize(&message);
+    bytes.expect("a digest can be written").len() as u64 + MESSAGE_OVERHEAD_BYTES
+}
--- a/crates/daemon/src/digest_exchange.rs
+++ b/crates/daemon/src/digest_exchange.rs
@@ -101,6 +101,7 @@
     let policy = node.policy_link.digest(&node.policies.borrow());
     Some(NodeDigest {
         sender,
+        reads_platform: node.platform.borrow().reachable != Some(false),
         policy,
         suspects: Vec::new(),
     })
@@ -139,6 +140,10 @@
         return false;
     }
     link.counters.borrow_mut().digests += 1;
+    let sender = &digest.sender.name;
+    let mut members = link.members.borrow_mut();
+    members.note_reading(Instant::now(), sender, digest.reads_platform);
+    drop(members);
     let mut distribution = link.distribution.borrow_mut();
     let policies = node.policies.borrow();
     let comparison = distribution.compare(Instant::now(), &policies, &digest.policy);
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -11,14 +11,6 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-/// Mean pause between two queries of one watch; the pause is drawn around it.
-const REARM_PAUSE: Duration = Duration::from_millis(100);
-/// Mean pause of a watch after a failed query.
-const FAILURE_PAUSE: Duration = Duration::from_secs(1);
-/// Mean pause of a node that does not watch, after a read that failed or found nothing.
-const MISSING_PAUSE: Duration = Duration::from_secs(10);
-/// Mean pause between two reads of a node that does not watch.
-const SELDOM_PAUSE: Duration = Duration::from_mins(10);
 /// Time between two looks at whether the node is chosen to watch, or a read is due.
 const LOOK_PAUSE: Duration = Duration::from_millis(500);
 
@@ -81,14 +73,16 @@
 /// Waits until the next read is due after one that ended with `outcome`, the index of what was
 /// found; returns the index to wait from, 0 where the node does not watch.
 async fn turn(node: &SharedNode, service: &ServiceName, outcome: Option<u64>) -> u64 {
-    if is_watcher(node, service) {
-        let mean = outcome.map_or(FAILURE_PAUSE, |_| REARM_PAUSE);
-        pause(node, mean).await;
+    let watches = is_watcher(node, service);
+    let wait = {
+        let mut random = node.random.borrow_mut();
+        platform_watchers::pause_after(watches, outcome.is_some(), &mut *random)
+    };
+    if watches {
+        actix_rt::time::sleep(wait).await;
         return outcome.unwrap_or(0);
     }
-    let factor = node.random.borrow_mut().random_range(0.5..1.5);
-    let mean = outcome.map_or(MISSING_PAUSE, |_| SELDOM_PAUSE);
-    let due = Instant::now() + mean.mul_f64(factor);
+    let due = Instant::now() + wait;
     while Instant::now() < due {
         if is_watcher(node, service) {
             return outcome.unwrap_or(0);
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -81,6 +81,8 @@
     pub struct NodeDigest {
         /// The node that sends the digest.
         pub sender: InstanceRecord,
+        /// Whether its last read of the platform succeeded.
+        pub reads_platform: bool,
         /// Policies and lists that it holds.
         pub policy: PolicyDigest,
         /// Requests that crashed upstreams.
