Add keys, ledger and bindings for work that runs at most once

Cause: a request sent again could run twice, and answers that were cut off could pass as whole. Ruled out: an owner by hash over live instances, since views differ under a cut. Change: keys bound to the incarnation that offered them, a ledger at that home, calls bound to one executor, and an upstream client that tells an ended answer from one that was cut off.

--- a/crates/coordination/src/call_table.rs
+++ b/crates/coordination/src/call_table.rs
@@ -2,6 +2,7 @@
 
 use crate::retries::TokenPurse;
 
+use compact_str::CompactString;
 use lagoonshore_state::{
     ids::{CallId, CallerHash},
     units::{RequestImportance, TokenCount},
@@ -20,6 +21,8 @@
     pub caller: CallerHash,
     /// Retry tokens left.
     pub purse: TokenPurse,
+    /// Idempotency key of the request.
+    pub key: Option<CompactString>,
     /// Child calls made so far.
     pub children: u32,
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,8 +3,14 @@
 
 pub mod admission;
 pub mod call_table;
+pub mod child_key;
 pub mod drain;
 pub mod error;
+pub mod execution_ledger;
+pub mod executor_binding;
+pub mod idempotency_key;
+pub mod key_home;
+pub mod message_age;
 pub mod outcome;
 pub mod request_life;
 pub mod retries;
--- a/crates/coordination/src/outcome.rs
+++ b/crates/coordination/src/outcome.rs
@@ -53,6 +53,8 @@
         KeyReused,
         /// The only node that may run the key cannot be reached.
         HomeUnreachable,
+        /// The key ran and its answer is no longer held.
+        AnswerEvicted,
         /// The message waited too long on its way.
         Stale,
     }
@@ -92,6 +94,7 @@
             Self::KeyExpired => "key-expired",
             Self::KeyReused => "key-reused",
             Self::HomeUnreachable => "home-unreachable",
+            Self::AnswerEvicted => "answer-evicted",
             Self::Stale => "stale",
         }
     }
@@ -105,7 +108,7 @@
             Self::TooLarge => 413,
             Self::BadRequest => 400,
             Self::KeyReused => 409,
-            Self::KeyExpired => 410,
+            Self::KeyExpired | Self::AnswerEvicted => 410,
             // "Precondition Required", RFC 6585, section 3.
             Self::KeyRequired => 428,
             _ => 503,
@@ -130,7 +133,8 @@
             | Self::Quarantined
             | Self::KeyRequired
             | Self::KeyExpired
-            | Self::KeyReused => None,
+            | Self::KeyReused
+            | Self::AnswerEvicted => None,
             _ => Some(Duration::from_secs(1)),
         }
     }
--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -1,6 +1,6 @@
 //! Sends a call to an instance of another service, and again where that is allowed.
 
-use crate::{node::SharedNode, refusals};
+use crate::{bound_call, node::SharedNode, refusals};
 
 use lagoonshore_coordination::{
     outcome::{CallOutcome, RefusalReason},
@@ -39,12 +39,19 @@
 }
 
 /// Sends `call`; tokens of `purse` pay for repeats here and below.
-pub async fn route(node: &SharedNode, mut call: RoutedCall, mut purse: TokenPurse) -> RoutedReply {
-    let service = call.request.service.clone();
-    let policy = node.policy(&service);
-    let ratio = policy.map_or(DEFAULT_RETRY_RATIO, |policy| policy.retries.ratio);
-    node.budget.borrow_mut().record_call(ratio);
-    node.counters.borrow_mut().calls += 1;
+pub async fn route(node: &SharedNode, call: RoutedCall, purse: TokenPurse) -> RoutedReply {
+    if call.request.key.is_some() {
+        return bound_call::route(node, call, purse).await;
+    }
+    route_idempotent(node, call, purse).await
+}
+
+async fn route_idempotent(
+    node: &SharedNode,
+    mut call: RoutedCall,
+    mut purse: TokenPurse,
+) -> RoutedReply {
+    record_call(node, &call);
     let mut refusal = refusals::on_arrival(RefusalReason::NoInstance);
     while let Some((key, address)) = choose(node, &call) {
         call.tried.push(key);
@@ -69,8 +76,16 @@
     }
 }
 
+/// Counts a first try and earns its share of a retry.
+pub(crate) fn record_call(node: &SharedNode, call: &RoutedCall) {
+    let policy = node.policy(&call.request.service);
+    let ratio = policy.map_or(DEFAULT_RETRY_RATIO, |policy| policy.retries.ratio);
+    node.budget.borrow_mut().record_call(ratio);
+    node.counters.borrow_mut().calls += 1;
+}
+
 /// Joins the refusals of several tries: a call that may have run once is never `not-run`.
-const fn combine(before: CallRefusal, latest: CallRefusal) -> CallRefusal {
+pub(crate) const fn combine(before: CallRefusal, latest: CallRefusal) -> CallRefusal {
     match before.outcome {
         CallOutcome::Unknown => CallRefusal {
             outcome: CallOutcome::Unknown,
@@ -80,16 +95,16 @@
     }
 }
 
-fn may_repeat(call: &RoutedCall, refusal: CallRefusal) -> bool {
+pub(crate) fn may_repeat(call: &RoutedCall, refusal: CallRefusal) -> bool {
     let is_safe = refusal.is_not_run() || call.idempotent;
     is_safe && refusal.reason.helps_elsewhere() && Instant::now() < call.deadline
 }
 
-fn spend(node: &SharedNode, purse: &mut TokenPurse) -> bool {
+pub(crate) fn spend(node: &SharedNode, purse: &mut TokenPurse) -> bool {
     purse.balance().0 > 0 && node.budget.borrow_mut().spend() && purse.spend()
 }
 
-fn choose(node: &SharedNode, call: &RoutedCall) -> Option<(InstanceKey, SocketAddr)> {
+pub(crate) fn choose(node: &SharedNode, call: &RoutedCall) -> Option<(InstanceKey, SocketAddr)> {
     let table = node.instances.borrow();
     let selector = node.selector.borrow();
     let mut random = node.random.borrow_mut();
@@ -98,7 +113,7 @@
     table.get(key).map(|record| (key, record.peer))
 }
 
-async fn try_instance(
+pub(crate) async fn try_instance(
     node: &SharedNode,
     call: &RoutedCall,
     key: InstanceKey,
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/inbound_door.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     call_router::{self, RoutedCall},
+    keyed_entry,
     node::SharedNode,
     refusals, request_server,
 };
@@ -9,7 +10,7 @@
 use lagoonshore_coordination::{outcome::RefusalReason, retries::TokenPurse};
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
-    messages::{CallReply, CallRequest, CallResult},
+    messages::{CallReply, CallRequest, CallResult, MessageStamp},
 };
 use lagoonshore_state::policy::RequestClass;
 use lagoonshore_transport::http_door::{DoorAnswer, DoorRequest};
@@ -28,6 +29,9 @@
         Ok(body) => body,
         Err(fault) => return refusals::refuse_body(fault),
     };
+    if path == headers::KEYS_PATH {
+        return keyed_entry::answer_offer(&node, &method);
+    }
     let service = node.settings.service.clone();
     let Some(policy) = node.policy(&service) else {
         return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), "");
@@ -49,8 +53,14 @@
         importance: class.importance,
         caller,
         tokens: policy.retry_allowance(&class),
+        key: None,
+        stamp: MessageStamp::default(),
     };
-    let result = serve(&node, request, &class, Instant::now() + timeout).await;
+    let deadline = Instant::now() + timeout;
+    if !class.idempotent {
+        return keyed_entry::answer(&node, request, deadline).await;
+    }
+    let result = serve(&node, request, &class, deadline).await;
     refusals::to_answer(result)
 }
 
--- /dev/null
+++ b/crates/daemon/src/keyed_entry.rs
@@ -0,0 +1,120 @@
+//! The entry of non-idempotent requests: offers keys, and passes each keyed request to its home.
+
+use crate::{
+    keyed_server,
+    keyed_work::{self, home_unreachable},
+    node::SharedNode,
+    refusals,
+};
+
+use bytes::Bytes;
+use lagoonshore_coordination::{
+    idempotency_key::IdempotencyKey,
+    key_home,
+    outcome::{CallOutcome, RefusalReason},
+    request_life::CallRefusal,
+};
+use lagoonshore_protocol::{
+    headers::{self, HeaderField},
+    messages::{CallRequest, CallResult, WorkKey},
+};
+use lagoonshore_state::ids::InstanceName;
+use lagoonshore_transport::{TransportError, http_door::DoorAnswer};
+use serde_json::json;
+use tokio::time::Instant;
+
+/// Answers a request to the path at which keys are offered.
+#[must_use]
+pub fn answer_offer(node: &SharedNode, method: &str) -> DoorAnswer {
+    if method != "POST" {
+        let refusal = refusals::on_arrival(RefusalReason::BadRequest);
+        return refusals::refuse(refusal, "keys are offered to POST");
+    }
+    if node.drain.borrow().is_draining() {
+        return refusals::refuse(refusals::on_arrival(RefusalReason::Draining), "");
+    }
+    let key = node.work.offer().to_string();
+    DoorAnswer {
+        status: 200,
+        headers: vec![
+            HeaderField::new("content-type", "application/json"),
+            HeaderField::new(headers::KEY_OFFER, &key),
+        ],
+        body: Bytes::from(json!({ "key": key }).to_string()),
+    }
+}
+
+/// Answers a non-idempotent request of a caller, and offers a key for its next one.
+pub async fn answer(node: &SharedNode, mut request: CallRequest, deadline: Instant) -> DoorAnswer {
+    let mut answer = match key_of(&request) {
+        Err((reason, detail)) => refusals::refuse(refusals::on_arrival(reason), detail),
+        Ok((text, key)) => {
+            request.key = Some(WorkKey::Home(text.into()));
+            let result = pass_to_home(node, request, &key, deadline).await;
+            refusals::to_answer(result)
+        }
+    };
+    if !node.drain.borrow().is_draining() {
+        let key = node.work.offer().to_string();
+        answer
+            .headers
+            .push(HeaderField::new(headers::KEY_OFFER, &key));
+    }
+    answer
+}
+
+fn key_of(
+    request: &CallRequest,
+) -> Result<(String, IdempotencyKey), (RefusalReason, &'static str)> {
+    let text = headers::find(&request.headers, headers::IDEMPOTENCY_KEY);
+    let Some(text) = text else {
+        let detail = "send the request with an Idempotency-Key, such as the one offered here";
+        return Err((RefusalReason::KeyRequired, detail));
+    };
+    let key = IdempotencyKey::parse(text).ok_or((
+        RefusalReason::BadRequest,
+        "Idempotency-Key: expected 1 to 255 visible ASCII characters, or an offered key unchanged",
+    ))?;
+    Ok((text.to_owned(), key))
+}
+
+async fn pass_to_home(
+    node: &SharedNode,
+    request: CallRequest,
+    key: &IdempotencyKey,
+    deadline: Instant,
+) -> CallResult {
+    let home = match key {
+        IdempotencyKey::Offered(key) => key.instance.clone(),
+        IdempotencyKey::CallerMade(key) => caller_made_home(node, key),
+    };
+    if home == node.settings.instance {
+        return keyed_server::serve(node, request, deadline).await.result;
+    }
+    let address = {
+        let table = node.instances.borrow();
+        table
+            .find(&home)
+            .and_then(|key| table.get(key))
+            .filter(|record| record.service == node.settings.service)
+            .map(|record| record.peer)
+    };
+    let Some(address) = address else {
+        return CallResult::Refused(home_unreachable());
+    };
+    match node.links.call(address, request, deadline).await {
+        Ok(reply) => reply.result,
+        Err(TransportError::TimedOut { .. }) => CallResult::Refused(CallRefusal {
+            outcome: CallOutcome::Unknown,
+            reason: RefusalReason::Timeout,
+        }),
+        // The request may have reached the home before, through another node.
+        Err(_) => CallResult::Refused(home_unreachable()),
+    }
+}
+
+fn caller_made_home(node: &SharedNode, key: &str) -> InstanceName {
+    let members = keyed_work::members(node);
+    let home = key_home::choose(key, &members);
+    home.unwrap_or(&node.settings.instance).clone()
+}
--- /dev/null
+++ b/crates/daemon/src/keyed_server.rs
@@ -0,0 +1,190 @@
+//! Serves keyed requests: each key is run at most once, and resends get its one answer.
+
+use crate::{
+    bound_call, call_router::RoutedCall, keyed_work::RunReceiver, node::SharedNode, request_server,
+};
+
+use lagoonshore_coordination::{
+    execution_ledger::{KeyClaim, LedgerVerdict, RunEnd, RunTicket},
+    idempotency_key::KeyDigest,
+    outcome::{CallOutcome, RefusalReason},
+    request_life::CallRefusal,
+    retries::TokenPurse,
+};
+use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult, WorkKey};
+use lagoonshore_state::units::TokenCount;
+use std::time::Duration;
+use tokio::{sync::watch, time::Instant};
+
+/// Time beyond its deadline that a request waits for the end of its run, so that an honest refusal
+/// still reaches it.
+const END_GRACE: Duration = Duration::from_millis(50);
+
+/// Serves `request`, which must be answered before `deadline`; a key makes it run at most once.
+pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
+    let claim = match &request.key {
+        None => return request_server::serve(node, request, deadline).await,
+        Some(WorkKey::Home(key)) => node.work.home_claim(node, &request, key),
+        Some(WorkKey::Bound { key, executor }) => node.work.bound_claim(&request, key, *executor),
+    };
+    let granted = request.tokens;
+    let result = match claim {
+        Ok(claim) => return serve_claim(node, request, claim, deadline).await,
+        Err(refusal) => CallResult::Refused(refusal),
+    };
+    reply(node, result, granted)
+}
+
+async fn serve_claim(
+    node: &SharedNode,
+    request: CallRequest,
+    claim: KeyClaim,
+    deadline: Instant,
+) -> CallReply {
+    let granted = request.tokens;
+    let is_draining = node.drain.borrow().is_draining();
+    let claim = KeyClaim {
+        closed: claim
+            .closed
+            .or_else(|| is_draining.then_some(RefusalReason::Draining)),
+        ..claim
+    };
+    let verdict = node.work.ledger.borrow_mut().claim(Instant::now(), claim);
+    let result = match verdict {
+        LedgerVerdict::Run(ticket) => {
+            let receiver = start(node, request, claim.key, ticket, deadline);
+            let (result, tokens) = receiver.wait(deadline, granted).await;
+            return reply(node, result, tokens);
+        }
+        LedgerVerdict::Join => join(node, claim.key, deadline).await,
+        LedgerVerdict::Replay(result) => result,
+        LedgerVerdict::Refused(refusal) => CallResult::Refused(refusal),
+    };
+    reply(node, result, granted)
+}
+
+fn reply(node: &SharedNode, result: CallResult, tokens: TokenCount) -> CallReply {
+    let load = node.load();
+    CallReply {
+        result,
+        tokens,
+        load,
+    }
+}
+
+/// The first request of a key, which also gets the retry tokens that the run did not spend.
+struct FirstRequest {
+    end: RunReceiver,
+    tokens: watch::Receiver<TokenCount>,
+}
+
+impl FirstRequest {
+    async fn wait(self, deadline: Instant, granted: TokenCount) -> (CallResult, TokenCount) {
+        let result = wait(self.end, deadline).await;
+        let tokens = *self.tokens.borrow();
+        (result, tokens.min(granted))
+    }
+}
+
+/// Starts the run in a task of its own, so that it goes on when the caller or the link hangs up.
+fn start(
+    node: &SharedNode,
+    request: CallRequest,
+    key: KeyDigest,
+    ticket: RunTicket,
+    deadline: Instant,
+) -> FirstRequest {
+    let (end_sender, end) = watch::channel(None);
+    let (token_sender, tokens) = watch::channel(TokenCount(0));
+    node.work.running.borrow_mut().insert(key, end.clone());
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        let CallReply { result, tokens, .. } = run(&node, request, deadline).await;
+        let end = run_end(&result);
+        node.work
+            .ledger
+            .borrow_mut()
+            .finish(Instant::now(), ticket, end);
+        node.work.running.borrow_mut().remove(&key);
+        token_sender.send_replace(tokens);
+        end_sender.send_replace(Some(result));
+    });
+    FirstRequest { end, tokens }
+}
+
+/// Runs a request here, or elsewhere where the own upstream was proved to have received nothing.
+async fn run(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
+    let reply = request_server::serve(node, request.clone(), deadline).await;
+    let CallResult::Refused(refusal) = reply.result else {
+        return reply;
+    };
+    let Some(WorkKey::Home(key)) = &request.key else {
+        return reply;
+    };
+    let mut purse = TokenPurse::new(reply.tokens);
+    let elsewhere = refusal.reason == RefusalReason::UpstreamUnreachable;
+    if !elsewhere || !refusal.is_not_run() || !purse.spend() {
+        return reply;
+    }
+    let key = WorkKey::Bound {
+        key: key.clone(),
+        executor: 0,
+    };
+    let call = RoutedCall {
+        request: CallRequest {
+            key: Some(key),
+            ..request
+        },
+        deadline,
+        idempotent: false,
+        tried: Vec::new(),
+    };
+    let routed = bound_call::route(node, call, purse).await;
+    CallReply {
+        result: routed.result,
+        tokens: routed.tokens,
+        load: reply.load,
+    }
+}
+
+fn run_end(result: &CallResult) -> RunEnd<CallResult> {
+    let bytes = match result {
+        CallResult::Refused(refusal) if refusal.is_not_run() => return RunEnd::NotRun,
+        CallResult::Refused(_) => 0,
+        CallResult::Answered(answer) => {
+            let fields = answer.headers.iter();
+            let fields = fields.map(|field| field.name.len() + field.value.len());
+            answer.body.len() + fields.sum::<usize>()
+        }
+    };
+    RunEnd::Kept {
+        answer: result.clone(),
+        bytes,
+    }
+}
+
+async fn join(node: &SharedNode, key: KeyDigest, deadline: Instant) -> CallResult {
+    let receiver = node.work.running.borrow().get(&key).cloned();
+    match receiver {
+        Some(receiver) => wait(receiver, deadline).await,
+        None => unknown(RefusalReason::ConnectionLost),
+    }
+}
+
+async fn wait(mut receiver: RunReceiver, deadline: Instant) -> CallResult {
+    let ended = receiver.wait_for(Option::is_some);
+    match tokio::time::timeout_at(deadline + END_GRACE, ended).await {
+        Ok(Ok(result)) => result
+            .clone()
+            .unwrap_or_else(|| unknown(RefusalReason::ConnectionLost)),
+        Ok(Err(_)) => unknown(RefusalReason::ConnectionLost),
+        Err(_) => unknown(RefusalReason::Timeout),
+    }
+}
+
+const fn unknown(reason: RefusalReason) -> CallResult {
+    CallResult::Refused(CallRefusal {
+        outcome: CallOutcome::Unknown,
+        reason,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/keyed_work.rs
@@ -0,0 +1,230 @@
+//! What a node holds for work that runs at most once.
+
+use crate::node::{Node, SharedNode};
+
+use compact_str::CompactString;
+use lagoonshore_coordination::{
+    execution_ledger::{ExecutionLedger, KeyClaim, LedgerBounds, LedgerCounts},
+    executor_binding::ExecutorBindings,
+    idempotency_key::{HomeClaim, IdempotencyKey, KeyDigest, KeyIssuer, OfferedKey},
+    key_home::{self, KeyHold},
+    message_age::MessageAges,
+    outcome::{CallOutcome, RefusalReason},
+    request_life::CallRefusal,
+};
+use lagoonshore_protocol::{
+    headers::{self, HeaderField},
+    messages::{CallRequest, CallResult, MessageStamp, WorkKey},
+};
+use lagoonshore_settings::NodeSettings;
+use lagoonshore_state::ids::{IncarnationId, InstanceName};
+use rand::{RngCore, rngs::StdRng};
+use serde::Serialize;
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::watch, time::Instant};
+
+/// Tag of the digests of keys that run at their home.
+const HOME_TAG: &[u8] = b"home";
+/// Tag of the digests of calls that their sender bound.
+const BOUND_TAG: &[u8] = b"bound";
+
+/// End of a run, for those who wait for it.
+pub(crate) type RunReceiver = watch::Receiver<Option<CallResult>>;
+
+/// `KeyedWork` holds the keys, ledger and bindings of one node.
+pub struct KeyedWork {
+    pub(crate) issuer: RefCell<KeyIssuer>,
+    pub(crate) ledger: RefCell<ExecutionLedger<CallResult>>,
+    pub(crate) running: RefCell<BTreeMap<KeyDigest, RunReceiver>>,
+    pub(crate) bindings: RefCell<ExecutorBindings>,
+    hold: RefCell<KeyHold>,
+    ages: Rc<RefCell<MessageAges>>,
+    random: RefCell<StdRng>,
+    incarnation: IncarnationId,
+}
+
+/// `LedgerPart` is the part of the state dump about work that runs at most once.
+#[derive(Serialize)]
+pub struct LedgerPart {
+    #[serde(flatten)]
+    counts: LedgerCounts,
+    keys_offered: u64,
+    calls_bound: usize,
+    runs_caller_made_keys: bool,
+}
+
+impl KeyedWork {
+    /// Creates what one incarnation holds; secrets come from `random`.
+    #[must_use]
+    pub fn new(settings: &NodeSettings, incarnation: IncarnationId, random: &mut StdRng) -> Self {
+        let now = Instant::now();
+        let (zone, instance) = (settings.zone.clone(), settings.instance.clone());
+        Self {
+            issuer: RefCell::new(KeyIssuer::new(zone, instance, incarnation, now, random)),
+            ledger: RefCell::new(ExecutionLedger::new(LedgerBounds::default())),
+            running: RefCell::default(),
+            bindings: RefCell::default(),
+            hold: RefCell::default(),
+            ages: Rc::new(RefCell::new(MessageAges::new(now))),
+            random: RefCell::new(random.clone()),
+            incarnation,
+        }
+    }
+
+    /// Returns what stamps the messages of this node.
+    #[must_use]
+    pub fn stamper(&self) -> impl Fn() -> MessageStamp + 'static {
+        let (ages, sender) = (Rc::clone(&self.ages), self.incarnation);
+        move || MessageStamp {
+            sender,
+            sent: ages.borrow().stamp(Instant::now()),
+        }
+    }
+
+    /// Age of a message that is read now.
+    pub fn age(&self, stamp: MessageStamp) -> Duration {
+        let mut ages = self.ages.borrow_mut();
+        ages.age(Instant::now(), stamp.sender, stamp.sent)
+    }
+
+    /// Offers a key.
+    pub fn offer(&self) -> OfferedKey {
+        self.issuer.borrow_mut().offer(Instant::now())
+    }
+
+    /// Notes the instances that a key of a caller's making could be bound to.
+    pub fn observe_members(&self, node: &Node) {
+        let members = members(node).into_iter().collect();
+        let confirmed = node.platform.borrow().reachable == Some(true);
+        let mut hold = self.hold.borrow_mut();
+        hold.observe(Instant::now(), members, confirmed);
+    }
+
+    /// Counts for the state dump.
+    #[must_use]
+    pub fn dump(&self) -> LedgerPart {
+        LedgerPart {
+            counts: self.ledger.borrow().counts(),
+            keys_offered: self.issuer.borrow().offered(),
+            calls_bound: self.bindings.borrow().len(),
+            runs_caller_made_keys: self.hold.borrow().may_run(Instant::now(), None),
+        }
+    }
+
+    /// Claim of a request whose key the sender bound to this incarnation.
+    ///
+    /// # Errors
+    /// The key is bound to another incarnation, which may have run it.
+    pub(crate) fn bound_claim(
+        &self,
+        request: &CallRequest,
+        key: &str,
+        executor: IncarnationId,
+    ) -> Result<KeyClaim, CallRefusal> {
+        if executor != self.incarnation {
+            return Err(home_unreachable());
+        }
+        Ok(self.key_claim(request, BOUND_TAG, key))
+    }
+
+    /// Claim of a request that this node may be the home of.
+    ///
+    /// # Errors
+    /// Why the request cannot run here.
+    pub(crate) fn home_claim(
+        &self,
+        node: &Node,
+        request: &CallRequest,
+        text: &str,
+    ) -> Result<KeyClaim, CallRefusal> {
+        let claim = self.key_claim(request, HOME_TAG, text);
+        match IdempotencyKey::parse(text) {
+            None => Err(not_run(RefusalReason::BadRequest)),
+            Some(IdempotencyKey::Offered(key)) => self.offered_claim(claim, &key),
+            Some(IdempotencyKey::CallerMade(key)) => Ok(self.caller_made_claim(node, claim, &key)),
+        }
+    }
+
+    fn offered_claim(&self, claim: KeyClaim, key: &OfferedKey) -> Result<KeyClaim, CallRefusal> {
+        let issuer = self.issuer.borrow();
+        match issuer.claim(key) {
+            HomeClaim::Own => Ok(KeyClaim {
+                birth: Some(issuer.birth(key)),
+                ..claim
+            }),
+            HomeClaim::Forged => Err(not_run(RefusalReason::BadRequest)),
+            HomeClaim::OtherIncarnation | HomeClaim::Elsewhere => Err(home_unreachable()),
+        }
+    }
+
+    fn caller_made_claim(&self, node: &Node, claim: KeyClaim, key: &str) -> KeyClaim {
+        self.observe_members(node);
+        let members = members(node);
+        let is_home = key_home::choose(key, &members) == Some(&node.settings.instance);
+        let may_run = is_home && self.hold.borrow().may_run(Instant::now(), None);
+        KeyClaim {
+            closed: (!may_run).then_some(RefusalReason::KeyRequired),
+            ..claim
+        }
+    }
+
+    fn key_claim(&self, request: &CallRequest, tag: &[u8], key: &str) -> KeyClaim {
+        let issuer = self.issuer.borrow();
+        let CallRequest {
+            method, path, body, ..
+        } = request;
+        KeyClaim {
+            key: issuer.digest(&[tag, key.as_bytes()]),
+            request: issuer.digest(&[method.as_bytes(), path.as_bytes(), body]),
+            birth: None,
+            closed: None,
+        }
+    }
+}
+
+/// Names of the instances of the own service, the own one included.
+pub(crate) fn members(node: &Node) -> BTreeSet<InstanceName> {
+    let table = node.instances.borrow();
+    let listed = table.of_service(&node.settings.service);
+    let listed = listed.map(|(_, record)| record.name.clone());
+    listed.chain([node.settings.instance.clone()]).collect()
+}
+
+/// Gives a non-idempotent call its key: the upstream's own, one derived from the request being
+/// served, or one that is drawn.
+pub(crate) fn give_call_key(
+    node: &SharedNode,
+    request: &mut CallRequest,
+    derived: Option<CompactString>,
+) {
+    let own = headers::find(&request.headers, headers::IDEMPOTENCY_KEY).map(CompactString::from);
+    let is_own = own.is_some();
+    let drawn = || {
+        let draw = node.work.random.borrow_mut().next_u64();
+        compact_str::format_compact!("lc1:{:016x}{draw:016x}", node.incarnation)
+    };
+    let key = own.or(derived).unwrap_or_else(drawn);
+    if !is_own {
+        let field = HeaderField::new(headers::IDEMPOTENCY_KEY, &key);
+        request.headers.push(field);
+    }
+    let key = compact_str::format_compact!("{} {key}", request.service);
+    // The executor is set when the call is sent.
+    request.key = Some(WorkKey::Bound { key, executor: 0 });
+}
+
+pub(crate) const fn home_unreachable() -> CallRefusal {
+    CallRefusal {
+        outcome: CallOutcome::Unknown,
+        reason: RefusalReason::HomeUnreachable,
+    }
+}
+
+const fn not_run(reason: RefusalReason) -> CallRefusal {
+    crate::refusals::on_arrival(reason)
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,10 +2,14 @@
 
 pub mod admin_door;
 pub mod admission_gate;
+pub mod bound_call;
 pub mod call_router;
 pub mod error;
 pub mod events;
 pub mod inbound_door;
+pub mod keyed_entry;
+pub mod keyed_server;
+pub mod keyed_work;
 pub mod logging;
 pub mod node;
 pub mod node_process;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use crate::{
     admission_gate::AdmissionGate,
     error::{DaemonError, Result},
+    keyed_work::KeyedWork,
 };
 
 use lagoonshore_coordination::{
@@ -21,7 +22,10 @@
     policy_set::PolicySet,
 };
 use lagoonshore_transport::{peer_link::PeerLinks, upstream_client::UpstreamClient};
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{
+    SeedableRng,
+    rngs::{SmallRng, StdRng},
+};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -75,6 +79,8 @@
     pub selector: RefCell<PeerSelector>,
     /// Retry budget of the node.
     pub budget: RefCell<RetryBudget>,
+    /// Work that runs at most once.
+    pub work: KeyedWork,
     /// Links to peers.
     pub links: PeerLinks,
     /// Client of the own upstream.
@@ -107,8 +113,13 @@
             zone: settings.zone.clone(),
             region: settings.region.clone(),
         };
+        let mut seed = [0; 32];
+        getrandom::fill(&mut seed).map_err(random)?;
+        let work = KeyedWork::new(&settings, incarnation, &mut StdRng::from_seed(seed));
+        let links = PeerLinks::new(work.stamper());
         Ok(Rc::new(Self {
             incarnation,
+            work,
             policies: RefCell::default(),
             faults: RefCell::default(),
             instances: RefCell::default(),
@@ -116,7 +127,7 @@
             calls: RefCell::default(),
             selector: RefCell::new(PeerSelector::new(origin)),
             budget: RefCell::default(),
-            links: PeerLinks::default(),
+            links,
             upstream: UpstreamClient::new(settings.upstream.address, ANSWER_BYTES_MAX),
             drain: RefCell::default(),
             counters: RefCell::default(),
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -2,14 +2,16 @@
 
 use crate::{
     call_router::{self, RoutedCall},
+    keyed_work,
     node::SharedNode,
     refusals,
 };
 
-use lagoonshore_coordination::{outcome::RefusalReason, retries::TokenPurse};
+use compact_str::CompactString;
+use lagoonshore_coordination::{child_key, outcome::RefusalReason, retries::TokenPurse};
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
-    messages::CallRequest,
+    messages::{CallRequest, MessageStamp},
 };
 use lagoonshore_state::{
     ids::{CallId, CallerHash},
@@ -26,6 +28,7 @@
     caller: CallerHash,
     tokens: TokenCount,
     parent: Option<CallId>,
+    child_key: Option<CompactString>,
 }
 
 /// Answers one call of the upstream.
@@ -49,8 +52,8 @@
         return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), &detail);
     };
     let class = policy.class_of(&method, &path);
-    let context = inherit(&node, &fields, &class);
-    let request = CallRequest {
+    let context = inherit(&node, service, &fields, &class);
+    let mut request = CallRequest {
         service: service.into(),
         method,
         path,
@@ -59,7 +62,12 @@
         importance: context.importance,
         caller: context.caller,
         tokens: TokenCount(0),
+        key: None,
+        stamp: MessageStamp::default(),
     };
+    if !class.idempotent {
+        keyed_work::give_call_key(&node, &mut request, context.child_key);
+    }
     let call = RoutedCall {
         request,
         deadline: context.deadline,
@@ -81,7 +89,12 @@
 
 /// Takes importance, deadline and a share of the tokens from the request that is being served.
 /// A call that names none counts as least important and has no tokens.
-fn inherit(node: &SharedNode, fields: &[HeaderField], class: &RequestClass) -> InheritedContext {
+fn inherit(
+    node: &SharedNode,
+    service: &str,
+    fields: &[HeaderField],
+    class: &RequestClass,
+) -> InheritedContext {
     let longest = Instant::now() + class.timeout;
     let id = headers::find(fields, headers::CALL).and_then(|text| text.parse().ok());
     let mut calls = node.calls.borrow_mut();
@@ -92,15 +105,21 @@
             caller: CallerHash::default(),
             tokens: TokenCount(0),
             parent: None,
+            child_key: None,
         };
     };
     parent.children += 1;
+    let child_key = parent
+        .key
+        .as_deref()
+        .map(|key| child_key::derive(key, service, parent.children));
     InheritedContext {
         importance: parent.importance,
         deadline: parent.deadline.min(longest),
         caller: parent.caller,
         tokens: parent.purse.split(),
         parent: Some(id),
+        child_key,
     }
 }
 
--- a/crates/daemon/src/peer_door.rs
+++ b/crates/daemon/src/peer_door.rs
@@ -1,11 +1,13 @@
 //! The door for other nodes.
 
-use crate::{node::SharedNode, request_server};
+use crate::{keyed_server, node::SharedNode, refusals};
 
+use lagoonshore_coordination::outcome::RefusalReason;
 use lagoonshore_protocol::{
-    messages::{CallReply, CallRequest},
+    messages::{CallReply, CallRequest, CallResult, MessageStamp},
     peer_service::PeerService,
 };
+use lagoonshore_state::ids::IncarnationId;
 use tarpc::context::Context;
 use tokio::time::Instant;
 
@@ -21,11 +23,31 @@
     pub const fn new(node: SharedNode) -> Self {
         Self { node }
     }
+
+    fn refuse_stale(&self, request: &CallRequest) -> CallReply {
+        CallReply {
+            result: CallResult::Refused(refusals::on_arrival(RefusalReason::Stale)),
+            tokens: request.tokens,
+            load: self.node.load(),
+        }
+    }
 }
 
 impl PeerService for PeerDoor {
+    async fn identify(self, _: Context, stamp: MessageStamp) -> IncarnationId {
+        self.node.work.age(stamp);
+        self.node.incarnation
+    }
+
     async fn call(self, context: Context, request: CallRequest) -> CallReply {
+        // The remaining time travels with the message, so the time on its way is taken off here.
+        let age = self.node.work.age(request.stamp);
         let deadline = Instant::from_std(context.deadline);
-        request_server::serve(&self.node, request, deadline).await
+        match deadline.checked_sub(age) {
+            Some(deadline) if deadline > Instant::now() => {
+                keyed_server::serve(&self.node, request, deadline).await
+            }
+            _ => self.refuse_stale(&request),
+        }
     }
 }
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -131,6 +131,8 @@
     for record in listed {
         table.upsert(record);
     }
+    drop(table);
+    node.work.observe_members(node);
 }
 
 fn note_read(node: &SharedNode, failure: Option<&TransportError>) {
@@ -138,6 +140,8 @@
     platform.reads += 1;
     platform.failures += u64::from(failure.is_some());
     let before = platform.reachable.replace(failure.is_none());
+    drop(platform);
+    node.work.observe_members(node);
     match failure {
         Some(cause) if before != Some(false) => {
             warn!(event = events::PLATFORM_UNREACHABLE, %cause, "platform: cannot be read");
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -126,6 +126,7 @@
             deadline,
             caller: request.caller,
             purse: TokenPurse::new(request.tokens),
+            key: headers::find(&request.headers, headers::IDEMPOTENCY_KEY).map(Into::into),
             children: 0,
         };
         let id = node.calls.borrow_mut().open(call);
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -1,6 +1,9 @@
 //! The dump of a node's state: stable order, no bodies, no keys.
 
-use crate::node::{Node, PlatformState, RecordFault};
+use crate::{
+    keyed_work::LedgerPart,
+    node::{Node, PlatformState, RecordFault},
+};
 
 use lagoonshore_coordination::{drain::DrainState, routing::PeerView};
 use lagoonshore_state::{
@@ -20,6 +23,7 @@
     counters: NodeCounters,
     retries: RetriesPart,
     peers: Vec<PeerPart>,
+    ledger: LedgerPart,
     drain: DrainState,
     platform: PlatformState,
 }
@@ -86,6 +90,7 @@
             budget: node.budget.borrow().saved(),
         },
         peers: peers(node),
+        ledger: node.work.dump(),
         drain: node.drain.borrow().state(),
         platform: node.platform.borrow().clone(),
     }
--- a/crates/protocol/src/headers.rs
+++ b/crates/protocol/src/headers.rs
@@ -21,6 +21,9 @@
 /// Seconds after which trying again can help (RFC 9110, section 10.2.3).
 pub const RETRY_AFTER: &str = "retry-after";
 
+/// Path at which the inbound door offers keys.
+pub const KEYS_PATH: &str = "/lagoonshore/keys";
+
 /// Prefix of the header fields that belong to the system.
 const SYSTEM_PREFIX: &str = "lagoonshore-";
 /// Header fields that concern one connection only (RFC 9110, section 7.6.1).
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use lagoonshore_coordination::request_life::CallRefusal;
+use lagoonshore_coordination::{message_age::ClockStamp, request_life::CallRefusal};
 use lagoonshore_state::{
     data_type,
-    ids::{CallerHash, ServiceName},
+    ids::{CallerHash, IncarnationId, ServiceName},
     units::{RequestImportance, TokenCount},
 };
 
@@ -31,6 +31,33 @@
         pub caller: CallerHash,
         /// Retry tokens granted to the called side.
         pub tokens: TokenCount,
+        /// Key under which the work runs at most once; none for idempotent work.
+        pub key: Option<WorkKey>,
+        /// When and by whom the message was sent; set by the link.
+        pub stamp: MessageStamp,
+    }
+
+    /// `WorkKey` says which node may run a request, and under which key.
+    #[derive(Eq)]
+    pub enum WorkKey {
+        /// The home of an idempotency key may run it.
+        Home(CompactString),
+        /// The sender bound the call to one executor.
+        Bound {
+            /// Key of the call.
+            key: CompactString,
+            /// The only incarnation that may run it.
+            executor: IncarnationId,
+        },
+    }
+
+    /// `MessageStamp` says when a message was sent, on the clock of its sender.
+    #[derive(Copy, Default, Eq)]
+    pub struct MessageStamp {
+        /// Incarnation that sent the message.
+        pub sender: IncarnationId,
+        /// Clock of the sender.
+        pub sent: ClockStamp,
     }
 
     /// `WholeAnswer` is a complete answer of an upstream.
--- a/crates/protocol/src/peer_service.rs
+++ b/crates/protocol/src/peer_service.rs
@@ -3,11 +3,15 @@
 // The attribute macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use crate::messages::{CallReply, CallRequest};
+use crate::messages::{CallReply, CallRequest, MessageStamp};
+
+use lagoonshore_state::ids::IncarnationId;
 
 /// `PeerService` is what a node does for other nodes.
 #[tarpc::service]
 pub trait PeerService {
+    /// Tells the incarnation of the node; opens every link.
+    async fn identify(stamp: MessageStamp) -> IncarnationId;
     /// Has the upstream of the node serve a request.
     async fn call(request: CallRequest) -> CallReply;
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod platform_reader;
 pub mod signals;
 pub mod upstream_client;
+mod upstream_pool;
 
 pub use error::{Result, TransportError};
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -4,9 +4,10 @@
 
 use actix_rt::net::TcpStream;
 use lagoonshore_protocol::{
-    messages::{CallReply, CallRequest},
+    messages::{CallReply, CallRequest, MessageStamp},
     peer_service::PeerServiceClient,
 };
+use lagoonshore_state::ids::IncarnationId;
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
@@ -27,22 +28,42 @@
 pub const FRAME_BYTES_MAX: usize = 8 * 1024 * 1024;
 /// Time for a connection to another node.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Time for another node to tell its incarnation.
+const IDENTIFY_TIME: Duration = Duration::from_millis(500);
 /// Calls in flight on one link.
 const IN_FLIGHT_MAX: usize = 4096;
 
 #[derive(Clone)]
 struct PeerLink {
     client: PeerServiceClient,
+    incarnation: IncarnationId,
     alive: Rc<Cell<bool>>,
 }
 
 /// `PeerLinks` keeps one connection for each node that calls go to.
-#[derive(Default)]
 pub struct PeerLinks {
+    stamp: Box<dyn Fn() -> MessageStamp>,
     links: RefCell<BTreeMap<SocketAddr, PeerLink>>,
 }
 
 impl PeerLinks {
+    /// Creates links whose messages carry what `stamp` returns as they are sent.
+    #[must_use]
+    pub fn new(stamp: impl Fn() -> MessageStamp + 'static) -> Self {
+        Self {
+            stamp: Box::new(stamp),
+            links: RefCell::default(),
+        }
+    }
+
+    /// Incarnation of the node at `address`.
+    ///
+    /// # Errors
+    /// [`TransportError::Connect`] if the node cannot be reached.
+    pub async fn identify(&self, address: SocketAddr) -> Result<IncarnationId> {
+        self.link(address).await.map(|link| link.incarnation)
+    }
+
     /// Calls the node at `address`; dropping the future cancels the call there.
     ///
     /// # Errors
@@ -50,12 +71,13 @@
     pub async fn call(
         &self,
         address: SocketAddr,
-        request: CallRequest,
+        mut request: CallRequest,
         deadline: Instant,
     ) -> Result<CallReply> {
         let link = self.link(address).await?;
         let mut context = Context::current();
         context.deadline = deadline.into_std();
+        request.stamp = (self.stamp)();
         link.client
             .call(context, request)
             .await
@@ -86,12 +108,12 @@
         if let Some(link) = known.filter(|link| link.alive.get()) {
             return Ok(link);
         }
-        let link = Self::connect(address).await?;
+        let link = self.connect(address).await?;
         self.links.borrow_mut().insert(address, link.clone());
         Ok(link)
     }
 
-    async fn connect(address: SocketAddr) -> Result<PeerLink> {
+    async fn connect(&self, address: SocketAddr) -> Result<PeerLink> {
         let connecting = actix_rt::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
         let connected = connecting.map_err(|fault| error::connect(address, &fault))?;
         let stream = connected.map_err(|fault| error::connect(address, &fault))?;
@@ -111,7 +133,15 @@
             let _ = dispatch.await;
             flag.set(false);
         });
-        Ok(PeerLink { client, alive })
+        let mut context = Context::current();
+        context.deadline = (Instant::now() + IDENTIFY_TIME).into_std();
+        let identity = client.identify(context, (self.stamp)()).await;
+        let incarnation = identity.map_err(|fault| error::connect(address, &fault))?;
+        Ok(PeerLink {
+            client,
+            incarnation,
+            alive,
+        })
     }
 }
 
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -1,22 +1,24 @@
 //! The client of the node's own upstream.
+//!
+//! It speaks HTTP/1.1 through the codec of `actix-http` on connections of its own, since it must
+//! tell an answer that ended from one that was cut off; `awc` reports both the same way.
 
-use crate::error::{self, Result, TransportError};
+use crate::{
+    error::{self, Result, TransportError},
+    upstream_pool::{UpstreamPool, UpstreamStream},
+};
 
-use awc::{
-    Client, Connector,
-    error::SendRequestError,
-    http::{Method, Uri},
+use actix_http::{
+    Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri,
+    body::BodySize,
+    h1::{Message, MessageType},
+    header::{self, HeaderName, HeaderValue},
 };
 use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
+use futures::{SinkExt, StreamExt};
 use lagoonshore_protocol::{headers::HeaderField, messages::WholeAnswer};
 use std::{net::SocketAddr, time::Duration};
-
-/// Time for a connection to the upstream, which stands on the same instance.
-const CONNECT_TIME: Duration = Duration::from_millis(500);
-/// Idle connections are closed before common servers close theirs, so that none is reused
-/// just as it ends.
-const IDLE_TIME: Duration = Duration::from_secs(2);
+use tokio_util::codec::Framed;
 
 /// `UpstreamRequest` is a request to hand over.
 #[derive(Clone, Debug)]
@@ -32,9 +34,8 @@
 }
 
 /// `UpstreamClient` hands requests to one upstream and takes whole answers.
-#[derive(Clone)]
 pub struct UpstreamClient {
-    client: Client,
+    pool: UpstreamPool,
     address: SocketAddr,
     answer_bytes: usize,
 }
@@ -43,18 +44,8 @@
     /// Creates a client; an answer larger than `answer_bytes` counts as broken.
     #[must_use]
     pub fn new(address: SocketAddr, answer_bytes: usize) -> Self {
-        let connector = Connector::new()
-            .timeout(CONNECT_TIME)
-            .conn_keep_alive(IDLE_TIME)
-            .limit(0);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_redirects()
-            .disable_timeout()
-            .no_default_headers()
-            .finish();
         Self {
-            client,
+            pool: UpstreamPool::new(address),
             address,
             answer_bytes,
         }
@@ -72,43 +63,140 @@
     }
 
     async fn exchange(&self, request: UpstreamRequest) -> Result<WholeAnswer> {
+        let head = self.request_head(&request)?;
+        let method = head.method.clone();
+        let mut framed = self.pool.take().await?;
+        self.write(&mut framed, head, request.body).await?;
+        let answer = framed.next().await;
+        let head = answer
+            .ok_or_else(|| error::exchange(self.address, "closed before the answer"))?
+            .map_err(|fault| error::exchange(self.address, &fault))?;
+        let has_body = self.check_framing(&method, &head)?;
+        let body = if has_body {
+            let (framed, body) = self.read_body(framed, &head).await?;
+            self.pool.put(framed);
+            body
+        } else {
+            self.pool.put(framed);
+            Bytes::new()
+        };
+        Ok(whole_answer(&head, body))
+    }
+
+    fn request_head(&self, request: &UpstreamRequest) -> Result<RequestHead> {
         let address = self.address;
+        let mut head = RequestHead::default();
         let method = Method::from_bytes(request.method.as_bytes());
-        let method = method.map_err(|fault| error::connect(address, &fault))?;
-        let uri = Uri::try_from(format!("http://{address}{}", request.path));
-        let uri = uri.map_err(|fault| error::connect(address, &fault))?;
-        let mut call = self.client.request(method, uri);
+        head.method = method.map_err(|fault| error::connect(address, &fault))?;
+        let uri = Uri::try_from(request.path.as_str());
+        head.uri = uri.map_err(|fault| error::connect(address, &fault))?;
         for field in &request.headers {
-            call = call.append_header((field.name.as_str(), field.value.as_ref()));
+            let name = HeaderName::from_bytes(field.name.as_bytes());
+            let name = name.map_err(|fault| error::connect(address, &fault))?;
+            let value = HeaderValue::from_bytes(&field.value);
+            let value = value.map_err(|fault| error::connect(address, &fault))?;
+            // The body is sent at once, so no interim answer is asked for.
+            if name != header::EXPECT {
+                head.headers.append(name, value);
+            }
+        }
+        let host = HeaderValue::from_str(&address.to_string());
+        let host = host.map_err(|fault| error::connect(address, &fault))?;
+        head.headers.insert(header::HOST, host);
+        Ok(head)
+    }
+
+    async fn write(
+        &self,
+        framed: &mut UpstreamStream,
+        head: RequestHead,
+        body: Bytes,
+    ) -> Result<()> {
+        let failed = |fault: std::io::Error| error::exchange(self.address, &fault);
+        let length = body.len() as u64;
+        let head = RequestHeadType::Owned(head);
+        let head = Message::Item((head, BodySize::Sized(length)));
+        framed.feed(head).await.map_err(failed)?;
+        if length > 0 {
+            let body = Message::Chunk(Some(body));
+            framed.feed(body).await.map_err(failed)?;
         }
-        let mut response = call
-            .send_body(request.body)
+        let end = Message::Chunk(None);
+        framed.feed(end).await.map_err(failed)?;
+        SinkExt::<Message<(RequestHeadType, BodySize)>>::flush(framed)
             .await
-            .map_err(|fault| match fault {
-                SendRequestError::Connect(fault) => error::connect(address, &fault),
-                SendRequestError::Url(fault) => error::connect(address, &fault),
-                fault => error::exchange(address, &fault),
-            })?;
+            .map_err(failed)
+    }
+
+    /// Tells whether a body follows; an answer whose end cannot be told from a cut is broken
+    /// (RFC 9112, section 6.3).
+    fn check_framing(&self, method: &Method, head: &ResponseHead) -> Result<bool> {
+        let status = head.status;
+        if status.is_informational() {
+            return Err(error::broken(self.address, "an interim answer"));
+        }
+        let bodiless = *method == Method::HEAD
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED;
+        if bodiless {
+            return Ok(false);
+        }
+        let is_framed = content_length(head).is_some()
+            || head.headers().contains_key(header::TRANSFER_ENCODING);
+        if !is_framed {
+            return Err(error::broken(
+                self.address,
+                "neither a length nor chunked framing",
+            ));
+        }
+        Ok(content_length(head) != Some(0))
+    }
+
+    async fn read_body(
+        &self,
+        framed: UpstreamStream,
+        head: &ResponseHead,
+    ) -> Result<(UpstreamStream, Bytes)> {
+        let address = self.address;
+        if framed.codec().message_type() == MessageType::None {
+            return Err(error::broken(address, "no body where one was announced"));
+        }
+        let mut framed: Framed<_, _> =
+            framed.map_codec(actix_http::h1::ClientCodec::into_payload_codec);
         let mut body = BytesMut::new();
-        while let Some(chunk) = response.next().await {
-            let chunk = chunk.map_err(|fault| error::broken(address, &fault))?;
+        loop {
+            let chunk = framed.next().await;
+            let chunk = chunk.ok_or_else(|| error::broken(address, "cut off"))?;
+            let Some(chunk) = chunk.map_err(|fault| error::broken(address, &fault))? else {
+                break;
+            };
             if body.len() + chunk.len() > self.answer_bytes {
-                return Err(error::broken(
-                    address,
-                    "the answer is larger than the bound",
-                ));
+                let cause = "the answer is larger than the bound";
+                return Err(error::broken(address, cause));
             }
             body.extend_from_slice(&chunk);
         }
-        let headers = response.headers().iter().map(|(name, value)| HeaderField {
-            name: name.as_str().into(),
-            value: Bytes::copy_from_slice(value.as_bytes()),
-        });
-        let headers = headers.collect();
-        Ok(WholeAnswer {
-            status: response.status().as_u16(),
-            headers,
-            body: body.freeze(),
-        })
+        if content_length(head).is_some_and(|length| length != body.len()) {
+            return Err(error::broken(address, "shorter than its length"));
+        }
+        let framed = framed.map_codec(actix_http::h1::ClientPayloadCodec::into_message_codec);
+        Ok((framed, body.freeze()))
+    }
+}
+
+fn content_length(head: &ResponseHead) -> Option<usize> {
+    let value = head.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+fn whole_answer(head: &ResponseHead, body: Bytes) -> WholeAnswer {
+    let headers = head.headers().iter().map(|(name, value)| HeaderField {
+        name: name.as_str().into(),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+    });
+    WholeAnswer {
+        status: head.status.as_u16(),
+        headers: headers.collect(),
+        body,
     }
 }
--- /dev/null
+++ b/crates/transport/src/upstream_pool.rs
@@ -0,0 +1,80 @@
+//! Connections to one upstream, kept while they are idle.
+
+use crate::error::{self, Result};
+
+use actix_http::h1::ClientCodec;
+use actix_rt::net::TcpStream;
+use std::{cell::RefCell, io::ErrorKind, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+use tokio_util::codec::Framed;
+
+/// Time for a connection to the upstream, which stands on the same instance.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Idle connections are closed before common servers close theirs, so that none is reused
+/// just as it ends.
+const IDLE_TIME: Duration = Duration::from_secs(2);
+
+/// A connection on which one request and its answer are exchanged at a time.
+pub(crate) type UpstreamStream = Framed<TcpStream, ClientCodec>;
+
+struct IdleStream {
+    framed: UpstreamStream,
+    since: Instant,
+}
+
+/// `UpstreamPool` holds the idle connections to one upstream.
+pub(crate) struct UpstreamPool {
+    address: SocketAddr,
+    idle: RefCell<Vec<IdleStream>>,
+}
+
+impl UpstreamPool {
+    pub(crate) const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Takes an idle connection that is still open, or makes one.
+    pub(crate) async fn take(&self) -> Result<UpstreamStream> {
+        let idle = self.take_idle();
+        match idle {
+            Some(framed) => Ok(framed),
+            None => self.connect().await,
+        }
+    }
+
+    /// Keeps a connection whose exchange ended, if the upstream keeps it as well.
+    pub(crate) fn put(&self, framed: UpstreamStream) {
+        let is_clean = framed.codec().keep_alive() && framed.read_buffer().is_empty();
+        if is_clean {
+            let since = Instant::now();
+            self.idle.borrow_mut().push(IdleStream { framed, since });
+        }
+    }
+
+    fn take_idle(&self) -> Option<UpstreamStream> {
+        let mut idle = self.idle.borrow_mut();
+        let now = Instant::now();
+        idle.retain(|held| now < held.since + IDLE_TIME);
+        while let Some(IdleStream { framed, .. }) = idle.pop() {
+            let read = framed.get_ref().try_read(&mut [0]);
+            if read.is_err_and(|fault| fault.kind() == ErrorKind::WouldBlock) {
+                return Some(framed);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self) -> Result<UpstreamStream> {
+        let address = self.address;
+        let connecting = actix_rt::time::timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+        let connected = connecting.map_err(|fault| error::connect(address, &fault))?;
+        let stream = connected.map_err(|fault| error::connect(address, &fault))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|fault| error::connect(address, &fault))?;
+        Ok(Framed::new(stream, ClientCodec::default()))
+    }
+}
