--- a/crates/daemon/src/keyed_work.rs
+++ b/crates/daemon/src/keyed_work.rs
@@ -109,13 +109,19 @@
     #[must_use]
     pub fn dump(&self) -> LedgerPart {
         LedgerPart {
-            counts: self.ledger.borrow().counts(),
+            counts: self.ledger_counts(),
             keys_offered: self.issuer.borrow().offered(),
             calls_bound: self.bindings.borrow().len(),
             runs_caller_made_keys: self.hold.borrow().may_run(Instant::now(), None),
         }
     }
 
+    /// Counts of the ledger.
+    #[must_use]
+    pub fn ledger_counts(&self) -> LedgerCounts {
+        self.ledger.borrow().counts()
+    }
+
     /// Claim of a request whose key the sender bound to this incarnation.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/daemon/tests/keyed_support/mod.rs
@@ -0,0 +1,282 @@
+//! Fakes for scenarios of work that runs at most once.
+
+// Each test file uses its own part of the fakes.
+#![allow(dead_code, unreachable_pub)]
+
+use crate::support::{self, TestNode};
+
+use actix_rt::net::{TcpListener, TcpStream};
+use awc::Client;
+use lagoonshore_protocol::headers;
+use lagoonshore_state::instance_table::{InstanceRecord, InstanceState};
+use lagoonshore_transport::http_door::DoorRequest;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    sync::watch,
+    task::JoinHandle,
+};
+
+/// Policy whose timeouts no scenario reaches.
+pub const RECORD: &str = "\
+schema: 1
+kind: service-policy
+name: medication-log
+revision: 1
+spec:
+  slots: 75
+  connections: 550
+  calls: []
+  retries: { per_request: 2, ratio: 0.1 }
+  classes:
+    - { name: dose-entry, match: { method: POST, path: /doses/* }, importance: 0, idempotent: false, timeout: 60s, lane: short }
+    - { name: day-view, match: { method: GET, path: /day/* }, importance: 3, idempotent: true, timeout: 60s, lane: short }
+";
+
+/// `TallyUpstream` counts runs by key; a run ends when its path is released.
+#[derive(Clone)]
+pub struct TallyUpstream {
+    runs: Rc<watch::Sender<BTreeMap<String, u32>>>,
+    held: Rc<watch::Sender<Vec<String>>>,
+}
+
+impl TallyUpstream {
+    /// Creates an upstream that holds the runs of `held` paths until they are released.
+    pub fn new(held: &[&str]) -> Self {
+        let held = held.iter().map(|path| (*path).to_owned()).collect();
+        Self {
+            runs: Rc::new(watch::Sender::new(BTreeMap::new())),
+            held: Rc::new(watch::Sender::new(held)),
+        }
+    }
+
+    /// Opens its door.
+    pub async fn open(&self) -> SocketAddr {
+        let upstream = self.clone();
+        support::upstream(move |request| upstream.clone().answer(request)).await
+    }
+
+    /// Lets the runs of `path` end.
+    pub fn release(&self, path: &str) {
+        self.held
+            .send_modify(|held| held.retain(|found| found != path));
+    }
+
+    /// Waits until `count` runs have started.
+    pub async fn started(&self, count: u32) {
+        let mut runs = self.runs.subscribe();
+        let reached = runs.wait_for(|runs| runs.values().sum::<u32>() >= count);
+        reached.await.expect("the upstream lives");
+    }
+
+    /// Runs by key.
+    pub fn runs(&self) -> BTreeMap<String, u32> {
+        self.runs.borrow().clone()
+    }
+
+    /// Asserts that each key ran at most once, and that `count` keys ran.
+    pub fn assert_single_runs(&self, count: usize) {
+        let runs = self.runs();
+        assert!(runs.values().all(|runs| *runs == 1), "{runs:?}");
+        assert_eq!(runs.len(), count, "{runs:?}");
+    }
+
+    async fn answer(self, request: DoorRequest) -> lagoonshore_transport::http_door::DoorAnswer {
+        let key = headers::find(&request.headers, headers::IDEMPOTENCY_KEY);
+        let key = key.unwrap_or("none").to_owned();
+        let mut run = 0;
+        self.runs.send_modify(|runs| {
+            *runs.entry(key.clone()).or_default() += 1;
+            run = runs[&key];
+        });
+        let mut held = self.held.subscribe();
+        let is_free = |held: &Vec<String>| held.iter().all(|path| *path != request.path);
+        let _ = held.wait_for(is_free).await;
+        let body = request.body.unwrap_or_default();
+        let body = String::from_utf8_lossy(&body);
+        support::ok(&format!("{} {body} {key} run {run}", request.path))
+    }
+}
+
+/// `CutRelay` passes TCP connections on until it is cut.
+pub struct CutRelay {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    cut: Rc<Cell<bool>>,
+    links: Rc<RefCell<Vec<JoinHandle<()>>>>,
+}
+
+impl CutRelay {
+    /// Starts a relay to `target`.
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(support::ANY_PORT)
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let cut = Rc::new(Cell::new(false));
+        let links = Rc::new(RefCell::new(Vec::new()));
+        let (is_cut, kept) = (Rc::clone(&cut), Rc::clone(&links));
+        actix_rt::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                if is_cut.get() {
+                    continue;
+                }
+                let link = actix_rt::spawn(async move {
+                    if let Ok(mut far) = TcpStream::connect(target).await {
+                        let _ = tokio::io::copy_bidirectional(&mut near, &mut far).await;
+                    }
+                });
+                kept.borrow_mut().push(link);
+            }
+        });
+        Self {
+            address,
+            cut,
+            links,
+        }
+    }
+
+    /// Breaks all connections and takes no new ones.
+    pub fn cut(&self) {
+        self.cut.set(true);
+        for link in self.links.borrow_mut().drain(..) {
+            link.abort();
+        }
+    }
+
+    /// Takes connections again.
+    pub fn heal(&self) {
+        self.cut.set(false);
+    }
+}
+
+/// `KeyedAnswer` is what a caller saw of a keyed request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Outcome and reason.
+    pub verdict: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Key offered for the next request.
+    pub offer: Option<String>,
+}
+
+impl KeyedAnswer {
+    /// Asserts status, outcome and reason.
+    #[track_caller]
+    pub fn assert_verdict(&self, status: u16, verdict: &str) {
+        let found = (self.status, self.verdict.as_str());
+        assert_eq!(found, (status, verdict), "{self:?}");
+    }
+
+    /// Asserts the body.
+    #[track_caller]
+    pub fn assert_body(&self, expected: &str) {
+        self.assert_verdict(200, "ran");
+        assert_eq!(String::from_utf8_lossy(&self.body), expected);
+    }
+}
+
+/// Sends a dose entry; an empty `key` sends none.
+pub async fn post(door: SocketAddr, path: &str, key: &str, body: &str) -> KeyedAnswer {
+    let client = Client::builder().disable_timeout().finish();
+    let mut call = client.post(format!("http://{door}{path}"));
+    if !key.is_empty() {
+        call = call.insert_header((headers::IDEMPOTENCY_KEY, key));
+    }
+    let sent = call.send_body(body.to_owned()).await;
+    let mut response = sent.expect("the door answers");
+    let header = |name| {
+        let value = response.headers().get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    let outcome = header(headers::OUTCOME).unwrap_or_default();
+    let reason = header(headers::REASON).unwrap_or_default();
+    let offer = header(headers::KEY_OFFER);
+    let status = response.status().as_u16();
+    let body = response.body().await.expect("a whole body").to_vec();
+    KeyedAnswer {
+        status,
+        verdict: format!("{outcome} {reason}").trim().to_owned(),
+        body,
+        offer,
+    }
+}
+
+/// Asks a node for a key.
+pub async fn offer(node: &TestNode) -> String {
+    let answer = post(node.doors.inbound, headers::KEYS_PATH, "", "").await;
+    answer.offer.expect("an offered key")
+}
+
+/// Makes `from` know `to` under the address `peer`.
+pub fn introduce_at(from: &TestNode, to: &TestNode, peer: SocketAddr) {
+    let settings = &to.node.settings;
+    let record = InstanceRecord {
+        name: settings.instance.clone(),
+        service: settings.service.clone(),
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        peer,
+        state: InstanceState::Live,
+    };
+    from.node.instances.borrow_mut().upsert(record);
+}
+
+/// `ZonePair` is one service in two zones; `gebze` reaches `izmit` through a relay.
+pub struct ZonePair {
+    /// Counts the runs of both zones.
+    pub upstream: TallyUpstream,
+    /// Home of the keys in most scenarios.
+    pub izmit: TestNode,
+    /// The other entry.
+    pub gebze: TestNode,
+    /// Way from `gebze` to `izmit`.
+    pub relay: CutRelay,
+}
+
+impl ZonePair {
+    /// Starts both nodes; the upstream holds the runs of `held` paths.
+    pub async fn start(held: &[&str]) -> Self {
+        let upstream = TallyUpstream::new(held);
+        let address = upstream.open().await;
+        let izmit = support::node("medication-log", "izmit", address, &[RECORD]).await;
+        let gebze = support::node("medication-log", "gebze", address, &[RECORD]).await;
+        let relay = CutRelay::start(izmit.doors.peer).await;
+        introduce_at(&gebze, &izmit, relay.address);
+        support::introduce(&izmit, &gebze);
+        Self {
+            upstream,
+            izmit,
+            gebze,
+            relay,
+        }
+    }
+}
+
+/// Starts an upstream that answers each request with `bytes` and closes; it counts requests.
+pub async fn raw_upstream(bytes: &'static [u8]) -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind(support::ANY_PORT)
+        .await
+        .expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let count = Rc::new(Cell::new(0));
+    let requests = Rc::clone(&count);
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = vec![0; 4096];
+            if stream.read(&mut head).await.is_ok_and(|read| read > 0) {
+                requests.set(requests.get() + 1);
+                let _ = stream.write_all(bytes).await;
+            }
+        }
+    });
+    (address, count)
+}
