--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -4,6 +4,10 @@
 mod support;
 
 use keyed_support::{RECORD, ZonePair, offer, post};
+use lagoonshore_protocol::messages::{CallResult, MessageStamp};
+use lagoonshore_transport::peer_link::PeerLinks;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::time::Instant;
 
 const PATH: &str = "/doses/7";
 
@@ -34,26 +38,68 @@
 }
 
 #[actix_rt::test]
-async fn a_caller_that_hangs_up_gets_the_answer_of_the_run_that_went_on() {
+async fn a_run_goes_on_when_the_link_cancels_it_and_a_resend_gets_its_answer() {
     let pair = ZonePair::start(&[PATH]).await;
     let key = offer(&pair.izmit).await;
-    for door in [pair.gebze.doors.inbound, pair.izmit.doors.inbound] {
-        let key = key.clone();
-        let call = actix_rt::spawn(async move { post(door, PATH, &key, "5 ml").await });
-        pair.upstream.started(1).await;
-        call.abort();
-        let _ = call.await;
-    }
-    // A task of the node notices the hang-up before the run ends.
-    while pair.izmit.node.work.ledger_counts().in_flight == 0 {
-        tokio::task::yield_now().await;
+    let links = &pair.gebze.node.links;
+    let peer = pair.izmit.doors.peer;
+    let deadline = Instant::now() + Duration::from_secs(60);
+    let first = links.call(peer, keyed_support::call(PATH, &key, "5 ml"), deadline);
+    tokio::select! {
+        _ = first => panic!("the run is held"),
+        () = pair.upstream.started(1) => {}
     }
+    // The first call was dropped; messages of one link are read in their order, so the answer to
+    // the second shows that the home has met the cancellation of the first.
+    let other = offer(&pair.izmit).await;
+    let second = links.call(peer, keyed_support::call("/doses/8", &other, ""), deadline);
+    second.await.expect("the home answers");
+    pair.upstream.release(PATH);
+    let answer = post(pair.gebze.doors.inbound, PATH, &key, "5 ml").await;
+    answer.assert_body(&format!("{PATH} 5 ml {key} run 1"));
+    pair.upstream.assert_single_runs(2);
+}
+
+#[actix_rt::test]
+async fn a_caller_that_hangs_up_gets_the_answer_when_it_sends_again() {
+    let pair = ZonePair::start(&[PATH]).await;
+    let key = offer(&pair.izmit).await;
+    let (door, sent) = (pair.izmit.doors.inbound, key.clone());
+    let call = actix_rt::spawn(async move { post(door, PATH, &sent, "5 ml").await });
+    pair.upstream.started(1).await;
+    call.abort();
+    let _ = call.await;
     pair.upstream.release(PATH);
     let answer = post(pair.gebze.doors.inbound, PATH, &key, "5 ml").await;
     answer.assert_body(&format!("{PATH} 5 ml {key} run 1"));
     pair.upstream.assert_single_runs(1);
 }
 
+#[actix_rt::test]
+async fn a_message_that_outwaited_its_deadline_in_a_buffer_is_refused_as_stale() {
+    let pair = ZonePair::start(&[]).await;
+    let sent = Rc::new(Cell::new(1_000_000_000));
+    let clock = Rc::clone(&sent);
+    let links = PeerLinks::new(move || MessageStamp {
+        sender: 7,
+        sent: clock.get(),
+    });
+    let peer = pair.izmit.doors.peer;
+    links.identify(peer).await.expect("the home is there");
+    let key = offer(&pair.izmit).await;
+    // Stamped 90 s before the message that opened the link, so it is at least that old.
+    sent.set(1_000_000_000 - 90_000_000);
+    let deadline = Instant::now() + Duration::from_secs(60);
+    let call = links.call(peer, keyed_support::call(PATH, &key, "5 ml"), deadline);
+    let reply = call.await.expect("the home answers");
+    let CallResult::Refused(refusal) = reply.result else {
+        panic!("found {reply:?}");
+    };
+    let found = (refusal.outcome.as_str(), refusal.reason.as_str());
+    assert_eq!(found, ("not-run", "stale"));
+    pair.upstream.assert_single_runs(0);
+}
+
 #[actix_rt::test]
 async fn ten_resends_at_once_get_one_answer() {
     let pair = ZonePair::start(&[PATH]).await;
--- a/crates/daemon/tests/keyed_support/mod.rs
+++ b/crates/daemon/tests/keyed_support/mod.rs
@@ -7,8 +7,15 @@
 
 use actix_rt::net::{TcpListener, TcpStream};
 use awc::Client;
-use lagoonshore_protocol::headers;
-use lagoonshore_state::instance_table::{InstanceRecord, InstanceState};
+use bytes::Bytes;
+use lagoonshore_protocol::{
+    headers::{self, HeaderField},
+    messages::{CallRequest, MessageStamp, WorkKey},
+};
+use lagoonshore_state::{
+    instance_table::{InstanceRecord, InstanceState},
+    units::{RequestImportance, TokenCount},
+};
 use lagoonshore_transport::http_door::DoorRequest;
 use std::{
     cell::{Cell, RefCell},
@@ -210,6 +217,22 @@
     }
 }
 
+/// A dose entry as one node sends it to the home of its key.
+pub fn call(path: &str, key: &str, body: &str) -> CallRequest {
+    CallRequest {
+        service: "medication-log".into(),
+        method: "POST".into(),
+        path: path.into(),
+        headers: vec![HeaderField::new(headers::IDEMPOTENCY_KEY, key)],
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        importance: RequestImportance(0),
+        caller: 0,
+        tokens: TokenCount(0),
+        key: Some(WorkKey::Home(key.into())),
+        stamp: MessageStamp::default(),
+    }
+}
+
 /// Asks a node for a key.
 pub async fn offer(node: &TestNode) -> String {
     let answer = post(node.doors.inbound, headers::KEYS_PATH, "", "").await;
