--- /dev/null
+++ b/crates/coordination/tests/execution_ledger.rs
@@ -0,0 +1,252 @@
+//! Whatever the order of events, a key runs at most once and no `not-run` is false.
+
+use lagoonshore_coordination::{
+    execution_ledger::{
+        ExecutionLedger, KEY_RECORD_TIME, KEY_START_TIME, KeyClaim, LedgerBounds, LedgerVerdict,
+        RunEnd, RunTicket,
+    },
+    idempotency_key::{HomeClaim, KeyIssuer, OfferedKey},
+    outcome::{CallOutcome, RefusalReason},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use rand::{SeedableRng, rngs::StdRng};
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// Small enough that records and answers run out.
+const BOUNDS: LedgerBounds = LedgerBounds {
+    records: 6,
+    answer_bytes: 100,
+};
+const CASES: u32 = 2000;
+
+/// What may happen to a node; numbers choose among the keys and runs at hand.
+#[derive(Clone, Debug)]
+enum Event {
+    Offer,
+    Claim {
+        key: usize,
+        body: u8,
+        draining: bool,
+    },
+    Finish {
+        run: usize,
+        bytes: Option<usize>,
+    },
+    Wait(u64),
+    Restart,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => Just(Event::Offer),
+        8 => (0..20_usize, 0..2_u8, prop::bool::weighted(0.1))
+            .prop_map(|(key, body, draining)| Event::Claim { key, body, draining }),
+        5 => (0..4_usize, prop::option::weighted(0.8, 0..60_usize))
+            .prop_map(|(run, bytes)| Event::Finish { run, bytes }),
+        2 => (0..150_u64).prop_map(Event::Wait),
+        1 => Just(Event::Restart),
+    ]
+}
+
+/// One node over its restarts, with the facts that the upstream would know.
+struct LedgerModel {
+    random: StdRng,
+    now: Instant,
+    incarnation: u64,
+    issuer: KeyIssuer,
+    ledger: ExecutionLedger<String>,
+    keys: Vec<OfferedKey>,
+    running: Vec<(usize, u8, RunTicket)>,
+    runs: BTreeMap<usize, (u8, u32)>,
+}
+
+impl LedgerModel {
+    fn new() -> Self {
+        let (now, mut random) = (Instant::now(), StdRng::seed_from_u64(7));
+        let issuer = KeyIssuer::new("izmit".into(), "log-1".into(), 1, now, &mut random);
+        Self {
+            random,
+            now,
+            incarnation: 1,
+            issuer,
+            ledger: ExecutionLedger::new(BOUNDS),
+            keys: Vec::new(),
+            running: Vec::new(),
+            runs: BTreeMap::new(),
+        }
+    }
+
+    fn apply(&mut self, event: Event) -> Result<(), TestCaseError> {
+        match event {
+            Event::Offer => self.keys.push(self.issuer.offer(self.now)),
+            Event::Claim {
+                key,
+                body,
+                draining,
+            } if !self.keys.is_empty() => self.claim(key % self.keys.len(), body, draining)?,
+            Event::Finish { run, bytes } if !self.running.is_empty() => {
+                self.finish(run % self.running.len(), bytes)?;
+            }
+            Event::Wait(seconds) => self.now += Duration::from_secs(seconds),
+            Event::Restart => self.restart(),
+            Event::Claim { .. } | Event::Finish { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn claim(&mut self, index: usize, body: u8, draining: bool) -> Result<(), TestCaseError> {
+        let key = &self.keys[index];
+        if self.issuer.claim(key) != HomeClaim::Own {
+            return Ok(());
+        }
+        let claim = KeyClaim {
+            key: self.issuer.digest(&[key.to_string().as_bytes()]),
+            request: body.into(),
+            birth: Some(self.issuer.birth(key)),
+            closed: draining.then_some(RefusalReason::Draining),
+        };
+        match self.ledger.claim(self.now, claim) {
+            LedgerVerdict::Run(ticket) => {
+                prop_assert!(!draining, "a draining node started a run");
+                self.hand_over(index, body)?;
+                self.running.push((index, body, ticket));
+            }
+            LedgerVerdict::Join => {
+                prop_assert!(
+                    self.running
+                        .iter()
+                        .any(|run| (run.0, run.1) == (index, body))
+                );
+            }
+            LedgerVerdict::Replay(answer) => {
+                prop_assert_eq!(answer, format!("{index} {body}"));
+            }
+            LedgerVerdict::Refused(refusal) if refusal.outcome == CallOutcome::NotRun => {
+                let ran = self.runs.get(&index).is_some_and(|(ran, _)| *ran == body);
+                prop_assert!(!ran, "false not-run: {:?}", refusal.reason);
+            }
+            LedgerVerdict::Refused(_) => {}
+        }
+        Ok(())
+    }
+
+    /// Counts a run as the upstream would; one proved not to have run is taken back.
+    fn hand_over(&mut self, index: usize, body: u8) -> Result<(), TestCaseError> {
+        let (_, runs) = self.runs.entry(index).or_insert((body, 0));
+        *runs += 1;
+        prop_assert!(*runs <= 1, "key {index} ran {runs} times");
+        Ok(())
+    }
+
+    fn finish(&mut self, run: usize, bytes: Option<usize>) -> Result<(), TestCaseError> {
+        let (index, body, ticket) = self.running.swap_remove(run);
+        let end = match bytes {
+            Some(bytes) => RunEnd::Kept {
+                answer: format!("{index} {body}"),
+                bytes,
+            },
+            None => {
+                self.runs.remove(&index);
+                RunEnd::NotRun
+            }
+        };
+        self.ledger.finish(self.now, ticket, end);
+        let counts = self.ledger.counts();
+        prop_assert!(counts.answer_bytes <= BOUNDS.answer_bytes);
+        prop_assert!(counts.records <= BOUNDS.records);
+        prop_assert_eq!(counts.in_flight, self.running.len());
+        Ok(())
+    }
+
+    fn restart(&mut self) {
+        self.incarnation += 1;
+        let (zone, instance) = ("izmit".into(), "log-1".into());
+        let random = &mut self.random;
+        self.issuer = KeyIssuer::new(zone, instance, self.incarnation, self.now, random);
+        self.ledger = ExecutionLedger::new(BOUNDS);
+        self.running.clear();
+    }
+}
+
+#[test]
+fn any_order_of_events_runs_a_key_at_most_once() {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    let events = prop::collection::vec(event(), 1..60);
+    let outcome = runner.run(&events, |events| {
+        let mut model = LedgerModel::new();
+        events.into_iter().try_for_each(|event| model.apply(event))
+    });
+    if let Err(failure) = outcome {
+        panic!("{failure}");
+    }
+}
+
+/// Verdict on a key that was never seen, `age` after its offer.
+fn verdict_at(age: Duration) -> String {
+    let now = Instant::now();
+    let mut ledger = ExecutionLedger::<String>::new(BOUNDS);
+    let claim = KeyClaim {
+        key: 1,
+        request: 1,
+        birth: Some(now),
+        closed: None,
+    };
+    match ledger.claim(now + age, claim) {
+        LedgerVerdict::Refused(refusal) => {
+            format!("{} {}", refusal.outcome.as_str(), refusal.reason.as_str())
+        }
+        verdict => format!("{verdict:?}"),
+    }
+}
+
+#[test]
+fn an_old_key_never_starts_and_is_called_not_run_only_while_its_record_would_be_held() {
+    let moment = Duration::from_millis(1);
+    assert!(verdict_at(KEY_START_TIME - moment).starts_with("Run"));
+    assert_eq!(verdict_at(KEY_START_TIME), "not-run key-expired");
+    assert_eq!(verdict_at(KEY_RECORD_TIME - moment), "not-run key-expired");
+    assert_eq!(verdict_at(KEY_RECORD_TIME), "unknown key-expired");
+}
+
+#[test]
+fn an_evicted_answer_still_says_that_the_key_ran() {
+    let now = Instant::now();
+    let mut ledger = ExecutionLedger::new(BOUNDS);
+    for key in 1..=2 {
+        let claim = KeyClaim {
+            key,
+            request: 1,
+            birth: None,
+            closed: None,
+        };
+        let LedgerVerdict::Run(ticket) = ledger.claim(now, claim) else {
+            panic!("a new key runs");
+        };
+        let end = RunEnd::Kept {
+            answer: "whole".to_owned(),
+            bytes: 60,
+        };
+        ledger.finish(now, ticket, end);
+    }
+    let claim = KeyClaim {
+        key: 1,
+        request: 1,
+        birth: None,
+        closed: None,
+    };
+    let LedgerVerdict::Refused(refusal) = ledger.claim(now, claim) else {
+        panic!("its answer was evicted");
+    };
+    let found = (refusal.outcome, refusal.reason);
+    assert_eq!(found, (CallOutcome::Ran, RefusalReason::AnswerEvicted));
+}
