Have the stand-in callers use offered keys and send again in doubt

Cause: the demo's callers made their own keys and gave up in doubt, so at most once was not exercised. A key that was refused as not run and given up must not appear in the tally of runs.

--- a/crates/coordination/src/execution_ledger.rs
+++ b/crates/coordination/src/execution_ledger.rs
@@ -44,6 +44,13 @@
     key: KeyDigest,
 }
 
+impl RunTicket {
+    /// Gives the ticket up for the key that it was for.
+    const fn redeem(self) -> KeyDigest {
+        self.key
+    }
+}
+
 /// `LedgerVerdict` answers a claim.
 #[derive(Debug)]
 pub enum LedgerVerdict<A> {
@@ -167,7 +174,7 @@
 
     /// Notes how the run of `ticket` ended.
     pub fn finish(&mut self, now: Instant, ticket: RunTicket, end: RunEnd<A>) {
-        let RunTicket { key } = ticket;
+        let key = ticket.redeem();
         self.counts.in_flight -= 1;
         match end {
             RunEnd::NotRun => self.forget(key),
--- a/crates/coordination/tests/execution_ledger.rs
+++ b/crates/coordination/tests/execution_ledger.rs
@@ -24,7 +24,7 @@
 const CASES: u32 = 2000;
 
 /// What may happen to a node; numbers choose among the keys and runs at hand.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Event {
     Offer,
     Claim {
@@ -144,15 +144,14 @@
 
     fn finish(&mut self, run: usize, bytes: Option<usize>) -> Result<(), TestCaseError> {
         let (index, body, ticket) = self.running.swap_remove(run);
-        let end = match bytes {
-            Some(bytes) => RunEnd::Kept {
+        let end = if let Some(bytes) = bytes {
+            RunEnd::Kept {
                 answer: format!("{index} {body}"),
                 bytes,
-            },
-            None => {
-                self.runs.remove(&index);
-                RunEnd::NotRun
             }
+        } else {
+            self.runs.remove(&index);
+            RunEnd::NotRun
         };
         self.ledger.finish(self.now, ticket, end);
         let counts = self.ledger.counts();
@@ -212,9 +211,12 @@
 #[test]
 fn an_old_key_never_starts_and_is_called_not_run_only_while_its_record_would_be_held() {
     let moment = Duration::from_millis(1);
-    assert!(verdict_at(KEY_START_TIME - moment).starts_with("Run"));
+    assert!(verdict_at(KEY_START_TIME.saturating_sub(moment)).starts_with("Run"));
     assert_eq!(verdict_at(KEY_START_TIME), "not-run key-expired");
-    assert_eq!(verdict_at(KEY_RECORD_TIME - moment), "not-run key-expired");
+    assert_eq!(
+        verdict_at(KEY_RECORD_TIME.saturating_sub(moment)),
+        "not-run key-expired"
+    );
     assert_eq!(verdict_at(KEY_RECORD_TIME), "unknown key-expired");
 }
 
--- a/crates/coordination/tests/idempotency_key.rs
+++ b/crates/coordination/tests/idempotency_key.rs
@@ -90,7 +90,10 @@
     let mut hold = KeyHold::default();
     assert!(!hold.may_run(at(1000), None), "no list was seen");
     hold.observe(at(0), members(), true);
-    assert!(!hold.may_run(start + KEY_HOLD_TIME - Duration::from_millis(1), None));
+    assert!(!hold.may_run(
+        start + KEY_HOLD_TIME.saturating_sub(Duration::from_millis(1)),
+        None
+    ));
     assert!(hold.may_run(start + KEY_HOLD_TIME, None));
     // A key that was made within the hold cannot have run before it.
     assert!(hold.may_run(at(10), Some(at(5))));
--- a/crates/daemon/src/keyed_server.rs
+++ b/crates/daemon/src/keyed_server.rs
@@ -42,13 +42,6 @@
     deadline: Instant,
 ) -> CallReply {
     let granted = request.tokens;
-    let is_draining = node.drain.borrow().is_draining();
-    let claim = KeyClaim {
-        closed: claim
-            .closed
-            .or_else(|| is_draining.then_some(RefusalReason::Draining)),
-        ..claim
-    };
     let verdict = node.work.ledger.borrow_mut().claim(Instant::now(), claim);
     let result = match verdict {
         LedgerVerdict::Run(ticket) => {
--- a/crates/daemon/src/keyed_work.rs
+++ b/crates/daemon/src/keyed_work.rs
@@ -77,7 +77,6 @@
     }
 
     /// Returns what stamps the messages of this node.
-    #[must_use]
     pub fn stamper(&self) -> impl Fn() -> MessageStamp + 'static {
         let (ages, sender) = (Rc::clone(&self.ages), self.incarnation);
         move || MessageStamp {
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -43,7 +43,7 @@
     let key = offer(&pair.izmit).await;
     let links = &pair.gebze.node.links;
     let peer = pair.izmit.doors.peer;
-    let deadline = Instant::now() + Duration::from_secs(60);
+    let deadline = Instant::now() + Duration::from_mins(1);
     let first = links.call(peer, keyed_support::call(PATH, &key, "5 ml"), deadline);
     tokio::select! {
         _ = first => panic!("the run is held"),
@@ -89,7 +89,7 @@
     let key = offer(&pair.izmit).await;
     // Stamped 90 s before the message that opened the link, so it is at least that old.
     sent.set(1_000_000_000 - 90_000_000);
-    let deadline = Instant::now() + Duration::from_secs(60);
+    let deadline = Instant::now() + Duration::from_mins(1);
     let call = links.call(peer, keyed_support::call(PATH, &key, "5 ml"), deadline);
     let reply = call.await.expect("the home answers");
     let CallResult::Refused(refusal) = reply.result else {
--- a/crates/daemon/tests/bound_calls.rs
+++ b/crates/daemon/tests/bound_calls.rs
@@ -112,7 +112,7 @@
         key: "order-1".into(),
         executor: chain.near.node.incarnation.wrapping_add(1),
     });
-    let deadline = tokio::time::Instant::now() + std::time::Duration::from_secs(60);
+    let deadline = tokio::time::Instant::now() + std::time::Duration::from_mins(1);
     let links = &chain.portal.node.links;
     let call = links.call(chain.near.doors.peer, request, deadline);
     let reply = call.await.expect("the node answers");
@@ -156,7 +156,7 @@
     use lagoonshore_state::units::{RequestImportance, TokenCount};
     let parent = ServedCall {
         importance: RequestImportance(0),
-        deadline: tokio::time::Instant::now() + std::time::Duration::from_secs(60),
+        deadline: tokio::time::Instant::now() + std::time::Duration::from_mins(1),
         caller: 0,
         purse: TokenPurse::new(TokenCount(8)),
         key: Some("parent-key".into()),
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -3,11 +3,12 @@
 
 use crate::{
     arguments::{self, StandinResult},
+    caller_keys::CallerKeys,
     deployment::{DeploymentPlan, TrafficPlan},
     report::{RequestEnd, TrafficReport},
 };
 
-use awc::Client;
+use awc::{Client, error::ConnectError};
 use lagoonshore_protocol::headers;
 use pico_args::Arguments;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -36,9 +37,19 @@
     client: Client,
     entries: Vec<SocketAddr>,
     turn: Cell<usize>,
+    keys: CallerKeys,
     report: RefCell<TrafficReport>,
 }
 
+impl CallerSet {
+    /// The entry nodes in turn, so that a request that is sent again meets another one.
+    fn entry(&self) -> SocketAddr {
+        let turn = self.turn.get();
+        self.turn.set(turn + 1);
+        self.entries[turn % self.entries.len()]
+    }
+}
+
 #[derive(Clone, Copy)]
 struct SurgePlan {
     start: f64,
@@ -62,6 +73,7 @@
         client: Client::builder().disable_timeout().finish(),
         entries,
         turn: Cell::new(0),
+        keys: CallerKeys::default(),
         report: RefCell::new(TrafficReport::new(&plan.traffic)),
     });
     let progress = actix_rt::spawn(show_progress(Rc::clone(&callers)));
@@ -145,48 +157,67 @@
 async fn request(callers: Rc<CallerSet>, plan: TrafficPlan, kind: usize, tag: String) {
     callers.report.borrow_mut().offered(kind);
     let started = Instant::now();
-    let deadline = started + Duration::from_millis(plan.timeout_ms);
+    let time = Duration::from_millis(plan.timeout_ms);
+    let deadline = started + time;
     let mut end = RequestEnd::Refused("none".to_owned());
+    let mut key = None;
     for attempt in 0..TRIES_MAX {
         if attempt > 0 {
             actix_rt::time::sleep(TRY_PAUSE).await;
         }
+        // In doubt a caller asks for the answer to what it sent before, with new patience.
+        let in_doubt = !plan.idempotent && end.is_unknown();
         let left = deadline.saturating_duration_since(Instant::now());
-        let trying = attempt_once(&callers, &plan, &tag, left);
+        let left = if in_doubt { time } else { left };
+        if !plan.idempotent && key.is_none() {
+            key = callers
+                .keys
+                .next(&callers.client, callers.entry(), &tag)
+                .await;
+        }
+        let trying = attempt_once(&callers, &plan, &tag, key.as_deref(), left);
         let latest = actix_rt::time::timeout(left + ANSWER_GRACE, trying).await;
         let latest = latest.unwrap_or_else(|_| RequestEnd::Unknown("caller-timeout".to_owned()));
+        if in_doubt {
+            let is_whole = latest == RequestEnd::Whole;
+            callers.report.borrow_mut().resent(is_whole);
+        }
         end = end.followed_by(latest);
-        if !end.may_repeat(plan.idempotent) || Instant::now() >= deadline {
+        if matches!(end, RequestEnd::Refused(_))
+            && let Some(key) = key.take()
+        {
+            callers.report.borrow_mut().given_up(key);
+        }
+        let in_doubt = !plan.idempotent && end.is_unknown();
+        let is_late = Instant::now() >= deadline && !in_doubt;
+        if is_late || !end.may_repeat(plan.idempotent) {
             break;
         }
     }
-    callers
-        .report
-        .borrow_mut()
-        .ended(kind, &tag, end, started.elapsed());
+    let latency = started.elapsed();
+    callers.report.borrow_mut().ended(kind, end, latency);
 }
 
 async fn attempt_once(
     callers: &CallerSet,
     plan: &TrafficPlan,
     tag: &str,
+    key: Option<&str>,
     left: Duration,
 ) -> RequestEnd {
-    let turn = callers.turn.get();
-    callers.turn.set(turn + 1);
-    let entry = callers.entries[turn % callers.entries.len()];
+    let entry = callers.entry();
     let uri = format!("http://{entry}{}/{tag}", plan.path);
     let Ok(method) = awc::http::Method::from_bytes(plan.method.as_bytes()) else {
         return RequestEnd::Refused("method".to_owned());
     };
     let mut call = callers.client.request(method, uri);
     call = call.insert_header((headers::TIMEOUT_MS, left.as_millis().max(1).to_string()));
-    if !plan.idempotent {
-        call = call.insert_header((headers::IDEMPOTENCY_KEY, tag));
+    if let Some(key) = key {
+        call = call.insert_header((headers::IDEMPOTENCY_KEY, key));
     }
     let mut response = match call.send_body(tag.to_owned()).await {
         Ok(response) => response,
-        Err(awc::error::SendRequestError::Connect(_)) => {
+        Err(awc::error::SendRequestError::Connect(fault)) if is_refused(&fault) => {
             return RequestEnd::Refused("connect".to_owned());
         }
         Err(_) => return RequestEnd::Unknown("connection-lost".to_owned()),
@@ -199,6 +230,7 @@
         value.unwrap_or_default().to_owned()
     };
     let (outcome, reason) = (header(headers::OUTCOME), header(headers::REASON));
+    callers.keys.keep(header(headers::KEY_OFFER));
     let Ok(body) = response.body().limit(8 << 20).await else {
         return RequestEnd::Torn;
     };
@@ -210,6 +242,11 @@
     }
 }
 
+/// Tells whether nothing was sent; the client calls a connection that ended early the same.
+const fn is_refused(fault: &ConnectError) -> bool {
+    !matches!(fault, ConnectError::Disconnected)
+}
+
 /// An answer is whole if it and every answer inside it belong to the request and are complete.
 fn check(body: &[u8], path: &str) -> RequestEnd {
     fn is_whole(answer: &Value, path: &str) -> bool {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod arguments;
 pub mod caller;
+pub mod caller_keys;
 pub mod deployment;
 pub mod platform;
 pub mod report;
--- a/crates/standin/src/report.rs
+++ b/crates/standin/src/report.rs
@@ -37,11 +37,17 @@
         }
     }
 
+    /// Tells whether the request may have run.
+    pub const fn is_unknown(&self) -> bool {
+        matches!(self, Self::Unknown(_))
+    }
+
     /// Tells whether the caller may send the request again.
     pub const fn may_repeat(&self, idempotent: bool) -> bool {
         match self {
-            Self::Refused(_) => true,
-            Self::Unknown(_) | Self::Failed(_) => idempotent,
+            // A request whose outcome is unknown is sent again under its key.
+            Self::Refused(_) | Self::Unknown(_) => true,
+            Self::Failed(_) => idempotent,
             Self::Whole | Self::Torn => false,
         }
     }
@@ -50,7 +56,6 @@
 struct KindReport {
     name: String,
     importance: u8,
-    idempotent: bool,
     offered: u64,
     whole: u64,
     failed: u64,
@@ -64,6 +69,8 @@
 pub struct TrafficReport {
     kinds: Vec<KindReport>,
     not_run: BTreeSet<String>,
+    resent: u64,
+    recovered: u64,
     shown: (u64, u64),
 }
 
@@ -73,7 +80,6 @@
         let kind = |plan: &TrafficPlan| KindReport {
             name: plan.name.to_string(),
             importance: plan.importance,
-            idempotent: plan.idempotent,
             offered: 0,
             whole: 0,
             failed: 0,
@@ -86,6 +92,8 @@
         Self {
             kinds: traffic.iter().map(kind).collect(),
             not_run: BTreeSet::new(),
+            resent: 0,
+            recovered: 0,
             shown: (0, 0),
         }
     }
@@ -96,7 +104,7 @@
     }
 
     /// Counts an ended request.
-    pub fn ended(&mut self, kind: usize, tag: &str, end: RequestEnd, latency: Duration) {
+    pub fn ended(&mut self, kind: usize, end: RequestEnd, latency: Duration) {
         let kind = &mut self.kinds[kind];
         match end {
             RequestEnd::Whole => {
@@ -106,16 +114,23 @@
             }
             RequestEnd::Failed(_) => kind.failed += 1,
             RequestEnd::Torn => kind.torn += 1,
-            RequestEnd::Refused(reason) => {
-                *kind.refused.entry(reason).or_default() += 1;
-                if !kind.idempotent {
-                    self.not_run.insert(tag.to_owned());
-                }
-            }
+            RequestEnd::Refused(reason) => *kind.refused.entry(reason).or_default() += 1,
             RequestEnd::Unknown(reason) => *kind.unknown.entry(reason).or_default() += 1,
         }
     }
 
+    /// Notes a key that was refused as not run and is given up.
+    pub fn given_up(&mut self, key: String) {
+        self.not_run.insert(key);
+    }
+
+    /// Notes that a request was sent again under the key that may have run, and whether that
+    /// brought its whole answer.
+    pub const fn resent(&mut self, is_whole: bool) {
+        self.resent += 1;
+        self.recovered += is_whole as u64;
+    }
+
     /// One line of progress: what was offered and answered whole since the last line.
     pub fn progress(&mut self) -> String {
         let offered = self.kinds.iter().map(|kind| kind.offered).sum();
@@ -189,6 +204,11 @@
         let faults = self.faults(runs);
         let doubles = runs.values().filter(|count| **count > 1).count();
         let _ = writeln!(text, "\nkeys run {}, double runs {doubles}", runs.len());
+        let _ = writeln!(
+            text,
+            "sent again under the same key after unknown: {}, whole answers by that: {}",
+            self.resent, self.recovered
+        );
         for fault in &faults {
             let _ = writeln!(text, "BROKEN {fault}");
         }
