--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,10 +3,16 @@
 
 pub mod admission;
 pub mod call_table;
+pub mod child_key;
 pub mod digest_schedule;
 pub mod drain;
 pub mod error;
+pub mod execution_ledger;
+pub mod executor_binding;
+pub mod idempotency_key;
+pub mod key_home;
 pub mod membership;
+pub mod message_age;
 pub mod outcome;
 pub mod platform_watchers;
 pub mod policy_digest;
--- a/crates/daemon/src/digest_exchange.rs
+++ b/crates/daemon/src/digest_exchange.rs
@@ -47,6 +47,7 @@
     let mut members = members.borrow_mut();
     members.meet(Instant::now(), &mut table.borrow_mut(), digest.sender);
     drop(members);
+    node.work.observe_members(node);
     own_digest(node)
 }
 
@@ -91,6 +92,10 @@
 fn forget_gone(node: &SharedNode) {
     let mut members = node.policy_link.members.borrow_mut();
     let gone = members.sweep(Instant::now(), &mut node.instances.borrow_mut());
+    drop(members);
+    if !gone.is_empty() {
+        node.work.observe_members(node);
+    }
     for instance in gone {
         info!(event = events::MEMBER_FORGOTTEN, %instance, "membership: forgotten");
     }
@@ -198,6 +203,8 @@
             let mut members = node.policy_link.members.borrow_mut();
             let mut table = node.instances.borrow_mut();
             members.apply_list(Instant::now(), &mut table, &version, instances);
+            drop((members, table));
+            node.work.observe_members(&node);
         }
     }
 }
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -134,6 +134,8 @@
     let mut members = node.policy_link.members.borrow_mut();
     let mut table = node.instances.borrow_mut();
     members.apply_list(Instant::now(), &mut table, &version, reply.value);
+    drop((members, table));
+    node.work.observe_members(node);
     Some(reply.index)
 }
 
@@ -142,6 +144,8 @@
     platform.reads += 1;
     platform.failures += u64::from(failure.is_some());
     let before = platform.reachable.replace(failure.is_none());
+    drop(platform);
+    node.work.observe_members(node);
     match failure {
         Some(cause) if before != Some(false) => {
             warn!(event = events::PLATFORM_UNREACHABLE, %cause, "platform: cannot be read");
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -1,6 +1,7 @@
 //! The dump of a node's state: stable order, no bodies, no keys.
 
 use crate::{
+    keyed_work::LedgerPart,
     node::{Node, PlatformState},
     policy_keeper::RecordFault,
     policy_link::DistributionCounters,
@@ -28,6 +29,7 @@
     counters: NodeCounters,
     retries: RetriesPart,
     peers: Vec<PeerPart>,
+    ledger: LedgerPart,
     drain: DrainState,
     platform: PlatformState,
 }
@@ -108,6 +110,7 @@
             budget: node.budget.borrow().saved(),
         },
         peers: peers(node),
+        ledger: node.work.dump(),
         drain: node.drain.borrow().state(),
         platform: node.platform.borrow().clone(),
     }
