--- a/crates/daemon/tests/key_shares.rs
+++ b/crates/daemon/tests/key_shares.rs
@@ -5,6 +5,7 @@
 mod support;
 
 use keyed_support::{ZonePair, offer, post};
+use std::{collections::BTreeMap, fmt::Write};
 
 /// Requests of each kind.
 const REQUESTS: u32 = 40;
@@ -14,12 +15,12 @@
     let mut text = String::new();
     let kinds = ["offered there", "offered by the other zone", "caller-made"];
     for (kind, keys) in kinds.into_iter().zip(keys) {
-        let mut counts = std::collections::BTreeMap::new();
+        let mut counts = BTreeMap::new();
         for key in keys {
             let answer = post(pair.gebze.doors.inbound, "/doses/7", &key, &key).await;
             *counts.entry(answer.verdict).or_insert(0) += 1;
         }
-        text += &format!("{kind}: {counts:?}\n");
+        writeln!(text, "{kind}: {counts:?}").expect("text takes it");
     }
     text
 }
