--- a/crates/coordination/src/digest_schedule.rs
+++ b/crates/coordination/src/digest_schedule.rs
@@ -22,7 +22,7 @@
 /// Share of the exchanges that stay in the own availability zone.
 const OWN_ZONE_SHARE: f64 = 0.7;
 /// Share of the exchanges that stay within the own service.
-const OWN_SERVICE_SHARE: f64 = 0.6;
+const OWN_SERVICE_SHARE: f64 = 0.8;
 
 /// `DigestSchedule` draws the rounds of one node.
 #[derive(Debug)]
--- a/crates/coordination/src/platform_watchers.rs
+++ b/crates/coordination/src/platform_watchers.rs
@@ -19,6 +19,18 @@
 /// Mean pause between two reads of a node that does not watch.
 const SELDOM_PAUSE: Duration = Duration::from_mins(10);
 
+/// Time over which new nodes spread the first reads of their own record and list.
+const OWN_SPREAD: Duration = Duration::from_secs(1);
+/// Time over which new nodes spread the first reads for the services that they call.
+const CALLED_SPREAD: Duration = Duration::from_secs(10);
+
+/// Pause before the first read for a service, so that a fleet that starts at once does not read
+/// at once; `is_own` tells whether it is the node's own service.
+pub fn pause_before_first(is_own: bool, random: &mut dyn RngCore) -> Duration {
+    let spread = if is_own { OWN_SPREAD } else { CALLED_SPREAD };
+    spread.mul_f64(random.random_range(0.0..1.0))
+}
+
 /// Pause after a read of the platform, drawn around its mean so that nodes do not act in step;
 /// `found` tells whether the read found what it was for.
 pub fn pause_after(is_watcher: bool, found: bool, random: &mut dyn RngCore) -> Duration {
--- a/crates/coordination/tests/support/fleet.rs
+++ b/crates/coordination/tests/support/fleet.rs
@@ -97,7 +97,7 @@
 }
 
 impl FakeNode {
-    fn new(record: InstanceRecord, now: Instant) -> Self {
+    fn new(record: InstanceRecord, now: Instant, random: &mut SmallRng) -> Self {
         let origin = RoutingOrigin {
             instance: record.name.clone(),
             zone: record.zone.clone(),
@@ -123,19 +123,21 @@
             schedule,
             follows: Vec::new(),
         };
-        node.follow(&service, now);
+        node.follow(&service, now, random);
         node
     }
 
-    fn follow(&mut self, service: &ServiceName, now: Instant) {
+    fn follow(&mut self, service: &ServiceName, now: Instant, random: &mut SmallRng) {
         if self.follows.iter().any(|follow| follow.service == *service) {
             return;
         }
+        let is_own = *service == self.record.service;
+        let due = now + platform_watchers::pause_before_first(is_own, random);
         for is_list in [true, false] {
             self.follows.push(FakeFollow {
                 service: service.clone(),
                 is_list,
-                due: now,
+                due,
                 waiting: None,
                 index: 0,
             });
@@ -161,6 +163,7 @@
         record: &FakeRecord,
         calls: &[ServiceName],
         source: PolicySource,
+        random: &mut SmallRng,
     ) {
         let bytes = format!("{} {}", record.revision, record.text);
         let policy = policy(service, record.revision, calls);
@@ -173,7 +176,7 @@
                     let wanted = calls.iter().chain([service]).cloned();
                     self.distribution.set_wanted(wanted.collect());
                     for called in calls {
-                        self.follow(called, now);
+                        self.follow(called, now, random);
                     }
                 }
             }
@@ -235,7 +238,8 @@
             .or_default();
         list.0 = self.platform.index;
         list.1.push(record.clone());
-        self.nodes.push(FakeNode::new(record, self.now));
+        self.nodes
+            .push(FakeNode::new(record, self.now, &mut self.random));
     }
 
     pub fn publish(&mut self, service: &str, revision: PolicyRevision, text: &str) {
@@ -251,7 +255,7 @@
     /// Replaces a node by a new process with nothing in memory.
     pub fn restart(&mut self, node: usize) {
         let record = self.nodes[node].record.clone();
-        self.nodes[node] = FakeNode::new(record, self.now);
+        self.nodes[node] = FakeNode::new(record, self.now, &mut self.random);
     }
 
     pub fn run(&mut self, time: Duration) {
@@ -381,7 +385,14 @@
         let stored = self.platform_copy().records.get(service).cloned();
         if let Some((_, record)) = stored {
             let calls = self.calls.get(service).cloned().unwrap_or_default();
-            self.nodes[node].offer(self.now, service, &record, &calls, PolicySource::Platform);
+            self.nodes[node].offer(
+                self.now,
+                service,
+                &record,
+                &calls,
+                PolicySource::Platform,
+                &mut self.random,
+            );
         }
     }
 
@@ -496,7 +507,14 @@
             self.nodes[side].bytes += RECORD_BYTES + 2 * MESSAGE_OVERHEAD_BYTES;
         }
         let calls = self.calls.get(service).cloned().unwrap_or_default();
-        self.nodes[node].offer(self.now, service, &record, &calls, PolicySource::Peer);
+        self.nodes[node].offer(
+            self.now,
+            service,
+            &record,
+            &calls,
+            PolicySource::Peer,
+            &mut self.random,
+        );
     }
 
     pub fn reaches(&self, from: usize, to: usize) -> bool {
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -48,6 +48,9 @@
     reader: Rc<R>,
     service: ServiceName,
 ) {
+    let is_own = service == node.settings.service;
+    let wait = platform_watchers::pause_before_first(is_own, &mut *node.random.borrow_mut());
+    actix_rt::time::sleep(wait).await;
     let (other, lists) = (node.clone(), Rc::clone(&reader));
     let name = service.clone();
     // A node asks for its own list before its own record, so that it knows its peers when it
@@ -61,7 +64,7 @@
         }
     });
     let mut outcome = read_record(&node, &*reader, &service, 0).await;
-    if service == node.settings.service {
+    if is_own {
         node.policy_link.readiness.borrow_mut().platform_asked();
     }
     loop {
