--- a/crates/coordination/src/platform_watchers.rs
+++ b/crates/coordination/src/platform_watchers.rs
@@ -20,7 +20,7 @@
 const SELDOM_PAUSE: Duration = Duration::from_mins(10);
 
 /// Time over which new nodes spread the first reads of their own record and list.
-const OWN_SPREAD: Duration = Duration::from_secs(1);
+const OWN_SPREAD: Duration = Duration::from_secs(2);
 /// Time over which new nodes spread the first reads for the services that they call.
 const CALLED_SPREAD: Duration = Duration::from_secs(10);
 
