Add drain life cycle, crash suspects and upstream health

Cause: a node took no notice of its platform entry or its upstream's health, told nobody that it was leaving, and a request that crashes its upstream could be sent on from one to the next.

Ruled out: a shared list of suspects (nothing writes shared state); an exclusive mode inside the admission queue, since a lock behind it keeps the queue's order untouched.

Changed: DrainControl is a checked state machine with causes; nodes keep one open call on each link that returns when the other end begins to leave; requests in progress at a crash are counted by fingerprint, told to the other nodes of the service before the caller gets its answer, run alone after one crash and are quarantined after two.

--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -1,5 +1,7 @@
 //! Errors of the coordination layer.
 
+use crate::drain::DrainState;
+
 use lagoonshore_state::StateError;
 use snafu::Snafu;
 
@@ -12,6 +14,14 @@
         /// Cause in the state layer.
         source: StateError,
     },
+    /// The life cycle of the node has no such step.
+    #[snafu(display("a node that is {from:?} cannot become {to:?}"))]
+    LifeCycle {
+        /// Stage of the node.
+        from: DrainState,
+        /// Stage asked for.
+        to: DrainState,
+    },
 }
 
 /// `Result` of the coordination layer.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,11 +3,16 @@
 
 pub mod admission;
 pub mod call_table;
+pub mod crash_watch;
 pub mod drain;
 pub mod error;
+pub mod fingerprint;
 pub mod outcome;
+pub mod pause_watch;
 pub mod request_life;
 pub mod retries;
 pub mod routing;
+pub mod suspects;
+pub mod upstream_health;
 
 pub use error::{CoordinationError, Result};
--- a/crates/coordination/src/outcome.rs
+++ b/crates/coordination/src/outcome.rs
@@ -117,7 +117,11 @@
     pub const fn helps_elsewhere(self) -> bool {
         !matches!(
             self,
-            Self::Timeout | Self::TooLarge | Self::BadRequest | Self::RetryLimit
+            Self::Timeout
+                | Self::TooLarge
+                | Self::BadRequest
+                | Self::RetryLimit
+                | Self::Quarantined
         )
     }
 
--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -1,6 +1,6 @@
 //! Sends a call to an instance of another service, and again where that is allowed.
 
-use crate::{node::SharedNode, refusals};
+use crate::{node::SharedNode, refusals, suspect_gate};
 
 use lagoonshore_coordination::{
     outcome::{CallOutcome, RefusalReason},
@@ -46,7 +46,14 @@
     node.budget.borrow_mut().record_call(ratio);
     node.counters.borrow_mut().calls += 1;
     let mut refusal = refusals::on_arrival(RefusalReason::NoInstance);
+    let fingerprint = suspect_gate::fingerprint(&call.request);
     while let Some((key, address)) = choose(node, &call) {
+        if let Err(reason) = suspect_gate::check(node, fingerprint) {
+            refusal = combine(refusal, refusals::on_arrival(reason));
+            break;
+        }
+        let held = suspect_gate::report(node, fingerprint);
+        call.request.crashes = held.map_or(0, |report| report.crashes);
         call.tried.push(key);
         match try_instance(node, &call, key, address, &mut purse).await {
             CallResult::Answered(answer) => {
@@ -114,11 +121,13 @@
         Ok(reply) => {
             purse.put_back(reply.tokens, granted);
             note_reply(node, key, started, &reply);
+            suspect_gate::learn_reply(node, &reply);
             reply.result
         }
         Err(fault) => {
             node.selector.borrow_mut().failed(key, Instant::now());
             let refusal = link_refusal(&fault);
+            suspect_gate::note_lost_link(node, &call.request, refusal);
             if refusal.is_not_run() {
                 purse.put_back(granted, granted);
             }
--- /dev/null
+++ b/crates/daemon/src/exclusive_gate.rs
@@ -0,0 +1,92 @@
+//! Lets a suspect run with nothing else in progress on the upstream.
+//!
+//! Requests pass here after their admission, so the order of the queue is kept: everybody else
+//! holds a shared pass, a suspect the only one.
+
+use lagoonshore_coordination::outcome::RefusalReason;
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::{
+    sync::{Mutex, OwnedRwLockReadGuard, OwnedRwLockWriteGuard, RwLock},
+    time::Instant,
+};
+
+/// Longest time that is kept free for other work between two exclusive runs.
+const GAP_TIME_MAX: Duration = Duration::from_secs(1);
+
+/// `ExclusiveGate` hands out shared passes, and exclusive ones one at a time.
+#[derive(Clone, Default)]
+pub struct ExclusiveGate {
+    lock: Rc<GateLock>,
+}
+
+#[derive(Default)]
+struct GateLock {
+    // The lock library shares locks by `Arc` only.
+    passes: std::sync::Arc<RwLock<()>>,
+    turn: Mutex<()>,
+    next: Cell<Option<Instant>>,
+}
+
+/// `RunPass` lets one request run until it is dropped.
+pub enum RunPass {
+    /// Others may run beside it.
+    Shared(OwnedRwLockReadGuard<()>),
+    /// Nothing runs beside it.
+    Exclusive(ExclusivePass),
+}
+
+/// `ExclusivePass` keeps every other request out.
+pub struct ExclusivePass {
+    guard: Option<OwnedRwLockWriteGuard<()>>,
+    lock: Rc<GateLock>,
+    since: Instant,
+}
+
+impl ExclusiveGate {
+    /// Waits until no request holds or awaits an exclusive pass.
+    ///
+    /// # Errors
+    /// [`RefusalReason::Timeout`] once the deadline has passed.
+    pub async fn shared(&self, deadline: Instant) -> Result<RunPass, RefusalReason> {
+        let passing = std::sync::Arc::clone(&self.lock.passes).read_owned();
+        let guard = tokio::time::timeout_at(deadline, passing).await;
+        guard
+            .map(RunPass::Shared)
+            .map_err(|_| RefusalReason::Timeout)
+    }
+
+    /// Holds others back and waits until nothing is in progress. Between two exclusive runs
+    /// others get as much time as the earlier one took, up to a bound.
+    ///
+    /// # Errors
+    /// [`RefusalReason::Timeout`] once the deadline has passed.
+    pub async fn exclusive(&self, deadline: Instant) -> Result<RunPass, RefusalReason> {
+        let pass = tokio::time::timeout_at(deadline, self.wait_alone()).await;
+        pass.map(RunPass::Exclusive)
+            .map_err(|_| RefusalReason::Timeout)
+    }
+
+    async fn wait_alone(&self) -> ExclusivePass {
+        let turn = self.lock.turn.lock().await;
+        if let Some(next) = self.lock.next.get() {
+            tokio::time::sleep_until(next).await;
+        }
+        let since = Instant::now();
+        let passing = std::sync::Arc::clone(&self.lock.passes).write_owned();
+        let guard = passing.await;
+        drop(turn);
+        ExclusivePass {
+            guard: Some(guard),
+            lock: Rc::clone(&self.lock),
+            since,
+        }
+    }
+}
+
+impl Drop for ExclusivePass {
+    fn drop(&mut self) {
+        let gap = self.since.elapsed().min(GAP_TIME_MAX);
+        self.lock.next.set(Some(Instant::now() + gap));
+        drop(self.guard.take());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/guard_dump.rs
@@ -0,0 +1,61 @@
+//! The parts of the state dump on suspects and the upstream.
+
+use crate::node::Node;
+
+use lagoonshore_coordination::{
+    suspects::{SuspectCounts, SuspectVerdict},
+    upstream_health::UpstreamState,
+};
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// Suspects that a dump lists.
+const LISTED_MAX: usize = 100;
+
+/// `SuspectsPart` shows the suspects that a node knows.
+#[derive(Serialize)]
+pub struct SuspectsPart {
+    #[serde(flatten)]
+    counts: SuspectCounts,
+    listed: Vec<SuspectLine>,
+}
+
+#[derive(Serialize)]
+struct SuspectLine {
+    fingerprint: String,
+    crashes: u8,
+    quarantined: bool,
+}
+
+/// `UpstreamPart` shows what a node holds of its upstream.
+#[derive(Serialize)]
+pub struct UpstreamPart {
+    address: String,
+    state: UpstreamState,
+}
+
+/// The part on suspects.
+#[must_use]
+pub fn suspects(node: &Node) -> SuspectsPart {
+    let now = Instant::now();
+    let suspects = node.guard.suspects.borrow();
+    let listed = suspects.held(now).into_iter().take(LISTED_MAX);
+    let listed = listed.map(|(report, verdict)| SuspectLine {
+        fingerprint: format!("{:016x}", report.fingerprint),
+        crashes: report.crashes,
+        quarantined: verdict == SuspectVerdict::Quarantined,
+    });
+    SuspectsPart {
+        counts: suspects.counts(now),
+        listed: listed.collect(),
+    }
+}
+
+/// The part on the upstream.
+#[must_use]
+pub fn upstream(node: &Node) -> UpstreamPart {
+    UpstreamPart {
+        address: node.settings.upstream.address.to_string(),
+        state: node.guard.health.borrow().state(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/health_probe.rs
@@ -0,0 +1,86 @@
+//! Probes the health endpoint of the upstream and acts on changes.
+
+use crate::{crash_response, events, life_cycle, node::SharedNode};
+
+use lagoonshore_coordination::{
+    drain::DrainCause,
+    upstream_health::{HandOverSign, HealthChange, ProbeResult},
+};
+use lagoonshore_transport::{TransportError, upstream_client::UpstreamRequest};
+use rand::Rng;
+use std::time::Duration;
+use tokio::time::Instant;
+use tracing::{info, warn};
+
+/// Mean time between two probes; each is drawn around it.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+/// Time for the answer to a probe.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// Probes until the future is dropped.
+pub async fn run(node: SharedNode) {
+    loop {
+        let result = probe(&node).await;
+        let change = node
+            .guard
+            .health
+            .borrow_mut()
+            .probed(Instant::now(), result);
+        act(&node, change);
+        let factor = node.random.borrow_mut().random_range(0.5..1.5);
+        actix_rt::time::sleep(PROBE_PAUSE.mul_f64(factor)).await;
+    }
+}
+
+/// Makes one probe; the result changes nothing.
+pub async fn probe(node: &SharedNode) -> ProbeResult {
+    let request = UpstreamRequest {
+        method: "GET".into(),
+        path: node.settings.upstream.health.clone(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+    };
+    match node.upstream.send(request, PROBE_TIME).await {
+        Ok(answer) => match answer.status {
+            503 => ProbeResult::Draining,
+            // An upstream without such an endpoint is alive all the same.
+            200..=499 => ProbeResult::Good,
+            _ => ProbeResult::Unclear,
+        },
+        Err(TransportError::Connect { .. }) => ProbeResult::Refused,
+        Err(_) => ProbeResult::Unclear,
+    }
+}
+
+/// Takes in what an own hand-over showed of the upstream.
+pub fn note_hand_over(node: &SharedNode, sign: HandOverSign) {
+    let mut health = node.guard.health.borrow_mut();
+    let change = health.handed_over(Instant::now(), sign);
+    drop(health);
+    act(node, change);
+}
+
+fn act(node: &SharedNode, change: Option<HealthChange>) {
+    match change {
+        Some(HealthChange::DrainBegan) => life_cycle::begin(node, DrainCause::UpstreamLeaving),
+        Some(HealthChange::DrainEnded) => life_cycle::withdraw(node, DrainCause::UpstreamLeaving),
+        Some(HealthChange::WentDown) => go_down(node),
+        Some(HealthChange::ColdStart) => start_cold(node),
+        None => {}
+    }
+}
+
+fn go_down(node: &SharedNode) {
+    warn!(event = events::UPSTREAM_DOWN, "upstream: down");
+    let reports = crash_response::count_lingering(node);
+    if !reports.is_empty() {
+        let node = node.clone();
+        actix_rt::spawn(async move { crash_response::tell(&node, reports).await });
+    }
+}
+
+fn start_cold(node: &SharedNode) {
+    info!(event = events::UPSTREAM_COLD_START, "upstream: cold start");
+    life_cycle::withdraw(node, DrainCause::UpstreamLeaving);
+    node.guard.cold_started(Instant::now());
+}
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/inbound_door.rs
@@ -49,6 +49,7 @@
         importance: class.importance,
         caller,
         tokens: policy.retry_allowance(&class),
+        crashes: 0,
     };
     let result = serve(&node, request, &class, Instant::now() + timeout).await;
     refusals::to_answer(result)
@@ -72,7 +73,7 @@
     };
     let elsewhere = matches!(
         refusal.reason,
-        RefusalReason::Draining | RefusalReason::UpstreamUnreachable
+        RefusalReason::Draining | RefusalReason::Stale | RefusalReason::UpstreamUnreachable
     );
     let mut purse = TokenPurse::new(tokens);
     if !elsewhere || !refusal.is_not_run() || !purse.spend() {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,17 +3,25 @@
 pub mod admin_door;
 pub mod admission_gate;
 pub mod call_router;
+pub mod crash_response;
 pub mod error;
 pub mod events;
+pub mod exclusive_gate;
+pub mod guard_dump;
+pub mod health_probe;
 pub mod inbound_door;
+pub mod life_cycle;
 pub mod logging;
 pub mod node;
+pub mod node_guard;
 pub mod node_process;
 pub mod outbound_door;
 pub mod peer_door;
+pub mod planned_stop;
 pub mod platform_watch;
 pub mod refusals;
 pub mod request_server;
 pub mod state_dump;
+pub mod suspect_gate;
 
 pub use error::{DaemonError, Result};
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -3,6 +3,7 @@
 use crate::{
     admission_gate::AdmissionGate,
     error::{DaemonError, Result},
+    node_guard::NodeGuard,
 };
 
 use lagoonshore_coordination::{
@@ -79,7 +80,9 @@
     pub links: PeerLinks,
     /// Client of the own upstream.
     pub upstream: UpstreamClient,
-    /// Stage of a planned stop.
+    /// Protection of the upstream, and leaving without harm.
+    pub guard: NodeGuard,
+    /// Life cycle of the node.
     pub drain: RefCell<DrainControl>,
     /// Counters.
     pub counters: RefCell<NodeCounters>,
@@ -118,6 +121,7 @@
             budget: RefCell::default(),
             links: PeerLinks::default(),
             upstream: UpstreamClient::new(settings.upstream.address, ANSWER_BYTES_MAX),
+            guard: NodeGuard::default(),
             drain: RefCell::default(),
             counters: RefCell::default(),
             platform: RefCell::default(),
--- a/crates/daemon/src/node_process.rs
+++ b/crates/daemon/src/node_process.rs
@@ -3,11 +3,11 @@
 use crate::{
     admin_door,
     error::{Result, SignalsSnafu},
-    events, inbound_door,
+    events, health_probe, inbound_door, life_cycle,
     node::{Node, SharedNode},
     outbound_door,
     peer_door::PeerDoor,
-    platform_watch,
+    planned_stop, platform_watch,
 };
 
 use lagoonshore_settings::NodeSettings;
@@ -19,16 +19,9 @@
 };
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use snafu::ResultExt;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 use tracing::info;
 
-/// Longest time that a planned stop waits for requests in progress.
-const DRAIN_TIME_MAX: Duration = Duration::from_secs(90);
-/// Pause between two looks at the requests in progress during a planned stop.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// Time after the last answer for its bytes to leave.
-const FLUSH_TIME: Duration = Duration::from_millis(200);
-
 /// `BoundDoors` holds the addresses that the doors of a node listen on.
 #[derive(Clone, Copy, Debug)]
 pub struct BoundDoors {
@@ -63,8 +56,10 @@
     );
     let reader = Rc::new(ConsulReader::new(&node.settings.platform));
     actix_rt::spawn(platform_watch::run(node.clone(), reader));
+    actix_rt::spawn(health_probe::run(node.clone()));
+    actix_rt::spawn(life_cycle::watch_pauses(node.clone()));
     stop.await.context(SignalsSnafu)?;
-    drain(&node).await;
+    planned_stop::run(&node).await;
     Ok(())
 }
 
@@ -89,10 +84,18 @@
     };
     let limits = DoorLimits {
         connections: Rc::clone(&node.connections),
+        closing: node.guard.closing.clone(),
         ..DoorLimits::default()
     };
     let shared = node.clone();
-    let handler = move |request| inbound_door::answer(shared.clone(), request);
+    let handler = move |request| {
+        let (node, mark) = (shared.clone(), shared.guard.work.enter());
+        async move {
+            let answer = inbound_door::answer(node, request).await;
+            drop(mark);
+            answer
+        }
+    };
     actix_rt::spawn(http_door::serve(inbound, limits, handler));
     let shared = node.clone();
     let handler = move |request| outbound_door::answer(shared.clone(), request);
@@ -104,6 +107,7 @@
         std::future::ready(answer)
     };
     actix_rt::spawn(http_door::serve(admin, DoorLimits::default(), handler));
+    life_cycle::open(node);
     Ok(doors)
 }
 
@@ -115,25 +119,3 @@
     let _ = metrics::set_global_recorder(recorder);
     handle
 }
-
-/// Refuses new work and waits until what is in progress has ended.
-pub async fn drain(node: &SharedNode) {
-    node.drain.borrow_mut().begin();
-    let in_progress = node.gate.load().in_progress;
-    info!(event = events::DRAIN_STARTED, in_progress, "drain: started");
-    let waiting = async {
-        while !is_idle(node) {
-            actix_rt::time::sleep(DRAIN_POLL).await;
-        }
-    };
-    let finished = actix_rt::time::timeout(DRAIN_TIME_MAX, waiting)
-        .await
-        .is_ok();
-    actix_rt::time::sleep(FLUSH_TIME).await;
-    info!(event = events::DRAIN_FINISHED, finished, "drain: finished");
-}
-
-fn is_idle(node: &SharedNode) -> bool {
-    let load = node.gate.load();
-    load.in_progress == 0 && load.queued == 0 && node.calls.borrow().is_empty()
-}
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -59,6 +59,7 @@
         importance: context.importance,
         caller: context.caller,
         tokens: TokenCount(0),
+        crashes: 0,
     };
     let call = RoutedCall {
         request,
--- /dev/null
+++ b/crates/daemon/src/planned_stop.rs
@@ -0,0 +1,58 @@
+//! The planned stop of a node.
+
+use crate::{events, life_cycle, node::SharedNode};
+
+use lagoonshore_coordination::drain::DrainCause;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// Time beyond the longest timeout of the policy for requests in progress to end.
+const STOP_GRACE: Duration = Duration::from_secs(30);
+/// Pause between two looks at what is in progress.
+const STOP_POLL: Duration = Duration::from_millis(20);
+/// Longest wait for callers to take the last answers.
+const WRITE_TIME_MAX: Duration = Duration::from_secs(5);
+/// Time for the last answers to other nodes to leave.
+const FLUSH_TIME: Duration = Duration::from_millis(200);
+
+/// Refuses new work, finishes what is in progress to its deadline, and has every answer written.
+pub async fn run(node: &SharedNode) {
+    node.guard.closing.throw();
+    life_cycle::begin(node, DrainCause::PlannedStop);
+    let longest = longest_timeout(node) + STOP_GRACE;
+    let finished = wait_until(longest, || is_idle(node)).await;
+    let written = wait_until(WRITE_TIME_MAX, || node.guard.closing.unfinished() == 0).await;
+    actix_rt::time::sleep(FLUSH_TIME).await;
+    let ended = node.drain.borrow_mut().end();
+    if let Err(fault) = ended {
+        warn!(event = events::DRAIN_FINISHED, %fault, "drain: not ended");
+    }
+    info!(
+        event = events::DRAIN_FINISHED,
+        finished, written, "drain: finished"
+    );
+}
+
+/// Every request ends by its deadline, which its class bounds.
+fn longest_timeout(node: &SharedNode) -> Duration {
+    let policies = node.policies.borrow();
+    let classes = policies.iter().flat_map(|(_, entry)| &entry.policy.classes);
+    classes.map(|class| class.timeout).max().unwrap_or_default()
+}
+
+async fn wait_until(longest: Duration, holds: impl Fn() -> bool) -> bool {
+    let waiting = async {
+        while !holds() {
+            actix_rt::time::sleep(STOP_POLL).await;
+        }
+    };
+    actix_rt::time::timeout(longest, waiting).await.is_ok()
+}
+
+fn is_idle(node: &SharedNode) -> bool {
+    let load = node.gate.load();
+    load.in_progress == 0
+        && load.queued == 0
+        && node.calls.borrow().is_empty()
+        && node.guard.work.get() == 0
+}
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -1,7 +1,7 @@
 //! Watches the platform for the records and instance lists that the node needs.
 
 use crate::{
-    events,
+    events, life_cycle,
     node::{RecordFault, SharedNode},
 };
 
@@ -126,7 +126,10 @@
 }
 
 /// Takes the list as a hint: instances that it no longer names stay known.
-fn apply_instances(node: &SharedNode, listed: Vec<InstanceRecord>) {
+pub fn apply_instances(node: &SharedNode, listed: Vec<InstanceRecord>) {
+    for record in &listed {
+        life_cycle::note_listed(node, record);
+    }
     let mut table = node.instances.borrow_mut();
     for record in listed {
         table.upsert(record);
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -1,10 +1,14 @@
 //! Serves a request on the node's own upstream: admission, hand-over, whole answer.
 
-use crate::{node::SharedNode, refusals};
+use crate::{
+    crash_response::HandOverMark, exclusive_gate::RunPass, life_cycle, node::SharedNode, refusals,
+    suspect_gate,
+};
 
 use lagoonshore_coordination::{
     admission::AdmissionOffer,
     call_table::ServedCall,
+    fingerprint::RequestFingerprint,
     outcome::RefusalReason,
     request_life::{AdmittedState, CallRefusal, RequestLife},
     retries::TokenPurse,
@@ -21,7 +25,8 @@
 pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
     node.counters.borrow_mut().offered += 1;
     let granted = request.tokens;
-    let (result, tokens) = match admit_and_run(node, request, deadline).await {
+    let fingerprint = suspect_gate::fingerprint(&request);
+    let (result, tokens) = match admit_and_run(node, request, deadline, fingerprint).await {
         Ok((answer, tokens)) => (CallResult::Answered(answer), tokens),
         Err(refusal) => (CallResult::Refused(refusal), granted),
     };
@@ -30,6 +35,7 @@
         result,
         tokens,
         load: node.load(),
+        suspect: suspect_gate::report(node, fingerprint),
     }
 }
 
@@ -37,13 +43,16 @@
     node: &SharedNode,
     request: CallRequest,
     deadline: Instant,
+    fingerprint: RequestFingerprint,
 ) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
-    if node.drain.borrow().is_draining() {
-        return Err(refusals::on_arrival(RefusalReason::Draining));
+    if let Some(reason) = life_cycle::refusal(node) {
+        return Err(refusals::on_arrival(reason));
     }
     let Some(policy) = node.policy(&node.settings.service) else {
         return Err(refusals::on_arrival(RefusalReason::NoPolicy));
     };
+    suspect_gate::learn(node, fingerprint, request.crashes);
+    suspect_gate::check(node, fingerprint).map_err(refusals::on_arrival)?;
     let class = policy.class_of(&request.method, &request.path);
     let deadline = deadline.min(Instant::now() + class.timeout);
     let life = RequestLife::arrived();
@@ -57,7 +66,13 @@
         Ok(permit) => permit,
         Err(reason) => return Err(life.refuse(reason)),
     };
-    let served = run(node, life.admit(), request, deadline).await;
+    let life = life.admit();
+    let pass = match suspect_gate::enter(node, fingerprint, deadline).await {
+        Ok(pass) => pass,
+        Err(reason) => return Err(life.refuse(reason)),
+    };
+    let mark = (fingerprint, pass);
+    let served = run(node, life, request, deadline, mark).await;
     drop(permit);
     served
 }
@@ -67,6 +82,7 @@
     life: RequestLife<AdmittedState>,
     request: CallRequest,
     deadline: Instant,
+    (fingerprint, pass): (RequestFingerprint, RunPass),
 ) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
     let now = Instant::now();
     if deadline <= now {
@@ -76,12 +92,21 @@
     let life = life.hand_over();
     node.counters.borrow_mut().handed_over += 1;
     let request = upstream_request(request, entry.id);
+    let mark = HandOverMark::open(node, fingerprint);
     match node.upstream.send(request, deadline - now).await {
-        Ok(answer) => Ok((answer, entry.close())),
-        Err(TransportError::Connect { .. }) => {
-            Err(life.take_back().refuse(RefusalReason::UpstreamUnreachable))
+        Ok(answer) => {
+            mark.answered();
+            Ok((answer, entry.close()))
+        }
+        Err(fault) => {
+            mark.failed(&fault, pass).await;
+            Err(match fault {
+                TransportError::Connect { .. } => {
+                    life.take_back().refuse(RefusalReason::UpstreamUnreachable)
+                }
+                fault => life.lose(lost_reason(&fault)),
+            })
         }
-        Err(fault) => Err(life.lose(lost_reason(&fault))),
     }
 }
 
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -1,8 +1,11 @@
 //! The dump of a node's state: stable order, no bodies, no keys.
 
-use crate::node::{Node, PlatformState, RecordFault};
+use crate::{
+    guard_dump::{self, SuspectsPart, UpstreamPart},
+    node::{Node, PlatformState, RecordFault},
+};
 
-use lagoonshore_coordination::{drain::DrainState, routing::PeerView};
+use lagoonshore_coordination::{drain::DrainReport, routing::PeerView};
 use lagoonshore_state::{
     counters::NodeCounters,
     ids::{PolicyRevision, ServiceName},
@@ -20,7 +23,9 @@
     counters: NodeCounters,
     retries: RetriesPart,
     peers: Vec<PeerPart>,
-    drain: DrainState,
+    drain: DrainReport,
+    suspects: SuspectsPart,
+    upstream: UpstreamPart,
     platform: PlatformState,
 }
 
@@ -86,7 +91,9 @@
             budget: node.budget.borrow().saved(),
         },
         peers: peers(node),
-        drain: node.drain.borrow().state(),
+        drain: node.drain.borrow().report(),
+        suspects: guard_dump::suspects(node),
+        upstream: guard_dump::upstream(node),
         platform: node.platform.borrow().clone(),
     }
 }
--- /dev/null
+++ b/crates/daemon/src/suspect_gate.rs
@@ -0,0 +1,103 @@
+//! Decides how a request may run by what is held against it.
+
+use crate::{exclusive_gate::RunPass, node::SharedNode};
+
+use lagoonshore_coordination::{
+    fingerprint::{self, RequestFingerprint},
+    outcome::RefusalReason,
+    request_life::CallRefusal,
+    suspects::{SuspectReport, SuspectVerdict},
+};
+use lagoonshore_protocol::{
+    headers,
+    messages::{CallReply, CallRequest},
+};
+use tokio::time::Instant;
+
+/// Fingerprint of a request.
+#[must_use]
+pub fn fingerprint(request: &CallRequest) -> RequestFingerprint {
+    let key = headers::find(&request.headers, headers::IDEMPOTENCY_KEY);
+    fingerprint::of_request(
+        key,
+        &request.service,
+        &request.method,
+        &request.path,
+        &request.body,
+    )
+}
+
+/// Takes in what the calling node knows of a request.
+pub fn learn(node: &SharedNode, fingerprint: RequestFingerprint, crashes: u8) {
+    let report = SuspectReport {
+        fingerprint,
+        crashes,
+    };
+    let mut suspects = node.guard.suspects.borrow_mut();
+    suspects.merge(Instant::now(), report);
+}
+
+/// Takes in what the called node holds against a request.
+pub fn learn_reply(node: &SharedNode, reply: &CallReply) {
+    if let Some(report) = reply.suspect {
+        let mut suspects = node.guard.suspects.borrow_mut();
+        suspects.merge(Instant::now(), report);
+    }
+}
+
+/// Counts a call whose link broke: the instance may be lost with its upstream, and the call may
+/// be what crashed it, so that a repeat must run alone.
+pub fn note_lost_link(node: &SharedNode, request: &CallRequest, refusal: CallRefusal) {
+    if refusal.reason == RefusalReason::ConnectionLost {
+        let mut suspects = node.guard.suspects.borrow_mut();
+        suspects.crashed(Instant::now(), fingerprint(request));
+    }
+}
+
+/// What the node holds against a request.
+#[must_use]
+pub fn report(node: &SharedNode, fingerprint: RequestFingerprint) -> Option<SuspectReport> {
+    let suspects = node.guard.suspects.borrow();
+    suspects.report(Instant::now(), fingerprint)
+}
+
+/// Refuses a request that is in quarantine.
+///
+/// # Errors
+/// [`RefusalReason::Quarantined`].
+pub fn check(node: &SharedNode, fingerprint: RequestFingerprint) -> Result<(), RefusalReason> {
+    match verdict(node, fingerprint) {
+        SuspectVerdict::Quarantined => Err(RefusalReason::Quarantined),
+        SuspectVerdict::Alone | SuspectVerdict::Clear => Ok(()),
+    }
+}
+
+/// Waits until the request may run: beside others, or alone if it is a suspect. What is held
+/// against it may change while it waits, so the verdict is taken again with the pass in hand.
+///
+/// # Errors
+/// Why the request may not run.
+pub async fn enter(
+    node: &SharedNode,
+    fingerprint: RequestFingerprint,
+    deadline: Instant,
+) -> Result<RunPass, RefusalReason> {
+    loop {
+        let needed = verdict(node, fingerprint);
+        let exclusive = &node.guard.exclusive;
+        let pass = match needed {
+            SuspectVerdict::Clear => exclusive.shared(deadline).await?,
+            SuspectVerdict::Alone => exclusive.exclusive(deadline).await?,
+            SuspectVerdict::Quarantined => return Err(RefusalReason::Quarantined),
+        };
+        let found = verdict(node, fingerprint);
+        if found == needed || found == SuspectVerdict::Clear {
+            return Ok(pass);
+        }
+    }
+}
+
+fn verdict(node: &SharedNode, fingerprint: RequestFingerprint) -> SuspectVerdict {
+    let suspects = node.guard.suspects.borrow();
+    suspects.verdict(Instant::now(), fingerprint)
+}
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use lagoonshore_coordination::request_life::CallRefusal;
+pub use lagoonshore_coordination::suspects::SuspectReport;
 use lagoonshore_state::{
     data_type,
     ids::{CallerHash, ServiceName},
@@ -31,6 +32,8 @@
         pub caller: CallerHash,
         /// Retry tokens granted to the called side.
         pub tokens: TokenCount,
+        /// Crashes that the calling node knows the request to have caused or been beside.
+        pub crashes: u8,
     }
 
     /// `WholeAnswer` is a complete answer of an upstream.
@@ -59,6 +62,8 @@
         pub tokens: TokenCount,
         /// Load of the node that answers.
         pub load: LoadReport,
+        /// What the node that answers holds against the request.
+        pub suspect: Option<SuspectReport>,
     }
 
     /// `LoadReport` is the load of a node, carried by each of its replies.
--- a/crates/protocol/src/peer_service.rs
+++ b/crates/protocol/src/peer_service.rs
@@ -3,11 +3,18 @@
 // The attribute macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use crate::messages::{CallReply, CallRequest};
+use crate::messages::{CallReply, CallRequest, SuspectReport};
 
 /// `PeerService` is what a node does for other nodes.
 #[tarpc::service]
 pub trait PeerService {
     /// Has the upstream of the node serve a request.
     async fn call(request: CallRequest) -> CallReply;
+
+    /// Returns whether the node is leaving, as soon as that differs from `seen`. A node that calls
+    /// another keeps one such call open on its link, so that it learns of a drain at once.
+    async fn leaving(seen: bool) -> bool;
+
+    /// Tells the node of suspects and returns what it holds against the same requests.
+    async fn suspects(reports: Vec<SuspectReport>) -> Vec<SuspectReport>;
 }
--- a/crates/transport/src/http_door.rs
+++ b/crates/transport/src/http_door.rs
@@ -1,9 +1,12 @@
 //! Doors that speak HTTP/1.1, each with bounds on connections, bodies and waiting times.
 
-use crate::error::{ListenSnafu, Result};
+use crate::{
+    closing_switch::{ClosingSwitch, ConnectionMark},
+    error::{ListenSnafu, Result},
+};
 
 use actix_http::{
-    HttpMessage, HttpService, Payload, Request, Response, StatusCode,
+    ConnectionType, HttpMessage, HttpService, Payload, Request, Response, StatusCode,
     header::{HeaderName, HeaderValue},
 };
 use actix_rt::net::{TcpListener, TcpStream};
@@ -33,6 +36,8 @@
     pub body_time: Duration,
     /// Time for which an idle connection is kept.
     pub keep_alive: Duration,
+    /// Closes connections after their answers once the node is leaving.
+    pub closing: ClosingSwitch,
 }
 
 impl Default for DoorLimits {
@@ -43,6 +48,7 @@
             head_time: Duration::from_secs(5),
             body_time: Duration::from_secs(10),
             keep_alive: Duration::from_secs(75),
+            closing: ClosingSwitch::default(),
         }
     }
 }
@@ -97,9 +103,13 @@
     F: Future<Output = DoorAnswer> + 'static,
 {
     let body_limits = limits.clone();
+    let closing = limits.closing.clone();
     let service = HttpService::build()
         .keep_alive(limits.keep_alive)
         .client_request_timeout(limits.head_time)
+        .on_connect_ext(move |_, data| {
+            data.insert(ConnectionMark::new(closing.clone()));
+        })
         .finish(fn_service(move |request| {
             respond(request, body_limits.clone(), handler.clone())
         }))
@@ -156,9 +166,16 @@
     H: Fn(DoorRequest) -> F,
     F: Future<Output = DoorAnswer>,
 {
+    let connection = request.conn_data::<Rc<ConnectionMark>>().cloned();
     let (mut head, payload) = take_head(request);
     head.body = read_body(payload, &limits).await;
-    Ok(to_response(handler(head).await))
+    let mut response = to_response(handler(head).await);
+    if connection.is_some_and(|mark| mark.closes()) {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    Ok(response)
 }
 
 fn take_head(mut request: Request) -> (DoorRequest, Payload) {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,8 +1,10 @@
 //! `lagoonshore-transport` moves bytes: HTTP doors, the client of the upstream, links between
 //! nodes, the platform reader and process signals.
 
+pub mod closing_switch;
 pub mod error;
 pub mod http_door;
+pub mod leaving_watch;
 pub mod peer_link;
 pub mod peer_server;
 pub mod platform_reader;
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -1,10 +1,13 @@
 //! Links to other nodes over tarpc.
 
-use crate::error::{self, Result, TransportError};
+use crate::{
+    error::{self, Result, TransportError},
+    leaving_watch::{self, LeavingHook},
+};
 
 use actix_rt::net::TcpStream;
 use lagoonshore_protocol::{
-    messages::{CallReply, CallRequest},
+    messages::{CallReply, CallRequest, SuspectReport},
     peer_service::PeerServiceClient,
 };
 use std::{
@@ -40,6 +43,7 @@
 #[derive(Default)]
 pub struct PeerLinks {
     links: RefCell<BTreeMap<SocketAddr, PeerLink>>,
+    leaving_hook: RefCell<Option<LeavingHook>>,
 }
 
 impl PeerLinks {
@@ -65,6 +69,28 @@
             })
     }
 
+    /// Sets what is told of nodes that begin or cease to leave.
+    pub fn on_leaving(&self, hook: LeavingHook) {
+        self.leaving_hook.replace(Some(hook));
+    }
+
+    /// Tells the node at `address` of suspects; returns what it holds against them.
+    ///
+    /// # Errors
+    /// Any error may leave the node untold.
+    pub async fn tell_suspects(
+        &self,
+        address: SocketAddr,
+        reports: Vec<SuspectReport>,
+        deadline: Instant,
+    ) -> Result<Vec<SuspectReport>> {
+        let link = self.link(address).await?;
+        let mut context = Context::current();
+        context.deadline = deadline.into_std();
+        let told = link.client.suspects(context, reports).await;
+        told.map_err(|fault| error::exchange(address, &fault))
+    }
+
     /// Number of links that are up.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -88,6 +114,9 @@
         }
         let link = Self::connect(address).await?;
         self.links.borrow_mut().insert(address, link.clone());
+        if let Some(hook) = self.leaving_hook.borrow().clone() {
+            actix_rt::spawn(leaving_watch::follow(link.client.clone(), address, hook));
+        }
         Ok(link)
     }
 
