Count a connection that ended before its answer as unknown, not as not run

Cause: the HTTP client names a connection that ended after the request was written Connect(Disconnected), and the upstream client took every Connect fault for proof that nothing was sent. A request that crashed its upstream was refused as not run although it ran; the caller's stand-in made the same mistake.

Ruled out: faults while connecting, which the client names Io, Timeout and Unresolved; these still prove that nothing was sent.

Shown by the crash scenarios: before the change five of seven failed, with upstream-unreachable and not-run where connection-lost and unknown were due; after it all seven pass.

--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -7,7 +7,10 @@
     report::{RequestEnd, TrafficReport},
 };
 
-use awc::Client;
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+};
 use lagoonshore_protocol::headers;
 use pico_args::Arguments;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -186,7 +189,11 @@
     }
     let mut response = match call.send_body(tag.to_owned()).await {
         Ok(response) => response,
-        Err(awc::error::SendRequestError::Connect(_)) => {
+        // A connection that ended before the answer counts as lost, not as refused.
+        Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
+            return RequestEnd::Unknown("connection-lost".to_owned());
+        }
+        Err(SendRequestError::Connect(_)) => {
             return RequestEnd::Refused("connect".to_owned());
         }
         Err(_) => return RequestEnd::Unknown("connection-lost".to_owned()),
--- a/crates/transport/src/upstream_client.rs
+++ b/crates/transport/src/upstream_client.rs
@@ -4,7 +4,7 @@
 
 use awc::{
     Client, Connector,
-    error::SendRequestError,
+    error::{ConnectError, SendRequestError},
     http::{Method, Uri},
 };
 use bytes::{Bytes, BytesMut};
@@ -85,6 +85,11 @@
             .send_body(request.body)
             .await
             .map_err(|fault| match fault {
+                // The client also names a connection that ended before the answer so; by then the
+                // request may have been received.
+                SendRequestError::Connect(fault @ ConnectError::Disconnected) => {
+                    error::exchange(address, &fault)
+                }
                 SendRequestError::Connect(fault) => error::connect(address, &fault),
                 SendRequestError::Url(fault) => error::connect(address, &fault),
                 fault => error::exchange(address, &fault),
