--- a/crates/coordination/src/suspects.rs
+++ b/crates/coordination/src/suspects.rs
@@ -14,15 +14,17 @@
 /// Crashes after which a request is quarantined.
 pub const QUARANTINE_CRASHES: u8 = 2;
 /// Time for which a suspect is remembered.
-pub const SUSPECT_TIME: Duration = Duration::from_secs(60);
+pub const SUSPECT_TIME: Duration = Duration::from_mins(1);
 /// Length of the first quarantine.
-pub const QUARANTINE_TIME: Duration = Duration::from_secs(300);
+pub const QUARANTINE_TIME: Duration = Duration::from_mins(5);
 /// Longest quarantine.
-pub const QUARANTINE_TIME_MAX: Duration = Duration::from_secs(3600);
+pub const QUARANTINE_TIME_MAX: Duration = Duration::from_hours(1);
 /// Time after a quarantine for which the request still runs alone.
-pub const PROBATION_TIME: Duration = Duration::from_secs(3600);
+pub const PROBATION_TIME: Duration = Duration::from_hours(1);
 /// Entries that a table holds at most.
 pub const SUSPECTS_MAX: usize = 1024;
+/// Entries that leave a full table together.
+const EVICTED_TOGETHER: usize = 64;
 /// Time for which news of a suspect is passed on; far below [`SUSPECT_TIME`], so that news does
 /// not come back to a node that has forgotten it.
 pub const SPREAD_TIME: Duration = Duration::from_secs(10);
@@ -193,22 +195,22 @@
         self.entries.insert(fingerprint, entry);
     }
 
-    /// Forgets what is past its time; in a full table, the entry with the fewest crashes and
-    /// among these the oldest.
+    /// Forgets what is past its time; in a full table also the entries with the fewest crashes,
+    /// and among these the oldest. Several go at once, so that a flood costs little for each one.
     fn make_room(&mut self, now: Instant) {
         if self.entries.len() < SUSPECTS_MAX {
             return;
         }
         self.entries.retain(|_, entry| entry.forget_at > now);
-        while self.entries.len() >= SUSPECTS_MAX {
-            let weakest = self
-                .entries
-                .iter()
-                .min_by_key(|(_, entry)| (entry.crashes, entry.learned));
-            let Some((fingerprint, _)) = weakest else {
-                return;
-            };
-            let fingerprint = *fingerprint;
+        if self.entries.len() < SUSPECTS_MAX {
+            return;
+        }
+        let entries = self.entries.iter();
+        let mut weakest: Vec<_> = entries
+            .map(|(key, entry)| (entry.crashes, entry.learned, *key))
+            .collect();
+        weakest.sort_unstable();
+        for (_, _, fingerprint) in weakest.into_iter().take(EVICTED_TOGETHER) {
             self.entries.remove(&fingerprint);
         }
     }
--- a/crates/coordination/src/upstream_health.rs
+++ b/crates/coordination/src/upstream_health.rs
@@ -135,9 +135,8 @@
     fn turn(&mut self, to: UpstreamState) -> Option<HealthChange> {
         let from = std::mem::replace(&mut self.state, to);
         match (from, to) {
-            (UpstreamState::Draining, UpstreamState::Draining) => None,
+            (from, to) if from == to => None,
             (_, UpstreamState::Draining) => Some(HealthChange::DrainBegan),
-            (UpstreamState::Down, UpstreamState::Down) => None,
             (_, UpstreamState::Down) => Some(HealthChange::WentDown),
             (UpstreamState::Draining, UpstreamState::Up) => Some(HealthChange::DrainEnded),
             (UpstreamState::Down, UpstreamState::Up) => Some(HealthChange::ColdStart),
--- /dev/null
+++ b/crates/coordination/tests/leaving.rs
@@ -0,0 +1,129 @@
+//! Scenarios of the node's life cycle and of its upstream's health, in goldenscript.
+//! `at MS` sets the clock of the scenario.
+
+use goldenscript::{Command, Context, Runner};
+use lagoonshore_coordination::{
+    drain::{DrainCause, DrainControl},
+    pause_watch::PauseWatch,
+    upstream_health::{HandOverSign, HealthControl, ProbeResult},
+};
+use std::{error::Error, time::Duration};
+use tokio::time::Instant;
+
+struct LeavingRunner {
+    drain: DrainControl,
+    health: HealthControl,
+    pause: PauseWatch,
+    origin: Instant,
+    now: Instant,
+}
+
+impl LeavingRunner {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            drain: DrainControl::default(),
+            health: HealthControl::default(),
+            pause: PauseWatch::default(),
+            origin: now,
+            now,
+        }
+    }
+
+    fn stage(&self) -> String {
+        let refusal = self.drain.refusal().map(|reason| reason.as_str());
+        format!(
+            "{:?}, refuses: {}",
+            self.drain.state(),
+            refusal.unwrap_or("no")
+        )
+    }
+}
+
+fn cause(name: &str) -> Result<DrainCause, String> {
+    match name {
+        "stop" => Ok(DrainCause::PlannedStop),
+        "platform" => Ok(DrainCause::PlatformLeaving),
+        "upstream" => Ok(DrainCause::UpstreamLeaving),
+        "paused" => Ok(DrainCause::ProcessPaused),
+        name => Err(format!("unknown cause {name}")),
+    }
+}
+
+impl Runner for LeavingRunner {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Result<String, Box<dyn Error>> {
+        let mut arguments = command.consume_args();
+        let mut next = || arguments.next_pos().ok_or("an argument is missing");
+        let output = match command.name.as_str() {
+            "at" => {
+                self.now = self.origin + Duration::from_millis(next()?.parse()?);
+                String::new()
+            }
+            "open" => match self.drain.open() {
+                Ok(()) => self.stage(),
+                Err(fault) => fault.to_string(),
+            },
+            "begin" => {
+                self.drain.begin(cause(next()?)?);
+                self.stage()
+            }
+            "withdraw" => {
+                self.drain.withdraw(cause(next()?)?);
+                self.stage()
+            }
+            "end" => match self.drain.end() {
+                Ok(()) => self.stage(),
+                Err(fault) => fault.to_string(),
+            },
+            "probe" => {
+                let result = match next()? {
+                    "good" => ProbeResult::Good,
+                    "503" => ProbeResult::Draining,
+                    "refused" => ProbeResult::Refused,
+                    _ => ProbeResult::Unclear,
+                };
+                let change = self.health.probed(self.now, result);
+                format!("{:?} {change:?}", self.health.state())
+            }
+            "hand-over" => {
+                let sign = match next()? {
+                    "answered" => HandOverSign::Answered,
+                    _ => HandOverSign::Refused,
+                };
+                let change = self.health.handed_over(self.now, sign);
+                format!("{:?} {change:?}", self.health.state())
+            }
+            "late" => self.pause.is_late(self.now).to_string(),
+            "tick" => format!("paused: {}", self.pause.tick(self.now)),
+            name => return Err(format!("unknown command {name}").into()),
+        };
+        arguments.reject_next()?;
+        Ok(if output.is_empty() {
+            output
+        } else {
+            output + "\n"
+        })
+    }
+}
+
+#[test]
+fn the_life_cycle_has_only_its_own_steps() {
+    run("life_cycle");
+}
+
+#[test]
+fn health_is_a_hint() {
+    run("health");
+}
+
+#[test]
+fn a_pause_is_noticed_before_the_next_tick() {
+    run("pause");
+}
+
+fn run(name: &str) {
+    let path = format!("tests/scripts/leaving_{name}");
+    goldenscript::run(&mut LeavingRunner::new(), path).expect("the scenario cannot be read");
+}
--- /dev/null
+++ b/crates/coordination/tests/suspects.rs
@@ -0,0 +1,234 @@
+//! Scenarios of crash suspects in goldenscript, and their invariants over random histories.
+
+use goldenscript::{Command, Context, Runner};
+use lagoonshore_coordination::{
+    crash_watch::{CrashWatch, LINGERING_MAX, UpstreamSign},
+    fingerprint::{self, RequestFingerprint},
+    suspects::{REPORTS_MAX, SUSPECTS_MAX, SuspectReport, SuspectTable, SuspectVerdict},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use std::{collections::BTreeSet, error::Error, time::Duration};
+use tokio::time::Instant;
+
+/// Two nodes, `a` and `b`, that know of each other only what a scenario tells them.
+struct SuspectRunner {
+    nodes: [SuspectTable; 2],
+    watch: CrashWatch,
+    origin: Instant,
+    now: Instant,
+}
+
+fn named(name: &str) -> RequestFingerprint {
+    fingerprint::of_request(Some(name), "medication-log", "POST", "/doses", b"")
+}
+
+impl Runner for SuspectRunner {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, context: &Context) -> Result<String, Box<dyn Error>> {
+        let mut arguments = command.consume_args();
+        let node = usize::from(context.prefix.as_deref() == Some("b"));
+        let mut name = || arguments.next_pos().ok_or("an argument is missing");
+        let output = match command.name.as_str() {
+            "at" => {
+                self.now = self.origin + Duration::from_secs(name()?.parse()?);
+                String::new()
+            }
+            "crashed" => {
+                let report = self.nodes[node].crashed(self.now, named(name()?));
+                format!("{} crashes", report.crashes)
+            }
+            "finished" => {
+                self.nodes[node].finished(named(name()?));
+                String::new()
+            }
+            "verdict" => format!("{:?}", self.nodes[node].verdict(self.now, named(name()?))),
+            "tell" => {
+                let news = self.nodes[node].reports(self.now);
+                for report in &news {
+                    self.nodes[1 - node].merge(self.now, *report);
+                }
+                format!("{} told", news.len())
+            }
+            "hand-over" => {
+                self.watch.handed_over();
+                String::new()
+            }
+            "answered" => {
+                self.watch.answered();
+                String::new()
+            }
+            "lost" => {
+                self.watch.lost(self.now);
+                String::new()
+            }
+            "given-up" => {
+                self.watch.given_up(self.now, named(name()?));
+                String::new()
+            }
+            "lingering" => format!("{} counted", self.watch.take_lingering(self.now).len()),
+            "judge" => {
+                let fingerprint = named(name()?);
+                let sign = match name()? {
+                    "refuses" => UpstreamSign::Refuses,
+                    _ => UpstreamSign::Accepts,
+                };
+                format!("counts: {}", self.watch.judge(fingerprint, sign))
+            }
+            name => return Err(format!("unknown command {name}").into()),
+        };
+        arguments.reject_next()?;
+        Ok(if output.is_empty() {
+            output
+        } else {
+            output + "\n"
+        })
+    }
+}
+
+fn run(name: &str) {
+    let now = Instant::now();
+    let mut runner = SuspectRunner {
+        nodes: Default::default(),
+        watch: CrashWatch::default(),
+        origin: now,
+        now,
+    };
+    let path = format!("tests/scripts/suspects_{name}");
+    goldenscript::run(&mut runner, path).expect("the scenario cannot be read");
+}
+
+#[test]
+fn a_poison_is_quarantined_after_two_crashes() {
+    run("poison");
+}
+
+#[test]
+fn one_crash_counts_once() {
+    run("one_crash");
+}
+
+#[test]
+fn parts_of_a_request_do_not_run_into_each_other() {
+    let of = |service, path, body: &[u8]| fingerprint::of_request(None, service, "GET", path, body);
+    let all = [
+        of("a", "/b", b"c"),
+        of("a/", "b", b"c"),
+        of("a", "/", b"bc"),
+        fingerprint::of_request(Some("c"), "a", "GET", "/b", b""),
+        fingerprint::of_request(Some("c"), "b", "GET", "/b", b""),
+    ];
+    assert_eq!(BTreeSet::from(all).len(), all.len());
+}
+
+#[test]
+fn a_flood_of_suspects_stays_within_bounds_and_keeps_what_is_quarantined() {
+    let (mut table, mut watch, now) = (
+        SuspectTable::default(),
+        CrashWatch::default(),
+        Instant::now(),
+    );
+    table.crashed(now, 1);
+    table.crashed(now, 1);
+    for fingerprint in 2..100_000 {
+        table.merge(
+            now,
+            SuspectReport {
+                fingerprint,
+                crashes: 1,
+            },
+        );
+        watch.handed_over();
+        watch.given_up(now, fingerprint);
+    }
+    assert!(table.counts(now).held <= SUSPECTS_MAX);
+    assert_eq!(table.reports(now).len(), REPORTS_MAX);
+    assert_eq!(watch.take_lingering(now).len(), LINGERING_MAX);
+    assert_eq!(table.verdict(now, 1), SuspectVerdict::Quarantined);
+    assert_eq!(table.reports(now)[0].fingerprint, 1);
+}
+
+/// Requests of a random history; the first is the poison.
+const REQUESTS: u64 = 6;
+/// Instances of a random history.
+const INSTANCES: usize = 4;
+const POISON: u64 = 0;
+
+/// Runs a history: each step sends some requests to one instance, where the poison crashes the
+/// upstream. Returns the crashes of the upstreams, and the verdicts on all requests in the end.
+fn play(steps: &[(usize, BTreeSet<u64>)]) -> (u32, Vec<SuspectVerdict>) {
+    let now = Instant::now();
+    let mut tables: Vec<_> = (0..INSTANCES).map(|_| SuspectTable::default()).collect();
+    let mut crashes = 0;
+    let innocents: BTreeSet<u64> = (1..REQUESTS).collect();
+    let resends = [
+        (0, innocents.clone()),
+        (1, innocents.clone()),
+        (2, innocents.clone()),
+        (3, innocents),
+    ];
+    for (instance, requests) in steps.iter().chain(&resends) {
+        let table = &mut tables[*instance];
+        let verdict = |request: &u64| table.verdict(now, *request);
+        let (beside, other): (Vec<_>, Vec<_>) = requests
+            .iter()
+            .copied()
+            .partition(|request| verdict(request) == SuspectVerdict::Clear);
+        let alone = other
+            .into_iter()
+            .filter(|request| verdict(request) == SuspectVerdict::Alone);
+        let mut runs: Vec<Vec<u64>> = alone.map(|request| vec![request]).collect();
+        runs.push(beside);
+        let mut news = Vec::new();
+        for run in runs {
+            let crashed = run.contains(&POISON);
+            crashes += u32::from(crashed);
+            for request in run {
+                if crashed {
+                    news.push(table.crashed(now, request));
+                } else {
+                    table.finished(request);
+                }
+            }
+        }
+        for report in news {
+            tables.iter_mut().for_each(|table| table.merge(now, report));
+        }
+    }
+    let verdicts = tables
+        .iter()
+        .flat_map(|table| (0..REQUESTS).map(|request| table.verdict(now, request)));
+    (crashes, verdicts.collect())
+}
+
+#[test]
+fn a_poison_crashes_two_upstreams_at_most_and_innocents_are_cleared() {
+    let config = Config {
+        cases: 512,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let step = (
+        0..INSTANCES,
+        proptest::collection::btree_set(0..REQUESTS, 0..5),
+    );
+    let history = proptest::collection::vec(step, 0..24);
+    TestRunner::new_with_rng(config, random)
+        .run(&history, |steps| {
+            let (crashes, verdicts) = play(&steps);
+            prop_assert!(crashes <= 2, "{crashes} crashes");
+            for (place, verdict) in verdicts.into_iter().enumerate() {
+                let is_poison = place as u64 % REQUESTS == POISON;
+                prop_assert!(
+                    is_poison || verdict == SuspectVerdict::Clear,
+                    "{place} {verdict:?}"
+                );
+            }
+            Ok(())
+        })
+        .expect("the invariant holds");
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -134,6 +134,13 @@
     }
 }
 
+/// Waits until a condition holds.
+pub async fn until(holds: impl Fn() -> bool) {
+    while !holds() {
+        actix_rt::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
 /// Parses an address.
 pub fn address(text: &str) -> SocketAddr {
     text.parse().expect("an address")
--- a/crates/transport/src/leaving_watch.rs
+++ b/crates/transport/src/leaving_watch.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 /// Time for which one call waits for a change before it is made again.
-const WATCH_TIME: Duration = Duration::from_secs(600);
+const WATCH_TIME: Duration = Duration::from_mins(10);
 /// Time for which a node whose link ended after its notice still counts as leaving.
 const MEMORY_TIME: Duration = Duration::from_secs(5);
 
