--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -16,6 +16,10 @@
 
 /// Bound on connections.
 const CONNECTIONS_MAX: u32 = 4096;
+/// Requests below this path end the process that runs them.
+const POISON_PATH: &str = "/poison";
+/// Exit code after such a request.
+const POISON_EXIT: i32 = 86;
 /// Largest answer of a called service.
 const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
 
@@ -67,6 +71,9 @@
     if request.path == "/health" {
         return plain(200, Bytes::from_static(b"ok"));
     }
+    if request.path.starts_with(POISON_PATH) {
+        crash(&upstream, &request).await;
+    }
     let Some(route) = upstream.plan.route(&request.method, &request.path) else {
         return plain(404, Bytes::from_static(b"no such route"));
     };
@@ -84,6 +91,13 @@
     answer
 }
 
+/// Counts the run, then ends the process with every connection it has.
+async fn crash(upstream: &StandinUpstream, request: &DoorRequest) {
+    let run = format!("{}@{}", request.path, upstream.instance);
+    report_run(upstream, &run).await;
+    std::process::exit(POISON_EXIT);
+}
+
 fn work(upstream: &StandinUpstream, route: &RoutePlan) -> Duration {
     let slow = fault_line(upstream.faults.as_deref(), "slow");
     route
