--- a/crates/coordination/tests/leaving.rs
+++ b/crates/coordination/tests/leaving.rs
@@ -4,6 +4,7 @@
 use goldenscript::{Command, Context, Runner};
 use lagoonshore_coordination::{
     drain::{DrainCause, DrainControl},
+    outcome::RefusalReason,
     pause_watch::PauseWatch,
     upstream_health::{HandOverSign, HealthControl, ProbeResult},
 };
@@ -31,7 +32,7 @@
     }
 
     fn stage(&self) -> String {
-        let refusal = self.drain.refusal().map(|reason| reason.as_str());
+        let refusal = self.drain.refusal().map(RefusalReason::as_str);
         format!(
             "{:?}, refuses: {}",
             self.drain.state(),
--- a/crates/coordination/tests/suspects.rs
+++ b/crates/coordination/tests/suspects.rs
@@ -184,10 +184,10 @@
         runs.push(beside);
         let mut news = Vec::new();
         for run in runs {
-            let crashed = run.contains(&POISON);
-            crashes += u32::from(crashed);
+            let is_lost = run.contains(&POISON);
+            crashes += u32::from(is_lost);
             for request in run {
-                if crashed {
+                if is_lost {
                     news.push(table.crashed(now, request));
                 } else {
                     table.finished(request);
@@ -195,7 +195,9 @@
             }
         }
         for report in news {
-            tables.iter_mut().for_each(|table| table.merge(now, report));
+            for table in &mut tables {
+                table.merge(now, report);
+            }
         }
     }
     let verdicts = tables
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -6,13 +6,19 @@
 mod crashing_upstream;
 
 use crashing_upstream::{CrashingUpstream, POISON};
-use lagoonshore_coordination::suspects::{
-    QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport,
+use lagoonshore_coordination::{
+    retries::TokenPurse,
+    suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
 };
-use lagoonshore_daemon::crash_response;
+use lagoonshore_daemon::{
+    call_router::{self, RoutedCall, RoutedReply},
+    crash_response,
+};
+use lagoonshore_protocol::messages::{CallRequest, CallResult};
+use lagoonshore_state::units::{RequestImportance, TokenCount};
 use std::time::Duration;
 use support::{TestAnswer, TestNode};
-use tokio::time::Instant;
+use tokio::{io::AsyncReadExt, net::TcpListener, time::Instant};
 
 const PORTAL: &str = include_str!("../../../examples/kocaeli/records/diary-portal.yaml");
 const MEDICATION: &str = include_str!("../../../examples/kocaeli/records/medication-log.yaml");
@@ -34,6 +40,11 @@
     fleet
 }
 
+async fn portal() -> TestNode {
+    let idle = support::upstream(|_| async { support::ok("") }).await;
+    support::node("diary-portal", "izmit", idle, &[PORTAL, MEDICATION]).await
+}
+
 async fn poison(node: &TestNode) -> TestAnswer {
     support::send(node.doors.inbound, "GET", "/day/7", &[], POISON).await
 }
@@ -72,36 +83,75 @@
 #[actix_rt::test]
 async fn retries_of_the_router_crash_two_upstreams_and_no_more() {
     let fleet = fleet().await;
-    let idle = support::upstream(|_| async { support::ok("") }).await;
-    let portal = support::node("diary-portal", "izmit", idle, &[PORTAL, MEDICATION]).await;
+    let portal = portal().await;
     for (node, _) in &fleet {
         support::introduce(&portal, node);
     }
     for _ in 0..4 {
-        let request = lagoonshore_daemon::call_router::RoutedCall {
-            request: lagoonshore_protocol::messages::CallRequest {
-                service: "medication-log".into(),
-                method: "GET".into(),
-                path: "/day/7".into(),
-                headers: Vec::new(),
-                body: POISON.into(),
-                importance: lagoonshore_state::units::RequestImportance(3),
-                caller: 0,
-                tokens: lagoonshore_state::units::TokenCount(0),
-                crashes: 0,
-            },
-            deadline: Instant::now() + Duration::from_secs(30),
-            idempotent: true,
-            tried: Vec::new(),
-        };
-        let tokens = lagoonshore_state::units::TokenCount(8);
-        let purse = lagoonshore_coordination::retries::TokenPurse::new(tokens);
-        lagoonshore_daemon::call_router::route(&portal.node, request, purse).await;
+        route(&portal, "/day/7", POISON).await;
     }
     assert_eq!(crashes(&fleet), 2);
     assert_eq!(counts(&portal).quarantined, 1);
 }
 
+/// Routes an idempotent call of the portal's upstream, with tokens for every retry.
+async fn route(portal: &TestNode, path: &str, body: &'static str) -> RoutedReply {
+    let request = CallRequest {
+        service: "medication-log".into(),
+        method: "GET".into(),
+        path: path.into(),
+        headers: Vec::new(),
+        body: body.into(),
+        importance: RequestImportance(3),
+        caller: 0,
+        tokens: TokenCount(0),
+        crashes: 0,
+    };
+    let call = RoutedCall {
+        request,
+        deadline: Instant::now() + Duration::from_secs(60),
+        idempotent: true,
+        tried: Vec::new(),
+    };
+    call_router::route(&portal.node, call, TokenPurse::new(TokenCount(8))).await
+}
+
+#[actix_rt::test]
+async fn a_call_whose_link_broke_runs_alone_elsewhere() {
+    let upstream = CrashingUpstream::start();
+    let other = support::node("medication-log", "gebze", upstream.address, &[MEDICATION]).await;
+    let lost = support::node("medication-log", "izmit", upstream.address, &[MEDICATION]).await;
+    let portal = portal().await;
+    support::introduce(&portal, &other);
+    support::introduce(&portal, &lost);
+    // In the portal's own zone stands an instance that is lost with every call it takes.
+    let listener = TcpListener::bind(support::ANY_PORT)
+        .await
+        .expect("a free port");
+    let key = portal.node.instances.borrow().find("medication-log-izmit");
+    let record = portal
+        .node
+        .instances
+        .borrow()
+        .get(key.expect("listed"))
+        .cloned();
+    let mut record = record.expect("a record");
+    record.peer = listener.local_addr().expect("a bound address");
+    portal.node.instances.borrow_mut().upsert(record);
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 64]).await;
+        }
+    });
+    let calling = actix_rt::spawn(async move { route(&portal, "/day/held", "").await });
+    support::until(|| upstream.runs() == 1).await;
+    assert_eq!(counts(&other).alone, 1);
+    upstream.release(1);
+    let reply = calling.await.expect("the call ends");
+    assert!(matches!(reply.result, CallResult::Answered(_)), "{reply:?}");
+    assert_eq!(counts(&other).alone, 0);
+}
+
 #[actix_rt::test]
 async fn innocents_beside_a_poison_run_alone_and_are_free_again() {
     let fleet = fleet().await;
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -73,7 +73,7 @@
     support::until(|| near.node.gate.load().queued == 5).await;
 
     let node = near.node.clone();
-    let stopping = actix_rt::spawn(async move { planned_stop::run(&node).await });
+    let mut stopping = actix_rt::spawn(async move { planned_stop::run(&node).await });
     // The list still says that the node is live; the notice goes before it.
     support::until(|| says_draining(&portal, &near)).await;
     let offered = near.node.counters.borrow().offered;
@@ -85,7 +85,9 @@
     // A caller that still comes is served elsewhere.
     let answer = support::send(door, "GET", "/day/caller", &[], "").await;
     assert_eq!((answer.status, other.runs()), (200, 11));
-    assert!(!stopping.is_finished());
+    // The stop waits for the requests that are held, however long.
+    let early = tokio::time::timeout(Duration::from_millis(600), &mut stopping).await;
+    assert!(early.is_err(), "the stop ended with requests in progress");
 
     upstream.release(20);
     for request in in_progress {
