--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -46,7 +46,7 @@
 }
 
 async fn poison(node: &TestNode) -> TestAnswer {
-    support::send(node.doors.inbound, "GET", "/day/7", &[], POISON).await
+    support::send(node.doors.inbound, "GET", "/reports/7", &[], POISON).await
 }
 
 fn crashes(fleet: &[(TestNode, CrashingUpstream)]) -> u32 {
@@ -88,7 +88,7 @@
         support::introduce(&portal, node);
     }
     for _ in 0..4 {
-        route(&portal, "/day/7", POISON).await;
+        route(&portal, "/reports/7", POISON).await;
     }
     assert_eq!(crashes(&fleet), 2);
     assert_eq!(counts(&portal).quarantined, 1);
@@ -109,7 +109,7 @@
     };
     let call = RoutedCall {
         request,
-        deadline: Instant::now() + Duration::from_secs(60),
+        deadline: Instant::now() + Duration::from_mins(1),
         idempotent: true,
         tried: Vec::new(),
     };
@@ -143,7 +143,7 @@
             let _ = stream.read(&mut [0; 64]).await;
         }
     });
-    let calling = actix_rt::spawn(async move { route(&portal, "/day/held", "").await });
+    let calling = actix_rt::spawn(async move { route(&portal, "/reports/held", "").await });
     support::until(|| upstream.runs() == 1).await;
     assert_eq!(counts(&other).alone, 1);
     upstream.release(1);
@@ -156,7 +156,7 @@
 async fn innocents_beside_a_poison_run_alone_and_are_free_again() {
     let fleet = fleet().await;
     let (first, crashing) = &fleet[0];
-    let beside = actix_rt::spawn(view(first.doors.inbound, "/day/held"));
+    let beside = actix_rt::spawn(view(first.doors.inbound, "/reports/held"));
     support::until(|| crashing.runs() == 1).await;
     let answer = poison(first).await;
     assert_eq!(answer.reason, "connection-lost");
@@ -165,14 +165,14 @@
     let (second, upstream) = &fleet[1];
     assert_eq!(counts(second).alone, 2);
     // Alone: the innocent waits until nothing else is in progress.
-    let other = actix_rt::spawn(view(second.doors.inbound, "/reports/held"));
+    let other = actix_rt::spawn(view(second.doors.inbound, "/reports/other-held"));
     support::until(|| upstream.runs() == 1).await;
-    let resent = actix_rt::spawn(view(second.doors.inbound, "/day/held"));
+    let resent = actix_rt::spawn(view(second.doors.inbound, "/reports/held"));
     support::until(|| second.node.gate.load().in_progress == 2).await;
     upstream.release(1);
     assert_eq!(other.await.expect("the request ends").status, 200);
     support::until(|| upstream.runs() == 2).await;
-    let held_back = actix_rt::spawn(view(second.doors.inbound, "/day/9"));
+    let held_back = actix_rt::spawn(view(second.doors.inbound, "/reports/9"));
     support::until(|| second.node.gate.load().in_progress == 2).await;
     assert_eq!(upstream.runs(), 2);
     upstream.release(1);
