--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,16 +4,19 @@
 pub mod admission;
 pub mod call_table;
 pub mod child_key;
+pub mod crash_watch;
 pub mod digest_schedule;
 pub mod drain;
 pub mod error;
 pub mod execution_ledger;
 pub mod executor_binding;
+pub mod fingerprint;
 pub mod idempotency_key;
 pub mod key_home;
 pub mod membership;
 pub mod message_age;
 pub mod outcome;
+pub mod pause_watch;
 pub mod platform_watchers;
 pub mod policy_digest;
 pub mod policy_distribution;
@@ -21,5 +24,7 @@
 pub mod request_life;
 pub mod retries;
 pub mod routing;
+pub mod suspects;
+pub mod upstream_health;
 
 pub use error::{CoordinationError, Result};
--- a/crates/daemon/src/digest_exchange.rs
+++ b/crates/daemon/src/digest_exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanges digests with peers and pulls what they are ahead in.
 
-use crate::{events, node::SharedNode, policy_keeper};
+use crate::{crash_response, events, node::SharedNode, policy_keeper};
 
 use lagoonshore_coordination::policy_digest::RecordVersion;
 use lagoonshore_protocol::messages::{
@@ -108,7 +108,7 @@
         sender,
         reads_platform: node.platform.borrow().reachable != Some(false),
         policy,
-        suspects: Vec::new(),
+        suspects: node.guard.suspects.borrow().reports(Instant::now()),
     })
 }
 
@@ -145,6 +145,7 @@
         return false;
     }
     link.counters.borrow_mut().digests += 1;
+    crash_response::merge(node, digest.suspects.iter().copied());
     let sender = &digest.sender.name;
     let mut members = link.members.borrow_mut();
     members.note_reading(Instant::now(), sender, digest.reads_platform);
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/inbound_door.rs
@@ -58,6 +58,7 @@
         tokens: policy.retry_allowance(&class),
         key: None,
         stamp: MessageStamp::default(),
+        crashes: 0,
     };
     let deadline = Instant::now() + timeout;
     if !class.idempotent {
@@ -85,7 +86,7 @@
     };
     let elsewhere = matches!(
         refusal.reason,
-        RefusalReason::Draining | RefusalReason::UpstreamUnreachable
+        RefusalReason::Draining | RefusalReason::Stale | RefusalReason::UpstreamUnreachable
     );
     let mut purse = TokenPurse::new(tokens);
     if !elsewhere || !refusal.is_not_run() || !purse.spend() {
--- a/crates/daemon/src/keyed_server.rs
+++ b/crates/daemon/src/keyed_server.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     bound_call, call_router::RoutedCall, keyed_work::RunReceiver, node::SharedNode, request_server,
+    suspect_gate,
 };
 
 use lagoonshore_coordination::{
@@ -22,6 +23,18 @@
 
 /// Serves `request`, which must be answered before `deadline`; a key makes it run at most once.
 pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
+    if request.key.is_none() {
+        return request_server::serve(node, request, deadline).await;
+    }
+    let fingerprint = suspect_gate::fingerprint(&request);
+    let reply = serve_keyed(node, request, deadline).await;
+    CallReply {
+        suspect: suspect_gate::report(node, fingerprint),
+        ..reply
+    }
+}
+
+async fn serve_keyed(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
     let claim = match &request.key {
         None => return request_server::serve(node, request, deadline).await,
         Some(WorkKey::Home(key)) => node.work.home_claim(node, &request, key),
@@ -62,6 +75,7 @@
         result,
         tokens,
         load,
+        suspect: None,
     }
 }
 
@@ -137,6 +151,7 @@
         result: routed.result,
         tokens: routed.tokens,
         load: reply.load,
+        suspect: reply.suspect,
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -4,6 +4,7 @@
     admission_gate::AdmissionGate,
     error::{DaemonError, Result},
     keyed_work::KeyedWork,
+    node_guard::NodeGuard,
     policy_keeper::RecordFault,
     policy_link::PolicyLink,
 };
@@ -81,7 +82,9 @@
     pub links: PeerLinks,
     /// Client of the own upstream.
     pub upstream: UpstreamClient,
-    /// Stage of a planned stop.
+    /// Protection of the upstream, and leaving without harm.
+    pub guard: NodeGuard,
+    /// Life cycle of the node.
     pub drain: RefCell<DrainControl>,
     /// Counters.
     pub counters: RefCell<NodeCounters>,
@@ -126,6 +129,7 @@
             budget: RefCell::default(),
             links,
             upstream: UpstreamClient::new(settings.upstream.address, ANSWER_BYTES_MAX),
+            guard: NodeGuard::default(),
             drain: RefCell::default(),
             counters: RefCell::default(),
             platform: RefCell::default(),
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -64,6 +64,7 @@
         tokens: TokenCount(0),
         key: None,
         stamp: MessageStamp::default(),
+        crashes: 0,
     };
     if !class.idempotent {
         keyed_work::give_call_key(&node, &mut request, context.child_key);
--- a/crates/daemon/src/peer_door.rs
+++ b/crates/daemon/src/peer_door.rs
@@ -1,11 +1,12 @@
 //! The door for other nodes.
 
-use crate::{digest_exchange, keyed_server, node::SharedNode, refusals};
+use crate::{crash_response, digest_exchange, keyed_server, node::SharedNode, refusals};
 
 use lagoonshore_coordination::outcome::RefusalReason;
 use lagoonshore_protocol::{
     messages::{
         CallReply, CallRequest, CallResult, MessageStamp, NodeDigest, PullReply, PullRequest,
+        SuspectReport,
     },
     peer_service::PeerService,
 };
@@ -31,6 +32,7 @@
             result: CallResult::Refused(refusals::on_arrival(RefusalReason::Stale)),
             tokens: request.tokens,
             load: self.node.load(),
+            suspect: None,
         }
     }
 }
@@ -42,6 +44,7 @@
     }
 
     async fn call(self, context: Context, request: CallRequest) -> CallReply {
+        let _mark = self.node.guard.work.enter();
         // The remaining time travels with the message, so the time on its way is taken off here.
         let age = self.node.work.age(request.stamp);
         let deadline = Instant::from_std(context.deadline);
@@ -60,4 +63,18 @@
     async fn pull(self, _: Context, request: PullRequest) -> PullReply {
         digest_exchange::hand_over(&self.node, &request)
     }
+
+    async fn leaving(self, _: Context, seen: bool) -> bool {
+        let mut leaving = self.node.guard.leaving.subscribe();
+        let found = leaving.wait_for(|held| *held != seen).await;
+        // The sender lives as long as the node, so there is always a value.
+        found.map_or(true, |held| *held)
+    }
+
+    async fn suspects(self, _: Context, reports: Vec<SuspectReport>) -> Vec<SuspectReport> {
+        crash_response::merge(&self.node, reports.iter().copied());
+        let suspects = self.node.guard.suspects.borrow();
+        let held = |report: SuspectReport| suspects.report(Instant::now(), report.fingerprint);
+        reports.into_iter().filter_map(held).collect()
+    }
 }
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -1,10 +1,12 @@
 //! Reads the platform. Where the node is chosen to watch, it does so with long blocking queries;
 //! elsewhere it reads once at its start, seldom after that, and when no peer delivers a change.
 
-use crate::{events, node::SharedNode, policy_keeper};
+use crate::{events, life_cycle, node::SharedNode, policy_keeper};
 
 use lagoonshore_coordination::{platform_watchers, policy_digest::ListVersion};
-use lagoonshore_state::{ids::ServiceName, policy_set::PolicySource};
+use lagoonshore_state::{
+    ids::ServiceName, instance_table::InstanceRecord, policy_set::PolicySource,
+};
 use lagoonshore_transport::{TransportError, platform_reader::PlatformReader};
 use rand::Rng;
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
@@ -134,12 +136,20 @@
         service: service.clone(),
         index: reply.index,
     };
+    apply_instances(node, &version, reply.value);
+    Some(reply.index)
+}
+
+/// Takes in a list of instances of one service.
+pub fn apply_instances(node: &SharedNode, version: &ListVersion, listed: Vec<InstanceRecord>) {
+    for record in &listed {
+        life_cycle::note_listed(node, record);
+    }
     let mut members = node.policy_link.members.borrow_mut();
     let mut table = node.instances.borrow_mut();
-    members.apply_list(Instant::now(), &mut table, &version, reply.value);
+    members.apply_list(Instant::now(), &mut table, version, listed);
     drop((members, table));
     node.work.observe_members(node);
-    Some(reply.index)
 }
 
 fn note_read(node: &SharedNode, failure: Option<&TransportError>) {
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -1,6 +1,7 @@
 //! The dump of a node's state: stable order, no bodies, no keys.
 
 use crate::{
+    guard_dump::{self, SuspectsPart, UpstreamPart},
     keyed_work::LedgerPart,
     node::{Node, PlatformState},
     policy_keeper::RecordFault,
@@ -8,7 +9,7 @@
 };
 
 use lagoonshore_coordination::{
-    drain::DrainState, policy_digest::ListVersion, readiness::ReadinessState, routing::PeerView,
+    drain::DrainReport, policy_digest::ListVersion, readiness::ReadinessState, routing::PeerView,
 };
 use lagoonshore_state::{
     counters::NodeCounters,
@@ -30,7 +31,9 @@
     retries: RetriesPart,
     peers: Vec<PeerPart>,
     ledger: LedgerPart,
-    drain: DrainState,
+    drain: DrainReport,
+    suspects: SuspectsPart,
+    upstream: UpstreamPart,
     platform: PlatformState,
 }
 
@@ -111,7 +114,9 @@
         },
         peers: peers(node),
         ledger: node.work.dump(),
-        drain: node.drain.borrow().state(),
+        drain: node.drain.borrow().report(),
+        suspects: guard_dump::suspects(node),
+        upstream: guard_dump::upstream(node),
         platform: node.platform.borrow().clone(),
     }
 }
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+pub use lagoonshore_coordination::suspects::SuspectReport;
 use lagoonshore_coordination::{
     message_age::ClockStamp,
     policy_digest::{ListVersion, PolicyDigest},
@@ -40,6 +41,8 @@
         pub key: Option<WorkKey>,
         /// When and by whom the message was sent; set by the link.
         pub stamp: MessageStamp,
+        /// Crashes that the calling node knows the request to have caused or been beside.
+        pub crashes: u8,
     }
 
     /// `WorkKey` says which node may run a request, and under which key.
@@ -91,6 +94,8 @@
         pub tokens: TokenCount,
         /// Load of the node that answers.
         pub load: LoadReport,
+        /// What the node that answers holds against the request.
+        pub suspect: Option<SuspectReport>,
     }
 
     /// `LoadReport` is the load of a node, carried by each of its replies.
@@ -117,15 +122,6 @@
         pub suspects: Vec<SuspectReport>,
     }
 
-    /// `SuspectReport` names a request that was in progress when upstreams crashed.
-    #[derive(Copy, Eq)]
-    pub struct SuspectReport {
-        /// Fingerprint of the request.
-        pub fingerprint: u64,
-        /// Crashes that it was seen in.
-        pub crashes: u8,
-    }
-
     /// `PullRequest` asks for what a digest offered.
     #[derive(Default, Eq)]
     pub struct PullRequest {
--- a/crates/protocol/src/peer_service.rs
+++ b/crates/protocol/src/peer_service.rs
@@ -3,7 +3,9 @@
 // The attribute macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use crate::messages::{CallReply, CallRequest, MessageStamp, NodeDigest, PullReply, PullRequest};
+use crate::messages::{
+    CallReply, CallRequest, MessageStamp, NodeDigest, PullReply, PullRequest, SuspectReport,
+};
 
 use lagoonshore_state::ids::IncarnationId;
 
@@ -20,4 +22,10 @@
 
     /// Hands over records and lists that the node holds.
     async fn pull(request: PullRequest) -> PullReply;
+    /// Returns whether the node is leaving, as soon as that differs from `seen`. A node that calls
+    /// another keeps one such call open on its link, so that it learns of a drain at once.
+    async fn leaving(seen: bool) -> bool;
+
+    /// Tells the node of suspects and returns what it holds against the same requests.
+    async fn suspects(reports: Vec<SuspectReport>) -> Vec<SuspectReport>;
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -25,6 +25,10 @@
 
 /// Bound on connections.
 const CONNECTIONS_MAX: u32 = 4096;
+/// Requests below this path end the process that runs them.
+const POISON_PATH: &str = "/poison";
+/// Exit code after such a request.
+const POISON_EXIT: i32 = 86;
 /// Largest answer of a called service.
 const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
 
@@ -90,6 +94,9 @@
     if request.path == "/standin/work" {
         return plain(200, json!(upstream.work.take()).to_string().into());
     }
+    if request.path.starts_with(POISON_PATH) {
+        crash(&upstream, &request).await;
+    }
     let Some(route) = upstream.plan.route(&request.method, &request.path) else {
         return plain(404, Bytes::from_static(b"no such route"));
     };
@@ -134,6 +141,13 @@
     }
 }
 
+/// Counts the run, then ends the process with every connection it has.
+async fn crash(upstream: &StandinUpstream, request: &DoorRequest) {
+    let run = format!("{}@{}", request.path, upstream.instance);
+    report_run(upstream, &run).await;
+    std::process::exit(POISON_EXIT);
+}
+
 fn work(upstream: &StandinUpstream, route: &RoutePlan) -> Duration {
     let slow = fault_line(upstream.faults.as_deref(), "slow");
     route
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -1,10 +1,15 @@
 //! Links to other nodes over tarpc.
 
-use crate::error::{self, Result, TransportError};
+use crate::{
+    error::{self, Result, TransportError},
+    leaving_watch::{self, LeavingHook},
+};
 
 use actix_rt::net::TcpStream;
 use lagoonshore_protocol::{
-    messages::{CallReply, CallRequest, MessageStamp, NodeDigest, PullReply, PullRequest},
+    messages::{
+        CallReply, CallRequest, MessageStamp, NodeDigest, PullReply, PullRequest, SuspectReport,
+    },
     peer_service::PeerServiceClient,
 };
 use lagoonshore_state::ids::IncarnationId;
@@ -44,6 +49,7 @@
 pub struct PeerLinks {
     stamp: Box<dyn Fn() -> MessageStamp>,
     links: RefCell<BTreeMap<SocketAddr, PeerLink>>,
+    leaving_hook: RefCell<Option<LeavingHook>>,
 }
 
 impl PeerLinks {
@@ -53,6 +59,7 @@
         Self {
             stamp: Box::new(stamp),
             links: RefCell::default(),
+            leaving_hook: RefCell::default(),
         }
     }
 
@@ -110,6 +117,28 @@
         reply.map_err(|fault| link_fault(address, fault))
     }
 
+    /// Sets what is told of nodes that begin or cease to leave.
+    pub fn on_leaving(&self, hook: LeavingHook) {
+        self.leaving_hook.replace(Some(hook));
+    }
+
+    /// Tells the node at `address` of suspects; returns what it holds against them.
+    ///
+    /// # Errors
+    /// Any error may leave the node untold.
+    pub async fn tell_suspects(
+        &self,
+        address: SocketAddr,
+        reports: Vec<SuspectReport>,
+        deadline: Instant,
+    ) -> Result<Vec<SuspectReport>> {
+        let link = self.link(address).await?;
+        let mut context = Context::current();
+        context.deadline = deadline.into_std();
+        let told = link.client.suspects(context, reports).await;
+        told.map_err(|fault| error::exchange(address, &fault))
+    }
+
     /// Number of links that are up.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -133,6 +162,9 @@
         }
         let link = self.connect(address).await?;
         self.links.borrow_mut().insert(address, link.clone());
+        if let Some(hook) = self.leaving_hook.borrow().clone() {
+            actix_rt::spawn(leaving_watch::follow(link.client.clone(), address, hook));
+        }
         Ok(link)
     }
 
