Order admission by level, learned cost and fair shares

Cause: a surge left requests in every slot and queue that could no longer finish, and their callers sent them again. Changed: the queue is ordered by importance, slots that the caller had, and newest first while it stands; what cannot finish by its deadline is refused; the limit follows service times; levels travel in replies and are applied by the caller of a service; long work is moved to a lane with a bound. Ruled out: a per-process caller hash, since other callers would pass at each node.

--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -1,30 +1,46 @@
 //! Admission of requests to the slots of one upstream.
 //!
 //! No request is refused for overload while a less important one is admitted after it or stays
-//! queued: slots go to the head of a queue ordered by importance, and a full queue evicts its
-//! least important entry.
+//! queued: slots go to the head of a queue ordered by importance, a full queue evicts its least
+//! important entry, and a level that falls turns out what no longer passes.
 
-use crate::outcome::RefusalReason;
+use crate::{level_control::LevelControl, outcome::RefusalReason};
 
 use lagoonshore_state::{
-    ids::LaneName,
+    adaptive_limit::AdaptiveLimit,
+    admission_level::AdmissionLevel,
+    ids::{CallerHash, ClassName, LaneName},
     limit::SlotLimit,
-    queue::{AdmissionQueue, EntryKey, QueueEntry},
+    policy::LanePolicy,
+    queue::{AdmissionQueue, EntryKey, QueueEntry, QueueOrder},
+    service_cost::{CostTable, ServiceSample},
     units::{RequestImportance, SlotCount},
 };
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Queue entries for each slot; a longer queue only adds waiting time.
 const QUEUE_ENTRIES_PER_SLOT: u32 = 4;
+/// Lane of long work where the policy has no lane with a bound.
+const LEARNED_LANE: &str = "learned-long";
+/// Share of the slots that the learned lane may hold.
+const LEARNED_LANE_SHARE: f64 = 0.2;
+/// Time after which the slots that a caller had count half.
+const FAIRNESS_TIME: Duration = Duration::from_secs(1);
 
 /// `AdmissionOffer` describes a request that asks for a slot.
 #[derive(Clone, Debug)]
 pub struct AdmissionOffer {
     /// Importance given at the entry.
     pub importance: RequestImportance,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Caller at the entry.
+    pub caller: CallerHash,
     /// Lane that the request runs in.
     pub lane: LaneName,
+    /// Longest time that a request of the class may take.
+    pub timeout: Duration,
     /// Time after which the answer is of no use.
     pub deadline: Instant,
 }
@@ -49,35 +65,84 @@
     pub refused: Vec<(EntryKey, RefusalReason)>,
 }
 
+/// `AdmissionRules` switches parts of the admission off, to measure what each is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionRules {
+    /// Whether requests that cannot finish by their deadline are refused.
+    pub learns_costs: bool,
+    /// Whether the level falls under overload.
+    pub sets_level: bool,
+    /// Whether the limit adapts below the slots of the policy.
+    pub adapts_limit: bool,
+    /// Order of the queue while overloaded.
+    pub overload_order: QueueOrder,
+    /// Order of the queue otherwise.
+    pub calm_order: QueueOrder,
+}
+
+impl Default for AdmissionRules {
+    fn default() -> Self {
+        Self {
+            learns_costs: true,
+            sets_level: true,
+            adapts_limit: true,
+            overload_order: QueueOrder::NewestFirst,
+            calm_order: QueueOrder::EarliestDeadline,
+        }
+    }
+}
+
 /// `AdmissionControl` decides which requests hold the slots of one upstream.
 #[derive(Debug)]
 pub struct AdmissionControl {
+    rules: AdmissionRules,
     limit: SlotLimit,
+    adaptive: AdaptiveLimit,
     queue: AdmissionQueue,
-    shares: std::collections::BTreeMap<LaneName, f64>,
+    level: LevelControl,
+    costs: CostTable,
+    shares: BTreeMap<LaneName, f64>,
+    usage_end: Option<Instant>,
 }
 
 impl AdmissionControl {
     /// Creates a control with `slots` free slots and no lane bounds.
     #[must_use]
     pub fn new(slots: SlotCount) -> Self {
-        let limit = SlotLimit::new(slots);
+        Self::with_rules(slots, AdmissionRules::default())
+    }
+
+    /// Creates a control of which parts are switched off.
+    #[must_use]
+    pub fn with_rules(slots: SlotCount, rules: AdmissionRules) -> Self {
         Self {
-            limit,
+            rules,
+            limit: SlotLimit::new(slots),
+            adaptive: AdaptiveLimit::new(slots),
             queue: AdmissionQueue::default(),
-            shares: std::collections::BTreeMap::new(),
+            level: LevelControl::default(),
+            costs: CostTable::default(),
+            shares: BTreeMap::new(),
+            usage_end: None,
         }
     }
 
     /// Applies the bounds of a policy.
-    pub fn configure(&mut self, slots: SlotCount, lanes: &[lagoonshore_state::policy::LanePolicy]) {
-        self.limit.set_limit(slots);
+    pub fn configure(&mut self, slots: SlotCount, lanes: &[LanePolicy]) {
+        self.adaptive.set_slots(slots);
+        self.limit.set_limit(self.adaptive.limit());
         self.shares = lanes
             .iter()
             .map(|lane| (lane.name.clone(), lane.share))
             .collect();
     }
 
+    /// Begins with few slots, for an upstream that has just started.
+    pub fn slow_start(&mut self) {
+        self.adaptive.slow_start();
+        self.limit.set_limit(self.adaptive.limit());
+    }
+
     /// Requests in progress.
     #[must_use]
     pub const fn in_progress(&self) -> u32 {
@@ -96,22 +161,81 @@
         self.queue.len()
     }
 
-    /// Decides on a request that has just arrived; `change` receives entries that it evicts.
+    /// Level of the node's own upstream.
+    #[must_use]
+    pub const fn level(&self) -> AdmissionLevel {
+        self.level.level()
+    }
+
+    /// Tells whether the queue stands.
+    #[must_use]
+    pub const fn is_overloaded(&self) -> bool {
+        self.level.is_overloaded()
+    }
+
+    /// Service times learned so far.
+    #[must_use]
+    pub const fn costs(&self) -> &CostTable {
+        &self.costs
+    }
+
+    /// Slots held in each lane.
+    #[must_use]
+    pub const fn lanes(&self) -> &BTreeMap<LaneName, u32> {
+        self.limit.lanes()
+    }
+
+    /// Lane that a request runs in: the listed one, or that of long work where its class was seen
+    /// to be long.
+    #[must_use]
+    pub fn lane_for(&self, class: &str, listed: &LaneName) -> LaneName {
+        let is_bounded = self.share(listed) < 1.0;
+        if is_bounded || !self.costs.is_long(class) {
+            return listed.clone();
+        }
+        let bounded = self.shares.iter().find(|(_, share)| **share < 1.0);
+        bounded.map_or_else(|| LEARNED_LANE.into(), |(lane, _)| lane.clone())
+    }
+
+    /// Time after which a request can no longer finish by its deadline.
+    #[must_use]
+    pub fn latest_start(&self, offer: &AdmissionOffer) -> Instant {
+        if !self.rules.learns_costs {
+            return offer.deadline;
+        }
+        let needed = self.costs.needed(&offer.class, offer.timeout);
+        offer.deadline.checked_sub(needed).unwrap_or(offer.deadline)
+    }
+
+    /// Decides on a request that has just arrived; `change` receives what became of others.
     pub fn offer(
         &mut self,
         now: Instant,
         offer: AdmissionOffer,
         change: &mut QueueChange,
     ) -> AdmissionVerdict {
-        if offer.deadline <= now {
+        // Those that wait go before the newcomer where the limit has just risen.
+        *change = self.refill(now);
+        let latest_start = self.latest_start(&offer);
+        if latest_start <= now {
             return AdmissionVerdict::Refused(RefusalReason::Timeout);
         }
-        let share = self.share(&offer.lane);
-        if self.limit.has_room(&offer.lane, share) {
-            self.limit.take(&offer.lane);
+        if self.has_room(&offer.lane) {
+            self.start(&offer.lane, offer.caller, Duration::ZERO);
+            self.level.note_passed(offer.importance);
             return AdmissionVerdict::Admitted;
         }
-        self.enqueue(now, offer, change)
+        if !self.level.admits(offer.importance, offer.caller) {
+            return AdmissionVerdict::Refused(RefusalReason::Overload);
+        }
+        self.level.note_passed(offer.importance);
+        self.enqueue(now, offer, latest_start, change)
+    }
+
+    /// Notes the time that a request of `class` held its slot.
+    pub fn record(&mut self, now: Instant, class: &ClassName, sample: ServiceSample) {
+        let stretch = self.costs.record(now, class, sample);
+        self.adaptive.record(stretch);
     }
 
     /// Gives the slot of a finished request to those that wait.
@@ -125,61 +249,115 @@
         self.queue.remove(key);
     }
 
-    /// Refuses entries whose deadline passed and fills free slots.
+    /// Refuses entries that can no longer finish and fills free slots.
     pub fn refill(&mut self, now: Instant) -> QueueChange {
         let mut change = QueueChange::default();
-        for key in self.queue.expired(now, Duration::ZERO) {
-            self.queue.remove(key);
-            change.refused.push((key, RefusalReason::Timeout));
-        }
+        self.advance(now, &mut change);
         while let Some(key) = self.next_fitting() {
             if let Some(entry) = self.queue.remove(key) {
-                self.limit.take(&entry.lane);
+                self.start(&entry.lane, entry.caller, now - entry.arrival);
                 change.admitted.push(key);
             }
         }
         change
     }
 
+    /// Moves limit, level and queue to `now`.
+    fn advance(&mut self, now: Instant, change: &mut QueueChange) {
+        self.expire(now, change);
+        let limit = self.adaptive.advance(now, self.limit.in_progress());
+        if self.rules.adapts_limit {
+            self.limit.set_limit(limit);
+        }
+        let oldest = self.queue.oldest();
+        let wait = oldest.map(|arrival| now.saturating_duration_since(arrival));
+        if self.rules.sets_level && self.level.advance(now, wait) {
+            self.turn_out(change);
+        }
+        self.queue.set_order(if self.level.is_overloaded() {
+            self.rules.overload_order
+        } else {
+            self.rules.calm_order
+        });
+        let end = *self.usage_end.get_or_insert(now + FAIRNESS_TIME);
+        if now >= end {
+            self.queue.age_usage();
+            self.usage_end = Some(now + FAIRNESS_TIME);
+        }
+    }
+
+    fn expire(&mut self, now: Instant, change: &mut QueueChange) {
+        for key in self.queue.keys_where(|entry| entry.latest_start <= now) {
+            self.level.note_expelled();
+            self.refuse(key, RefusalReason::Timeout, change);
+        }
+    }
+
+    fn turn_out(&mut self, change: &mut QueueChange) {
+        let level = self.level.level();
+        let fails = |entry: &QueueEntry| !level.admits(entry.importance, entry.caller);
+        for key in self.queue.keys_where(fails) {
+            self.refuse(key, RefusalReason::Overload, change);
+        }
+    }
+
+    fn refuse(&mut self, key: EntryKey, reason: RefusalReason, change: &mut QueueChange) {
+        self.queue.remove(key);
+        change.refused.push((key, reason));
+    }
+
+    fn start(&mut self, lane: &LaneName, caller: CallerHash, wait: Duration) {
+        self.limit.take(lane);
+        self.queue.count_slot(caller);
+        self.level.note_started(wait);
+    }
+
     fn next_fitting(&self) -> Option<EntryKey> {
-        let (limit, shares) = (&self.limit, &self.shares);
-        self.queue.first_where(|entry| {
-            let share = shares.get(&entry.lane).copied().unwrap_or(1.0);
-            limit.has_room(&entry.lane, share)
-        })
+        self.queue.first_where(|entry| self.has_room(&entry.lane))
     }
 
     fn enqueue(
         &mut self,
         now: Instant,
         offer: AdmissionOffer,
+        latest_start: Instant,
         change: &mut QueueChange,
     ) -> AdmissionVerdict {
+        let key = self.queue.push(QueueEntry {
+            importance: offer.importance,
+            class: offer.class,
+            caller: offer.caller,
+            lane: offer.lane,
+            arrival: now,
+            latest_start,
+        });
         let capacity = self.limit.limit().0 * QUEUE_ENTRIES_PER_SLOT;
-        if self.queue.len() >= capacity as usize {
-            match self.queue.last() {
-                Some((key, importance)) if offer.importance.outranks(importance) => {
-                    self.queue.remove(key);
-                    change.refused.push((key, RefusalReason::Overload));
-                }
-                _ => return AdmissionVerdict::Refused(RefusalReason::Overload),
+        if self.queue.len() <= capacity as usize {
+            return AdmissionVerdict::Queued(key);
+        }
+        self.level.note_expelled();
+        match self.queue.last() {
+            Some(last) if last != key => {
+                self.refuse(last, RefusalReason::Overload, change);
+                AdmissionVerdict::Queued(key)
+            }
+            _ => {
+                self.queue.remove(key);
+                AdmissionVerdict::Refused(RefusalReason::Overload)
             }
         }
-        let AdmissionOffer {
-            importance,
-            lane,
-            deadline,
-        } = offer;
-        let entry = QueueEntry {
-            importance,
-            lane,
-            arrival: now,
-            deadline,
-        };
-        AdmissionVerdict::Queued(self.queue.push(entry))
+    }
+
+    fn has_room(&self, lane: &str) -> bool {
+        self.limit.has_room(lane, self.share(lane))
     }
 
     fn share(&self, lane: &str) -> f64 {
-        self.shares.get(lane).copied().unwrap_or(1.0)
+        let unlisted = if lane == LEARNED_LANE {
+            LEARNED_LANE_SHARE
+        } else {
+            1.0
+        };
+        self.shares.get(lane).copied().unwrap_or(unlisted)
     }
 }
--- a/crates/coordination/src/call_table.rs
+++ b/crates/coordination/src/call_table.rs
@@ -1,9 +1,9 @@
 //! The requests that the upstream is serving, by the id that it echoes on the calls it makes.
 
-use crate::retries::TokenPurse;
+use crate::{child_clock::ChildClock, retries::TokenPurse};
 
 use lagoonshore_state::{
-    ids::{CallId, CallerHash},
+    ids::{CallId, CallerHash, ClassName},
     units::{RequestImportance, TokenCount},
 };
 use std::collections::BTreeMap;
@@ -22,6 +22,10 @@
     pub purse: TokenPurse,
     /// Child calls made so far.
     pub children: u32,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Time spent in child calls.
+    pub child_clock: ChildClock,
 }
 
 /// `CallTable` holds the requests that the upstream is serving.
@@ -45,6 +49,12 @@
         call.map_or(TokenCount(0), |call| call.purse.balance())
     }
 
+    /// The request with `id`, to read.
+    #[must_use]
+    pub fn get(&self, id: CallId) -> Option<&ServedCall> {
+        self.calls.get(&id)
+    }
+
     /// The request with `id`, while it is being served.
     pub fn get_mut(&mut self, id: CallId) -> Option<&mut ServedCall> {
         self.calls.get_mut(&id)
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,8 +3,11 @@
 
 pub mod admission;
 pub mod call_table;
+pub mod child_clock;
 pub mod drain;
 pub mod error;
+pub mod level_control;
+pub mod level_table;
 pub mod outcome;
 pub mod request_life;
 pub mod retries;
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -5,6 +5,7 @@
     AdmissionControl, AdmissionOffer, AdmissionVerdict, QueueChange,
 };
 use lagoonshore_state::{
+    ids::ClassName,
     policy::LanePolicy,
     queue::EntryKey,
     units::{RequestImportance, SlotCount},
@@ -86,10 +87,15 @@
                 let name = arguments.next_pos().ok_or("offer NAME")?;
                 let importance = arguments.take_key("importance").unwrap_or("3").parse()?;
                 let deadline = arguments.take_key("deadline").unwrap_or("1000").parse()?;
-                let lane = arguments.take_key("lane").unwrap_or("short");
+                let lane = arguments.take_key("lane").unwrap_or("short").into();
+                let class: ClassName = arguments.take_key("class").unwrap_or("view").into();
+                let caller = arguments.take_key("caller").unwrap_or("0").parse()?;
                 let offer = AdmissionOffer {
                     importance: RequestImportance(importance),
-                    lane: lane.into(),
+                    lane: self.control.lane_for(&class, &lane),
+                    class,
+                    caller,
+                    timeout: Duration::from_millis(deadline),
                     deadline: self.origin + Duration::from_millis(deadline),
                 };
                 self.offer(name, offer)
--- a/crates/daemon/src/admission_gate.rs
+++ b/crates/daemon/src/admission_gate.rs
@@ -4,7 +4,14 @@
     admission::{AdmissionControl, AdmissionOffer, AdmissionVerdict, QueueChange},
     outcome::RefusalReason,
 };
-use lagoonshore_state::{ids::LaneName, policy::ServicePolicy, queue::EntryKey, units::SlotCount};
+use lagoonshore_state::{
+    admission_level::AdmissionLevel,
+    ids::{ClassName, LaneName},
+    policy::ServicePolicy,
+    queue::EntryKey,
+    service_cost::{ServiceCost, ServiceSample},
+    units::SlotCount,
+};
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 use tokio::{sync::oneshot, time::Instant};
 
@@ -22,6 +29,7 @@
 
 struct GateState {
     control: AdmissionControl,
+    configured: bool,
     waiters: BTreeMap<EntryKey, WaitingRequest>,
 }
 
@@ -52,6 +60,7 @@
         let control = AdmissionControl::new(INITIAL_SLOTS);
         let state = GateState {
             control,
+            configured: false,
             waiters: BTreeMap::new(),
         };
         Self {
@@ -65,6 +74,10 @@
     pub fn configure(&self, policy: &ServicePolicy) {
         let mut state = self.inner.borrow_mut();
         state.control.configure(policy.slots, &policy.lanes);
+        if !state.configured {
+            state.control.slow_start();
+            state.configured = true;
+        }
         let change = state.control.refill(Instant::now());
         let answers = self.answers(&mut state, change);
         drop(state);
@@ -75,8 +88,9 @@
     ///
     /// # Errors
     /// Why the request gets none.
-    pub async fn acquire(&self, offer: AdmissionOffer) -> Result<SlotPermit, RefusalReason> {
-        let (lane, deadline) = (offer.lane.clone(), offer.deadline);
+    pub async fn acquire(&self, mut offer: AdmissionOffer) -> Result<SlotPermit, RefusalReason> {
+        let latest_start = self.prepare(&mut offer);
+        let lane = offer.lane.clone();
         let verdict = self.offer(offer);
         match verdict {
             GateVerdict::Admitted => {}
@@ -87,7 +101,7 @@
                     key,
                     receiver,
                 };
-                return ticket.wait(deadline).await;
+                return ticket.wait(latest_start).await;
             }
         }
         Ok(SlotPermit {
@@ -107,6 +121,45 @@
         }
     }
 
+    /// Level of the node's own upstream.
+    #[must_use]
+    pub fn level(&self) -> AdmissionLevel {
+        self.inner.borrow().control.level()
+    }
+
+    /// Tells whether the queue stands.
+    #[must_use]
+    pub fn is_overloaded(&self) -> bool {
+        self.inner.borrow().control.is_overloaded()
+    }
+
+    /// Service times learned so far, by class.
+    #[must_use]
+    pub fn costs(&self) -> BTreeMap<ClassName, ServiceCost> {
+        self.inner.borrow().control.costs().costs().clone()
+    }
+
+    /// Slots held in each lane.
+    #[must_use]
+    pub fn lanes(&self) -> BTreeMap<LaneName, u32> {
+        self.inner.borrow().control.lanes().clone()
+    }
+
+    /// Chooses the lane of a request; returns the time until which it may wait.
+    fn prepare(&self, offer: &mut AdmissionOffer) -> Instant {
+        let state = self.inner.borrow();
+        offer.lane = state.control.lane_for(&offer.class, &offer.lane);
+        state.control.latest_start(offer)
+    }
+
+    fn refill(&self) {
+        let mut state = self.inner.borrow_mut();
+        let change = state.control.refill(Instant::now());
+        let answers = self.answers(&mut state, change);
+        drop(state);
+        send_all(answers);
+    }
+
     fn offer(&self, offer: AdmissionOffer) -> GateVerdict {
         let mut state = self.inner.borrow_mut();
         let mut change = QueueChange::default();
@@ -181,12 +234,15 @@
 }
 
 impl WaitTicket {
-    async fn wait(mut self, deadline: Instant) -> GateAnswer {
-        let answer = tokio::time::timeout_at(deadline, &mut self.receiver).await;
+    async fn wait(mut self, latest_start: Instant) -> GateAnswer {
+        let answer = tokio::time::timeout_at(latest_start, &mut self.receiver).await;
         match answer {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) => Err(RefusalReason::Overload),
-            Err(_) => Err(RefusalReason::Timeout),
+            Err(_) => {
+                self.gate.refill();
+                Err(RefusalReason::Timeout)
+            }
         }
     }
 }
@@ -199,6 +255,19 @@
     }
 }
 
+impl SlotPermit {
+    /// Notes the time that a request of `class` held the slot.
+    pub fn record(&self, class: &ClassName, sample: ServiceSample) {
+        let mut state = self.gate.inner.borrow_mut();
+        state.control.record(Instant::now(), class, sample);
+    }
+
+    /// Begins with few slots again, for an upstream that has just started.
+    pub fn slow_start(&self) {
+        self.gate.inner.borrow_mut().control.slow_start();
+    }
+}
+
 impl Drop for SlotPermit {
     fn drop(&mut self) {
         self.gate.release(&self.lane);
--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -8,7 +8,7 @@
     retries::TokenPurse,
 };
 use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult};
-use lagoonshore_state::{instance_table::InstanceKey, units::TokenCount};
+use lagoonshore_state::{ids::ClassName, instance_table::InstanceKey, units::TokenCount};
 use lagoonshore_transport::TransportError;
 use std::net::SocketAddr;
 use tokio::time::Instant;
@@ -25,6 +25,8 @@
     pub deadline: Instant,
     /// Whether the call may be sent again when its outcome is unknown.
     pub idempotent: bool,
+    /// Class of the request that the call is made for, if it is made for one.
+    pub made_for: Option<ClassName>,
     /// Instances that were tried before.
     pub tried: Vec<InstanceKey>,
 }
@@ -114,6 +116,7 @@
         Ok(reply) => {
             purse.put_back(reply.tokens, granted);
             note_reply(node, key, started, &reply);
+            note_level(node, call, &reply);
             reply.result
         }
         Err(fault) => {
@@ -136,6 +139,14 @@
     }
 }
 
+fn note_level(node: &SharedNode, call: &RoutedCall, reply: &CallReply) {
+    if let Some(class) = &call.made_for {
+        let mut levels = node.levels.borrow_mut();
+        let service = &call.request.service;
+        levels.note(Instant::now(), class, service, reply.load.level);
+    }
+}
+
 const fn link_refusal(fault: &TransportError) -> CallRefusal {
     match fault {
         TransportError::Connect { .. } => refusals::on_arrival(RefusalReason::UpstreamUnreachable),
--- /dev/null
+++ b/crates/daemon/src/hand_over.rs
@@ -0,0 +1,123 @@
+//! Follows one request from its hand-over to its end, however that comes.
+
+use crate::{admission_gate::SlotPermit, node::SharedNode};
+
+use lagoonshore_coordination::{
+    call_table::ServedCall, child_clock::ChildClock, retries::TokenPurse,
+};
+use lagoonshore_protocol::messages::CallRequest;
+use lagoonshore_state::{
+    ids::{CallId, ClassName},
+    service_cost::ServiceSample,
+    units::TokenCount,
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// First HTTP status of the answers by which an upstream says that it failed.
+const SERVER_ERROR: u16 = 500;
+
+/// How a hand-over ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HandOverEnd {
+    /// No whole answer came, or the request's future was dropped.
+    Lost,
+    /// A whole answer with this status came.
+    Answered(u16),
+    /// The upstream received nothing.
+    TakenBack,
+}
+
+/// `HandOver` keeps a request in the call table and its slot until it ends, and counts its time.
+pub struct HandOver {
+    node: SharedNode,
+    permit: SlotPermit,
+    id: CallId,
+    class: ClassName,
+    started: Instant,
+    deadline: Instant,
+    end: HandOverEnd,
+}
+
+impl HandOver {
+    /// Starts a hand-over.
+    #[must_use]
+    pub fn open(
+        node: &SharedNode,
+        permit: SlotPermit,
+        request: &CallRequest,
+        class: ClassName,
+        deadline: Instant,
+    ) -> Self {
+        let call = ServedCall {
+            importance: request.importance,
+            deadline,
+            caller: request.caller,
+            purse: TokenPurse::new(request.tokens),
+            children: 0,
+            class: class.clone(),
+            child_clock: ChildClock::default(),
+        };
+        let id = node.calls.borrow_mut().open(call);
+        Self {
+            node: node.clone(),
+            permit,
+            id,
+            class,
+            started: Instant::now(),
+            deadline,
+            end: HandOverEnd::Lost,
+        }
+    }
+
+    /// Id that the upstream echoes.
+    #[must_use]
+    pub const fn id(&self) -> CallId {
+        self.id
+    }
+
+    /// Ends with a whole answer; returns the tokens that the request did not spend.
+    #[must_use]
+    pub fn answered(mut self, status: u16) -> TokenCount {
+        self.end = HandOverEnd::Answered(status);
+        let calls = self.node.calls.borrow();
+        calls
+            .get(self.id)
+            .map_or(TokenCount(0), |call| call.purse.balance())
+    }
+
+    /// Ends because the upstream accepts no connection; it begins with few slots when it is back.
+    pub fn taken_back(mut self) {
+        self.end = HandOverEnd::TakenBack;
+        self.permit.slow_start();
+    }
+
+    fn sample(&self, now: Instant) -> ServiceSample {
+        let calls = self.node.calls.borrow();
+        let children = calls.get(self.id).map(|call| call.child_clock.total(now));
+        let total = now - self.started;
+        let is_good = |status| status < SERVER_ERROR;
+        ServiceSample {
+            total,
+            own: total.saturating_sub(children.unwrap_or(Duration::ZERO)),
+            succeeded: now <= self.deadline
+                && matches!(self.end, HandOverEnd::Answered(status) if is_good(status)),
+        }
+    }
+}
+
+impl Drop for HandOver {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let sample = self.sample(now);
+        self.node.calls.borrow_mut().close(self.id);
+        if self.end == HandOverEnd::TakenBack {
+            return;
+        }
+        self.permit.record(&self.class, sample);
+        if !sample.succeeded {
+            let micros = u64::try_from(sample.total.as_micros()).unwrap_or(u64::MAX);
+            self.node.counters.borrow_mut().wasted_micros += micros;
+        }
+    }
+}
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/inbound_door.rs
@@ -39,7 +39,7 @@
             return refusals::refuse(refusals::on_arrival(RefusalReason::BadRequest), detail);
         }
     };
-    let caller = node.caller_hash(headers::find(&fields, headers::CALLER).unwrap_or_default());
+    let caller = node.caller_hash(headers::find(&fields, headers::CALLER));
     let request = CallRequest {
         service,
         method,
@@ -83,6 +83,7 @@
         request,
         deadline,
         idempotent,
+        made_for: None,
         tried: Vec::new(),
     };
     call_router::route(node, call, purse).await.result
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod call_router;
 pub mod error;
 pub mod events;
+pub mod hand_over;
 pub mod inbound_door;
 pub mod logging;
 pub mod node;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,12 +8,14 @@
 use lagoonshore_coordination::{
     call_table::CallTable,
     drain::DrainControl,
+    level_table::LevelTable,
     retries::RetryBudget,
     routing::{PeerSelector, RoutingOrigin},
 };
 use lagoonshore_protocol::messages::LoadReport;
 use lagoonshore_settings::NodeSettings;
 use lagoonshore_state::{
+    admission_level,
     counters::NodeCounters,
     ids::{CallerHash, IncarnationId, PolicyRevision, ServiceName},
     instance_table::InstanceTable,
@@ -21,13 +23,13 @@
     policy_set::PolicySet,
 };
 use lagoonshore_transport::{peer_link::PeerLinks, upstream_client::UpstreamClient};
-use rand::{SeedableRng, rngs::SmallRng};
+use rand::{RngCore, SeedableRng, rngs::SmallRng};
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    hash::{BuildHasher, RandomState},
     rc::Rc,
 };
+use tokio::time::Instant;
 
 /// Largest answer of an upstream, in bytes.
 pub const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
@@ -89,7 +91,8 @@
     pub random: RefCell<SmallRng>,
     /// Bound on inbound connections, from the policy.
     pub connections: Rc<Cell<u32>>,
-    caller_hasher: RandomState,
+    /// Admission levels of called services.
+    pub levels: RefCell<LevelTable>,
 }
 
 impl Node {
@@ -123,7 +126,7 @@
             platform: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             connections: Rc::new(Cell::new(1024)),
-            caller_hasher: RandomState::new(),
+            levels: RefCell::default(),
             settings,
         }))
     }
@@ -135,21 +138,24 @@
         policies.get(service).map(|entry| Rc::clone(&entry.policy))
     }
 
-    /// Hash of an opaque caller id.
+    /// Hash of an opaque caller id, the same at all nodes; random where the caller gives none.
     #[must_use]
-    pub fn caller_hash(&self, caller: &str) -> CallerHash {
-        self.caller_hasher.hash_one(caller)
+    pub fn caller_hash(&self, caller: Option<&str>) -> CallerHash {
+        let random = || self.random.borrow_mut().next_u64();
+        caller.map_or_else(random, admission_level::caller_hash)
     }
 
-    /// Load as replies to peers carry it.
+    /// Load as replies to peers carry it, for requests of `class`.
     #[must_use]
-    pub fn load(&self) -> LoadReport {
+    pub fn load(&self, class: &str) -> LoadReport {
         let load = self.gate.load();
+        let route = self.levels.borrow().route(Instant::now(), class);
         LoadReport {
             in_progress: load.in_progress,
             limit: load.limit,
             queued: load.queued,
             draining: self.drain.borrow().is_draining(),
+            level: self.gate.level().strictest(route),
         }
     }
 }
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -12,7 +12,7 @@
     messages::CallRequest,
 };
 use lagoonshore_state::{
-    ids::{CallId, CallerHash},
+    ids::{CallId, CallerHash, ClassName},
     policy::RequestClass,
     units::{RequestImportance, TokenCount},
 };
@@ -26,6 +26,7 @@
     caller: CallerHash,
     tokens: TokenCount,
     parent: Option<CallId>,
+    made_for: Option<ClassName>,
 }
 
 /// Answers one call of the upstream.
@@ -64,15 +65,59 @@
         request,
         deadline: context.deadline,
         idempotent: class.idempotent,
+        made_for: context.made_for,
         tried: Vec::new(),
     };
-    let reply = call_router::route(&node, call, TokenPurse::new(context.tokens)).await;
-    if let Some(parent) = context.parent {
-        put_back(&node, parent, reply.tokens, context.tokens);
+    if !passes_level(&node, &call) {
+        node.counters.borrow_mut().refused_early += 1;
+        put_back(&node, context.parent, context.tokens, context.tokens);
+        return refusals::refuse(refusals::on_arrival(RefusalReason::Overload), "");
     }
+    let timer = ChildTimer::start(&node, context.parent);
+    let reply = call_router::route(&node, call, TokenPurse::new(context.tokens)).await;
+    drop(timer);
+    put_back(&node, context.parent, reply.tokens, context.tokens);
     refusals::to_answer(reply.result)
 }
 
+/// Tells whether the called service, as far as it is known, takes such a call.
+fn passes_level(node: &SharedNode, call: &RoutedCall) -> bool {
+    let RoutedCall {
+        request, made_for, ..
+    } = call;
+    let class = made_for.as_deref().unwrap_or_default();
+    let levels = node.levels.borrow();
+    let level = levels.service(Instant::now(), class, &request.service);
+    level.admits(request.importance, request.caller)
+}
+
+/// Measures the time of a child call until it is dropped.
+struct ChildTimer {
+    node: SharedNode,
+    parent: Option<CallId>,
+}
+
+impl ChildTimer {
+    fn start(node: &SharedNode, parent: Option<CallId>) -> Self {
+        let mut calls = node.calls.borrow_mut();
+        if let Some(call) = parent.and_then(|parent| calls.get_mut(parent)) {
+            call.child_clock.start(Instant::now());
+        }
+        drop(calls);
+        let node = node.clone();
+        Self { node, parent }
+    }
+}
+
+impl Drop for ChildTimer {
+    fn drop(&mut self) {
+        let mut calls = self.node.calls.borrow_mut();
+        if let Some(call) = self.parent.and_then(|parent| calls.get_mut(parent)) {
+            call.child_clock.finish(Instant::now());
+        }
+    }
+}
+
 fn called_service(fields: &[HeaderField]) -> Option<&str> {
     let host = headers::find(fields, "host")?;
     let name = host.split(':').next()?;
@@ -92,6 +137,7 @@
             caller: CallerHash::default(),
             tokens: TokenCount(0),
             parent: None,
+            made_for: None,
         };
     };
     parent.children += 1;
@@ -101,11 +147,13 @@
         caller: parent.caller,
         tokens: parent.purse.split(),
         parent: Some(id),
+        made_for: Some(parent.class.clone()),
     }
 }
 
-fn put_back(node: &SharedNode, parent: CallId, unspent: TokenCount, granted: TokenCount) {
-    if let Some(parent) = node.calls.borrow_mut().get_mut(parent) {
+fn put_back(node: &SharedNode, parent: Option<CallId>, unspent: TokenCount, granted: TokenCount) {
+    let mut calls = node.calls.borrow_mut();
+    if let Some(parent) = parent.and_then(|parent| calls.get_mut(parent)) {
         parent.purse.put_back(unspent, granted);
     }
 }
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -1,19 +1,21 @@
 //! Serves a request on the node's own upstream: admission, hand-over, whole answer.
 
-use crate::{node::SharedNode, refusals};
+use crate::{admission_gate::SlotPermit, hand_over::HandOver, node::SharedNode, refusals};
 
 use lagoonshore_coordination::{
     admission::AdmissionOffer,
-    call_table::ServedCall,
     outcome::RefusalReason,
     request_life::{AdmittedState, CallRefusal, RequestLife},
-    retries::TokenPurse,
 };
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
     messages::{CallReply, CallRequest, CallResult, WholeAnswer},
 };
-use lagoonshore_state::{ids::CallId, units::TokenCount};
+use lagoonshore_state::{
+    ids::{CallId, ClassName},
+    policy::RequestClass,
+    units::TokenCount,
+};
 use lagoonshore_transport::{TransportError, upstream_client::UpstreamRequest};
 use tokio::time::Instant;
 
@@ -21,7 +23,10 @@
 pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
     node.counters.borrow_mut().offered += 1;
     let granted = request.tokens;
-    let (result, tokens) = match admit_and_run(node, request, deadline).await {
+    let policy = node.policy(&node.settings.service);
+    let class = policy.map(|policy| policy.class_of(&request.method, &request.path));
+    let name = class.as_ref().map(|class| class.name.clone());
+    let (result, tokens) = match admit_and_run(node, request, class, deadline).await {
         Ok((answer, tokens)) => (CallResult::Answered(answer), tokens),
         Err(refusal) => (CallResult::Refused(refusal), granted),
     };
@@ -29,56 +34,89 @@
     CallReply {
         result,
         tokens,
-        load: node.load(),
+        load: node.load(&name.unwrap_or_default()),
     }
 }
 
 async fn admit_and_run(
     node: &SharedNode,
     request: CallRequest,
+    class: Option<RequestClass>,
     deadline: Instant,
 ) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
     if node.drain.borrow().is_draining() {
         return Err(refusals::on_arrival(RefusalReason::Draining));
     }
-    let Some(policy) = node.policy(&node.settings.service) else {
+    let Some(class) = class else {
         return Err(refusals::on_arrival(RefusalReason::NoPolicy));
     };
-    let class = policy.class_of(&request.method, &request.path);
+    if !passes_route(node, &request, &class) {
+        node.counters.borrow_mut().refused_early += 1;
+        return Err(refusals::on_arrival(RefusalReason::Overload));
+    }
     let deadline = deadline.min(Instant::now() + class.timeout);
     let life = RequestLife::arrived();
-    let lane = class.lane;
     let offer = AdmissionOffer {
         importance: request.importance,
-        lane,
+        class: class.name.clone(),
+        caller: request.caller,
+        lane: class.lane,
+        timeout: class.timeout,
         deadline,
     };
     let permit = match node.gate.acquire(offer).await {
         Ok(permit) => permit,
         Err(reason) => return Err(life.refuse(reason)),
     };
-    let served = run(node, life.admit(), request, deadline).await;
-    drop(permit);
-    served
+    let admitted = AdmittedRequest {
+        request,
+        class: class.name,
+        deadline,
+        permit,
+    };
+    run(node, life.admit(), admitted).await
+}
+
+/// Tells whether the services behind this one, as far as they are known, take such a request.
+fn passes_route(node: &SharedNode, request: &CallRequest, class: &RequestClass) -> bool {
+    let level = node.levels.borrow().route(Instant::now(), &class.name);
+    level.admits(request.importance, request.caller)
+}
+
+/// A request that holds a slot.
+struct AdmittedRequest {
+    request: CallRequest,
+    class: ClassName,
+    deadline: Instant,
+    permit: SlotPermit,
 }
 
 async fn run(
     node: &SharedNode,
     life: RequestLife<AdmittedState>,
-    request: CallRequest,
-    deadline: Instant,
+    admitted: AdmittedRequest,
 ) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
+    let AdmittedRequest {
+        request,
+        class,
+        deadline,
+        permit,
+    } = admitted;
     let now = Instant::now();
     if deadline <= now {
         return Err(life.refuse(RefusalReason::Timeout));
     }
-    let entry = CallEntry::open(node, &request, deadline);
+    let hand_over = HandOver::open(node, permit, &request, class, deadline);
     let life = life.hand_over();
     node.counters.borrow_mut().handed_over += 1;
-    let request = upstream_request(request, entry.id);
+    let request = upstream_request(request, hand_over.id());
     match node.upstream.send(request, deadline - now).await {
-        Ok(answer) => Ok((answer, entry.close())),
+        Ok(answer) => {
+            let unspent = hand_over.answered(answer.status);
+            Ok((answer, unspent))
+        }
         Err(TransportError::Connect { .. }) => {
+            hand_over.taken_back();
             Err(life.take_back().refuse(RefusalReason::UpstreamUnreachable))
         }
         Err(fault) => Err(life.lose(lost_reason(&fault))),
@@ -112,37 +150,3 @@
         CallResult::Refused(_) => counters.unknown += 1,
     }
 }
-
-/// Keeps a request in the call table until it is answered or its future is dropped.
-struct CallEntry {
-    node: SharedNode,
-    id: CallId,
-}
-
-impl CallEntry {
-    fn open(node: &SharedNode, request: &CallRequest, deadline: Instant) -> Self {
-        let call = ServedCall {
-            importance: request.importance,
-            deadline,
-            caller: request.caller,
-            purse: TokenPurse::new(request.tokens),
-            children: 0,
-        };
-        let id = node.calls.borrow_mut().open(call);
-        Self {
-            node: node.clone(),
-            id,
-        }
-    }
-
-    /// Removes the request and returns the tokens that it did not spend.
-    fn close(self) -> TokenCount {
-        self.node.calls.borrow_mut().close(self.id)
-    }
-}
-
-impl Drop for CallEntry {
-    fn drop(&mut self) {
-        self.node.calls.borrow_mut().close(self.id);
-    }
-}
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -4,12 +4,15 @@
 
 use lagoonshore_coordination::{drain::DrainState, routing::PeerView};
 use lagoonshore_state::{
+    admission_level::AdmissionLevel,
     counters::NodeCounters,
-    ids::{PolicyRevision, ServiceName},
+    ids::{ClassName, LaneName, PolicyRevision, ServiceName},
     instance_table::InstanceRecord,
+    service_cost::ServiceCost,
 };
 use serde::Serialize;
 use std::collections::BTreeMap;
+use tokio::time::Instant;
 
 /// `StateDump` is the state of a whole node.
 #[derive(Serialize)]
@@ -46,6 +49,12 @@
     limit: u32,
     queued: u32,
     being_served: usize,
+    overloaded: bool,
+    level: AdmissionLevel,
+    lanes: BTreeMap<LaneName, u32>,
+    costs: BTreeMap<ClassName, ServiceCost>,
+    services: BTreeMap<ClassName, BTreeMap<ServiceName, AdmissionLevel>>,
+    wasted_micros: u64,
 }
 
 #[derive(Serialize)]
@@ -80,6 +89,12 @@
             limit: load.limit,
             queued: load.queued,
             being_served: node.calls.borrow().len(),
+            overloaded: node.gate.is_overloaded(),
+            level: node.gate.level(),
+            lanes: node.gate.lanes(),
+            costs: node.gate.costs(),
+            services: node.levels.borrow().strict(Instant::now()),
+            wasted_micros: node.counters.borrow().wasted_micros,
         },
         counters: node.counters.borrow().clone(),
         retries: RetriesPart {
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use lagoonshore_coordination::request_life::CallRefusal;
 use lagoonshore_state::{
+    admission_level::AdmissionLevel,
     data_type,
     ids::{CallerHash, ServiceName},
     units::{RequestImportance, TokenCount},
@@ -72,5 +73,7 @@
         pub queued: u32,
         /// Whether the node is leaving.
         pub draining: bool,
+        /// Strictest admission level of the node and of what it calls for such requests.
+        pub level: AdmissionLevel,
     }
 }
--- a/crates/state/src/counters.rs
+++ b/crates/state/src/counters.rs
@@ -18,5 +18,9 @@
         pub calls: u64,
         /// Calls that were sent again.
         pub retries: u64,
+        /// Requests refused at once because a service behind this one refuses such requests.
+        pub refused_early: u64,
+        /// Time of hand-overs that brought no whole answer in time, in microseconds.
+        pub wasted_micros: u64,
     }
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,6 +4,8 @@
 #[macro_use]
 mod macros;
 
+pub mod adaptive_limit;
+pub mod admission_level;
 pub mod counters;
 pub mod error;
 pub mod ids;
@@ -12,6 +14,7 @@
 pub mod policy;
 pub mod policy_set;
 pub mod queue;
+pub mod service_cost;
 pub mod units;
 
 pub use error::{Result, StateError};
--- a/crates/state/src/limit.rs
+++ b/crates/state/src/limit.rs
@@ -40,12 +40,20 @@
         self.in_progress
     }
 
+    /// Requests in progress in each lane.
+    #[must_use]
+    pub const fn lanes(&self) -> &BTreeMap<LaneName, u32> {
+        &self.lanes
+    }
+
     /// Tells whether a request of `lane`, which may hold `share` of the slots, finds one free.
-    /// Each lane may hold one slot at least.
+    /// Each lane may hold one slot at least; one with a share below 1 leaves one to the others.
     #[must_use]
     pub fn has_room(&self, lane: &str, share: f64) -> bool {
         let held = self.lanes.get(lane).copied().unwrap_or(0);
-        let bound = (f64::from(self.limit.0) * share).floor().max(1.0);
+        let limit = f64::from(self.limit.0);
+        let kept = if share < 1.0 { 1.0 } else { 0.0 };
+        let bound = (limit * share).floor().min(limit - kept).max(1.0);
         self.in_progress < self.limit.0 && f64::from(held) < bound
     }
 
--- a/crates/state/src/queue.rs
+++ b/crates/state/src/queue.rs
@@ -1,9 +1,12 @@
 //! The queue in front of an upstream.
 
-use crate::units::RequestImportance;
+use crate::{
+    ids::{CallerHash, ClassName, LaneName},
+    units::RequestImportance,
+};
 
 use slotmap::{SlotMap, new_key_type};
-use std::{collections::BTreeSet, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap};
 use tokio::time::Instant;
 
 new_key_type! {
@@ -16,21 +19,41 @@
 pub struct QueueEntry {
     /// Importance of the request.
     pub importance: RequestImportance,
+    /// Class of the request.
+    pub class: ClassName,
+    /// Caller at the entry.
+    pub caller: CallerHash,
     /// Lane that the request runs in.
-    pub lane: crate::ids::LaneName,
+    pub lane: LaneName,
     /// Time at which the request joined the queue.
     pub arrival: Instant,
-    /// Time after which the answer is of no use.
-    pub deadline: Instant,
+    /// Time after which the request can no longer finish by its deadline.
+    pub latest_start: Instant,
 }
 
-/// `AdmissionQueue` orders waiting requests by importance, then by arrival.
+/// `QueueOrder` orders entries of one importance and of callers with equal shares.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum QueueOrder {
+    /// Earliest deadline first.
+    #[default]
+    EarliestDeadline,
+    /// Newest first: what has waited long is the most likely to come too late.
+    NewestFirst,
+    /// Oldest first, for comparison.
+    OldestFirst,
+}
+
+/// Place of an entry: importance, slots its caller had lately, order among those.
+type QueueRank = (RequestImportance, u32, Reverse<u64>, Option<Instant>, u64);
+
+/// `AdmissionQueue` orders waiting requests by importance, then by fair shares of callers, then
+/// by its [`QueueOrder`].
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
-    entries: SlotMap<EntryKey, QueueEntry>,
-    order: BTreeSet<(RequestImportance, u64, EntryKey)>,
+    entries: SlotMap<EntryKey, (u64, QueueEntry)>,
     sequence: u64,
-    positions: slotmap::SecondaryMap<EntryKey, u64>,
+    order: QueueOrder,
+    usage: BTreeMap<CallerHash, u32>,
 }
 
 impl AdmissionQueue {
@@ -46,45 +69,79 @@
         self.entries.is_empty()
     }
 
+    /// Changes the order among entries of one importance.
+    pub const fn set_order(&mut self, order: QueueOrder) {
+        self.order = order;
+    }
+
+    /// The order in force.
+    #[must_use]
+    pub const fn order(&self) -> QueueOrder {
+        self.order
+    }
+
     /// Adds an entry and returns its key.
     pub fn push(&mut self, entry: QueueEntry) -> EntryKey {
-        let importance = entry.importance;
         self.sequence += 1;
-        let key = self.entries.insert(entry);
-        self.positions.insert(key, self.sequence);
-        self.order.insert((importance, self.sequence, key));
-        key
+        self.entries.insert((self.sequence, entry))
     }
 
     /// Removes an entry; `None` if it left the queue before.
     pub fn remove(&mut self, key: EntryKey) -> Option<QueueEntry> {
-        let entry = self.entries.remove(key)?;
-        let position = self.positions.remove(key)?;
-        self.order.remove(&(entry.importance, position, key));
-        Some(entry)
+        self.entries.remove(key).map(|(_, entry)| entry)
+    }
+
+    /// Counts a slot that went to `caller`.
+    pub fn count_slot(&mut self, caller: CallerHash) {
+        *self.usage.entry(caller).or_default() += 1;
+    }
+
+    /// Halves what callers had, so that only the recent past counts.
+    pub fn age_usage(&mut self) {
+        self.usage.retain(|_, slots| {
+            *slots /= 2;
+            *slots > 0
+        });
     }
 
     /// Key of the first entry, in order, that satisfies `fits`.
     pub fn first_where(&self, mut fits: impl FnMut(&QueueEntry) -> bool) -> Option<EntryKey> {
-        let mut keys = self.order.iter().map(|(_, _, key)| *key);
-        keys.find(|key| fits(&self.entries[*key]))
+        let fitting = self.entries.iter().filter(|(_, (_, entry))| fits(entry));
+        fitting
+            .min_by_key(|(_, (sequence, entry))| self.rank(*sequence, entry))
+            .map(|(key, _)| key)
     }
 
-    /// The least important entry, the newest among equals.
+    /// The last entry in order, one of the least important.
     #[must_use]
-    pub fn last(&self) -> Option<(EntryKey, RequestImportance)> {
-        self.order
-            .last()
-            .map(|(importance, _, key)| (*key, *importance))
+    pub fn last(&self) -> Option<EntryKey> {
+        let last = self
+            .entries
+            .iter()
+            .max_by_key(|(_, (sequence, entry))| self.rank(*sequence, entry));
+        last.map(|(key, _)| key)
     }
 
-    /// Keys of entries that can no longer finish: less than `needed` is left to their deadline.
+    /// Arrival of the entry that has waited longest.
     #[must_use]
-    pub fn expired(&self, now: Instant, needed: Duration) -> Vec<EntryKey> {
-        let doomed = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.deadline < now + needed);
-        doomed.map(|(key, _)| key).collect()
+    pub fn oldest(&self) -> Option<Instant> {
+        let arrivals = self.entries.values().map(|(_, entry)| entry.arrival);
+        arrivals.min()
+    }
+
+    /// Keys of entries that satisfy `matches`.
+    pub fn keys_where(&self, mut matches: impl FnMut(&QueueEntry) -> bool) -> Vec<EntryKey> {
+        let found = self.entries.iter().filter(|(_, (_, entry))| matches(entry));
+        found.map(|(key, _)| key).collect()
+    }
+
+    fn rank(&self, sequence: u64, entry: &QueueEntry) -> QueueRank {
+        let used = self.usage.get(&entry.caller).copied().unwrap_or(0);
+        let (newest, earliest) = match self.order {
+            QueueOrder::NewestFirst => (sequence, None),
+            QueueOrder::EarliestDeadline => (0, Some(entry.latest_start)),
+            QueueOrder::OldestFirst => (0, None),
+        };
+        (entry.importance, used, Reverse(newest), earliest, sequence)
     }
 }
