--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admission.rs
@@ -56,11 +56,20 @@
     Refused(RefusalReason),
 }
 
+/// `AdmittedEntry` is a request that waited and holds a slot now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmittedEntry {
+    /// Key under which it waited.
+    pub key: EntryKey,
+    /// Lane of its slot.
+    pub lane: LaneName,
+}
+
 /// `QueueChange` lists what became of requests that waited.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QueueChange {
     /// Entries that hold a slot now.
-    pub admitted: Vec<EntryKey>,
+    pub admitted: Vec<AdmittedEntry>,
     /// Entries that were refused.
     pub refused: Vec<(EntryKey, RefusalReason)>,
 }
@@ -164,7 +173,11 @@
     /// Level of the node's own upstream.
     #[must_use]
     pub const fn level(&self) -> AdmissionLevel {
-        self.level.level()
+        if self.rules.sets_level {
+            self.level.level()
+        } else {
+            AdmissionLevel::OPEN
+        }
     }
 
     /// Tells whether the queue stands.
@@ -225,17 +238,27 @@
             self.level.note_passed(offer.importance);
             return AdmissionVerdict::Admitted;
         }
-        if !self.level.admits(offer.importance, offer.caller) {
+        if !self.level().admits(offer.importance, offer.caller) {
             return AdmissionVerdict::Refused(RefusalReason::Overload);
         }
         self.level.note_passed(offer.importance);
         self.enqueue(now, offer, latest_start, change)
     }
 
-    /// Notes the time that a request of `class` held its slot.
-    pub fn record(&mut self, now: Instant, class: &ClassName, sample: ServiceSample) {
+    /// Notes the time that a request of `class` held its slot of `lane`.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        class: &ClassName,
+        lane: &LaneName,
+        sample: ServiceSample,
+    ) {
         let stretch = self.costs.record(now, class, sample);
-        self.adaptive.record(stretch);
+        self.adaptive.record(sample.own, stretch);
+        let learned = self.lane_for(class, lane);
+        if learned != *lane {
+            self.queue.move_class(class, &learned);
+        }
     }
 
     /// Gives the slot of a finished request to those that wait.
@@ -256,7 +279,8 @@
         while let Some(key) = self.next_fitting() {
             if let Some(entry) = self.queue.remove(key) {
                 self.start(&entry.lane, entry.caller, now - entry.arrival);
-                change.admitted.push(key);
+                let lane = entry.lane;
+                change.admitted.push(AdmittedEntry { key, lane });
             }
         }
         change
@@ -269,9 +293,10 @@
         if self.rules.adapts_limit {
             self.limit.set_limit(limit);
         }
-        let oldest = self.queue.oldest();
+        // Work that waits for its lane only is no sign that the upstream is overloaded.
+        let oldest = self.queue.oldest().filter(|_| self.limit.is_full());
         let wait = oldest.map(|arrival| now.saturating_duration_since(arrival));
-        if self.rules.sets_level && self.level.advance(now, wait) {
+        if self.level.advance(now, wait) && self.rules.sets_level {
             self.turn_out(change);
         }
         self.queue.set_order(if self.level.is_overloaded() {
@@ -288,11 +313,17 @@
 
     fn expire(&mut self, now: Instant, change: &mut QueueChange) {
         for key in self.queue.keys_where(|entry| entry.latest_start <= now) {
-            self.level.note_expelled();
+            self.note_expelled();
             self.refuse(key, RefusalReason::Timeout, change);
         }
     }
 
+    fn note_expelled(&mut self) {
+        if self.limit.is_full() {
+            self.level.note_expelled();
+        }
+    }
+
     fn turn_out(&mut self, change: &mut QueueChange) {
         let level = self.level.level();
         let fails = |entry: &QueueEntry| !level.admits(entry.importance, entry.caller);
@@ -335,7 +366,7 @@
         if self.queue.len() <= capacity as usize {
             return AdmissionVerdict::Queued(key);
         }
-        self.level.note_expelled();
+        self.note_expelled();
         match self.queue.last() {
             Some(last) if last != key => {
                 self.refuse(last, RefusalReason::Overload, change);
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -8,6 +8,7 @@
     ids::ClassName,
     policy::LanePolicy,
     queue::EntryKey,
+    service_cost::ServiceSample,
     units::{RequestImportance, SlotCount},
 };
 use std::{collections::BTreeMap, error::Error, fmt::Write, time::Duration};
@@ -35,8 +36,8 @@
 
     fn describe(&self, change: &QueueChange) -> String {
         let mut text = String::new();
-        for key in &change.admitted {
-            let _ = writeln!(text, "{} admitted", self.names[key]);
+        for entry in &change.admitted {
+            let _ = writeln!(text, "{} admitted", self.names[&entry.key]);
         }
         for (key, reason) in &change.refused {
             let _ = writeln!(text, "{} refused: {}", self.names[key], reason.as_str());
@@ -44,6 +45,17 @@
         text
     }
 
+    fn short(&self, deadline: Instant, caller: u64) -> AdmissionOffer {
+        AdmissionOffer {
+            importance: RequestImportance(3),
+            class: "view".into(),
+            caller,
+            lane: "short".into(),
+            timeout: Duration::from_secs(1),
+            deadline,
+        }
+    }
+
     fn offer(&mut self, name: &str, offer: AdmissionOffer) -> String {
         let mut change = QueueChange::default();
         let verdict = self.control.offer(self.now, offer, &mut change);
@@ -87,6 +99,7 @@
                 let name = arguments.next_pos().ok_or("offer NAME")?;
                 let importance = arguments.take_key("importance").unwrap_or("3").parse()?;
                 let deadline = arguments.take_key("deadline").unwrap_or("1000").parse()?;
+                let timeout = arguments.take_key("timeout").unwrap_or("1000").parse()?;
                 let lane = arguments.take_key("lane").unwrap_or("short").into();
                 let class: ClassName = arguments.take_key("class").unwrap_or("view").into();
                 let caller = arguments.take_key("caller").unwrap_or("0").parse()?;
@@ -95,7 +108,7 @@
                     lane: self.control.lane_for(&class, &lane),
                     class,
                     caller,
-                    timeout: Duration::from_millis(deadline),
+                    timeout: Duration::from_millis(timeout),
                     deadline: self.origin + Duration::from_millis(deadline),
                 };
                 self.offer(name, offer)
@@ -105,6 +118,41 @@
                 let change = self.control.release(self.now, lane);
                 self.describe(&change)
             }
+            "record" => {
+                let class: ClassName = arguments.next_pos().ok_or("record CLASS MS")?.into();
+                let millis: u64 = arguments.next_pos().ok_or("record CLASS MS")?.parse()?;
+                let time = Duration::from_millis(millis);
+                let sample = ServiceSample {
+                    total: time,
+                    own: time,
+                    succeeded: true,
+                };
+                let short = "short".into();
+                self.control.record(self.now, &class, &short, sample);
+                String::new()
+            }
+            "busy" => {
+                let count: u32 = arguments.next_pos().ok_or("busy N")?.parse()?;
+                let offers = (0..count).map(|number| {
+                    let name = format!("work-{number}");
+                    let deadline = self.origin + Duration::from_secs(60);
+                    (name, self.short(deadline, 0))
+                });
+                let offers: Vec<_> = offers.collect();
+                let texts = offers
+                    .into_iter()
+                    .map(|(name, offer)| self.offer(&name, offer));
+                texts.collect()
+            }
+            "cold" => {
+                self.control.slow_start();
+                String::new()
+            }
+            "limit" => format!("limit {}\n", self.control.limit().0),
+            "level" => {
+                let level = self.control.level();
+                format!("level {} parts {}\n", level.importance.0, level.parts)
+            }
             name => return Err(format!("unknown command {name}").into()),
         };
         arguments.reject_next()?;
@@ -112,17 +160,16 @@
     }
 }
 
-#[test]
-fn importance_goes_first() {
-    run("importance");
-}
-
-#[test]
-fn lanes_hold_their_share() {
-    run("lanes");
-}
-
-fn run(name: &str) {
+#[rstest::rstest]
+#[case("importance")]
+#[case("lanes")]
+#[case("deadline")]
+#[case("fairness")]
+#[case("level")]
+#[case("learned_lane")]
+#[case("cold_start")]
+#[case("adaptive_limit")]
+fn scenario(#[case] name: &str) {
     let path = format!("tests/scripts/admission_{name}");
     goldenscript::run(&mut AdmissionRunner::new(), path).expect("the scenario cannot be read");
 }
--- /dev/null
+++ b/crates/coordination/tests/overload.rs
@@ -0,0 +1,140 @@
+//! Scenarios of overload in a chain of three nodes, in goldenscript. The invariant of admission
+//! is checked at every node in each of them.
+
+mod support;
+
+use goldenscript::{Command, Context, Runner};
+use lagoonshore_coordination::admission::AdmissionRules;
+use lagoonshore_state::queue::QueueOrder;
+use std::{error::Error, fmt::Write, time::Duration};
+use support::chain_model::{ChainModel, ModelClass, ModelCount};
+
+const SLOTS: u32 = 75;
+
+/// Runs the commands of a scenario against one chain.
+struct ChainRunner {
+    model: ChainModel,
+}
+
+fn millis(times: &[u64]) -> Vec<Duration> {
+    times.iter().copied().map(Duration::from_millis).collect()
+}
+
+fn class(name: &str, importance: u8, timeout: u64, work: &[u64]) -> ModelClass {
+    ModelClass {
+        name: name.into(),
+        importance,
+        timeout: Duration::from_millis(timeout),
+        work: millis(work),
+        lane: "short",
+    }
+}
+
+/// Entries of doses, views of a day, and reports that are listed as short work.
+fn classes() -> Vec<ModelClass> {
+    vec![
+        class("dose", 0, 2000, &[20, 20]),
+        class("view", 3, 1000, &[20, 20, 250]),
+        class("report", 5, 20_000, &[5000]),
+    ]
+}
+
+fn rules(name: &str) -> Result<AdmissionRules, String> {
+    let full = AdmissionRules::default();
+    match name {
+        "full" => Ok(full),
+        "earliest-deadline" => Ok(AdmissionRules {
+            sets_level: false,
+            overload_order: QueueOrder::EarliestDeadline,
+            ..full
+        }),
+        "newest-first" => Ok(AdmissionRules {
+            sets_level: false,
+            calm_order: QueueOrder::NewestFirst,
+            ..full
+        }),
+        "none" => Ok(AdmissionRules {
+            learns_costs: false,
+            sets_level: false,
+            adapts_limit: false,
+            overload_order: QueueOrder::OldestFirst,
+            calm_order: QueueOrder::OldestFirst,
+        }),
+        name => Err(format!("unknown rules {name}")),
+    }
+}
+
+impl ChainRunner {
+    fn new() -> Self {
+        let model = ChainModel::new(classes(), SLOTS, AdmissionRules::default());
+        Self { model }
+    }
+
+    /// Plays `seconds` and prints what became of the requests of each.
+    fn run(&mut self, seconds: u32, rates: &[f64]) -> String {
+        let mut text = String::new();
+        for _ in 0..seconds {
+            for count in &mut self.model.counts {
+                *count = ModelCount::default();
+            }
+            self.model.runs = [0; 3];
+            self.model.run(rates, Duration::from_secs(1));
+            for (class, count) in self.model.classes.iter().zip(&self.model.counts) {
+                let _ = write!(text, "{} {}/{}  ", class.name, count.whole, count.offered);
+            }
+            let [entry, middle, deep] = self.model.runs;
+            let _ = writeln!(text, "runs {entry} {middle} {deep}");
+        }
+        text
+    }
+}
+
+impl Runner for ChainRunner {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Result<String, Box<dyn Error>> {
+        let mut arguments = command.consume_args();
+        let output = match command.name.as_str() {
+            "chain" => {
+                let rules = rules(arguments.next_pos().ok_or("chain RULES")?)?;
+                self.model = ChainModel::new(classes(), SLOTS, rules);
+                self.model.retries = arguments.take_key("retries").unwrap_or("0").parse()?;
+                String::new()
+            }
+            "cold" => {
+                for node in 0..3 {
+                    self.model.control(node).slow_start();
+                }
+                String::new()
+            }
+            "slow" => {
+                self.model.slowdown = arguments.next_pos().ok_or("slow FACTOR")?.parse()?;
+                String::new()
+            }
+            "run" => {
+                let seconds = arguments.next_pos().ok_or("run SECONDS")?.parse()?;
+                let mut rates = [0.0; 3];
+                for (rate, name) in rates.iter_mut().zip(["dose", "view", "report"]) {
+                    *rate = arguments.take_key(name).unwrap_or("0").parse()?;
+                }
+                self.run(seconds, &rates)
+            }
+            name => return Err(format!("unknown command {name}").into()),
+        };
+        arguments.reject_next()?;
+        Ok(output)
+    }
+}
+
+#[rstest::rstest]
+#[case("metastable")]
+#[case("metastable_without")]
+#[case("surge")]
+#[case("slow_deep")]
+#[case("long_flood")]
+#[case("cold_start")]
+#[case("order")]
+fn scenario(#[case] name: &str) {
+    let path = format!("tests/scripts/overload_{name}");
+    goldenscript::run(&mut ChainRunner::new(), path).expect("the scenario cannot be read");
+}
--- a/crates/daemon/src/admission_gate.rs
+++ b/crates/daemon/src/admission_gate.rs
@@ -1,7 +1,7 @@
 //! Lets requests wait for their admission.
 
 use lagoonshore_coordination::{
-    admission::{AdmissionControl, AdmissionOffer, AdmissionVerdict, QueueChange},
+    admission::{AdmissionControl, AdmissionOffer, AdmissionVerdict, AdmittedEntry, QueueChange},
     outcome::RefusalReason,
 };
 use lagoonshore_state::{
@@ -34,7 +34,6 @@
 }
 
 struct WaitingRequest {
-    lane: LaneName,
     sender: oneshot::Sender<GateAnswer>,
 }
 
@@ -163,7 +162,6 @@
     fn offer(&self, offer: AdmissionOffer) -> GateVerdict {
         let mut state = self.inner.borrow_mut();
         let mut change = QueueChange::default();
-        let lane = offer.lane.clone();
         let verdict = state.control.offer(Instant::now(), offer, &mut change);
         let answers = self.answers(&mut state, change);
         let verdict = match verdict {
@@ -171,7 +169,7 @@
             AdmissionVerdict::Refused(reason) => GateVerdict::Refused(reason),
             AdmissionVerdict::Queued(key) => {
                 let (sender, receiver) = oneshot::channel();
-                state.waiters.insert(key, WaitingRequest { lane, sender });
+                state.waiters.insert(key, WaitingRequest { sender });
                 GateVerdict::Queued(key, receiver)
             }
         };
@@ -192,8 +190,8 @@
     /// its slot when the waiter left, so answers are sent after the state is no longer borrowed.
     fn answers(&self, state: &mut GateState, change: QueueChange) -> Vec<PendingAnswer> {
         let mut answers = Vec::new();
-        for key in change.admitted {
-            if let Some(WaitingRequest { lane, sender }) = state.waiters.remove(&key) {
+        for AdmittedEntry { key, lane } in change.admitted {
+            if let Some(WaitingRequest { sender }) = state.waiters.remove(&key) {
                 answers.push((
                     sender,
                     Ok(SlotPermit {
@@ -204,7 +202,7 @@
             }
         }
         for (key, reason) in change.refused {
-            if let Some(WaitingRequest { sender, .. }) = state.waiters.remove(&key) {
+            if let Some(WaitingRequest { sender }) = state.waiters.remove(&key) {
                 answers.push((sender, Err(reason)));
             }
         }
@@ -259,7 +257,9 @@
     /// Notes the time that a request of `class` held the slot.
     pub fn record(&self, class: &ClassName, sample: ServiceSample) {
         let mut state = self.gate.inner.borrow_mut();
-        state.control.record(Instant::now(), class, sample);
+        state
+            .control
+            .record(Instant::now(), class, &self.lane, sample);
     }
 
     /// Begins with few slots again, for an upstream that has just started.
--- a/crates/state/src/limit.rs
+++ b/crates/state/src/limit.rs
@@ -40,6 +40,12 @@
         self.in_progress
     }
 
+    /// Tells whether every slot is held.
+    #[must_use]
+    pub const fn is_full(&self) -> bool {
+        self.in_progress >= self.limit.0
+    }
+
     /// Requests in progress in each lane.
     #[must_use]
     pub const fn lanes(&self) -> &BTreeMap<LaneName, u32> {
--- a/crates/state/src/queue.rs
+++ b/crates/state/src/queue.rs
@@ -122,6 +122,14 @@
         last.map(|(key, _)| key)
     }
 
+    /// Moves the waiting requests of `class` to `lane`.
+    pub fn move_class(&mut self, class: &str, lane: &LaneName) {
+        let entries = self.entries.values_mut().map(|(_, entry)| entry);
+        for entry in entries.filter(|entry| entry.class == class) {
+            entry.lane = lane.clone();
+        }
+    }
+
     /// Arrival of the entry that has waited longest.
     #[must_use]
     pub fn oldest(&self) -> Option<Instant> {
--- a/crates/state/src/service_cost.rs
+++ b/crates/state/src/service_cost.rs
@@ -16,6 +16,8 @@
 const LONG_WORK_TIME: Duration = Duration::from_secs(1);
 /// Own time of long work as a multiple of the quickest class.
 const LONG_WORK_FACTOR: f64 = 10.0;
+/// Largest learned time as a share of the timeout of the class.
+const NEEDED_SHARE_MAX: f64 = 0.8;
 /// Samples before a class is judged.
 const SAMPLES_MIN: u32 = 3;
 
@@ -72,12 +74,14 @@
         sample.own.as_secs_f64() / floor.as_secs_f64()
     }
 
-    /// Time that a request of `class` needs; at most half of the class's `timeout`, so that slow
-    /// answers can never teach a node to refuse every request.
+    /// Time that a request of `class` needs; at most a share of the class's `timeout`, so that
+    /// slow answers can never teach a node to refuse every request.
     #[must_use]
     pub fn needed(&self, class: &str, timeout: Duration) -> Duration {
         let typical = self.costs.get(class).map(|cost| cost.typical);
-        typical.unwrap_or_default().min(timeout / 2)
+        typical
+            .unwrap_or_default()
+            .min(timeout.mul_f64(NEEDED_SHARE_MAX))
     }
 
     /// Tells whether `class` was seen to be long work.
