--- a/crates/coordination/tests/overload.rs
+++ b/crates/coordination/tests/overload.rs
@@ -48,6 +48,14 @@
             overload_order: QueueOrder::EarliestDeadline,
             ..full
         }),
+        "earliest-deadline-no-costs" => Ok(AdmissionRules {
+            learns_costs: false,
+            ..rules("earliest-deadline")?
+        }),
+        "newest-first-no-costs" => Ok(AdmissionRules {
+            learns_costs: false,
+            ..rules("newest-first")?
+        }),
         "newest-first" => Ok(AdmissionRules {
             sets_level: false,
             calm_order: QueueOrder::NewestFirst,
@@ -111,6 +119,14 @@
                 self.model.slowdown = arguments.next_pos().ok_or("slow FACTOR")?.parse()?;
                 String::new()
             }
+            "latency" => {
+                let mut text = String::new();
+                for (class, count) in self.model.classes.iter().zip(&self.model.counts) {
+                    let mean = count.latency / count.whole.max(1);
+                    let _ = writeln!(text, "{} mean {} ms", class.name, mean.as_millis());
+                }
+                text
+            }
             "run" => {
                 let seconds = arguments.next_pos().ok_or("run SECONDS")?.parse()?;
                 let mut rates = [0.0; 3];
--- a/crates/coordination/tests/support/chain_model.rs
+++ b/crates/coordination/tests/support/chain_model.rs
@@ -40,6 +40,8 @@
 pub struct ModelCount {
     pub offered: u32,
     pub whole: u32,
+    /// Sum of the times to a whole answer.
+    pub latency: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -284,7 +286,12 @@
     }
 
     fn answered(&mut self, id: usize) {
-        self.counts[self.requests[id].class].whole += 1;
+        let ModelRequest {
+            class, deadline, ..
+        } = self.requests[id];
+        let arrival = deadline - self.classes[class].timeout;
+        self.counts[class].whole += 1;
+        self.counts[class].latency += self.now - arrival;
         self.end(id, true);
     }
 
