--- /dev/null
+++ b/crates/daemon/tests/admission.rs
@@ -0,0 +1,188 @@
+//! Admission of whole nodes on loopback: early refusal, inherited importance, wasted time.
+
+mod support;
+
+use lagoonshore_protocol::headers;
+use lagoonshore_state::units::RequestImportance;
+use lagoonshore_transport::http_door::{DoorAnswer, DoorRequest};
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use support::{TestAnswer, TestNode};
+use tokio::sync::watch;
+
+const PORTAL: &str = include_str!("../../../examples/kocaeli/records/diary-portal.yaml");
+const MEDICATION: &str = include_str!("../../../examples/kocaeli/records/medication-log.yaml");
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(10);
+/// Looks before a condition counts as never met.
+const LOOKS_MAX: u32 = 2000;
+
+/// Runs of a fake upstream.
+type RunCount = Rc<Cell<u32>>;
+
+/// Two nodes, of which the first calls the second.
+struct TestChain {
+    portal: TestNode,
+    portal_runs: RunCount,
+    medication: TestNode,
+    medication_runs: RunCount,
+    /// Lets the upstream of the second node answer.
+    is_open: watch::Sender<bool>,
+}
+
+async fn chain(medication_record: &str) -> TestChain {
+    let (is_open, gate) = watch::channel(true);
+    let medication_runs = RunCount::default();
+    let runs = Rc::clone(&medication_runs);
+    let upstream = support::upstream(move |_| {
+        runs.set(runs.get() + 1);
+        let mut gate = gate.clone();
+        async move {
+            let _ = gate.wait_for(|is_open| *is_open).await;
+            support::ok("dose")
+        }
+    });
+    let records = [medication_record];
+    let medication = support::node("medication-log", "izmit", upstream.await, &records).await;
+    let (outbound_sender, outbound) = watch::channel(None);
+    let portal_runs = RunCount::default();
+    let runs = Rc::clone(&portal_runs);
+    let upstream = support::upstream(move |request: DoorRequest| {
+        runs.set(runs.get() + 1);
+        let outbound = outbound.borrow().expect("the node has started");
+        call_on(outbound, request)
+    });
+    let records = [PORTAL, medication_record];
+    let portal = support::node("diary-portal", "izmit", upstream.await, &records).await;
+    outbound_sender.send_replace(Some(portal.doors.outbound));
+    support::introduce(&portal, &medication);
+    TestChain {
+        portal,
+        portal_runs,
+        medication,
+        medication_runs,
+        is_open,
+    }
+}
+
+async fn call_on(outbound: SocketAddr, request: DoorRequest) -> DoorAnswer {
+    let call = headers::find(&request.headers, headers::CALL).expect("a call id");
+    let fields = [("host", "medication-log"), (headers::CALL, call)];
+    let child = support::send(outbound, &request.method, &request.path, &fields, "").await;
+    let mut answer = support::ok(&child.body);
+    answer.status = child.status;
+    answer
+}
+
+async fn view(door: SocketAddr, caller: u32) -> TestAnswer {
+    let caller = format!("parent-{caller}");
+    let fields = [(headers::CALLER, caller.as_str())];
+    support::send(door, "GET", "/day/7", &fields, "").await
+}
+
+#[actix_rt::test]
+async fn doomed_requests_are_refused_at_the_entry_and_whole_again_after_it() {
+    let record = MEDICATION.replace("slots: 75", "slots: 1");
+    let chain = chain(&record).await;
+    let door = chain.portal.doors.inbound;
+    chain.is_open.send_replace(false);
+    let refused = Rc::new(RefCell::new(Vec::new()));
+    let mut caller = 0;
+    while refused.borrow().is_empty() {
+        caller += 1;
+        assert!(caller < LOOKS_MAX, "no early refusal");
+        let (refused, portal) = (Rc::clone(&refused), chain.portal.node.clone());
+        actix_rt::spawn(async move {
+            let answer = view(door, caller).await;
+            let is_early = portal.counters.borrow().refused_early > 0;
+            if is_early && answer.reason == "overload" && answer.outcome == "not-run" {
+                refused.borrow_mut().push(answer);
+            }
+        });
+        actix_rt::time::sleep(LOOK).await;
+    }
+    let counters = chain.portal.node.counters.borrow().clone();
+    // A request may be cut off on its way to the upstream, but none runs that was refused early.
+    assert!(u64::from(chain.portal_runs.get()) <= counters.handed_over);
+    assert!(counters.handed_over + counters.refused_early <= counters.offered);
+    chain.is_open.send_replace(true);
+    let mut looks = 0;
+    while view(door, 1).await.status != 200 {
+        looks += 1;
+        assert!(looks < LOOKS_MAX, "the level does not fall back");
+        actix_rt::time::sleep(LOOK).await;
+    }
+    assert!(chain.medication_runs.get() > 0);
+}
+
+#[actix_rt::test]
+async fn a_caller_cannot_raise_its_importance_and_a_child_call_inherits_it() {
+    let found = Rc::new(RefCell::new(Vec::new()));
+    let node = Rc::new(OnceCell::<lagoonshore_daemon::node::SharedNode>::new());
+    let (seen, shared) = (Rc::clone(&found), Rc::clone(&node));
+    let upstream = support::upstream(move |request: DoorRequest| {
+        let id = headers::find(&request.headers, headers::CALL).expect("a call id");
+        let id = id.parse().expect("a number");
+        let calls = shared.get().expect("the node has started").calls.borrow();
+        let importance = calls.get(id).map(|call| call.importance);
+        seen.borrow_mut().push(importance);
+        async { support::ok("dose") }
+    });
+    let records = [MEDICATION];
+    let medication = support::node("medication-log", "izmit", upstream.await, &records).await;
+    let _ = node.set(medication.node.clone());
+    let (outbound_sender, outbound) = watch::channel(None);
+    let upstream = support::upstream(move |request: DoorRequest| {
+        let outbound = outbound.borrow().expect("the node has started");
+        // A view that calls an entry of doses stays a view.
+        let request = DoorRequest {
+            method: "POST".into(),
+            path: "/doses/7".into(),
+            ..request
+        };
+        call_on(outbound, request)
+    });
+    let records = [PORTAL, MEDICATION];
+    let portal = support::node("diary-portal", "izmit", upstream.await, &records).await;
+    outbound_sender.send_replace(Some(portal.doors.outbound));
+    support::introduce(&portal, &medication);
+    let fields = [
+        ("lagoonshore-importance", "0"),
+        (headers::CALL, "1"),
+        ("x-importance", "0"),
+    ];
+    support::send(portal.doors.inbound, "GET", "/day/7", &fields, "").await;
+    assert_eq!(*found.borrow(), [Some(RequestImportance(3))]);
+}
+
+#[actix_rt::test]
+async fn the_time_of_work_that_fails_is_counted() {
+    let chain = chain(MEDICATION).await;
+    let (portal, door) = (&chain.portal, chain.portal.doors.inbound);
+    assert_eq!(view(door, 1).await.status, 200);
+    assert_eq!(portal.node.counters.borrow().wasted_micros, 0);
+    chain.is_open.send_replace(false);
+    let fields = [("lagoonshore-timeout-ms", "30")];
+    let answer = support::send(door, "GET", "/day/7", &fields, "").await;
+    assert_eq!(answer.reason, "timeout");
+    assert!(portal.node.counters.borrow().wasted_micros > 0);
+    let mut looks = 0;
+    while chain.medication.node.counters.borrow().wasted_micros == 0 {
+        looks += 1;
+        assert!(looks < LOOKS_MAX, "nothing is counted behind the entry");
+        actix_rt::time::sleep(LOOK).await;
+    }
+    let dump = support::send(portal.doors.admin, "GET", "/state", &[], "").await;
+    let part = [
+        "\"wasted_micros\":",
+        "\"lanes\":",
+        "\"costs\":",
+        "\"level\":",
+    ];
+    let missing = part.iter().find(|name| !dump.body.contains(**name));
+    assert_eq!(missing, None, "{}", dump.body);
+}
