Refuse calls for requests that have ended; unbound the callers' stand-in

Cause: an upstream that went on after its node gave up made child calls with a fresh deadline, so abandoned work multiplied. The stand-in's HTTP client holds 100 connections by default, so that callers queued for each other before any node saw them; the nodes could neither refuse nor serve those requests. Changed: a call that names an ended request is refused as not run; the stand-in's client has no bound, which makes its surge harder on the nodes.

--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -50,7 +50,10 @@
         return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), &detail);
     };
     let class = policy.class_of(&method, &path);
-    let context = inherit(&node, &fields, &class);
+    let Some(context) = inherit(&node, &fields, &class) else {
+        let refusal = refusals::on_arrival(RefusalReason::Timeout);
+        return refusals::refuse(refusal, "the request that the call is made for has ended");
+    };
     let request = CallRequest {
         service: service.into(),
         method,
@@ -125,30 +128,36 @@
 }
 
 /// Takes importance, deadline and a share of the tokens from the request that is being served.
-/// A call that names none counts as least important and has no tokens.
-fn inherit(node: &SharedNode, fields: &[HeaderField], class: &RequestClass) -> InheritedContext {
+/// A call that names none counts as least important and has no tokens. `None` if the request
+/// that it names has ended: nobody waits for such work.
+fn inherit(
+    node: &SharedNode,
+    fields: &[HeaderField],
+    class: &RequestClass,
+) -> Option<InheritedContext> {
     let longest = Instant::now() + class.timeout;
-    let id = headers::find(fields, headers::CALL).and_then(|text| text.parse().ok());
-    let mut calls = node.calls.borrow_mut();
-    let Some((id, parent)) = id.and_then(|id| calls.get_mut(id).map(|parent| (id, parent))) else {
-        return InheritedContext {
+    let Some(id) = headers::find(fields, headers::CALL) else {
+        return Some(InheritedContext {
             importance: RequestImportance::LEAST,
             deadline: longest,
             caller: CallerHash::default(),
             tokens: TokenCount(0),
             parent: None,
             made_for: None,
-        };
+        });
     };
+    let id: CallId = id.parse().ok()?;
+    let mut calls = node.calls.borrow_mut();
+    let parent = calls.get_mut(id)?;
     parent.children += 1;
-    InheritedContext {
+    Some(InheritedContext {
         importance: parent.importance,
         deadline: parent.deadline.min(longest),
         caller: parent.caller,
         tokens: parent.purse.split(),
         parent: Some(id),
         made_for: Some(parent.class.clone()),
-    }
+    })
 }
 
 fn put_back(node: &SharedNode, parent: Option<CallId>, unspent: TokenCount, granted: TokenCount) {
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -186,3 +186,14 @@
     let missing = part.iter().find(|name| !dump.body.contains(**name));
     assert_eq!(missing, None, "{}", dump.body);
 }
+
+#[actix_rt::test]
+async fn a_call_for_a_request_that_has_ended_is_refused_as_not_run() {
+    let chain = chain(MEDICATION).await;
+    let fields = [("host", "medication-log"), (headers::CALL, "999")];
+    let outbound = chain.portal.doors.outbound;
+    let answer = support::send(outbound, "GET", "/day/7", &fields, "").await;
+    let found = (answer.outcome.as_str(), answer.reason.as_str());
+    assert_eq!(found, ("not-run", "timeout"));
+    assert_eq!(chain.medication_runs.get(), 0);
+}
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -7,7 +7,7 @@
     report::{RequestEnd, TrafficReport},
 };
 
-use awc::Client;
+use awc::{Client, Connector};
 use lagoonshore_protocol::headers;
 use pico_args::Arguments;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -59,7 +59,7 @@
     let surge: String = arguments::optional(&mut arguments, "--surge", "0:0:1".to_owned())?;
     let seed = arguments::optional(&mut arguments, "--seed", 1)?;
     let callers = Rc::new(CallerSet {
-        client: Client::builder().disable_timeout().finish(),
+        client: client(),
         entries,
         turn: Cell::new(0),
         report: RefCell::new(TrafficReport::new(&plan.traffic)),
@@ -85,6 +85,16 @@
     })
 }
 
+/// A client without a bound on connections: it stands for many callers, which do not wait for
+/// each other.
+fn client() -> Client {
+    let connector = Connector::new().limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .finish()
+}
+
 fn surge_plan(text: &str) -> StandinResult<SurgePlan> {
     let parts: Result<Vec<f64>, _> = text.split(':').map(str::parse).collect();
     match parts.as_deref() {
