--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -45,7 +45,7 @@
         text
     }
 
-    fn short(&self, deadline: Instant, caller: u64) -> AdmissionOffer {
+    fn short(deadline: Instant, caller: u64) -> AdmissionOffer {
         AdmissionOffer {
             importance: RequestImportance(3),
             class: "view".into(),
@@ -135,8 +135,8 @@
                 let count: u32 = arguments.next_pos().ok_or("busy N")?.parse()?;
                 let offers = (0..count).map(|number| {
                     let name = format!("work-{number}");
-                    let deadline = self.origin + Duration::from_secs(60);
-                    (name, self.short(deadline, 0))
+                    let deadline = self.origin + Duration::from_mins(1);
+                    (name, Self::short(deadline, 0))
                 });
                 let offers: Vec<_> = offers.collect();
                 let texts = offers
--- a/crates/state/src/queue.rs
+++ b/crates/state/src/queue.rs
@@ -126,7 +126,7 @@
     pub fn move_class(&mut self, class: &str, lane: &LaneName) {
         let entries = self.entries.values_mut().map(|(_, entry)| entry);
         for entry in entries.filter(|entry| entry.class == class) {
-            entry.lane = lane.clone();
+            entry.lane.clone_from(lane);
         }
     }
 
