--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod call_table;
+pub mod child_clock;
 pub mod child_key;
 pub mod crash_watch;
 pub mod digest_schedule;
@@ -13,6 +14,8 @@
 pub mod fingerprint;
 pub mod idempotency_key;
 pub mod key_home;
+pub mod level_control;
+pub mod level_table;
 pub mod membership;
 pub mod message_age;
 pub mod outcome;
--- a/crates/daemon/src/keyed_server.rs
+++ b/crates/daemon/src/keyed_server.rs
@@ -12,7 +12,7 @@
     request_life::CallRefusal,
     retries::TokenPurse,
 };
-use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult, WorkKey};
+use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult, LoadReport, WorkKey};
 use lagoonshore_state::units::TokenCount;
 use std::time::Duration;
 use tokio::{sync::watch, time::Instant};
@@ -27,8 +27,10 @@
         return request_server::serve(node, request, deadline).await;
     }
     let fingerprint = suspect_gate::fingerprint(&request);
+    let (method, path) = (request.method.clone(), request.path.clone());
     let reply = serve_keyed(node, request, deadline).await;
     CallReply {
+        load: node.load_for(&method, &path),
         suspect: suspect_gate::report(node, fingerprint),
         ..reply
     }
@@ -45,7 +47,7 @@
         Ok(claim) => return serve_claim(node, request, claim, deadline).await,
         Err(refusal) => CallResult::Refused(refusal),
     };
-    reply(node, result, granted)
+    reply(result, granted)
 }
 
 async fn serve_claim(
@@ -60,21 +62,21 @@
         LedgerVerdict::Run(ticket) => {
             let receiver = start(node, request, claim.key, ticket, deadline);
             let (result, tokens) = receiver.wait(deadline, granted).await;
-            return reply(node, result, tokens);
+            return reply(result, tokens);
         }
         LedgerVerdict::Join => join(node, claim.key, deadline).await,
         LedgerVerdict::Replay(result) => result,
         LedgerVerdict::Refused(refusal) => CallResult::Refused(refusal),
     };
-    reply(node, result, granted)
+    reply(result, granted)
 }
 
-fn reply(node: &SharedNode, result: CallResult, tokens: TokenCount) -> CallReply {
-    let load = node.load();
+/// A reply whose load and suspect the caller fills in.
+fn reply(result: CallResult, tokens: TokenCount) -> CallReply {
     CallReply {
         result,
         tokens,
-        load,
+        load: LoadReport::default(),
         suspect: None,
     }
 }
@@ -144,6 +146,7 @@
         },
         deadline,
         idempotent: false,
+        made_for: None,
         tried: Vec::new(),
     };
     let routed = bound_call::route(node, call, purse).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exclusive_gate;
 pub mod explanation;
 pub mod guard_dump;
+pub mod hand_over;
 pub mod health_probe;
 pub mod inbound_door;
 pub mod keyed_entry;
--- a/crates/daemon/src/peer_door.rs
+++ b/crates/daemon/src/peer_door.rs
@@ -31,7 +31,7 @@
         CallReply {
             result: CallResult::Refused(refusals::on_arrival(RefusalReason::Stale)),
             tokens: request.tokens,
-            load: self.node.load(),
+            load: self.node.load_for(&request.method, &request.path),
             suspect: None,
         }
     }
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -1,23 +1,25 @@
 //! Serves a request on the node's own upstream: admission, hand-over, whole answer.
 
 use crate::{
-    crash_response::HandOverMark, exclusive_gate::RunPass, life_cycle, node::SharedNode, refusals,
-    suspect_gate,
+    admission_gate::SlotPermit, crash_response::HandOverMark, exclusive_gate::RunPass,
+    hand_over::HandOver, life_cycle, node::SharedNode, refusals, suspect_gate,
 };
 
 use lagoonshore_coordination::{
     admission::AdmissionOffer,
-    call_table::ServedCall,
     fingerprint::RequestFingerprint,
     outcome::RefusalReason,
     request_life::{AdmittedState, CallRefusal, RequestLife},
-    retries::TokenPurse,
 };
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
     messages::{CallReply, CallRequest, CallResult, WholeAnswer},
 };
-use lagoonshore_state::{ids::CallId, units::TokenCount};
+use lagoonshore_state::{
+    ids::{CallId, ClassName},
+    policy::RequestClass,
+    units::TokenCount,
+};
 use lagoonshore_transport::{TransportError, upstream_client::UpstreamRequest};
 use tokio::time::Instant;
 
@@ -26,7 +28,11 @@
     node.counters.borrow_mut().offered += 1;
     let granted = request.tokens;
     let fingerprint = suspect_gate::fingerprint(&request);
-    let (result, tokens) = match admit_and_run(node, request, deadline, fingerprint).await {
+    let policy = node.policy(&node.settings.service);
+    let class = policy.map(|policy| policy.class_of(&request.method, &request.path));
+    let name = class.as_ref().map(|class| class.name.clone());
+    let run = admit_and_run(node, request, class, deadline, fingerprint);
+    let (result, tokens) = match run.await {
         Ok((answer, tokens)) => (CallResult::Answered(answer), tokens),
         Err(refusal) => (CallResult::Refused(refusal), granted),
     };
@@ -34,7 +40,7 @@
     CallReply {
         result,
         tokens,
-        load: node.load(),
+        load: node.load(&name.unwrap_or_default()),
         suspect: suspect_gate::report(node, fingerprint),
     }
 }
@@ -42,6 +48,7 @@
 async fn admit_and_run(
     node: &SharedNode,
     request: CallRequest,
+    class: Option<RequestClass>,
     deadline: Instant,
     fingerprint: RequestFingerprint,
 ) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
@@ -51,26 +58,27 @@
     if !node.is_ready() {
         return Err(refusals::on_arrival(RefusalReason::Starting));
     }
-    let Some(policy) = node.policy(&node.settings.service) else {
+    let Some(class) = class else {
         return Err(refusals::on_arrival(RefusalReason::NoPolicy));
     };
     suspect_gate::learn(node, fingerprint, request.crashes);
     suspect_gate::check(node, fingerprint).map_err(refusals::on_arrival)?;
-    let class = policy.class_of(&request.method, &request.path);
+    let is_early = !node.passes_through() && !passes_route(node, &request, &class);
+    if is_early {
+        node.counters.borrow_mut().refused_early += 1;
+        return Err(refusals::on_arrival(RefusalReason::Overload));
+    }
     let deadline = deadline.min(Instant::now() + class.timeout);
     let life = RequestLife::arrived();
-    if node.passes_through() {
-        let pass = node.guard.exclusive.shared(deadline).await;
-        let pass = pass.map_err(refusals::on_arrival)?;
-        return run(node, life.admit(), request, deadline, (fingerprint, pass)).await;
-    }
-    let lane = class.lane;
     let offer = AdmissionOffer {
         importance: request.importance,
-        lane,
+        class: class.name.clone(),
+        caller: request.caller,
+        lane: class.lane,
+        timeout: class.timeout,
         deadline,
     };
-    let permit = match node.gate.acquire(offer).await {
+    let permit = match acquire(node, offer).await {
         Ok(permit) => permit,
         Err(reason) => return Err(life.refuse(reason)),
     };
@@ -79,41 +87,80 @@
         Ok(pass) => pass,
         Err(reason) => return Err(life.refuse(reason)),
     };
-    let mark = (fingerprint, pass);
-    let served = run(node, life, request, deadline, mark).await;
-    drop(permit);
-    served
+    let admitted = AdmittedRequest {
+        request,
+        class: class.name,
+        deadline,
+        permit,
+        fingerprint,
+        pass,
+    };
+    run(node, life, admitted).await
 }
 
-async fn run(
+/// Waits for a slot; a node that passes everything through needs none.
+async fn acquire(
     node: &SharedNode,
-    life: RequestLife<AdmittedState>,
+    offer: AdmissionOffer,
+) -> Result<Option<SlotPermit>, RefusalReason> {
+    if node.passes_through() {
+        return Ok(None);
+    }
+    node.gate.acquire(offer).await.map(Some)
+}
+
+/// Tells whether the services behind this one, as far as they are known, take such a request.
+fn passes_route(node: &SharedNode, request: &CallRequest, class: &RequestClass) -> bool {
+    let level = node.levels.borrow().route(Instant::now(), &class.name);
+    level.admits(request.importance, request.caller)
+}
+
+/// A request that holds a slot and may be handed over.
+struct AdmittedRequest {
     request: CallRequest,
+    class: ClassName,
     deadline: Instant,
-    (fingerprint, pass): (RequestFingerprint, RunPass),
+    permit: Option<SlotPermit>,
+    fingerprint: RequestFingerprint,
+    pass: RunPass,
+}
+
+async fn run(
+    node: &SharedNode,
+    life: RequestLife<AdmittedState>,
+    admitted: AdmittedRequest,
 ) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
+    let AdmittedRequest {
+        request,
+        class,
+        deadline,
+        permit,
+        fingerprint,
+        pass,
+    } = admitted;
     let now = Instant::now();
     if deadline <= now {
         return Err(life.refuse(RefusalReason::Timeout));
     }
-    let entry = CallEntry::open(node, &request, deadline);
+    let hand_over = HandOver::open(node, permit, &request, class, deadline);
     let life = life.hand_over();
     node.counters.borrow_mut().handed_over += 1;
-    let request = upstream_request(request, entry.id);
+    let request = upstream_request(request, hand_over.id());
     let mark = HandOverMark::open(node, fingerprint);
     match node.upstream.send(request, deadline - now).await {
         Ok(answer) => {
             mark.answered();
-            Ok((answer, entry.close()))
+            let unspent = hand_over.answered(answer.status);
+            Ok((answer, unspent))
+        }
+        Err(fault @ TransportError::Connect { .. }) => {
+            mark.failed(&fault, pass).await;
+            hand_over.taken_back();
+            Err(life.take_back().refuse(RefusalReason::UpstreamUnreachable))
         }
         Err(fault) => {
             mark.failed(&fault, pass).await;
-            Err(match fault {
-                TransportError::Connect { .. } => {
-                    life.take_back().refuse(RefusalReason::UpstreamUnreachable)
-                }
-                fault => life.lose(lost_reason(&fault)),
-            })
+            Err(life.lose(lost_reason(&fault)))
         }
     }
 }
@@ -145,38 +192,3 @@
         CallResult::Refused(_) => counters.unknown += 1,
     }
 }
-
-/// Keeps a request in the call table until it is answered or its future is dropped.
-struct CallEntry {
-    node: SharedNode,
-    id: CallId,
-}
-
-impl CallEntry {
-    fn open(node: &SharedNode, request: &CallRequest, deadline: Instant) -> Self {
-        let call = ServedCall {
-            importance: request.importance,
-            deadline,
-            caller: request.caller,
-            purse: TokenPurse::new(request.tokens),
-            key: headers::find(&request.headers, headers::IDEMPOTENCY_KEY).map(Into::into),
-            children: 0,
-        };
-        let id = node.calls.borrow_mut().open(call);
-        Self {
-            node: node.clone(),
-            id,
-        }
-    }
-
-    /// Removes the request and returns the tokens that it did not spend.
-    fn close(self) -> TokenCount {
-        self.node.calls.borrow_mut().close(self.id)
-    }
-}
-
-impl Drop for CallEntry {
-    fn drop(&mut self) {
-        self.node.calls.borrow_mut().close(self.id);
-    }
-}
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -12,13 +12,16 @@
     drain::DrainReport, policy_digest::ListVersion, readiness::ReadinessState, routing::PeerView,
 };
 use lagoonshore_state::{
+    admission_level::AdmissionLevel,
     counters::NodeCounters,
-    ids::{PolicyRevision, ServiceName},
+    ids::{ClassName, LaneName, PolicyRevision, ServiceName},
     instance_table::InstanceRecord,
     policy_set::PolicySource,
+    service_cost::ServiceCost,
 };
 use serde::Serialize;
 use std::collections::BTreeMap;
+use tokio::time::Instant;
 
 /// `StateDump` is the state of a whole node.
 #[derive(Serialize)]
@@ -68,6 +71,12 @@
     limit: u32,
     queued: u32,
     being_served: usize,
+    overloaded: bool,
+    level: AdmissionLevel,
+    lanes: BTreeMap<LaneName, u32>,
+    costs: BTreeMap<ClassName, ServiceCost>,
+    services: BTreeMap<ClassName, BTreeMap<ServiceName, AdmissionLevel>>,
+    wasted_micros: u64,
 }
 
 #[derive(Serialize)]
@@ -107,6 +116,12 @@
             limit: load.limit,
             queued: load.queued,
             being_served: node.calls.borrow().len(),
+            overloaded: node.gate.is_overloaded(),
+            level: node.gate.level(),
+            lanes: node.gate.lanes(),
+            costs: node.gate.costs(),
+            services: node.levels.borrow().strict(Instant::now()),
+            wasted_micros: node.counters.borrow().wasted_micros,
         },
         counters: node.counters.borrow().clone(),
         retries: RetriesPart {
--- a/crates/daemon/tests/bound_calls.rs
+++ b/crates/daemon/tests/bound_calls.rs
@@ -152,7 +152,9 @@
 
 /// Opens a request being served at the portal, with a key and retry tokens.
 fn parent_with_tokens(chain: &CallChain) -> String {
-    use lagoonshore_coordination::{call_table::ServedCall, retries::TokenPurse};
+    use lagoonshore_coordination::{
+        call_table::ServedCall, child_clock::ChildClock, retries::TokenPurse,
+    };
     use lagoonshore_state::units::{RequestImportance, TokenCount};
     let parent = ServedCall {
         importance: RequestImportance(0),
@@ -161,6 +163,8 @@
         purse: TokenPurse::new(TokenCount(8)),
         key: Some("parent-key".into()),
         children: 0,
+        class: "dose-entry".into(),
+        child_clock: ChildClock::default(),
     };
     chain
         .portal
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -113,6 +113,7 @@
         request,
         deadline: Instant::now() + Duration::from_mins(1),
         idempotent: true,
+        made_for: None,
         tried: Vec::new(),
     };
     call_router::route(&portal.node, call, TokenPurse::new(TokenCount(8))).await
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -11,6 +11,7 @@
     request_life::CallRefusal,
 };
 use lagoonshore_state::{
+    admission_level::AdmissionLevel,
     data_type,
     ids::{CallerHash, IncarnationId, ServiceName},
     instance_table::InstanceRecord,
@@ -109,6 +110,8 @@
         pub queued: u32,
         /// Whether the node is leaving.
         pub draining: bool,
+        /// Strictest admission level of the node and of what it calls for such requests.
+        pub level: AdmissionLevel,
     }
     /// `NodeDigest` is what nodes tell each other without being asked.
     pub struct NodeDigest {
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -9,7 +9,7 @@
     upstream::TagWork,
 };
 
-use awc::{Client, error::ConnectError};
+use awc::{Client, Connector, error::ConnectError};
 use lagoonshore_protocol::headers;
 use pico_args::Arguments;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -77,7 +77,7 @@
         .opt_value_from_str("--report")
         .map_err(|fault| fault.to_string())?;
     let callers = Rc::new(CallerSet {
-        client: Client::builder().disable_timeout().finish(),
+        client: client(),
         entries,
         turn: Cell::new(0),
         keys: CallerKeys::default(),
@@ -100,6 +100,16 @@
     })
 }
 
+/// A client without a bound on connections: it stands for many callers, which do not wait for
+/// each other.
+fn client() -> Client {
+    let connector = Connector::new().limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .finish()
+}
+
 fn surge_plan(text: &str) -> StandinResult<SurgePlan> {
     let parts: Result<Vec<f64>, _> = text.split(':').map(str::parse).collect();
     match parts.as_deref() {
