Route around stragglers, hedge late calls, bound repeats over the chain

Cause: the selector saw only its own latencies, ejected peers that refused for overload, had no floor, and kept a call in progress for ever when its future was dropped. A node whose upstream failed returned every token it was granted, also those that child calls had spent, so tokens were copied up the chain. Ruled out: latency as an absolute number, since a long route would make its peer look slow; samples are multiples of the route's own median instead. Changed: routing and retries are split into small modules; reported load, stragglers, ejection with a floor, probing, slow start; hedges after the route's high quantile; repeats of an upstream are recognised; Retry-After has jitter.

--- a/crates/coordination/src/call_table.rs
+++ b/crates/coordination/src/call_table.rs
@@ -1,6 +1,6 @@
 //! The requests that the upstream is serving, by the id that it echoes on the calls it makes.
 
-use crate::retries::TokenPurse;
+use crate::retries::{TokenPurse, repeat_table::RepeatTable};
 
 use lagoonshore_state::{
     ids::{CallId, CallerHash},
@@ -22,6 +22,8 @@
     pub purse: TokenPurse,
     /// Child calls made so far.
     pub children: u32,
+    /// Calls made so far, to recognise repeats that the upstream makes itself.
+    pub repeats: RepeatTable,
 }
 
 /// `CallTable` holds the requests that the upstream is serving.
--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -1,16 +1,14 @@
 //! Sends a call to an instance of another service, and again where that is allowed.
 
-use crate::{node::SharedNode, refusals};
+use crate::{call_attempt, hedged_call, node::SharedNode, refusals};
 
 use lagoonshore_coordination::{
     outcome::{CallOutcome, RefusalReason},
     request_life::CallRefusal,
-    retries::TokenPurse,
+    retries::{RouteKey, TokenPurse},
 };
-use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult};
+use lagoonshore_protocol::messages::{CallRequest, CallResult};
 use lagoonshore_state::{instance_table::InstanceKey, units::TokenCount};
-use lagoonshore_transport::TransportError;
-use std::net::SocketAddr;
 use tokio::time::Instant;
 
 /// Retry ratio for a service of which no policy is known.
@@ -40,15 +38,11 @@
 
 /// Sends `call`; tokens of `purse` pay for repeats here and below.
 pub async fn route(node: &SharedNode, mut call: RoutedCall, mut purse: TokenPurse) -> RoutedReply {
-    let service = call.request.service.clone();
-    let policy = node.policy(&service);
-    let ratio = policy.map_or(DEFAULT_RETRY_RATIO, |policy| policy.retries.ratio);
-    node.budget.borrow_mut().record_call(ratio);
-    node.counters.borrow_mut().calls += 1;
+    let rules = CallRules::of(node, &call);
+    count_call(node, rules.ratio, call.idempotent);
     let mut refusal = refusals::on_arrival(RefusalReason::NoInstance);
-    while let Some((key, address)) = choose(node, &call) {
-        call.tried.push(key);
-        match try_instance(node, &call, key, address, &mut purse).await {
+    while let Some(target) = call_attempt::choose(node, &mut call) {
+        match hedged_call::send(node, &mut call, &rules.route, target, &mut purse).await {
             CallResult::Answered(answer) => {
                 let result = CallResult::Answered(answer);
                 return RoutedReply {
@@ -58,7 +52,7 @@
             }
             CallResult::Refused(latest) => refusal = combine(refusal, latest),
         }
-        if !may_repeat(&call, refusal) || !spend(node, &mut purse) {
+        if !may_repeat(&call, refusal) || !node.retries.borrow_mut().spend_retry(&mut purse) {
             break;
         }
         node.counters.borrow_mut().retries += 1;
@@ -69,8 +63,39 @@
     }
 }
 
+fn count_call(node: &SharedNode, ratio: f64, idempotent: bool) {
+    node.counters.borrow_mut().calls += 1;
+    node.retries.borrow_mut().record_call(ratio, idempotent);
+}
+
+/// What the policy of the called service says of a call.
+struct CallRules {
+    route: RouteKey,
+    ratio: f64,
+}
+
+impl CallRules {
+    fn of(node: &SharedNode, call: &RoutedCall) -> Self {
+        let CallRequest {
+            service,
+            method,
+            path,
+            ..
+        } = &call.request;
+        let policy = node.policy(service);
+        let class = policy.as_ref().map(|policy| policy.class_of(method, path));
+        let route = RouteKey {
+            service: service.clone(),
+            class: class.map(|class| class.name).unwrap_or_default(),
+        };
+        let ratio = policy.map_or(DEFAULT_RETRY_RATIO, |policy| policy.retries.ratio);
+        Self { route, ratio }
+    }
+}
+
 /// Joins the refusals of several tries: a call that may have run once is never `not-run`.
-const fn combine(before: CallRefusal, latest: CallRefusal) -> CallRefusal {
+#[must_use]
+pub const fn combine(before: CallRefusal, latest: CallRefusal) -> CallRefusal {
     match before.outcome {
         CallOutcome::Unknown => CallRefusal {
             outcome: CallOutcome::Unknown,
@@ -84,68 +109,3 @@
     let is_safe = refusal.is_not_run() || call.idempotent;
     is_safe && refusal.reason.helps_elsewhere() && Instant::now() < call.deadline
 }
-
-fn spend(node: &SharedNode, purse: &mut TokenPurse) -> bool {
-    purse.balance().0 > 0 && node.budget.borrow_mut().spend() && purse.spend()
-}
-
-fn choose(node: &SharedNode, call: &RoutedCall) -> Option<(InstanceKey, SocketAddr)> {
-    let table = node.instances.borrow();
-    let selector = node.selector.borrow();
-    let mut random = node.random.borrow_mut();
-    let service = &call.request.service;
-    let key = selector.choose(Instant::now(), &table, service, &call.tried, &mut *random)?;
-    table.get(key).map(|record| (key, record.peer))
-}
-
-async fn try_instance(
-    node: &SharedNode,
-    call: &RoutedCall,
-    key: InstanceKey,
-    address: SocketAddr,
-    purse: &mut TokenPurse,
-) -> CallResult {
-    let granted = purse.split();
-    let mut request = call.request.clone();
-    request.tokens = granted;
-    let started = Instant::now();
-    node.selector.borrow_mut().started(key);
-    match node.links.call(address, request, call.deadline).await {
-        Ok(reply) => {
-            purse.put_back(reply.tokens, granted);
-            note_reply(node, key, started, &reply);
-            reply.result
-        }
-        Err(fault) => {
-            node.selector.borrow_mut().failed(key, Instant::now());
-            let refusal = link_refusal(&fault);
-            if refusal.is_not_run() {
-                purse.put_back(granted, granted);
-            }
-            CallResult::Refused(refusal)
-        }
-    }
-}
-
-fn note_reply(node: &SharedNode, key: InstanceKey, started: Instant, reply: &CallReply) {
-    let mut selector = node.selector.borrow_mut();
-    selector.set_draining(key, reply.load.draining);
-    match &reply.result {
-        CallResult::Answered(_) => selector.answered(key, started.elapsed()),
-        CallResult::Refused(_) => selector.failed(key, Instant::now()),
-    }
-}
-
-const fn link_refusal(fault: &TransportError) -> CallRefusal {
-    match fault {
-        TransportError::Connect { .. } => refusals::on_arrival(RefusalReason::UpstreamUnreachable),
-        TransportError::TimedOut { .. } => CallRefusal {
-            outcome: CallOutcome::Unknown,
-            reason: RefusalReason::Timeout,
-        },
-        _ => CallRefusal {
-            outcome: CallOutcome::Unknown,
-            reason: RefusalReason::ConnectionLost,
-        },
-    }
-}
--- /dev/null
+++ b/crates/daemon/src/hedged_call.rs
@@ -0,0 +1,128 @@
+//! A call that may be hedged: after the route's own high quantile a second attempt goes to
+//! another instance, the first whole answer wins and the other attempt is cancelled (Dean and
+//! Barroso, "The Tail at Scale", Communications of the ACM 56(2), 2013).
+
+use crate::{
+    call_attempt::{self, AttemptReply, AttemptTarget},
+    call_router::{self, RoutedCall},
+    node::SharedNode,
+};
+
+use futures::future::{Either, LocalBoxFuture, select};
+use lagoonshore_coordination::retries::{RouteKey, TokenPurse};
+use lagoonshore_protocol::messages::CallResult;
+use lagoonshore_state::units::TokenCount;
+use std::{pin::pin, time::Duration};
+
+/// An attempt in progress and the tokens that it was granted.
+struct RunningAttempt {
+    reply: LocalBoxFuture<'static, AttemptReply>,
+    granted: TokenCount,
+}
+
+/// Sends `call` to `target`, and to another instance if that one is late and a hedge is allowed.
+pub async fn send(
+    node: &SharedNode,
+    call: &mut RoutedCall,
+    route: &RouteKey,
+    target: AttemptTarget,
+    purse: &mut TokenPurse,
+) -> CallResult {
+    let delay = hedge_delay(node, call, route);
+    let mut first = start(node, call, route, target, purse);
+    let Some(delay) = delay else {
+        return finish(first, purse).await;
+    };
+    let late = pin!(actix_rt::time::sleep(delay));
+    if let Either::Left((reply, _)) = select(&mut first.reply, late).await {
+        return settle(reply, first.granted, purse);
+    }
+    match start_hedge(node, call, route, purse) {
+        Some(hedge) => race(node, first, hedge, purse).await,
+        None => finish(first, purse).await,
+    }
+}
+
+fn hedge_delay(node: &SharedNode, call: &RoutedCall, route: &RouteKey) -> Option<Duration> {
+    let delay = node.retries.borrow().hedge_delay(route);
+    delay.filter(|_| call.idempotent)
+}
+
+fn start(
+    node: &SharedNode,
+    call: &RoutedCall,
+    route: &RouteKey,
+    target: AttemptTarget,
+    purse: &mut TokenPurse,
+) -> RunningAttempt {
+    let granted = purse.split();
+    let (request, deadline) = (call.request.clone(), call.deadline);
+    let reply = call_attempt::send(
+        node.clone(),
+        request,
+        deadline,
+        route.clone(),
+        target,
+        granted,
+    );
+    RunningAttempt {
+        reply: Box::pin(reply),
+        granted,
+    }
+}
+
+fn start_hedge(
+    node: &SharedNode,
+    call: &mut RoutedCall,
+    route: &RouteKey,
+    purse: &mut TokenPurse,
+) -> Option<RunningAttempt> {
+    let before = call.tried.len();
+    let target = call_attempt::choose(node, call)?;
+    if !node.retries.borrow_mut().spend_hedge(purse) {
+        call.tried.truncate(before);
+        return None;
+    }
+    Some(start(node, call, route, target, purse))
+}
+
+/// Takes the first whole answer and cancels the other attempt. An attempt that is refused leaves
+/// the call to the other one.
+async fn race(
+    node: &SharedNode,
+    first: RunningAttempt,
+    hedge: RunningAttempt,
+    purse: &mut TokenPurse,
+) -> CallResult {
+    let (reply, ended, running, is_hedge) = match select(first.reply, hedge.reply).await {
+        Either::Left((reply, running)) => (reply, first.granted, (running, hedge.granted), false),
+        Either::Right((reply, running)) => (reply, hedge.granted, (running, first.granted), true),
+    };
+    let other = RunningAttempt {
+        reply: running.0,
+        granted: running.1,
+    };
+    match settle(reply, ended, purse) {
+        CallResult::Answered(answer) => {
+            drop(other);
+            node.retries.borrow_mut().count_cancelled(is_hedge);
+            CallResult::Answered(answer)
+        }
+        CallResult::Refused(refusal) => match finish(other, purse).await {
+            CallResult::Answered(answer) => CallResult::Answered(answer),
+            CallResult::Refused(latest) => {
+                CallResult::Refused(call_router::combine(refusal, latest))
+            }
+        },
+    }
+}
+
+async fn finish(attempt: RunningAttempt, purse: &mut TokenPurse) -> CallResult {
+    let granted = attempt.granted;
+    settle(attempt.reply.await, granted, purse)
+}
+
+fn settle(reply: AttemptReply, granted: TokenCount, purse: &mut TokenPurse) -> CallResult {
+    purse.put_back(reply.unspent, granted);
+    reply.result
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,9 +2,11 @@
 
 pub mod admin_door;
 pub mod admission_gate;
+pub mod call_attempt;
 pub mod call_router;
 pub mod error;
 pub mod events;
+pub mod hedged_call;
 pub mod inbound_door;
 pub mod logging;
 pub mod node;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,7 +8,7 @@
 use lagoonshore_coordination::{
     call_table::CallTable,
     drain::DrainControl,
-    retries::RetryBudget,
+    retries::RetryControl,
     routing::{PeerSelector, RoutingOrigin},
 };
 use lagoonshore_protocol::messages::LoadReport;
@@ -73,8 +73,8 @@
     pub calls: RefCell<CallTable>,
     /// Choice of peers.
     pub selector: RefCell<PeerSelector>,
-    /// Retry budget of the node.
-    pub budget: RefCell<RetryBudget>,
+    /// Bounds on the repeats of the node.
+    pub retries: RefCell<RetryControl>,
     /// Links to peers.
     pub links: PeerLinks,
     /// Client of the own upstream.
@@ -115,7 +115,7 @@
             gate: AdmissionGate::default(),
             calls: RefCell::default(),
             selector: RefCell::new(PeerSelector::new(origin)),
-            budget: RefCell::default(),
+            retries: RefCell::default(),
             links: PeerLinks::default(),
             upstream: UpstreamClient::new(settings.upstream.address, ANSWER_BYTES_MAX),
             drain: RefCell::default(),
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -6,7 +6,13 @@
     refusals,
 };
 
-use lagoonshore_coordination::{outcome::RefusalReason, retries::TokenPurse};
+use lagoonshore_coordination::{
+    outcome::RefusalReason,
+    retries::{
+        TokenPurse,
+        repeat_table::{self, CallDigest},
+    },
+};
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
     messages::CallRequest,
@@ -49,7 +55,11 @@
         return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), &detail);
     };
     let class = policy.class_of(&method, &path);
-    let context = inherit(&node, &fields, &class);
+    let digest = repeat_table::digest(service, &method, &path, &body);
+    let Some(context) = inherit(&node, &fields, &class, digest) else {
+        let refusal = refusals::on_arrival(RefusalReason::RetryLimit);
+        return refusals::refuse(refusal, "the upstream repeats a call and no retry is left");
+    };
     let request = CallRequest {
         service: service.into(),
         method,
@@ -80,28 +90,38 @@
 }
 
 /// Takes importance, deadline and a share of the tokens from the request that is being served.
-/// A call that names none counts as least important and has no tokens.
-fn inherit(node: &SharedNode, fields: &[HeaderField], class: &RequestClass) -> InheritedContext {
+/// A call that names none counts as least important and has no tokens. `None` refuses a repeat
+/// that the upstream makes itself and that no token is left for.
+fn inherit(
+    node: &SharedNode,
+    fields: &[HeaderField],
+    class: &RequestClass,
+    digest: CallDigest,
+) -> Option<InheritedContext> {
     let longest = Instant::now() + class.timeout;
     let id = headers::find(fields, headers::CALL).and_then(|text| text.parse().ok());
     let mut calls = node.calls.borrow_mut();
     let Some((id, parent)) = id.and_then(|id| calls.get_mut(id).map(|parent| (id, parent))) else {
-        return InheritedContext {
+        return Some(InheritedContext {
             importance: RequestImportance::LEAST,
             deadline: longest,
             caller: CallerHash::default(),
             tokens: TokenCount(0),
             parent: None,
-        };
+        });
     };
+    let is_repeat = parent.repeats.record(digest);
+    if is_repeat && !node.retries.borrow_mut().spend_repeat(&mut parent.purse) {
+        return None;
+    }
     parent.children += 1;
-    InheritedContext {
+    Some(InheritedContext {
         importance: parent.importance,
         deadline: parent.deadline.min(longest),
         caller: parent.caller,
         tokens: parent.purse.split(),
         parent: Some(id),
-    }
+    })
 }
 
 fn put_back(node: &SharedNode, parent: CallId, unspent: TokenCount, granted: TokenCount) {
--- a/crates/daemon/src/refusals.rs
+++ b/crates/daemon/src/refusals.rs
@@ -3,6 +3,7 @@
 use lagoonshore_coordination::{
     outcome::{CallOutcome, RefusalReason},
     request_life::{CallRefusal, RequestLife},
+    retries::retry_after,
 };
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
@@ -10,6 +11,14 @@
     problem,
 };
 use lagoonshore_transport::http_door::{BodyFault, DoorAnswer};
+use rand::{SeedableRng, rngs::SmallRng};
+use std::{cell::RefCell, time::Duration};
+
+thread_local! {
+    /// Random numbers for jitter; a node lives on one thread.
+    static JITTER: RefCell<SmallRng> =
+        RefCell::new(SmallRng::seed_from_u64(getrandom::u64().unwrap_or_default()));
+}
 
 /// Answer for a result.
 #[must_use]
@@ -25,11 +34,15 @@
 pub fn refuse(refusal: CallRefusal, detail: &str) -> DoorAnswer {
     DoorAnswer {
         status: refusal.reason.status(),
-        headers: problem::fields(refusal),
+        headers: problem::fields(refusal, retry_after(refusal.reason)),
         body: problem::body(refusal, detail),
     }
 }
 
+fn retry_after(reason: RefusalReason) -> Option<Duration> {
+    JITTER.with_borrow_mut(|random| retry_after::delay(reason, random))
+}
+
 /// Refusal of a request that has just arrived.
 #[must_use]
 pub const fn on_arrival(reason: RefusalReason) -> CallRefusal {
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -7,7 +7,7 @@
     call_table::ServedCall,
     outcome::RefusalReason,
     request_life::{AdmittedState, CallRefusal, RequestLife},
-    retries::TokenPurse,
+    retries::{TokenPurse, repeat_table::RepeatTable},
 };
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
@@ -20,11 +20,12 @@
 /// Serves `request`, which must be answered before `deadline`.
 pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
     node.counters.borrow_mut().offered += 1;
-    let granted = request.tokens;
-    let (result, tokens) = match admit_and_run(node, request, deadline).await {
-        Ok((answer, tokens)) => (CallResult::Answered(answer), tokens),
-        Err(refusal) => (CallResult::Refused(refusal), granted),
+    let mut purse = TokenPurse::new(request.tokens);
+    let result = match admit_and_run(node, request, deadline, &mut purse).await {
+        Ok(answer) => CallResult::Answered(answer),
+        Err(refusal) => CallResult::Refused(refusal),
     };
+    let tokens = purse.balance();
     count(node, &result);
     CallReply {
         result,
@@ -37,7 +38,8 @@
     node: &SharedNode,
     request: CallRequest,
     deadline: Instant,
-) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
+    purse: &mut TokenPurse,
+) -> Result<WholeAnswer, CallRefusal> {
     if node.drain.borrow().is_draining() {
         return Err(refusals::on_arrival(RefusalReason::Draining));
     }
@@ -57,7 +59,7 @@
         Ok(permit) => permit,
         Err(reason) => return Err(life.refuse(reason)),
     };
-    let served = run(node, life.admit(), request, deadline).await;
+    let served = run(node, life.admit(), request, deadline, purse).await;
     drop(permit);
     served
 }
@@ -67,7 +69,8 @@
     life: RequestLife<AdmittedState>,
     request: CallRequest,
     deadline: Instant,
-) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
+    purse: &mut TokenPurse,
+) -> Result<WholeAnswer, CallRefusal> {
     let now = Instant::now();
     if deadline <= now {
         return Err(life.refuse(RefusalReason::Timeout));
@@ -76,8 +79,11 @@
     let life = life.hand_over();
     node.counters.borrow_mut().handed_over += 1;
     let request = upstream_request(request, entry.id);
-    match node.upstream.send(request, deadline - now).await {
-        Ok(answer) => Ok((answer, entry.close())),
+    let sent = node.upstream.send(request, deadline - now).await;
+    // Whatever became of the request, tokens that child calls spent or still hold do not return.
+    *purse = TokenPurse::new(entry.close());
+    match sent {
+        Ok(answer) => Ok(answer),
         Err(TransportError::Connect { .. }) => {
             Err(life.take_back().refuse(RefusalReason::UpstreamUnreachable))
         }
@@ -127,6 +133,7 @@
             caller: request.caller,
             purse: TokenPurse::new(request.tokens),
             children: 0,
+            repeats: RepeatTable::default(),
         };
         let id = node.calls.borrow_mut().open(call);
         Self {
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -2,7 +2,9 @@
 
 use crate::node::{Node, PlatformState, RecordFault};
 
-use lagoonshore_coordination::{drain::DrainState, routing::PeerView};
+use lagoonshore_coordination::{
+    drain::DrainState, retries::retry_control::RetrySummary, routing::PeerSummary,
+};
 use lagoonshore_state::{
     counters::NodeCounters,
     ids::{PolicyRevision, ServiceName},
@@ -10,6 +12,7 @@
 };
 use serde::Serialize;
 use std::collections::BTreeMap;
+use tokio::time::Instant;
 
 /// `StateDump` is the state of a whole node.
 #[derive(Serialize)]
@@ -18,7 +21,7 @@
     policy: BTreeMap<ServiceName, PolicyPart>,
     admission: AdmissionPart,
     counters: NodeCounters,
-    retries: RetriesPart,
+    retries: RetrySummary,
     peers: Vec<PeerPart>,
     drain: DrainState,
     platform: PlatformState,
@@ -48,16 +51,11 @@
     being_served: usize,
 }
 
-#[derive(Serialize)]
-struct RetriesPart {
-    budget: f64,
-}
-
 #[derive(Serialize)]
 struct PeerPart {
     #[serde(flatten)]
     record: InstanceRecord,
-    view: Option<PeerView>,
+    view: Option<PeerSummary>,
 }
 
 /// Takes the dump of `node`.
@@ -82,9 +80,7 @@
             being_served: node.calls.borrow().len(),
         },
         counters: node.counters.borrow().clone(),
-        retries: RetriesPart {
-            budget: node.budget.borrow().saved(),
-        },
+        retries: node.retries.borrow().summary(),
         peers: peers(node),
         drain: node.drain.borrow().state(),
         platform: node.platform.borrow().clone(),
@@ -105,9 +101,10 @@
 fn peers(node: &Node) -> Vec<PeerPart> {
     let table = node.instances.borrow();
     let selector = node.selector.borrow();
+    let now = Instant::now();
     let part = |(key, record): (_, &InstanceRecord)| PeerPart {
         record: record.clone(),
-        view: selector.view(key).cloned(),
+        view: selector.summary(key, now),
     };
     table.iter().map(part).collect()
 }
--- a/crates/protocol/src/problem.rs
+++ b/crates/protocol/src/problem.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use lagoonshore_coordination::{outcome::CallOutcome, request_life::CallRefusal};
 use serde::Serialize;
+use std::time::Duration;
 
 /// Media type of a problem body.
 pub const MEDIA_TYPE: &str = "application/problem+json";
@@ -35,15 +36,15 @@
     serde_json::to_vec(&problem).map_or_else(|_| Bytes::new(), Bytes::from)
 }
 
-/// Header fields of a refusal.
+/// Header fields of a refusal; `retry_after` is told in whole seconds (RFC 9110, section 10.2.3).
 #[must_use]
-pub fn fields(refusal: CallRefusal) -> Vec<HeaderField> {
+pub fn fields(refusal: CallRefusal, retry_after: Option<Duration>) -> Vec<HeaderField> {
     let mut fields = vec![
         HeaderField::new("content-type", MEDIA_TYPE),
         HeaderField::new(headers::OUTCOME, refusal.outcome.as_str()),
         HeaderField::new(headers::REASON, refusal.reason.as_str()),
     ];
-    if let Some(delay) = refusal.reason.retry_after() {
+    if let Some(delay) = retry_after {
         fields.push(HeaderField::new(
             headers::RETRY_AFTER,
             &delay.as_secs().to_string(),
