--- a/crates/coordination/src/call_table.rs
+++ b/crates/coordination/src/call_table.rs
@@ -1,6 +1,9 @@
 //! The requests that the upstream is serving, by the id that it echoes on the calls it makes.
 
-use crate::{child_clock::ChildClock, retries::TokenPurse};
+use crate::{
+    child_clock::ChildClock,
+    retries::{SharedPurse, repeat_table::RepeatTable},
+};
 
 use compact_str::CompactString;
 use lagoonshore_state::{
@@ -19,12 +22,14 @@
     pub deadline: Instant,
     /// Caller at the entry.
     pub caller: CallerHash,
-    /// Retry tokens left.
-    pub purse: TokenPurse,
+    /// Retry tokens left, which its child calls take from.
+    pub purse: SharedPurse,
     /// Idempotency key of the request.
     pub key: Option<CompactString>,
     /// Child calls made so far.
     pub children: u32,
+    /// Calls made so far, to recognise repeats that the upstream makes itself.
+    pub repeats: RepeatTable,
     /// Class of the request.
     pub class: ClassName,
     /// Time spent in child calls.
@@ -49,7 +54,7 @@
     /// Removes a request; returns the tokens that it did not spend.
     pub fn close(&mut self, id: CallId) -> TokenCount {
         let call = self.calls.remove(&id);
-        call.map_or(TokenCount(0), |call| call.purse.balance())
+        call.map_or(TokenCount(0), |call| call.purse.close())
     }
 
     /// The request with `id`, to read.
--- a/crates/daemon/src/bound_call.rs
+++ b/crates/daemon/src/bound_call.rs
@@ -1,10 +1,12 @@
 //! Sends a non-idempotent call to one executor; it goes elsewhere only on proof of not having run.
 
 use crate::{
-    call_router::{self, RoutedCall, RoutedReply},
+    call_attempt::{self, AttemptTarget},
+    call_router::{self, RoutedCall},
+    hedged_call,
     keyed_work::home_unreachable,
     node::SharedNode,
-    refusals,
+    refusals, suspect_gate,
 };
 
 use compact_str::CompactString;
@@ -12,37 +14,45 @@
     executor_binding::{CallExecutor, SendEnd},
     outcome::RefusalReason,
     request_life::CallRefusal,
-    retries::TokenPurse,
+    retries::{RouteKey, SharedPurse},
 };
 use lagoonshore_protocol::messages::{CallResult, WorkKey};
-use lagoonshore_state::instance_table::InstanceKey;
-use std::net::SocketAddr;
 use tokio::time::Instant;
 
 /// Sends `call`, whose request has a bound key; tokens of `purse` pay for repeats.
-pub async fn route(node: &SharedNode, mut call: RoutedCall, mut purse: TokenPurse) -> RoutedReply {
-    call_router::record_call(node, &call);
+pub async fn route(
+    node: &SharedNode,
+    mut call: RoutedCall,
+    route: &RouteKey,
+    purse: &SharedPurse,
+) -> CallResult {
     let mut refusal = refusals::on_arrival(RefusalReason::NoInstance);
     let Some(WorkKey::Bound { key, .. }) = call.request.key.clone() else {
-        return reply(CallResult::Refused(refusal), purse);
+        return CallResult::Refused(refusal);
     };
-    while let Some((instance, address)) = candidate(node, &call, &key) {
-        call.tried.push(instance);
-        match send(node, &mut call, &key, instance, address, &mut purse).await {
-            SendResult::Ended(result) => return reply(result, purse),
+    let fingerprint = suspect_gate::fingerprint(&call.request);
+    loop {
+        let target = match candidate(node, &mut call, &key) {
+            CallCandidate::Found(target) => target,
+            CallCandidate::Gone => return CallResult::Refused(home_unreachable()),
+            CallCandidate::Nobody => break,
+        };
+        if let Err(reason) = suspect_gate::check(node, fingerprint) {
+            refusal = refusals::on_arrival(reason);
+            break;
+        }
+        let held = suspect_gate::report(node, fingerprint);
+        call.request.crashes = held.map_or(0, |report| report.crashes);
+        match send(node, &mut call, &key, route, target, purse).await {
+            SendResult::Ended(result) => return result,
             SendResult::Free(latest) => refusal = latest,
         }
-        if !call_router::may_repeat(&call, refusal) || !call_router::spend(node, &mut purse) {
+        if !call_router::may_repeat(&call, refusal) || !call_router::spend(node, purse) {
             break;
         }
         node.counters.borrow_mut().retries += 1;
     }
-    reply(CallResult::Refused(refusal), purse)
-}
-
-fn reply(result: CallResult, purse: TokenPurse) -> RoutedReply {
-    let tokens = purse.balance();
-    RoutedReply { result, tokens }
+    CallResult::Refused(refusal)
 }
 
 /// What one sending led to.
@@ -53,24 +63,44 @@
     Free(CallRefusal),
 }
 
-/// The executor that the call is bound to, or a new choice.
-fn candidate(node: &SharedNode, call: &RoutedCall, key: &str) -> Option<(InstanceKey, SocketAddr)> {
-    let Some(executor) = node.work.bindings.borrow().executor(key) else {
-        return call_router::choose(node, call);
+/// Where a call may go.
+enum CallCandidate {
+    /// The executor that the call is bound to, or a new choice.
+    Found(AttemptTarget),
+    /// The call is bound to an executor that is no longer known: it may have run there.
+    Gone,
+    /// No instance takes the call, and it is bound to none.
+    Nobody,
+}
+
+fn candidate(node: &SharedNode, call: &mut RoutedCall, key: &str) -> CallCandidate {
+    let bound = node.work.bindings.borrow().executor(key);
+    let Some(executor) = bound else {
+        let chosen = call_attempt::choose(node, call);
+        return chosen.map_or(CallCandidate::Nobody, CallCandidate::Found);
     };
     let table = node.instances.borrow();
-    let record = table.get(executor.instance)?;
-    Some((executor.instance, record.peer))
+    let record = table.get(executor.instance);
+    record.map_or(CallCandidate::Gone, |record| {
+        CallCandidate::Found(AttemptTarget {
+            key: executor.instance,
+            address: record.peer,
+        })
+    })
 }
 
 async fn send(
     node: &SharedNode,
     call: &mut RoutedCall,
     key: &CompactString,
-    instance: InstanceKey,
-    address: SocketAddr,
-    purse: &mut TokenPurse,
+    route: &RouteKey,
+    target: AttemptTarget,
+    purse: &SharedPurse,
 ) -> SendResult {
+    let AttemptTarget {
+        key: instance,
+        address,
+    } = target;
     let incarnation = match node.links.identify(address).await {
         Ok(incarnation) => incarnation,
         Err(_) if node.work.bindings.borrow().executor(key).is_some() => {
@@ -79,7 +109,7 @@
         Err(_) => {
             let mut selector = node.selector.borrow_mut();
             selector.started(instance);
-            selector.failed(instance, Instant::now());
+            selector.unreachable(instance, Instant::now());
             return SendResult::Free(refusals::on_arrival(RefusalReason::UpstreamUnreachable));
         }
     };
@@ -110,7 +140,7 @@
         key: key.clone(),
         executor: executor.incarnation,
     });
-    let result = call_router::try_instance(node, call, instance, address, purse).await;
+    let result = hedged_call::send_once(node, call, route, target, purse).await;
     let CallResult::Refused(refusal) = result else {
         return SendResult::Ended(result);
     };
--- a/crates/daemon/src/hand_over.rs
+++ b/crates/daemon/src/hand_over.rs
@@ -3,7 +3,9 @@
 use crate::{admission_gate::SlotPermit, node::SharedNode};
 
 use lagoonshore_coordination::{
-    call_table::ServedCall, child_clock::ChildClock, retries::TokenPurse,
+    call_table::ServedCall,
+    child_clock::ChildClock,
+    retries::{SharedPurse, repeat_table::RepeatTable},
 };
 use lagoonshore_protocol::{headers, messages::CallRequest};
 use lagoonshore_state::{
@@ -53,7 +55,8 @@
             importance: request.importance,
             deadline,
             caller: request.caller,
-            purse: TokenPurse::new(request.tokens),
+            purse: SharedPurse::new(request.tokens),
+            repeats: RepeatTable::default(),
             key: headers::find(&request.headers, headers::IDEMPOTENCY_KEY).map(Into::into),
             children: 0,
             class: class.clone(),
@@ -77,14 +80,17 @@
         self.id
     }
 
-    /// Ends with a whole answer; returns the tokens that the request did not spend.
+    /// Takes the tokens that the request did not spend; child calls get none from then on.
     #[must_use]
-    pub fn answered(mut self, status: u16) -> TokenCount {
-        self.end = HandOverEnd::Answered(status);
+    pub fn take_tokens(&self) -> TokenCount {
         let calls = self.node.calls.borrow();
-        calls
-            .get(self.id)
-            .map_or(TokenCount(0), |call| call.purse.balance())
+        let call = calls.get(self.id);
+        call.map_or(TokenCount(0), |call| call.purse.close())
+    }
+
+    /// Ends with a whole answer.
+    pub fn answered(mut self, status: u16) {
+        self.end = HandOverEnd::Answered(status);
     }
 
     /// Ends because the upstream accepts no connection; it begins with few slots when it is back.
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/inbound_door.rs
@@ -7,7 +7,7 @@
     refusals, request_server,
 };
 
-use lagoonshore_coordination::{outcome::RefusalReason, retries::TokenPurse};
+use lagoonshore_coordination::{outcome::RefusalReason, retries::SharedPurse};
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
     messages::{CallReply, CallRequest, CallResult, MessageStamp},
@@ -88,7 +88,7 @@
         refusal.reason,
         RefusalReason::Draining | RefusalReason::Stale | RefusalReason::UpstreamUnreachable
     );
-    let mut purse = TokenPurse::new(tokens);
+    let purse = SharedPurse::new(tokens);
     if !elsewhere || !refusal.is_not_run() || !purse.spend() {
         return CallResult::Refused(refusal);
     }
@@ -100,7 +100,7 @@
         made_for: None,
         tried: Vec::new(),
     };
-    call_router::route(node, call, purse).await.result
+    call_router::route(node, call, &purse).await
 }
 
 fn timeout(fields: &[HeaderField], class: &RequestClass) -> Result<Duration, &'static str> {
--- a/crates/daemon/src/keyed_server.rs
+++ b/crates/daemon/src/keyed_server.rs
@@ -1,8 +1,10 @@
 //! Serves keyed requests: each key is run at most once, and resends get its one answer.
 
 use crate::{
-    bound_call, call_router::RoutedCall, keyed_work::RunReceiver, node::SharedNode, request_server,
-    suspect_gate,
+    call_router::{self, RoutedCall},
+    keyed_work::RunReceiver,
+    node::SharedNode,
+    request_server, suspect_gate,
 };
 
 use lagoonshore_coordination::{
@@ -10,7 +12,7 @@
     idempotency_key::KeyDigest,
     outcome::{CallOutcome, RefusalReason},
     request_life::CallRefusal,
-    retries::TokenPurse,
+    retries::SharedPurse,
 };
 use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult, LoadReport, WorkKey};
 use lagoonshore_state::units::TokenCount;
@@ -130,7 +132,7 @@
     let Some(WorkKey::Home(key)) = &request.key else {
         return reply;
     };
-    let mut purse = TokenPurse::new(reply.tokens);
+    let purse = SharedPurse::new(reply.tokens);
     let elsewhere = refusal.reason == RefusalReason::UpstreamUnreachable;
     if !elsewhere || !refusal.is_not_run() || !purse.spend() {
         return reply;
@@ -149,10 +151,10 @@
         made_for: None,
         tried: Vec::new(),
     };
-    let routed = bound_call::route(node, call, purse).await;
+    let result = call_router::route(node, call, &purse).await;
     CallReply {
-        result: routed.result,
-        tokens: routed.tokens,
+        result,
+        tokens: purse.close(),
         load: reply.load,
         suspect: reply.suspect,
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin_door;
 pub mod admission_gate;
 pub mod bound_call;
+pub mod call_attempt;
 pub mod call_router;
 pub mod crash_response;
 pub mod digest_exchange;
@@ -13,6 +14,7 @@
 pub mod guard_dump;
 pub mod hand_over;
 pub mod health_probe;
+pub mod hedged_call;
 pub mod inbound_door;
 pub mod keyed_entry;
 pub mod keyed_server;
--- a/crates/daemon/src/life_cycle.rs
+++ b/crates/daemon/src/life_cycle.rs
@@ -73,7 +73,7 @@
     let known = table.find(&record.name);
     let moved = known.filter(|key| table.get(*key).is_some_and(|held| held.peer != record.peer));
     if let Some(key) = moved {
-        node.selector.borrow_mut().set_draining(key, false);
+        node.selector.borrow_mut().set_leaving(key, false);
     }
 }
 
@@ -116,7 +116,7 @@
     let table = node.instances.borrow();
     let found = table.iter().find(|(_, record)| record.peer == address);
     if let Some((key, _)) = found {
-        node.selector.borrow_mut().set_draining(key, is_leaving);
+        node.selector.borrow_mut().set_leaving(key, is_leaving);
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,7 +14,7 @@
     drain::DrainControl,
     level_table::LevelTable,
     readiness::ReadinessState,
-    retries::RetryBudget,
+    retries::RetryControl,
     routing::{PeerSelector, RoutingOrigin},
 };
 use lagoonshore_protocol::messages::LoadReport;
@@ -76,8 +76,8 @@
     pub calls: RefCell<CallTable>,
     /// Choice of peers.
     pub selector: RefCell<PeerSelector>,
-    /// Retry budget of the node.
-    pub budget: RefCell<RetryBudget>,
+    /// Bounds on the repeats of the node.
+    pub retries: RefCell<RetryControl>,
     /// Work that runs at most once.
     pub work: KeyedWork,
     /// Links to peers.
@@ -129,7 +129,7 @@
             gate: AdmissionGate::default(),
             calls: RefCell::default(),
             selector: RefCell::new(PeerSelector::new(origin)),
-            budget: RefCell::default(),
+            retries: RefCell::default(),
             links,
             upstream: UpstreamClient::new(settings.upstream.address, ANSWER_BYTES_MAX),
             guard: NodeGuard::default(),
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -8,7 +8,14 @@
 };
 
 use compact_str::CompactString;
-use lagoonshore_coordination::{child_key, outcome::RefusalReason, retries::TokenPurse};
+use lagoonshore_coordination::{
+    child_key,
+    outcome::RefusalReason,
+    retries::{
+        SharedPurse,
+        repeat_table::{self, CallDigest},
+    },
+};
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
     messages::{CallRequest, MessageStamp},
@@ -26,7 +33,7 @@
     importance: RequestImportance,
     deadline: Instant,
     caller: CallerHash,
-    tokens: TokenCount,
+    purse: SharedPurse,
     parent: Option<CallId>,
     child_key: Option<CompactString>,
     made_for: Option<ClassName>,
@@ -53,9 +60,10 @@
         return refusals::refuse(refusals::on_arrival(RefusalReason::NoPolicy), &detail);
     };
     let class = policy.class_of(&method, &path);
-    let Some(context) = inherit(&node, service, &fields, &class) else {
-        let refusal = refusals::on_arrival(RefusalReason::Timeout);
-        return refusals::refuse(refusal, "the request that the call is made for has ended");
+    let digest = repeat_table::digest(service, &method, &path, &body);
+    let context = match inherit(&node, service, &fields, &class, digest) {
+        Ok(context) => context,
+        Err(fault) => return fault.answer(),
     };
     let mut request = CallRequest {
         service: service.into(),
@@ -82,14 +90,12 @@
     };
     if !node.passes_through() && !passes_level(&node, &call) {
         node.counters.borrow_mut().refused_early += 1;
-        put_back(&node, context.parent, context.tokens, context.tokens);
         return refusals::refuse(refusals::on_arrival(RefusalReason::Overload), "");
     }
     let timer = ChildTimer::start(&node, context.parent);
-    let reply = call_router::route(&node, call, TokenPurse::new(context.tokens)).await;
+    let result = call_router::route(&node, call, &context.purse).await;
     drop(timer);
-    put_back(&node, context.parent, reply.tokens, context.tokens);
-    refusals::to_answer(reply.result)
+    refusals::to_answer(result)
 }
 
 /// Tells whether the called service, as far as it is known, takes such a call.
@@ -136,49 +142,70 @@
     (!name.is_empty()).then_some(name)
 }
 
-/// Takes importance, deadline and a share of the tokens from the request that is being served.
-/// A call that names none counts as least important and has no tokens. `None` if the request
-/// that it names has ended: nobody waits for such work.
+/// Why a call inherits nothing and is refused.
+enum InheritFault {
+    /// The request that the call is made for has ended: nobody waits for such work.
+    ParentEnded,
+    /// The upstream repeats a call and no token is left for that.
+    RepeatLimit,
+}
+
+impl InheritFault {
+    fn answer(&self) -> DoorAnswer {
+        let (reason, detail) = match self {
+            Self::ParentEnded => (
+                RefusalReason::Timeout,
+                "the request that the call is made for has ended",
+            ),
+            Self::RepeatLimit => (
+                RefusalReason::RetryLimit,
+                "the upstream repeats a call and no retry is left",
+            ),
+        };
+        refusals::refuse(refusals::on_arrival(reason), detail)
+    }
+}
+
+/// Takes importance, deadline and the purse of the request that is being served.
+/// A call that names none counts as least important and has no tokens.
 fn inherit(
     node: &SharedNode,
     service: &str,
     fields: &[HeaderField],
     class: &RequestClass,
-) -> Option<InheritedContext> {
+    digest: CallDigest,
+) -> Result<InheritedContext, InheritFault> {
     let longest = Instant::now() + class.timeout;
     let Some(id) = headers::find(fields, headers::CALL) else {
-        return Some(InheritedContext {
+        return Ok(InheritedContext {
             importance: RequestImportance::LEAST,
             deadline: longest,
             caller: CallerHash::default(),
-            tokens: TokenCount(0),
+            purse: SharedPurse::new(TokenCount(0)),
             parent: None,
             child_key: None,
             made_for: None,
         });
     };
-    let id: CallId = id.parse().ok()?;
+    let id: CallId = id.parse().map_err(|_| InheritFault::ParentEnded)?;
     let mut calls = node.calls.borrow_mut();
-    let parent = calls.get_mut(id)?;
+    let parent = calls.get_mut(id).ok_or(InheritFault::ParentEnded)?;
+    let is_repeat = parent.repeats.record(digest);
+    if is_repeat && !node.retries.borrow_mut().spend_repeat(&parent.purse) {
+        return Err(InheritFault::RepeatLimit);
+    }
     parent.children += 1;
     let child_key = parent
         .key
         .as_deref()
         .map(|key| child_key::derive(key, service, parent.children));
-    Some(InheritedContext {
+    Ok(InheritedContext {
         importance: parent.importance,
         deadline: parent.deadline.min(longest),
         caller: parent.caller,
-        tokens: parent.purse.split(),
+        purse: parent.purse.clone(),
         parent: Some(id),
         child_key,
         made_for: Some(parent.class.clone()),
     })
 }
-
-fn put_back(node: &SharedNode, parent: Option<CallId>, unspent: TokenCount, granted: TokenCount) {
-    let mut calls = node.calls.borrow_mut();
-    if let Some(parent) = parent.and_then(|parent| calls.get_mut(parent)) {
-        parent.purse.put_back(unspent, granted);
-    }
-}
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -26,15 +26,15 @@
 /// Serves `request`, which must be answered before `deadline`.
 pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
     node.counters.borrow_mut().offered += 1;
-    let granted = request.tokens;
+    let mut tokens = request.tokens;
     let fingerprint = suspect_gate::fingerprint(&request);
     let policy = node.policy(&node.settings.service);
     let class = policy.map(|policy| policy.class_of(&request.method, &request.path));
     let name = class.as_ref().map(|class| class.name.clone());
-    let run = admit_and_run(node, request, class, deadline, fingerprint);
-    let (result, tokens) = match run.await {
-        Ok((answer, tokens)) => (CallResult::Answered(answer), tokens),
-        Err(refusal) => (CallResult::Refused(refusal), granted),
+    let run = admit_and_run(node, request, class, deadline, fingerprint, &mut tokens);
+    let result = match run.await {
+        Ok(answer) => CallResult::Answered(answer),
+        Err(refusal) => CallResult::Refused(refusal),
     };
     count(node, &result);
     CallReply {
@@ -51,7 +51,8 @@
     class: Option<RequestClass>,
     deadline: Instant,
     fingerprint: RequestFingerprint,
-) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
+    tokens: &mut TokenCount,
+) -> Result<WholeAnswer, CallRefusal> {
     if let Some(reason) = life_cycle::refusal(node) {
         return Err(refusals::on_arrival(reason));
     }
@@ -95,7 +96,7 @@
         fingerprint,
         pass,
     };
-    run(node, life, admitted).await
+    run(node, life, admitted, tokens).await
 }
 
 /// Waits for a slot; a node that passes everything through needs none.
@@ -129,7 +130,8 @@
     node: &SharedNode,
     life: RequestLife<AdmittedState>,
     admitted: AdmittedRequest,
-) -> Result<(WholeAnswer, TokenCount), CallRefusal> {
+    tokens: &mut TokenCount,
+) -> Result<WholeAnswer, CallRefusal> {
     let AdmittedRequest {
         request,
         class,
@@ -147,11 +149,14 @@
     node.counters.borrow_mut().handed_over += 1;
     let request = upstream_request(request, hand_over.id());
     let mark = HandOverMark::open(node, fingerprint);
-    match node.upstream.send(request, deadline - now).await {
+    let sent = node.upstream.send(request, deadline - now).await;
+    // Whatever became of the request, tokens that child calls spent or still hold do not return.
+    *tokens = hand_over.take_tokens();
+    match sent {
         Ok(answer) => {
             mark.answered();
-            let unspent = hand_over.answered(answer.status);
-            Ok((answer, unspent))
+            hand_over.answered(answer.status);
+            Ok(answer)
         }
         Err(fault @ TransportError::Connect { .. }) => {
             mark.failed(&fault, pass).await;
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/state_dump.rs
@@ -9,7 +9,8 @@
 };
 
 use lagoonshore_coordination::{
-    drain::DrainReport, policy_digest::ListVersion, readiness::ReadinessState, routing::PeerView,
+    drain::DrainReport, policy_digest::ListVersion, readiness::ReadinessState,
+    retries::retry_control::RetrySummary, routing::PeerSummary,
 };
 use lagoonshore_state::{
     admission_level::AdmissionLevel,
@@ -31,7 +32,7 @@
     distribution: DistributionPart,
     admission: AdmissionPart,
     counters: NodeCounters,
-    retries: RetriesPart,
+    retries: RetrySummary,
     peers: Vec<PeerPart>,
     ledger: LedgerPart,
     drain: DrainReport,
@@ -79,16 +80,11 @@
     wasted_micros: u64,
 }
 
-#[derive(Serialize)]
-struct RetriesPart {
-    budget: f64,
-}
-
 #[derive(Serialize)]
 struct PeerPart {
     #[serde(flatten)]
     record: InstanceRecord,
-    view: Option<PeerView>,
+    view: Option<PeerSummary>,
 }
 
 /// Takes the dump of `node`.
@@ -124,9 +120,7 @@
             wasted_micros: node.counters.borrow().wasted_micros,
         },
         counters: node.counters.borrow().clone(),
-        retries: RetriesPart {
-            budget: node.budget.borrow().saved(),
-        },
+        retries: node.retries.borrow().summary(),
         peers: peers(node),
         ledger: node.work.dump(),
         drain: node.drain.borrow().report(),
@@ -153,9 +147,10 @@
 fn peers(node: &Node) -> Vec<PeerPart> {
     let table = node.instances.borrow();
     let selector = node.selector.borrow();
+    let now = Instant::now();
     let part = |(key, record): (_, &InstanceRecord)| PeerPart {
         record: record.clone(),
-        view: selector.view(key).cloned(),
+        view: selector.summary(key, now),
     };
     table.iter().map(part).collect()
 }
--- a/crates/daemon/tests/bound_calls.rs
+++ b/crates/daemon/tests/bound_calls.rs
@@ -153,14 +153,17 @@
 /// Opens a request being served at the portal, with a key and retry tokens.
 fn parent_with_tokens(chain: &CallChain) -> String {
     use lagoonshore_coordination::{
-        call_table::ServedCall, child_clock::ChildClock, retries::TokenPurse,
+        call_table::ServedCall,
+        child_clock::ChildClock,
+        retries::{SharedPurse, repeat_table::RepeatTable},
     };
     use lagoonshore_state::units::{RequestImportance, TokenCount};
     let parent = ServedCall {
         importance: RequestImportance(0),
         deadline: tokio::time::Instant::now() + std::time::Duration::from_mins(1),
         caller: 0,
-        purse: TokenPurse::new(TokenCount(8)),
+        purse: SharedPurse::new(TokenCount(8)),
+        repeats: RepeatTable::default(),
         key: Some("parent-key".into()),
         children: 0,
         class: "dose-entry".into(),
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -7,11 +7,11 @@
 
 use crashing_upstream::{CrashingUpstream, POISON};
 use lagoonshore_coordination::{
-    retries::TokenPurse,
+    retries::SharedPurse,
     suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
 };
 use lagoonshore_daemon::{
-    call_router::{self, RoutedCall, RoutedReply},
+    call_router::{self, RoutedCall},
     crash_response,
 };
 use lagoonshore_protocol::messages::{CallRequest, CallResult, MessageStamp};
@@ -95,7 +95,7 @@
 }
 
 /// Routes an idempotent call of the portal's upstream, with tokens for every retry.
-async fn route(portal: &TestNode, path: &str, body: &'static str) -> RoutedReply {
+async fn route(portal: &TestNode, path: &str, body: &'static str) -> CallResult {
     let request = CallRequest {
         service: "medication-log".into(),
         method: "GET".into(),
@@ -116,7 +116,7 @@
         made_for: None,
         tried: Vec::new(),
     };
-    call_router::route(&portal.node, call, TokenPurse::new(TokenCount(8))).await
+    call_router::route(&portal.node, call, &SharedPurse::new(TokenCount(8))).await
 }
 
 #[actix_rt::test]
@@ -151,7 +151,7 @@
     assert_eq!(counts(&other).alone, 1);
     upstream.release(1);
     let reply = calling.await.expect("the call ends");
-    assert!(matches!(reply.result, CallResult::Answered(_)), "{reply:?}");
+    assert!(matches!(reply, CallResult::Answered(_)), "{reply:?}");
     assert_eq!(counts(&other).alone, 0);
 }
 
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -56,7 +56,7 @@
         .borrow()
         .find(&of.node.settings.instance);
     let selector = portal.node.selector.borrow();
-    key.and_then(|key| selector.view(key))
+    key.and_then(|key| selector.summary(key, Instant::now()))
         .is_some_and(|view| view.draining)
 }
 
