Let the limit rise while requests only wait; mend tests for links that open with a handshake

Cause of the hanging stop test: the limit rises with time, but was looked at only on events, so a queue behind long work stood still. A ticker looks again while requests wait. Cause of the other failing test: links now open with a handshake, so its fake, which broke every link at the first byte, no longer received a call. The fake is now a relay to a real node that is cut while the call runs; the assertions stand.

--- a/crates/daemon/src/admission_gate.rs
+++ b/crates/daemon/src/admission_gate.rs
@@ -12,12 +12,15 @@
     service_cost::{ServiceCost, ServiceSample},
     units::SlotCount,
 };
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::{sync::oneshot, time::Instant};
 
 /// Slots before a policy is in force; no request is served then.
 const INITIAL_SLOTS: SlotCount = SlotCount(1);
 
+/// Time between two looks at the limit while requests wait.
+const TICK_TIME: Duration = Duration::from_millis(100);
+
 /// A permit inside the answer gives its slot back even if the waiter left before it read it.
 type GateAnswer = Result<SlotPermit, RefusalReason>;
 
@@ -30,6 +33,7 @@
 struct GateState {
     control: AdmissionControl,
     configured: bool,
+    ticking: bool,
     waiters: BTreeMap<EntryKey, WaitingRequest>,
 }
 
@@ -60,6 +64,7 @@
         let state = GateState {
             control,
             configured: false,
+            ticking: false,
             waiters: BTreeMap::new(),
         };
         Self {
@@ -77,10 +82,8 @@
             state.control.slow_start();
             state.configured = true;
         }
-        let change = state.control.refill(Instant::now());
-        let answers = self.answers(&mut state, change);
         drop(state);
-        send_all(answers);
+        self.refill();
     }
 
     /// Waits for a slot.
@@ -95,6 +98,7 @@
             GateVerdict::Admitted => {}
             GateVerdict::Refused(reason) => return Err(reason),
             GateVerdict::Queued(key, receiver) => {
+                self.start_ticker();
                 let ticket = WaitTicket {
                     gate: self.clone(),
                     key,
@@ -109,6 +113,22 @@
         })
     }
 
+    /// Looks at the limit again while requests wait: it rises with time, also while nothing ends.
+    fn start_ticker(&self) {
+        let was_ticking = std::mem::replace(&mut self.inner.borrow_mut().ticking, true);
+        if was_ticking {
+            return;
+        }
+        let gate = self.clone();
+        actix_rt::spawn(async move {
+            while !gate.inner.borrow().waiters.is_empty() {
+                actix_rt::time::sleep(TICK_TIME).await;
+                gate.refill();
+            }
+            gate.inner.borrow_mut().ticking = false;
+        });
+    }
+
     /// Load of the gate.
     #[must_use]
     pub fn load(&self) -> GateLoad {
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -1,11 +1,13 @@
 //! Whole nodes on loopback whose upstreams crash.
 
+mod keyed_support;
 mod support;
 
 #[path = "support/crashing_upstream.rs"]
 mod crashing_upstream;
 
 use crashing_upstream::{CrashingUpstream, POISON};
+use keyed_support::CutRelay;
 use lagoonshore_coordination::{
     retries::SharedPurse,
     suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
@@ -18,7 +20,7 @@
 use lagoonshore_state::units::{RequestImportance, TokenCount};
 use std::time::Duration;
 use support::{TestAnswer, TestNode};
-use tokio::{io::AsyncReadExt, net::TcpListener, time::Instant};
+use tokio::time::Instant;
 
 const PORTAL: &str = include_str!("../../../examples/kocaeli/records/diary-portal.yaml");
 const MEDICATION: &str = include_str!("../../../examples/kocaeli/records/medication-log.yaml");
@@ -127,10 +129,8 @@
     let portal = portal().await;
     support::introduce(&portal, &other);
     support::introduce(&portal, &lost);
-    // In the portal's own zone stands an instance that is lost with every call it takes.
-    let listener = TcpListener::bind(support::ANY_PORT)
-        .await
-        .expect("a free port");
+    // In the portal's own zone stands an instance whose link breaks while it runs the call.
+    let relay = CutRelay::start(lost.doors.peer).await;
     let key = portal.node.instances.borrow().find("medication-log-izmit");
     let record = portal
         .node
@@ -139,17 +139,14 @@
         .get(key.expect("listed"))
         .cloned();
     let mut record = record.expect("a record");
-    record.peer = listener.local_addr().expect("a bound address");
+    record.peer = relay.address;
     portal.node.instances.borrow_mut().upsert(record);
-    actix_rt::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let _ = stream.read(&mut [0; 64]).await;
-        }
-    });
     let calling = actix_rt::spawn(async move { route(&portal, "/reports/held", "").await });
     support::until(|| upstream.runs() == 1).await;
+    relay.cut();
+    support::until(|| upstream.runs() == 2).await;
     assert_eq!(counts(&other).alone, 1);
-    upstream.release(1);
+    upstream.release(2);
     let reply = calling.await.expect("the call ends");
     assert!(matches!(reply, CallResult::Answered(_)), "{reply:?}");
     assert_eq!(counts(&other).alone, 0);
