Count a node as ready only once it knows those it calls; demo waits for /ready

Cause: in the first two seconds of a fleet's start 436 of 480 requests failed, since nodes counted as ready before the lists of the services they call had reached them. Ruled out: the surge, which came later, and the limits, which refused nothing then. A node now waits, within the bounded wait, until it knows a policy and an instance of each called service, and asks again soon for a list that is empty.

--- a/crates/coordination/src/readiness.rs
+++ b/crates/coordination/src/readiness.rs
@@ -28,6 +28,16 @@
     }
 }
 
+/// `KnownFleet` is what a node knows of the others.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownFleet {
+    /// Other nodes that are known.
+    pub peers: usize,
+    /// Whether a policy and an instance are known of each service that the own one calls; without
+    /// them the node can give no whole answer.
+    pub callees_known: bool,
+}
+
 /// `ReadinessControl` follows the start of a node.
 #[derive(Debug)]
 pub struct ReadinessControl {
@@ -93,8 +103,14 @@
     }
 
     /// Decides again; `peers` counts the peers that the node knows. A ready node stays ready.
-    pub fn assess(&mut self, now: Instant, policies: &PolicySet, peers: usize) -> ReadinessState {
-        if now >= self.deadline || self.holds_the_highest(policies, peers) {
+    pub fn assess(
+        &mut self,
+        now: Instant,
+        policies: &PolicySet,
+        fleet: KnownFleet,
+    ) -> ReadinessState {
+        let is_complete = fleet.callees_known && self.holds_the_highest(policies, fleet.peers);
+        if now >= self.deadline || is_complete {
             self.state = ReadinessState::Ready;
         }
         self.state
--- a/crates/coordination/tests/readiness.rs
+++ b/crates/coordination/tests/readiness.rs
@@ -1,6 +1,8 @@
 //! When a new process may serve.
 
-use lagoonshore_coordination::readiness::{READINESS_WAIT_MAX, ReadinessControl, ReadinessState};
+use lagoonshore_coordination::readiness::{
+    KnownFleet, READINESS_WAIT_MAX, ReadinessControl, ReadinessState,
+};
 use lagoonshore_state::{
     ids::PolicyRevision,
     policy::{RetryPolicy, ServicePolicy},
@@ -44,17 +46,28 @@
     control
 }
 
+/// A fleet of which `peers` other nodes and every called service are known.
+const fn known(peers: usize) -> KnownFleet {
+    KnownFleet {
+        peers,
+        callees_known: true,
+    }
+}
+
 #[test]
 fn it_waits_for_the_highest_revision_within_reach() {
     let now = Instant::now();
     let mut control = asked(now);
     assert_eq!(
-        control.assess(now, &policies(6), 2),
+        control.assess(now, &policies(6), known(2)),
         ReadinessState::Starting
     );
-    assert_eq!(control.assess(now, &policies(7), 2), ReadinessState::Ready);
     assert_eq!(
-        control.assess(now, &PolicySet::default(), 2),
+        control.assess(now, &policies(7), known(2)),
+        ReadinessState::Ready
+    );
+    assert_eq!(
+        control.assess(now, &PolicySet::default(), known(2)),
         ReadinessState::Ready
     );
 }
@@ -65,11 +78,11 @@
     let mut control = asked(now);
     let last = now + READINESS_WAIT_MAX - MOMENT;
     assert_eq!(
-        control.assess(last, &policies(6), 2),
+        control.assess(last, &policies(6), known(2)),
         ReadinessState::Starting
     );
     assert_eq!(
-        control.assess(last + MOMENT, &policies(6), 2),
+        control.assess(last + MOMENT, &policies(6), known(2)),
         ReadinessState::Ready
     );
 }
@@ -79,15 +92,18 @@
     let now = Instant::now();
     let mut control = ReadinessControl::starting(SERVICE.into(), now);
     assert_eq!(
-        control.assess(now, &policies(7), 0),
+        control.assess(now, &policies(7), known(0)),
         ReadinessState::Starting
     );
     control.platform_asked();
     assert_eq!(
-        control.assess(now, &policies(7), 1),
+        control.assess(now, &policies(7), known(1)),
         ReadinessState::Starting
     );
-    assert_eq!(control.assess(now, &policies(7), 0), ReadinessState::Ready);
+    assert_eq!(
+        control.assess(now, &policies(7), known(0)),
+        ReadinessState::Ready
+    );
 }
 
 #[test]
@@ -95,5 +111,23 @@
     let now = Instant::now();
     let mut control = asked(now);
     control.drop_offer(SERVICE);
-    assert_eq!(control.assess(now, &policies(6), 2), ReadinessState::Ready);
+    assert_eq!(
+        control.assess(now, &policies(6), known(2)),
+        ReadinessState::Ready
+    );
+}
+
+#[test]
+fn a_node_that_knows_nobody_it_calls_waits_and_then_serves_what_it_can() {
+    let now = Instant::now();
+    let mut control = ReadinessControl::starting("medication-log".into(), now);
+    control.platform_asked();
+    let alone = KnownFleet {
+        peers: 0,
+        callees_known: false,
+    };
+    let early = control.assess(now, &policies(7), alone);
+    assert_eq!(early, ReadinessState::Starting);
+    let late = control.assess(now + READINESS_WAIT_MAX, &policies(7), alone);
+    assert_eq!(late, ReadinessState::Ready);
 }
--- a/crates/coordination/tests/support/fleet.rs
+++ b/crates/coordination/tests/support/fleet.rs
@@ -10,7 +10,7 @@
     platform_watchers,
     policy_digest::{ListVersion, PolicyDigest},
     policy_distribution::PolicyDistribution,
-    readiness::{ReadinessControl, ReadinessState},
+    readiness::{KnownFleet, ReadinessControl, ReadinessState},
     routing::RoutingOrigin,
 };
 use lagoonshore_protocol::messages::NodeDigest;
@@ -298,7 +298,11 @@
             } = &mut self.nodes[node];
             members.sweep(self.now, table);
             let peers = table.iter().count().saturating_sub(1);
-            readiness.assess(self.now, policies, peers);
+            let fleet = KnownFleet {
+                peers,
+                callees_known: true,
+            };
+            readiness.assess(self.now, policies, fleet);
         }
     }
 
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/platform_watch.rs
@@ -136,8 +136,10 @@
         service: service.clone(),
         index: reply.index,
     };
+    // A node that does not watch asks again soon for a list that is still empty.
+    let is_found = !reply.value.is_empty() || is_watcher(node, service);
     apply_instances(node, &version, reply.value);
-    Some(reply.index)
+    is_found.then_some(reply.index)
 }
 
 /// Takes in a list of instances of one service.
--- a/crates/daemon/src/policy_link.rs
+++ b/crates/daemon/src/policy_link.rs
@@ -5,7 +5,7 @@
     membership::MemberTable,
     policy_digest::PolicyDigest,
     policy_distribution::PolicyDistribution,
-    readiness::{ReadinessControl, ReadinessState},
+    readiness::{KnownFleet, ReadinessControl, ReadinessState},
     routing::RoutingOrigin,
 };
 use lagoonshore_settings::NodeSettings;
@@ -120,7 +120,23 @@
         let others = table
             .iter()
             .filter(|(_, record)| Some(record.name.as_str()) != own);
+        let fleet = KnownFleet {
+            peers: others.count(),
+            callees_known: self.knows_callees(policies, table),
+        };
         let mut readiness = self.readiness.borrow_mut();
-        readiness.assess(Instant::now(), policies, others.count())
+        readiness.assess(Instant::now(), policies, fleet)
+    }
+
+    fn knows_callees(&self, policies: &PolicySet, table: &InstanceTable) -> bool {
+        let own = self.own.borrow();
+        let entry = own
+            .as_ref()
+            .and_then(|record| policies.get(&record.service));
+        entry.is_some_and(|entry| {
+            entry.policy.calls.iter().all(|service| {
+                policies.get(service).is_some() && table.of_service(service).next().is_some()
+            })
+        })
     }
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -99,10 +99,18 @@
   mv "$FLEET_DIR/platform/instances/$instance.draft" "$FLEET_DIR/platform/instances/$instance.json"
 }
 
+# fleet_get ADDRESS PATH: answer of a door to one GET request.
+fleet_get() {
+  exec 3<>"/dev/tcp/${1%:*}/${1##*:}"
+  printf 'GET %s HTTP/1.1\r\nhost: node\r\nconnection: close\r\n\r\n' "$2" >&3
+  cat <&3
+  exec 3>&-
+}
+
 # fleet_ready INSTANCE: waits until the node says that it is ready.
 fleet_ready() {
   local tries=0
-  until grep -q '"event":2001.*"service":"'"$2"'"' "$FLEET_DIR/node-$1.log"; do
+  until fleet_get "$(fleet_door "$1" admin)" /ready | grep -q '^HTTP/1.1 200'; do
     tries=$((tries + 1))
     [ "$tries" -le 200 ] || { echo "node $1 is not ready" >&2; return 1; }
     sleep 0.05
@@ -142,7 +150,7 @@
   ENTRIES= UPSTREAMS=
   for zone in $zones; do
     for service in $services; do
-      fleet_ready "$service-$zone" "$service"
+      fleet_ready "$service-$zone"
       UPSTREAMS=$UPSTREAMS,$(cat "$FLEET_DIR/$service-$zone.ready")
     done
     ENTRIES=$ENTRIES,$(fleet_door "$entry-$zone" inbound)
