Show the state of a node as metrics

Cause: /metrics on the admin door was nearly empty, and its recorder was lost for every node of a process but the first.

Ruled out: counting on the hot path what the state counts already; the page copies the state when it is asked for. Wasted seconds as a counter: counters of the recorder are whole numbers, so it is a gauge that only rises.

Changed: node_metrics.rs publishes counters and gauges and records three histograms (queue wait, upstream, whole request); the handle is shared by the nodes of a process; a task empties the recorder's buffers while nobody asks.

The state dump is unchanged.

Unproved: refusals that a door makes before admission are not counted.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod policy_digest;
 pub mod policy_distribution;
 pub mod readiness;
+pub mod refusal_counters;
 pub mod request_life;
 pub mod retries;
 pub mod routing;
--- a/crates/daemon/src/admin_door.rs
+++ b/crates/daemon/src/admin_door.rs
@@ -1,6 +1,6 @@
 //! The door for operators. It shows; it changes nothing.
 
-use crate::{explanation, node::SharedNode, state_dump};
+use crate::{explanation, node::SharedNode, node_metrics, state_dump};
 
 use bytes::Bytes;
 use lagoonshore_protocol::headers::HeaderField;
@@ -20,7 +20,7 @@
     match request.path.split('?').next().unwrap_or_default() {
         "/health" => text(200, "ok\n"),
         "/ready" => ready(node),
-        "/metrics" => text(200, &metrics.render()),
+        "/metrics" => text(200, &node_metrics::render(node, metrics)),
         "/state" => json(200, &state_dump::take(node)),
         _ => text(
             404,
--- a/crates/daemon/src/hand_over.rs
+++ b/crates/daemon/src/hand_over.rs
@@ -1,6 +1,6 @@
 //! Follows one request from its hand-over to its end, however that comes.
 
-use crate::{admission_gate::SlotPermit, node::SharedNode};
+use crate::{admission_gate::SlotPermit, node::SharedNode, node_metrics};
 
 use lagoonshore_coordination::{
     call_table::ServedCall,
@@ -123,6 +123,8 @@
         if self.end == HandOverEnd::TakenBack {
             return;
         }
+        let is_answered = self.end != HandOverEnd::Lost;
+        node_metrics::record_upstream(sample.total, is_answered);
         if let Some(permit) = &self.permit {
             permit.record(&self.class, sample);
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod logging;
 pub mod node;
 pub mod node_guard;
+pub mod node_metrics;
 pub mod node_process;
 pub mod outbound_door;
 pub mod peer_door;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -14,6 +14,7 @@
     drain::DrainControl,
     level_table::LevelTable,
     readiness::ReadinessState,
+    refusal_counters::RefusalCounters,
     retries::RetryControl,
     routing::{PeerSelector, RoutingOrigin},
 };
@@ -90,6 +91,8 @@
     pub drain: RefCell<DrainControl>,
     /// Counters.
     pub counters: RefCell<NodeCounters>,
+    /// Refusals by reason.
+    pub refusals: RefCell<RefusalCounters>,
     /// Link to the platform.
     pub platform: RefCell<PlatformState>,
     /// Random numbers for decisions.
@@ -135,6 +138,7 @@
             guard: NodeGuard::default(),
             drain: RefCell::default(),
             counters: RefCell::default(),
+            refusals: RefCell::default(),
             platform: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(incarnation)),
             connections: Rc::new(Cell::new(1024)),
--- a/crates/daemon/src/node_process.rs
+++ b/crates/daemon/src/node_process.rs
@@ -5,7 +5,7 @@
     error::{Result, SignalsSnafu},
     events, health_probe, inbound_door, life_cycle,
     node::{Node, SharedNode},
-    outbound_door,
+    node_metrics, outbound_door,
     peer_door::PeerDoor,
     planned_stop, platform_watch,
 };
@@ -17,7 +17,6 @@
     platform_reader::ConsulReader,
     signals,
 };
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use snafu::ResultExt;
 use std::{net::SocketAddr, rc::Rc};
 use tracing::info;
@@ -104,7 +103,8 @@
     let handler = move |request| outbound_door::answer(shared.clone(), request);
     actix_rt::spawn(http_door::serve(outbound, DoorLimits::default(), handler));
     actix_rt::spawn(peer_server::serve(peer, PeerDoor::new(node.clone())));
-    let (shared, metrics) = (node.clone(), metrics_handle());
+    let (shared, metrics) = (node.clone(), node_metrics::handle());
+    actix_rt::spawn(node_metrics::keep(metrics.clone()));
     let handler = move |request| {
         let answer = admin_door::answer(&shared, &metrics, &request);
         std::future::ready(answer)
@@ -113,12 +113,3 @@
     life_cycle::open(node);
     Ok(doors)
 }
-
-/// Installs the recorder of metrics; in a process that has one already, the handle shows nothing.
-fn metrics_handle() -> PrometheusHandle {
-    let builder = PrometheusBuilder::new();
-    let recorder = builder.build_recorder();
-    let handle = recorder.handle();
-    let _ = metrics::set_global_recorder(recorder);
-    handle
-}
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     admission_gate::SlotPermit, crash_response::HandOverMark, exclusive_gate::RunPass,
-    hand_over::HandOver, life_cycle, node::SharedNode, refusals, suspect_gate,
+    hand_over::HandOver, life_cycle, node::SharedNode, node_metrics, refusals, suspect_gate,
 };
 
 use lagoonshore_coordination::{
@@ -26,6 +26,7 @@
 /// Serves `request`, which must be answered before `deadline`.
 pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
     node.counters.borrow_mut().offered += 1;
+    let started = Instant::now();
     let mut tokens = request.tokens;
     let fingerprint = suspect_gate::fingerprint(&request);
     let policy = node.policy(&node.settings.service);
@@ -37,6 +38,7 @@
         Err(refusal) => CallResult::Refused(refusal),
     };
     count(node, &result);
+    node_metrics::record_request(started.elapsed(), &result);
     CallReply {
         result,
         tokens,
@@ -107,7 +109,10 @@
     if node.passes_through() {
         return Ok(None);
     }
-    node.gate.acquire(offer).await.map(Some)
+    let started = Instant::now();
+    let permit = node.gate.acquire(offer).await;
+    node_metrics::record_queue_wait(started.elapsed());
+    permit.map(Some)
 }
 
 /// Tells whether the services behind this one, as far as they are known, take such a request.
@@ -190,6 +195,9 @@
 }
 
 fn count(node: &SharedNode, result: &CallResult) {
+    if let CallResult::Refused(refusal) = result {
+        node.refusals.borrow_mut().record(refusal.reason);
+    }
     let mut counters = node.counters.borrow_mut();
     match result {
         CallResult::Answered(_) => counters.answered += 1,
