--- a/crates/daemon/src/exclusive_gate.rs
+++ b/crates/daemon/src/exclusive_gate.rs
@@ -10,8 +10,11 @@
     time::Instant,
 };
 
+/// Time kept free for other work after an exclusive run, as a multiple of the time for which that
+/// run held others back.
+const GAP_FACTOR: u32 = 9;
 /// Longest time that is kept free for other work between two exclusive runs.
-const GAP_TIME_MAX: Duration = Duration::from_secs(1);
+const GAP_TIME_MAX: Duration = Duration::from_secs(10);
 
 /// `ExclusiveGate` hands out shared passes, and exclusive ones one at a time.
 #[derive(Clone, Default)]
@@ -37,7 +40,14 @@
 
 /// `ExclusivePass` keeps every other request out.
 pub struct ExclusivePass {
-    guard: Option<OwnedRwLockWriteGuard<()>>,
+    _guard: OwnedRwLockWriteGuard<()>,
+    // Declared after the guard, so that the gap starts once others may pass.
+    _hold: HoldBack,
+}
+
+/// Holds others back from the moment on which an exclusive pass is waited for, whether or not the
+/// wait succeeds; leaves them a gap when it ends.
+struct HoldBack {
     lock: Rc<GateLock>,
     since: Instant,
 }
@@ -56,7 +66,8 @@
     }
 
     /// Holds others back and waits until nothing is in progress. Between two exclusive runs
-    /// others get as much time as the earlier one took, up to a bound.
+    /// others get a multiple of the time that the earlier one took, up to a bound: a crash makes a
+    /// suspect of every request in progress, and those must not hold up their neighbours.
     ///
     /// # Errors
     /// [`RefusalReason::Timeout`] once the deadline has passed.
@@ -71,22 +82,23 @@
         if let Some(next) = self.lock.next.get() {
             tokio::time::sleep_until(next).await;
         }
-        let since = Instant::now();
+        let hold = HoldBack {
+            lock: Rc::clone(&self.lock),
+            since: Instant::now(),
+        };
         let passing = std::sync::Arc::clone(&self.lock.passes).write_owned();
         let guard = passing.await;
         drop(turn);
         ExclusivePass {
-            guard: Some(guard),
-            lock: Rc::clone(&self.lock),
-            since,
+            _guard: guard,
+            _hold: hold,
         }
     }
 }
 
-impl Drop for ExclusivePass {
+impl Drop for HoldBack {
     fn drop(&mut self) {
-        let gap = self.since.elapsed().min(GAP_TIME_MAX);
+        let gap = (self.since.elapsed() * GAP_FACTOR).min(GAP_TIME_MAX);
         self.lock.next.set(Some(Instant::now() + gap));
-        drop(self.guard.take());
     }
 }
