--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -47,7 +47,8 @@
 ) -> CallResult {
     let mut refusal = refusals::on_arrival(RefusalReason::NoInstance);
     let fingerprint = suspect_gate::fingerprint(&call.request);
-    while let Some(target) = call_attempt::choose(node, &mut call) {
+    let mut next = call_attempt::choose(node, &mut call);
+    while let Some(target) = next {
         if let Err(reason) = suspect_gate::check(node, fingerprint) {
             refusal = combine(refusal, refusals::on_arrival(reason));
             break;
@@ -58,7 +59,12 @@
             CallResult::Answered(answer) => return CallResult::Answered(answer),
             CallResult::Refused(latest) => refusal = combine(refusal, latest),
         }
-        if !may_repeat(&call, refusal) || !spend(node, purse) {
+        if !may_repeat(&call, refusal) {
+            break;
+        }
+        next = call_attempt::choose(node, &mut call);
+        // A token is spent only where an instance is left to try.
+        if next.is_none() || !spend(node, purse) {
             break;
         }
         node.counters.borrow_mut().retries += 1;
