--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -296,6 +296,8 @@
         }
     }
 
+    /// Tells whether an instance is far slower than the others, by its average and by its last
+    /// answer: a quick answer to a probe ends an ejection.
     fn is_outlier(&self, key: InstanceKey, table: &InstanceTable) -> bool {
         let (Some(record), Some(view)) = (table.get(key), self.views.get(key)) else {
             return false;
@@ -307,6 +309,7 @@
             (view.answers >= OUTLIER_ANSWERS_MIN).then(|| view.smooth_slowness())
         });
         view.answers >= OUTLIER_ANSWERS_MIN
+            && view.was_slow()
             && ejection::is_outlier(view.smooth_slowness(), others.collect())
     }
 }
--- a/crates/coordination/src/routing/peer_view.rs
+++ b/crates/coordination/src/routing/peer_view.rs
@@ -124,6 +124,12 @@
         self.is_straggler && !is_probe_due
     }
 
+    /// Tells whether the last sample was far above what is typical, whatever its age.
+    #[must_use]
+    pub const fn was_slow(&self) -> bool {
+        self.is_straggler
+    }
+
     /// Takes the load that the peer reported.
     pub fn take_report(&mut self, now: Instant, report: ReportedLoad) {
         self.report = Some((now, report));
