--- a/crates/daemon/src/admission_gate.rs
+++ b/crates/daemon/src/admission_gate.rs
@@ -129,6 +129,11 @@
         });
     }
 
+    /// Begins with few slots again, for an upstream that has just started.
+    pub fn slow_start(&self) {
+        self.inner.borrow_mut().control.slow_start();
+    }
+
     /// Load of the gate.
     #[must_use]
     pub fn load(&self) -> GateLoad {
@@ -284,7 +289,7 @@
 
     /// Begins with few slots again, for an upstream that has just started.
     pub fn slow_start(&self) {
-        self.gate.inner.borrow_mut().control.slow_start();
+        self.gate.slow_start();
     }
 }
 
--- a/crates/daemon/src/bound_call.rs
+++ b/crates/daemon/src/bound_call.rs
@@ -31,8 +31,9 @@
         return CallResult::Refused(refusal);
     };
     let fingerprint = suspect_gate::fingerprint(&call.request);
+    let mut next = candidate(node, &mut call, &key);
     loop {
-        let target = match candidate(node, &mut call, &key) {
+        let target = match next {
             CallCandidate::Found(target) => target,
             CallCandidate::Gone => return CallResult::Refused(home_unreachable()),
             CallCandidate::Nobody => break,
@@ -47,10 +48,17 @@
             SendResult::Ended(result) => return result,
             SendResult::Free(latest) => refusal = latest,
         }
-        if !call_router::may_repeat(&call, refusal) || !call_router::spend(node, purse) {
+        if !call_router::may_repeat(&call, refusal) {
             break;
         }
-        node.counters.borrow_mut().retries += 1;
+        next = candidate(node, &mut call, &key);
+        // A token is spent only where an instance is left to try.
+        if matches!(next, CallCandidate::Found(_)) {
+            if !call_router::spend(node, purse) {
+                break;
+            }
+            node.counters.borrow_mut().retries += 1;
+        }
     }
     CallResult::Refused(refusal)
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -122,6 +122,9 @@
         getrandom::fill(&mut seed).map_err(random)?;
         let work = KeyedWork::new(&settings, incarnation, &mut StdRng::from_seed(seed));
         let links = PeerLinks::new(work.stamper());
+        let (gate, guard) = (AdmissionGate::default(), NodeGuard::default());
+        let started = gate.clone();
+        guard.on_cold_start(Rc::new(move |_| started.slow_start()));
         Ok(Rc::new(Self {
             incarnation,
             work,
@@ -129,13 +132,13 @@
             faults: RefCell::default(),
             policy_link: PolicyLink::new(&settings),
             instances: RefCell::default(),
-            gate: AdmissionGate::default(),
+            gate,
             calls: RefCell::default(),
             selector: RefCell::new(PeerSelector::new(origin)),
             retries: RefCell::default(),
             links,
             upstream: UpstreamClient::new(settings.upstream.address, ANSWER_BYTES_MAX),
-            guard: NodeGuard::default(),
+            guard,
             drain: RefCell::default(),
             counters: RefCell::default(),
             refusals: RefCell::default(),
--- a/crates/transport/src/http_door.rs
+++ b/crates/transport/src/http_door.rs
@@ -107,6 +107,8 @@
     let service = HttpService::build()
         .keep_alive(limits.keep_alive)
         .client_request_timeout(limits.head_time)
+        // A caller that closes its side has left: its handler is dropped, which cancels the work.
+        .h1_allow_half_closed(false)
         .on_connect_ext(move |_, data| {
             data.insert(ConnectionMark::new(closing.clone()));
         })
