Wait longer for what a node needs of those that it calls

The log shows orderdesk nodes with the records of called services in force only 9 to 10 s after their start: first reads of called services are spread over 10 s, and the wait ended after 5 s. Reading sooner was set aside: 820 nodes that start together would read more than the platform bears. The wait for called services is now 12 s of its own; the wait for the highest revision stays 5 s. The test was extended and its old bound is now shown not to be enough.

--- a/crates/coordination/src/readiness.rs
+++ b/crates/coordination/src/readiness.rs
@@ -14,6 +14,9 @@
 
 /// Longest wait for the platform and the peers.
 pub const READINESS_WAIT_MAX: Duration = Duration::from_secs(5);
+/// Longest wait for what is needed of the called services; longer than the time over which nodes
+/// that start together spread their first reads of it.
+pub const CALLEES_WAIT_MAX: Duration = Duration::from_secs(12);
 /// Peers whose answers suffice.
 const PEERS_ASKED: usize = 3;
 
@@ -44,6 +47,7 @@
     state: ReadinessState,
     service: ServiceName,
     deadline: Instant,
+    callees_deadline: Instant,
     platform_asked: bool,
     peers_asked: BTreeSet<InstanceName>,
     highest: BTreeMap<ServiceName, PolicyRevision>,
@@ -57,6 +61,7 @@
             state: ReadinessState::Starting,
             service,
             deadline: now + READINESS_WAIT_MAX,
+            callees_deadline: now + CALLEES_WAIT_MAX,
             platform_asked: false,
             peers_asked: BTreeSet::new(),
             highest: BTreeMap::new(),
@@ -109,8 +114,9 @@
         policies: &PolicySet,
         fleet: KnownFleet,
     ) -> ReadinessState {
-        let is_complete = fleet.callees_known && self.holds_the_highest(policies, fleet.peers);
-        if now >= self.deadline || is_complete {
+        let has_callees = fleet.callees_known || now >= self.callees_deadline;
+        let is_newest = now >= self.deadline || self.holds_the_highest(policies, fleet.peers);
+        if has_callees && is_newest {
             self.state = ReadinessState::Ready;
         }
         self.state
--- a/crates/coordination/tests/readiness.rs
+++ b/crates/coordination/tests/readiness.rs
@@ -1,7 +1,7 @@
 //! When a new process may serve.
 
 use lagoonshore_coordination::readiness::{
-    KnownFleet, READINESS_WAIT_MAX, ReadinessControl, ReadinessState,
+    CALLEES_WAIT_MAX, KnownFleet, READINESS_WAIT_MAX, ReadinessControl, ReadinessState,
 };
 use lagoonshore_state::{
     ids::PolicyRevision,
@@ -128,6 +128,8 @@
     };
     let early = control.assess(now, &policies(7), alone);
     assert_eq!(early, ReadinessState::Starting);
-    let late = control.assess(now + READINESS_WAIT_MAX, &policies(7), alone);
+    let early = control.assess(now + READINESS_WAIT_MAX, &policies(7), alone);
+    assert_eq!(early, ReadinessState::Starting);
+    let late = control.assess(now + CALLEES_WAIT_MAX, &policies(7), alone);
     assert_eq!(late, ReadinessState::Ready);
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -112,7 +112,7 @@
   local tries=0
   until fleet_get "$(fleet_door "$1" admin)" /ready | grep -q '^HTTP/1.1 200'; do
     tries=$((tries + 1))
-    [ "$tries" -le 200 ] || { echo "node $1 is not ready" >&2; return 1; }
+    [ "$tries" -le 400 ] || { echo "node $1 is not ready" >&2; return 1; }
     sleep 0.05
   done
 }
