Say once what two routers, two readers and one server said twice

Both routers refused a quarantined call and wrote its crashes into it: suspect_gate::mark does both. The callers' stand-in read JSON of other stand-ins in two places: read_json serves both. The keyed server looked twice for a missing key; it now takes the key once.

--- a/crates/daemon/src/bound_call.rs
+++ b/crates/daemon/src/bound_call.rs
@@ -38,12 +38,10 @@
             CallCandidate::Gone => return CallResult::Refused(home_unreachable()),
             CallCandidate::Nobody => break,
         };
-        if let Err(reason) = suspect_gate::check(node, fingerprint) {
+        if let Err(reason) = suspect_gate::mark(node, fingerprint, &mut call.request) {
             refusal = refusals::on_arrival(reason);
             break;
         }
-        let held = suspect_gate::report(node, fingerprint);
-        call.request.crashes = held.map_or(0, |report| report.crashes);
         match send(node, &mut call, &key, route, target, purse).await {
             SendResult::Ended(result) => return result,
             SendResult::Free(latest) => refusal = latest,
--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -49,12 +49,10 @@
     let fingerprint = suspect_gate::fingerprint(&call.request);
     let mut next = call_attempt::choose(node, &mut call);
     while let Some(target) = next {
-        if let Err(reason) = suspect_gate::check(node, fingerprint) {
+        if let Err(reason) = suspect_gate::mark(node, fingerprint, &mut call.request) {
             refusal = combine(refusal, refusals::on_arrival(reason));
             break;
         }
-        let held = suspect_gate::report(node, fingerprint);
-        call.request.crashes = held.map_or(0, |report| report.crashes);
         match hedged_call::send(node, &mut call, route, target, purse).await {
             CallResult::Answered(answer) => return CallResult::Answered(answer),
             CallResult::Refused(latest) => refusal = combine(refusal, latest),
--- a/crates/daemon/src/keyed_server.rs
+++ b/crates/daemon/src/keyed_server.rs
@@ -25,12 +25,12 @@
 
 /// Serves `request`, which must be answered before `deadline`; a key makes it run at most once.
 pub async fn serve(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
-    if request.key.is_none() {
+    let Some(key) = request.key.clone() else {
         return request_server::serve(node, request, deadline).await;
-    }
+    };
     let fingerprint = suspect_gate::fingerprint(&request);
     let (method, path) = (request.method.clone(), request.path.clone());
-    let reply = serve_keyed(node, request, deadline).await;
+    let reply = serve_keyed(node, request, key, deadline).await;
     CallReply {
         load: node.load_for(&method, &path),
         suspect: suspect_gate::report(node, fingerprint),
@@ -38,11 +38,15 @@
     }
 }
 
-async fn serve_keyed(node: &SharedNode, request: CallRequest, deadline: Instant) -> CallReply {
-    let claim = match &request.key {
-        None => return request_server::serve(node, request, deadline).await,
-        Some(WorkKey::Home(key)) => node.work.home_claim(node, &request, key),
-        Some(WorkKey::Bound { key, executor }) => node.work.bound_claim(&request, key, *executor),
+async fn serve_keyed(
+    node: &SharedNode,
+    request: CallRequest,
+    key: WorkKey,
+    deadline: Instant,
+) -> CallReply {
+    let claim = match &key {
+        WorkKey::Home(key) => node.work.home_claim(node, &request, key),
+        WorkKey::Bound { key, executor } => node.work.bound_claim(&request, key, *executor),
     };
     let granted = request.tokens;
     let result = match claim {
--- a/crates/daemon/src/suspect_gate.rs
+++ b/crates/daemon/src/suspect_gate.rs
@@ -72,6 +72,21 @@
     }
 }
 
+/// Writes into a call what the node holds against it, or refuses one that is in quarantine.
+///
+/// # Errors
+/// [`RefusalReason::Quarantined`].
+pub fn mark(
+    node: &SharedNode,
+    fingerprint: RequestFingerprint,
+    request: &mut CallRequest,
+) -> Result<(), RefusalReason> {
+    check(node, fingerprint)?;
+    let held = report(node, fingerprint);
+    request.crashes = held.map_or(0, |report| report.crashes);
+    Ok(())
+}
+
 /// Waits until the request may run: beside others, or alone if it is a suspect. What is held
 /// against it may change while it waits, so the verdict is taken again with the pass in hand.
 ///
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -13,6 +13,7 @@
 use lagoonshore_protocol::headers;
 use pico_args::Arguments;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::{
     cell::{Cell, RefCell},
@@ -275,10 +276,12 @@
 }
 
 async fn read_runs(client: &Client, facts: SocketAddr) -> StandinResult<BTreeMap<String, u64>> {
-    let sent = client
-        .get(format!("http://{facts}/standin/runs"))
-        .send()
-        .await;
+    read_json(client, format!("http://{facts}/standin/runs")).await
+}
+
+/// Reads a page of another stand-in.
+async fn read_json<T: DeserializeOwned>(client: &Client, uri: String) -> StandinResult<T> {
+    let sent = client.get(uri).send().await;
     let mut response = sent.map_err(|fault| fault.to_string())?;
     let body = response
         .body()
@@ -300,19 +303,8 @@
 async fn read_work(callers: &CallerSet, upstreams: &str) -> StandinResult<UpstreamWork> {
     let mut work = UpstreamWork::default();
     for upstream in upstreams.split(',').filter(|address| !address.is_empty()) {
-        let sent = callers
-            .client
-            .get(format!("http://{upstream}/standin/work"))
-            .send()
-            .await;
-        let mut response = sent.map_err(|fault| fault.to_string())?;
-        let body = response
-            .body()
-            .limit(64 << 20)
-            .await
-            .map_err(|fault| fault.to_string())?;
-        let tags: BTreeMap<String, TagWork> =
-            serde_json::from_slice(&body).map_err(|fault| fault.to_string())?;
+        let uri = format!("http://{upstream}/standin/work");
+        let tags: BTreeMap<String, TagWork> = read_json(&callers.client, uri).await?;
         let report = callers.report.borrow();
         for (tag, spent) in tags {
             work.runs += spent.runs;
