--- /dev/null
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -0,0 +1,6 @@
+//! Decisions of the forwarding path: who gets a slot, which service takes a request, and how many
+//! repeats the fleet may make.
+
+pub mod repeat_allowance;
+pub mod slot_queue;
+pub mod traffic_split;
--- /dev/null
+++ b/crates/coordination/src/forwarding/repeat_allowance.rs
@@ -0,0 +1,133 @@
+//! Bound on the repeats that all nodes together make at a service.
+//!
+//! The fleet may make `ratio` repeats for each request, and `slack` more in each window. No node
+//! knows what the others repeat, so each takes an equal part of the slack and its own requests
+//! only. A repeat of a request whose run makes calls repeats these as well, so that a part of the
+//! allowance is kept for what follows below.
+
+use lagoonshore_state::ids::ServiceName;
+
+use std::{collections::HashMap, time::Duration};
+use tokio::time::Instant;
+
+/// Parts that a window is counted in.
+const WINDOW_PARTS: u32 = 10;
+
+/// `AllowanceRules` says how much the fleet may repeat.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AllowanceRules {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond that in one window, of all nodes together.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+    /// Share of the allowance that a node spends itself; the rest is left for calls that a
+    /// repeated run repeats.
+    pub own_share: f64,
+}
+
+impl Default for AllowanceRules {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            slack: 0.0,
+            window: Duration::from_secs(10),
+            own_share: 0.15,
+        }
+    }
+}
+
+/// `RepeatAllowance` decides which repeats a node may make.
+#[derive(Debug)]
+pub struct RepeatAllowance {
+    rules: AllowanceRules,
+    nodes: u32,
+    services: HashMap<ServiceName, ServiceWindow>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WindowPart {
+    until: Instant,
+    requests: u32,
+    repeats: u32,
+}
+
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    parts: Vec<WindowPart>,
+}
+
+impl RepeatAllowance {
+    /// Creates an allowance for a fleet of `nodes` nodes.
+    #[must_use]
+    pub fn new(rules: AllowanceRules, nodes: u32) -> Self {
+        Self {
+            rules,
+            nodes: nodes.max(1),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Changes the rules.
+    pub const fn set_rules(&mut self, rules: AllowanceRules) {
+        self.rules = rules;
+    }
+
+    /// Sets the number of nodes that share the allowance. It falls at once only to half, so that
+    /// a list that has lost entries for a moment does not free the parts of nodes that still run.
+    pub fn set_nodes(&mut self, nodes: u32) {
+        self.nodes = nodes.max(1).max(self.nodes / 2);
+    }
+
+    /// Counts the first sending of a request to `service`.
+    pub fn note_request(&mut self, now: Instant, service: &ServiceName) {
+        self.part(now, service).requests += 1;
+    }
+
+    /// Takes one repeat at `service` out of the allowance; `false` if it is used up.
+    pub fn take(&mut self, now: Instant, service: &ServiceName) -> bool {
+        let rules = self.rules;
+        let slack = rules.slack / f64::from(self.nodes);
+        self.part(now, service);
+        let Some(window) = self.services.get_mut(service) else {
+            return false;
+        };
+        let (requests, repeats) = window.totals(now, rules.window);
+        let allowed = rules.own_share * (rules.ratio * f64::from(requests) + slack);
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        self.part(now, service).repeats += 1;
+        true
+    }
+
+    fn part(&mut self, now: Instant, service: &ServiceName) -> &mut WindowPart {
+        let length = self.rules.window / WINDOW_PARTS;
+        let window = self.services.entry(service.clone()).or_default();
+        window.advance(now, length, self.rules.window)
+    }
+}
+
+impl ServiceWindow {
+    fn advance(&mut self, now: Instant, length: Duration, window: Duration) -> &mut WindowPart {
+        let is_current = self.parts.last().is_some_and(|part| now < part.until);
+        if !is_current {
+            self.parts.retain(|part| part.until + window > now);
+            self.parts.push(WindowPart {
+                until: now + length,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        let last = self.parts.len() - 1;
+        &mut self.parts[last]
+    }
+
+    fn totals(&self, now: Instant, window: Duration) -> (u32, u32) {
+        let recent = self.parts.iter().filter(|part| part.until + window > now);
+        recent.fold((0, 0), |(requests, repeats), part| {
+            (requests + part.requests, repeats + part.repeats)
+        })
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod execution_ledger;
 pub mod executor_binding;
 pub mod fingerprint;
+pub mod forwarding;
 pub mod idempotency_key;
 pub mod key_home;
 pub mod level_control;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod peer_service;
 pub mod problem;
 pub mod record;
+pub mod relay_messages;
+pub mod relay_service;
 
 pub use error::{ProtocolError, Result};
--- /dev/null
+++ b/crates/protocol/src/relay_messages.rs
@@ -0,0 +1,108 @@
+//! Messages of the forwarding path.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use lagoonshore_coordination::{outcome::RefusalReason, suspects::SuspectReport};
+use lagoonshore_state::{
+    data_type,
+    ids::{DocumentVersion, InstanceName, ServiceName},
+    units::RequestImportance,
+};
+
+data_type! {
+    /// `RelayRequest` asks a node to have its upstream run a request.
+    /// The deadline travels in the context of the call.
+    pub struct RelayRequest {
+        /// Id that the caller gave the request.
+        pub id: CompactString,
+        /// Upstream that is to run it.
+        pub instance: InstanceName,
+        /// Service of the instance on which the request began.
+        pub origin: ServiceName,
+        /// HTTP method.
+        pub method: CompactString,
+        /// Path with query, byte for byte.
+        pub target: CompactString,
+        /// Header fields to pass on, as they stand in the message.
+        pub fields: Bytes,
+        /// Body.
+        pub body: Bytes,
+        /// Importance of its route.
+        pub importance: RequestImportance,
+        /// Whether it is a call that a running request makes.
+        pub is_nested: bool,
+        /// Kind of request, for learning how long it takes.
+        pub kind: u64,
+        /// Milliseconds within which an answer is of full use.
+        pub aim_ms: u32,
+        /// Longest wait for a slot, in milliseconds.
+        pub wait_ms: u32,
+        /// Crashes that the sender knows the request to have caused.
+        pub crashes: u8,
+    }
+
+    /// `RelayAnswer` is a whole answer of an upstream.
+    pub struct RelayAnswer {
+        /// HTTP status.
+        pub status: u16,
+        /// Header fields to pass on, as they stand in the message.
+        pub fields: Bytes,
+        /// Body.
+        pub body: Bytes,
+    }
+
+    /// `RelayRefusal` stands in place of an answer.
+    #[derive(Copy, Eq)]
+    pub struct RelayRefusal {
+        /// Why there is no answer.
+        pub reason: RefusalReason,
+        /// How far the request got.
+        pub reach: RequestReach,
+        /// Milliseconds after which trying again can help.
+        pub retry_ms: u32,
+    }
+
+    /// `RequestReach` says how far a request without an answer got.
+    #[derive(Copy, Eq)]
+    pub enum RequestReach {
+        /// No byte of it reached an upstream.
+        Unsent,
+        /// An upstream read it and said that it does not run it.
+        Rejected,
+        /// It may have run.
+        Unknown,
+    }
+
+    /// `RelayResult` is what became of a request.
+    pub enum RelayResult {
+        /// The upstream answered.
+        Answered(RelayAnswer),
+        /// There is no answer.
+        Refused(RelayRefusal),
+    }
+
+    /// `RelayReply` answers a [`RelayRequest`].
+    pub struct RelayReply {
+        /// What became of the request.
+        pub result: RelayResult,
+        /// State of the node that replies.
+        pub news: NodeNews,
+        /// What the node holds against the request.
+        pub suspect: Option<SuspectReport>,
+    }
+
+    /// `NodeNews` is what a node tells with each of its replies.
+    #[derive(Copy, Default, Eq)]
+    pub struct NodeNews {
+        /// Slots in use.
+        pub in_use: u32,
+        /// Slots in all.
+        pub limit: u32,
+        /// Requests that wait.
+        pub queued: u32,
+        /// Whether the node is leaving.
+        pub is_leaving: bool,
+        /// Version of the document in force.
+        pub version: DocumentVersion,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/caller_door.rs
@@ -0,0 +1,179 @@
+//! The door for the callers on the instance and for the calls of its upstream.
+
+use crate::{
+    calling::request_caller::{CallEnd, RequestCaller, RoutedRequest},
+    directory::FleetDirectory,
+    header_scheme::HeaderScheme,
+    http1::{
+        door::{CallerHandler, DoorAnswer, DoorPhase, DoorRequest},
+        head::RequestHead,
+    },
+};
+
+use bytes::{BufMut, Bytes, BytesMut};
+use compact_str::CompactString;
+use futures::{FutureExt, future::LocalBoxFuture};
+use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_state::route_table::CallerLimits;
+use std::{cell::Cell, fmt::Write, net::IpAddr, rc::Rc, time::Duration};
+use tokio::sync::watch;
+
+/// Time after which a caller may come back to a node that does not know the fleet yet.
+const STARTING_RETRY: Duration = Duration::from_millis(300);
+/// Time after which a caller may come back to a node that is ending.
+const ENDING_RETRY: Duration = Duration::from_millis(500);
+
+/// `CallerDoor` answers callers.
+pub struct CallerDoor {
+    scheme: HeaderScheme,
+    own_ip: IpAddr,
+    directory: Rc<FleetDirectory>,
+    caller: RequestCaller,
+    phase: watch::Sender<DoorPhase>,
+    is_ending: Cell<bool>,
+}
+
+impl CallerDoor {
+    /// Creates the door of a node whose upstream calls from `own_ip`.
+    #[must_use]
+    pub fn new(
+        scheme: HeaderScheme,
+        own_ip: IpAddr,
+        directory: Rc<FleetDirectory>,
+        caller: RequestCaller,
+    ) -> Self {
+        Self {
+            scheme,
+            own_ip,
+            directory,
+            caller,
+            phase: watch::channel(DoorPhase::Open).0,
+            is_ending: Cell::new(false),
+        }
+    }
+
+    /// The sending side.
+    #[must_use]
+    pub const fn caller(&self) -> &RequestCaller {
+        &self.caller
+    }
+
+    /// Changes how connections are treated.
+    pub fn set_phase(&self, phase: DoorPhase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Refuses new requests from now on.
+    pub fn end(&self) {
+        self.is_ending.set(true);
+    }
+
+    async fn handle(&self, request: DoorRequest) -> DoorAnswer {
+        let DoorRequest {
+            head,
+            body,
+            received,
+            peer,
+        } = request;
+        let id = head.id.clone().unwrap_or_default();
+        if id.is_empty() {
+            return self.own_answer(&id, 400, None, "no request id");
+        }
+        if self.is_ending.get() {
+            return self.own_answer(&id, 503, Some(ENDING_RETRY), "draining");
+        }
+        let routes = self.directory.routes();
+        if routes.version() == 0 {
+            return self.own_answer(&id, 503, Some(STARTING_RETRY), "starting");
+        }
+        let Some(route) = routes.find(&head.host, &head.target) else {
+            return self.own_answer(&id, 404, None, "no route");
+        };
+        let limit = head.time_limit.unwrap_or(route.timeout).min(route.timeout);
+        let RequestHead {
+            method,
+            target,
+            fields,
+            ..
+        } = head;
+        let routed = RoutedRequest {
+            id: id.clone(),
+            version: routes.version(),
+            method,
+            target,
+            fields,
+            body,
+            is_nested: peer == self.own_ip,
+            received,
+            deadline: received + limit,
+            route,
+        };
+        self.to_answer(&id, self.caller.call(routed).await)
+    }
+
+    fn to_answer(&self, id: &CompactString, end: CallEnd) -> DoorAnswer {
+        match end {
+            CallEnd::Answered(answer) => DoorAnswer {
+                status: answer.status,
+                fields: answer.fields,
+                body: answer.body,
+            },
+            CallEnd::NotRun(reason, retry) => self.own_answer(id, 503, retry, reason.as_str()),
+            CallEnd::Unknown(reason) => {
+                let status = match reason {
+                    RefusalReason::Timeout => 504,
+                    _ => 502,
+                };
+                self.own_answer(id, status, None, reason.as_str())
+            }
+        }
+    }
+
+    /// An answer that the system makes itself.
+    fn own_answer(
+        &self,
+        id: &CompactString,
+        status: u16,
+        retry: Option<Duration>,
+        reason: &str,
+    ) -> DoorAnswer {
+        let mut fields = BytesMut::with_capacity(128);
+        // Writing to a buffer in memory does not fail.
+        if !id.is_empty() {
+            let _ = write!(fields, "{}: {id}\r\n", self.scheme.request_id);
+        }
+        if let Some(retry) = retry {
+            let _ = write!(fields, "Retry-After: {:.3}\r\n", retry.as_secs_f64());
+        }
+        let _ = write!(fields, "Lagoonshore-Reason: {reason}\r\n");
+        fields.put_slice(b"Content-Type: text/plain\r\n");
+        DoorAnswer {
+            status,
+            fields: fields.freeze(),
+            body: Bytes::copy_from_slice(reason.as_bytes()),
+        }
+    }
+}
+
+impl CallerHandler for CallerDoor {
+    fn answer(self: Rc<Self>, request: DoorRequest) -> LocalBoxFuture<'static, DoorAnswer> {
+        async move { self.handle(request).await }.boxed_local()
+    }
+
+    fn reject(&self, status: u16) -> DoorAnswer {
+        self.own_answer(
+            &CompactString::default(),
+            status,
+            None,
+            "unreadable request",
+        )
+    }
+
+    fn limits(&self) -> CallerLimits {
+        self.directory.routes().limits()
+    }
+
+    fn phase(&self) -> watch::Receiver<DoorPhase> {
+        self.phase.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/calling/peer_book.rs
@@ -0,0 +1,145 @@
+//! What a node knows of its peers, and the choice among them.
+
+use super::peer_links::LinkEvent;
+
+use crate::directory::FleetDirectory;
+
+use lagoonshore_coordination::{
+    request_life::CallRefusal,
+    routing::{PeerSelector, PeerSummary, RoutingOrigin, peer_view::ReportedLoad},
+};
+use lagoonshore_protocol::relay_messages::NodeNews;
+use lagoonshore_settings::RelaySettings;
+use lagoonshore_state::{ids::InstanceName, instance_table::InstanceKey};
+use rand::rngs::SmallRng;
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::Instant;
+
+/// `PeerTarget` is the instance that a request goes to.
+#[derive(Clone, Debug)]
+pub struct PeerTarget {
+    /// The instance.
+    pub key: InstanceKey,
+    /// Its name.
+    pub name: InstanceName,
+    /// Address of the node beside it.
+    pub address: SocketAddr,
+}
+
+/// `PeerBook` chooses peers by what the node has seen of them.
+pub struct PeerBook {
+    directory: Rc<FleetDirectory>,
+    selector: RefCell<PeerSelector>,
+    random: RefCell<SmallRng>,
+}
+
+impl PeerBook {
+    /// Creates a book in which nothing is known.
+    #[must_use]
+    pub fn new(settings: &RelaySettings, directory: Rc<FleetDirectory>, random: SmallRng) -> Self {
+        let origin = RoutingOrigin {
+            // The own upstream takes requests like any other.
+            instance: InstanceName::default(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+        };
+        Self {
+            directory,
+            selector: RefCell::new(PeerSelector::new(origin)),
+            random: RefCell::new(random),
+        }
+    }
+
+    /// Chooses an instance of `service` that is not in `tried`.
+    pub fn choose(&self, service: &str, tried: &[InstanceKey]) -> Option<PeerTarget> {
+        let table = self.directory.instances();
+        let mut selector = self.selector.borrow_mut();
+        let mut random = self.random.borrow_mut();
+        let key = selector.choose(Instant::now(), &table, service, tried, &mut *random)?;
+        let record = table.get(key)?;
+        Some(PeerTarget {
+            key,
+            name: record.name.clone(),
+            address: record.peer,
+        })
+    }
+
+    /// Notes that a request goes to an instance.
+    pub fn started(&self, key: InstanceKey) {
+        self.selector.borrow_mut().started(key);
+    }
+
+    /// Takes the state that a node told.
+    pub fn take_news(&self, key: InstanceKey, news: NodeNews) {
+        let report = reported(news);
+        let mut selector = self.selector.borrow_mut();
+        selector.take_report(key, Instant::now(), report);
+    }
+
+    /// Notes an answer.
+    pub fn answered(&self, key: InstanceKey, elapsed: Duration, typical: Duration) {
+        let table = self.directory.instances();
+        let mut selector = self.selector.borrow_mut();
+        selector.answered(key, Instant::now(), elapsed, typical, &table);
+    }
+
+    /// Notes a refusal that a node sent.
+    pub fn refused(&self, key: InstanceKey, refusal: CallRefusal) {
+        let table = self.directory.instances();
+        let mut selector = self.selector.borrow_mut();
+        selector.refused(key, Instant::now(), refusal, &table);
+    }
+
+    /// Notes that no reply came.
+    pub fn failed(&self, key: InstanceKey) {
+        let table = self.directory.instances();
+        let mut selector = self.selector.borrow_mut();
+        selector.failed(key, Instant::now(), &table);
+    }
+
+    /// Notes that no connection was made.
+    pub fn unreachable(&self, key: InstanceKey) {
+        let mut selector = self.selector.borrow_mut();
+        selector.unreachable(key, Instant::now());
+    }
+
+    /// Notes that the caller left before the reply.
+    pub fn abandoned(&self, key: InstanceKey, elapsed: Duration, typical: Duration) {
+        let mut selector = self.selector.borrow_mut();
+        selector.abandoned(key, Instant::now(), elapsed, typical);
+    }
+
+    /// Takes in what a link tells of the node at `address`.
+    pub fn note_link(&self, address: SocketAddr, event: LinkEvent) {
+        let table = self.directory.instances();
+        let here = table.iter().filter(|(_, record)| record.peer == address);
+        for (key, _) in here {
+            let mut selector = self.selector.borrow_mut();
+            match event {
+                LinkEvent::Lost => {
+                    selector.started(key);
+                    selector.unreachable(key, Instant::now());
+                }
+                LinkEvent::Regained => selector.set_leaving(key, false),
+                LinkEvent::News(news) => {
+                    selector.take_report(key, Instant::now(), reported(news));
+                }
+            }
+        }
+    }
+
+    /// What is known of an instance.
+    #[must_use]
+    pub fn summary(&self, key: InstanceKey) -> Option<PeerSummary> {
+        self.selector.borrow().summary(key, Instant::now())
+    }
+}
+
+const fn reported(news: NodeNews) -> ReportedLoad {
+    ReportedLoad {
+        in_progress: news.in_use,
+        limit: news.limit,
+        queued: news.queued,
+        draining: news.is_leaving,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/calling/request_caller.rs
@@ -0,0 +1,576 @@
+//! Finds an upstream for a request and sends it there, and again where that is allowed.
+
+use super::{
+    peer_book::{PeerBook, PeerTarget},
+    peer_links::{LinkFault, PeerLinks},
+};
+
+use crate::{
+    decision_log::{DecisionLog, RequestTrace},
+    directory::FleetDirectory,
+    serving::upstream_server::{self, UpstreamServer},
+};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use lagoonshore_coordination::{
+    forwarding::{
+        repeat_allowance::{AllowanceRules, RepeatAllowance},
+        traffic_split::TrafficSplit,
+    },
+    outcome::{CallOutcome, RefusalReason},
+    request_life::CallRefusal,
+    retries::route_latency::RouteLatency,
+};
+use lagoonshore_protocol::relay_messages::{
+    RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
+};
+use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RepeatSettings};
+use lagoonshore_state::{ids::ServiceName, instance_table::InstanceKey, route_table::RouteEntry};
+use siphasher::sip::SipHasher13;
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    hash::Hasher,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Instances that may be asked for a slot before a request is refused.
+const ASKED_MAX: usize = 4;
+/// Share of the aim for which a request may wait at one instance while others are left to ask.
+const FIRST_WAIT_SHARE: f64 = 0.15;
+/// Least time to come back after a refusal.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Longest time to come back after a refusal.
+const RETRY_MAX: Duration = Duration::from_secs(2);
+/// Time to come back where no instance says more.
+const RETRY_DEFAULT: Duration = Duration::from_millis(300);
+/// First status of answers that tell of a failure of the upstream.
+const FAILURE_STATUS: u16 = 500;
+/// Time below which a second try cannot end in time.
+const REPEAT_TIME_MIN: Duration = Duration::from_millis(20);
+
+/// `RoutedRequest` is a request whose route is known.
+#[derive(Clone, Debug)]
+pub struct RoutedRequest {
+    /// Id that the caller gave it.
+    pub id: CompactString,
+    /// Its route.
+    pub route: Rc<RouteEntry>,
+    /// Version of the document that the route stems from.
+    pub version: u64,
+    /// HTTP method.
+    pub method: CompactString,
+    /// Path with query.
+    pub target: CompactString,
+    /// Header fields to pass on.
+    pub fields: Bytes,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the upstream on the own instance makes the request while it runs another.
+    pub is_nested: bool,
+    /// Time at which it was received.
+    pub received: Instant,
+    /// Time after which an answer is of no use.
+    pub deadline: Instant,
+}
+
+/// `CallEnd` is what became of a request.
+#[derive(Clone, Debug)]
+pub enum CallEnd {
+    /// An upstream answered.
+    Answered(RelayAnswer),
+    /// It did not run and will not; the caller may come back after a time.
+    NotRun(RefusalReason, Option<Duration>),
+    /// It may have run.
+    Unknown(RefusalReason),
+}
+
+/// `RequestCaller` sends the requests that begin on the own instance.
+pub struct RequestCaller {
+    origin: ServiceName,
+    own_peer: SocketAddr,
+    control: ControlMode,
+    directory: Rc<FleetDirectory>,
+    log: Rc<DecisionLog>,
+    book: Rc<PeerBook>,
+    links: Rc<PeerLinks>,
+    server: Rc<UpstreamServer>,
+    allowance: RefCell<RepeatAllowance>,
+    split: RefCell<TrafficSplit>,
+    latencies: RefCell<HashMap<CompactString, RouteLatency>>,
+    running: Cell<u32>,
+}
+
+/// What a request has come to so far.
+struct CallProgress {
+    service: ServiceName,
+    asked: Vec<InstanceKey>,
+    /// Upstreams that read the request.
+    reached: u32,
+    may_have_run: bool,
+    reason: RefusalReason,
+    retry: Option<Duration>,
+    failure: Option<RelayAnswer>,
+    last: CompactString,
+}
+
+impl RequestCaller {
+    /// Creates the caller of a node.
+    #[must_use]
+    pub fn new(
+        settings: &RelaySettings,
+        directory: Rc<FleetDirectory>,
+        log: Rc<DecisionLog>,
+        book: Rc<PeerBook>,
+        links: Rc<PeerLinks>,
+        server: Rc<UpstreamServer>,
+    ) -> Self {
+        let rules = allowance_rules(settings.repeats);
+        Self {
+            origin: settings.service.clone(),
+            own_peer: settings.listen.peers,
+            control: settings.control,
+            directory,
+            log,
+            book,
+            links,
+            server,
+            allowance: RefCell::new(RepeatAllowance::new(rules, 1)),
+            split: RefCell::default(),
+            latencies: RefCell::default(),
+            running: Cell::new(0),
+        }
+    }
+
+    /// Takes over changed bounds on repeats.
+    pub fn set_repeats(&self, repeats: RepeatSettings) {
+        self.allowance
+            .borrow_mut()
+            .set_rules(allowance_rules(repeats));
+    }
+
+    /// Takes over what changed in the directory.
+    pub fn follow_directory(&self) {
+        let nodes = self.directory.node_count();
+        self.allowance.borrow_mut().set_nodes(nodes);
+        let routes = self.directory.routes();
+        let names: Vec<&str> = routes
+            .routes()
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        self.split.borrow_mut().retain(|name| names.contains(&name));
+        let mut latencies = self.latencies.borrow_mut();
+        latencies.retain(|name, _| names.contains(&name.as_str()));
+    }
+
+    /// Requests that are on their way.
+    #[must_use]
+    pub const fn running(&self) -> u32 {
+        self.running.get()
+    }
+
+    /// Sends a request to an upstream and returns what became of it.
+    pub async fn call(&self, request: RoutedRequest) -> CallEnd {
+        let mut leaving = LeavingNote::new(self, &request);
+        let Some(service) = self.split.borrow_mut().choose(&request.route) else {
+            leaving.done();
+            return CallEnd::NotRun(RefusalReason::NoInstance, None);
+        };
+        let mut progress = CallProgress::new(service);
+        let trying = self.try_instances(&request, &mut progress);
+        let ended = tokio::time::timeout_at(request.deadline, trying).await;
+        leaving.done();
+        let end = match ended {
+            Ok(Some(answer)) => CallEnd::Answered(answer),
+            Ok(None) => progress.end(),
+            Err(_) => progress.end_late(),
+        };
+        self.note_end(&request, &progress, &end);
+        end
+    }
+
+    /// Asks one instance after the other; `None` if no answer came.
+    async fn try_instances(
+        &self,
+        request: &RoutedRequest,
+        progress: &mut CallProgress,
+    ) -> Option<RelayAnswer> {
+        let now = Instant::now();
+        self.allowance
+            .borrow_mut()
+            .note_request(now, &progress.service);
+        while progress.asked.len() < ASKED_MAX {
+            let Some(target) = self.book.choose(&progress.service, &progress.asked) else {
+                break;
+            };
+            if !self.may_send(request, progress) {
+                break;
+            }
+            progress.asked.push(target.key);
+            progress.last.clone_from(&target.name);
+            let has_others = self
+                .book
+                .choose(&progress.service, &progress.asked)
+                .is_some();
+            let reply = self.send(request, progress, &target, has_others).await;
+            match reply {
+                Ok(reply) => {
+                    if let Some(answer) = self.take_reply(request, progress, reply) {
+                        return Some(answer);
+                    }
+                }
+                Err(LinkFault::Connect) => progress.note_unsent(RefusalReason::UpstreamUnreachable),
+                Err(LinkFault::Lost) => progress.note_lost(RefusalReason::ConnectionLost),
+                Err(LinkFault::TimedOut) => progress.note_lost(RefusalReason::Timeout),
+            }
+            if !progress.may_go_on(request) || self.control == ControlMode::PassThrough {
+                break;
+            }
+        }
+        progress.failure.take()
+    }
+
+    /// Tells whether the request may go to one more instance. A sending that follows one which
+    /// reached an upstream is a repeat, and is paid for.
+    fn may_send(&self, request: &RoutedRequest, progress: &CallProgress) -> bool {
+        if progress.asked.is_empty() {
+            return true;
+        }
+        let is_counted = progress.reached > 0;
+        if is_counted {
+            let left = request.deadline.saturating_duration_since(Instant::now());
+            let is_late = left < REPEAT_TIME_MIN;
+            if is_late || progress.reached >= request.route.attempts {
+                return false;
+            }
+            let mut allowance = self.allowance.borrow_mut();
+            if !allowance.take(Instant::now(), &progress.service) {
+                return false;
+            }
+        }
+        let trace = trace(request, progress);
+        self.log
+            .repeated(&trace, progress.reason.as_str(), is_counted);
+        true
+    }
+
+    async fn send(
+        &self,
+        request: &RoutedRequest,
+        progress: &CallProgress,
+        target: &PeerTarget,
+        has_others: bool,
+    ) -> Result<RelayReply, LinkFault> {
+        let message = self.message(request, progress, target, has_others);
+        let typical = self.typical(&request.route.name);
+        let record = SendRecord::open(&self.book, target.key, typical);
+        let reply = if target.address == self.own_peer {
+            Ok(self.server.serve(message, request.deadline).await)
+        } else {
+            self.links
+                .relay(target.address, message, request.deadline)
+                .await
+        };
+        let elapsed = record.close(&reply);
+        if let Ok(reply) = &reply {
+            if let Some(report) = reply.suspect {
+                self.server.learn_suspects(&[report]);
+            }
+            if matches!(reply.result, RelayResult::Answered(_)) {
+                self.learn(&request.route.name, elapsed);
+            }
+        }
+        reply
+    }
+
+    fn message(
+        &self,
+        request: &RoutedRequest,
+        progress: &CallProgress,
+        target: &PeerTarget,
+        has_others: bool,
+    ) -> RelayRequest {
+        let aim_left =
+            (request.received + request.route.aim).saturating_duration_since(Instant::now());
+        let wait = if has_others {
+            request.route.aim.mul_f64(FIRST_WAIT_SHARE)
+        } else {
+            request.deadline.saturating_duration_since(Instant::now())
+        };
+        let mut message = RelayRequest {
+            id: request.id.clone(),
+            instance: target.name.clone(),
+            origin: self.origin.clone(),
+            method: request.method.clone(),
+            target: request.target.clone(),
+            fields: request.fields.clone(),
+            body: request.body.clone(),
+            importance: request.route.importance,
+            is_nested: request.is_nested,
+            kind: kind_of(&request.route.name),
+            aim_ms: whole_millis(aim_left),
+            wait_ms: whole_millis(wait),
+            crashes: 0,
+        };
+        if progress.reached > 0 || request.route.is_idempotent {
+            let fingerprint = upstream_server::fingerprint_of(&message);
+            message.crashes = self.server.crashes_of(fingerprint);
+        }
+        message
+    }
+
+    /// Takes in a reply; returns the answer that is passed on at once.
+    fn take_reply(
+        &self,
+        request: &RoutedRequest,
+        progress: &mut CallProgress,
+        reply: RelayReply,
+    ) -> Option<RelayAnswer> {
+        match reply.result {
+            RelayResult::Answered(answer) => {
+                let may_repeat = request.route.is_idempotent && answer.status >= FAILURE_STATUS;
+                progress.reached += 1;
+                if !may_repeat || self.control == ControlMode::PassThrough {
+                    return Some(answer);
+                }
+                progress.may_have_run = true;
+                progress.reason = RefusalReason::BrokenAnswer;
+                progress.failure = Some(answer);
+                None
+            }
+            RelayResult::Refused(refusal) => {
+                progress.note_refusal(refusal);
+                None
+            }
+        }
+    }
+
+    fn typical(&self, route: &str) -> Option<Duration> {
+        self.latencies.borrow().get(route)?.median()
+    }
+
+    fn learn(&self, route: &CompactString, elapsed: Duration) {
+        let mut latencies = self.latencies.borrow_mut();
+        if let Some(known) = latencies.get_mut(route) {
+            known.record(elapsed);
+            return;
+        }
+        let mut latency = RouteLatency::default();
+        latency.record(elapsed);
+        latencies.insert(route.clone(), latency);
+    }
+
+    fn note_end(&self, request: &RoutedRequest, progress: &CallProgress, end: &CallEnd) {
+        let trace = trace(request, progress);
+        match end {
+            CallEnd::Answered(answer) => self.log.answered(&trace, answer.status),
+            CallEnd::NotRun(reason, retry) => {
+                self.log
+                    .refused(&trace, reason.as_str(), retry.unwrap_or_default());
+            }
+            CallEnd::Unknown(reason) => self.log.failed(&trace, reason.as_str()),
+        }
+    }
+}
+
+impl CallProgress {
+    fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            asked: Vec::new(),
+            reached: 0,
+            may_have_run: false,
+            reason: RefusalReason::NoInstance,
+            retry: None,
+            failure: None,
+            last: CompactString::default(),
+        }
+    }
+
+    fn note_refusal(&mut self, refusal: RelayRefusal) {
+        match refusal.reach {
+            RequestReach::Unsent => self.note_unsent(refusal.reason),
+            RequestReach::Rejected => {
+                self.reached += 1;
+                self.reason = refusal.reason;
+            }
+            RequestReach::Unknown => self.note_lost(refusal.reason),
+        }
+        if refusal.retry_ms > 0 {
+            let retry = Duration::from_millis(refusal.retry_ms.into());
+            self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
+        }
+    }
+
+    const fn note_unsent(&mut self, reason: RefusalReason) {
+        self.reason = reason;
+    }
+
+    const fn note_lost(&mut self, reason: RefusalReason) {
+        self.reached += 1;
+        self.may_have_run = true;
+        self.reason = reason;
+    }
+
+    fn may_go_on(&self, request: &RoutedRequest) -> bool {
+        let is_safe = !self.may_have_run || request.route.is_idempotent;
+        is_safe && self.reason != RefusalReason::Quarantined
+    }
+
+    fn end(&self) -> CallEnd {
+        if self.may_have_run {
+            return CallEnd::Unknown(self.reason);
+        }
+        let retry = self.retry.unwrap_or(RETRY_DEFAULT);
+        let may_come_back = self.reason != RefusalReason::Quarantined;
+        CallEnd::NotRun(
+            self.reason,
+            may_come_back.then(|| retry.clamp(RETRY_MIN, RETRY_MAX)),
+        )
+    }
+
+    /// The deadline passed while an instance had the request.
+    fn end_late(&self) -> CallEnd {
+        if self.asked.is_empty() {
+            return CallEnd::NotRun(RefusalReason::Timeout, None);
+        }
+        CallEnd::Unknown(RefusalReason::Timeout)
+    }
+}
+
+/// Tells the book how a sending went, also when its future is dropped.
+struct SendRecord<'a> {
+    book: &'a PeerBook,
+    key: InstanceKey,
+    typical: Option<Duration>,
+    started: Instant,
+    is_closed: bool,
+}
+
+impl<'a> SendRecord<'a> {
+    fn open(book: &'a PeerBook, key: InstanceKey, typical: Option<Duration>) -> Self {
+        book.started(key);
+        Self {
+            book,
+            key,
+            typical,
+            started: Instant::now(),
+            is_closed: false,
+        }
+    }
+
+    fn close(mut self, reply: &Result<RelayReply, LinkFault>) -> Duration {
+        self.is_closed = true;
+        let elapsed = self.started.elapsed();
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(LinkFault::Connect) => {
+                self.book.unreachable(self.key);
+                return elapsed;
+            }
+            Err(LinkFault::Lost | LinkFault::TimedOut) => {
+                self.book.failed(self.key);
+                return elapsed;
+            }
+        };
+        self.book.take_news(self.key, reply.news);
+        match &reply.result {
+            RelayResult::Answered(_) => {
+                let typical = self.typical.unwrap_or(elapsed);
+                self.book.answered(self.key, elapsed, typical);
+            }
+            RelayResult::Refused(refusal) => {
+                let outcome = match refusal.reach {
+                    RequestReach::Unknown => CallOutcome::Unknown,
+                    _ => CallOutcome::NotRun,
+                };
+                let reason = refusal.reason;
+                self.book.refused(self.key, CallRefusal { outcome, reason });
+            }
+        }
+        elapsed
+    }
+}
+
+impl Drop for SendRecord<'_> {
+    fn drop(&mut self) {
+        if !self.is_closed {
+            let elapsed = self.started.elapsed();
+            let typical = self.typical.unwrap_or(elapsed);
+            self.book.abandoned(self.key, elapsed, typical);
+        }
+    }
+}
+
+/// Counts a request while it is on its way; one whose future is dropped was left by its caller.
+struct LeavingNote<'a> {
+    caller: &'a RequestCaller,
+    id: CompactString,
+    route: Rc<RouteEntry>,
+    received: Instant,
+    is_done: bool,
+}
+
+impl<'a> LeavingNote<'a> {
+    fn new(caller: &'a RequestCaller, request: &RoutedRequest) -> Self {
+        caller.running.set(caller.running.get() + 1);
+        Self {
+            caller,
+            id: request.id.clone(),
+            route: Rc::clone(&request.route),
+            received: request.received,
+            is_done: false,
+        }
+    }
+
+    const fn done(&mut self) {
+        self.is_done = true;
+    }
+}
+
+impl Drop for LeavingNote<'_> {
+    fn drop(&mut self) {
+        self.caller.running.set(self.caller.running.get() - 1);
+        if !self.is_done {
+            let elapsed = self.received.elapsed();
+            self.caller
+                .log
+                .caller_left(&self.id, &self.route.name, elapsed);
+        }
+    }
+}
+
+fn allowance_rules(repeats: RepeatSettings) -> AllowanceRules {
+    AllowanceRules {
+        ratio: repeats.ratio,
+        slack: repeats.slack,
+        window: repeats.window,
+        ..AllowanceRules::default()
+    }
+}
+
+fn trace<'a>(request: &'a RoutedRequest, progress: &'a CallProgress) -> RequestTrace<'a> {
+    RequestTrace {
+        id: &request.id,
+        route: &request.route.name,
+        version: request.version,
+        elapsed: request.received.elapsed(),
+        instance: &progress.last,
+    }
+}
+
+/// Kind of the requests of a route, the same at all nodes.
+fn kind_of(route: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(route.as_bytes());
+    hasher.finish()
+}
+
+fn whole_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/relay/src/decision_log.rs
@@ -0,0 +1,178 @@
+//! Log lines of decisions on single requests, bounded in number.
+//!
+//! Refusals and failures have a larger bound than routine lines. What a bound left out is counted
+//! in the next line of its kind, so that nothing is lost without a trace.
+
+use crate::{events, relay_metrics};
+
+use std::{cell::Cell, time::Duration};
+use tokio::time::Instant;
+use tracing::{info, warn};
+
+/// Lines of refusals and failures in one second.
+const FAULT_LINES: u32 = 25;
+/// Lines of routine decisions in one second.
+const ROUTINE_LINES: u32 = 1;
+/// Time for which a bound is counted.
+const LINE_TIME: Duration = Duration::from_secs(1);
+
+/// `RequestTrace` is what every line on a request tells.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestTrace<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Name of its route.
+    pub route: &'a str,
+    /// Version of the document that the route stems from.
+    pub version: u64,
+    /// Time since it was received.
+    pub elapsed: Duration,
+    /// Upstream that it went to last; empty if to none.
+    pub instance: &'a str,
+}
+
+/// `DecisionLog` writes lines on requests.
+#[derive(Debug, Default)]
+pub struct DecisionLog {
+    faults: LineBudget,
+    routine: LineBudget,
+}
+
+#[derive(Debug, Default)]
+struct LineBudget {
+    since: Cell<Option<Instant>>,
+    written: Cell<u32>,
+    left_out: Cell<u64>,
+}
+
+impl LineBudget {
+    /// Lines left out before this one, or `None` if this one is left out as well.
+    fn take(&self, lines: u32) -> Option<u64> {
+        let now = Instant::now();
+        let since = self.since.get();
+        if since.is_none_or(|since| now - since >= LINE_TIME) {
+            self.since.set(Some(now));
+            self.written.set(0);
+        }
+        if self.written.get() >= lines {
+            self.left_out.set(self.left_out.get() + 1);
+            return None;
+        }
+        self.written.set(self.written.get() + 1);
+        Some(self.left_out.take())
+    }
+}
+
+impl DecisionLog {
+    /// A request was refused before it ran.
+    pub fn refused(&self, trace: &RequestTrace<'_>, reason: &str, retry: Duration) {
+        relay_metrics::count_refused(reason);
+        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+            return;
+        };
+        info!(
+            event = events::REQUEST_REFUSED,
+            request = trace.id,
+            route = trace.route,
+            version = trace.version,
+            instance = trace.instance,
+            elapsed_ms = millis(trace.elapsed),
+            retry_ms = millis(retry),
+            reason,
+            left_out,
+            "request: refused, not run"
+        );
+    }
+
+    /// A request got no whole answer and may have run.
+    pub fn failed(&self, trace: &RequestTrace<'_>, reason: &str) {
+        relay_metrics::count_failed(reason);
+        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+            return;
+        };
+        warn!(
+            event = events::REQUEST_FAILED,
+            request = trace.id,
+            route = trace.route,
+            version = trace.version,
+            instance = trace.instance,
+            elapsed_ms = millis(trace.elapsed),
+            reason,
+            left_out,
+            "request: failed, may have run"
+        );
+    }
+
+    /// A request is sent again.
+    pub fn repeated(&self, trace: &RequestTrace<'_>, reason: &str, is_counted: bool) {
+        relay_metrics::count_repeated(is_counted);
+        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+            return;
+        };
+        info!(
+            event = events::REQUEST_REPEATED,
+            request = trace.id,
+            route = trace.route,
+            instance = trace.instance,
+            elapsed_ms = millis(trace.elapsed),
+            reason,
+            is_counted,
+            left_out,
+            "request: sent again"
+        );
+    }
+
+    /// A request was answered by an upstream.
+    pub fn answered(&self, trace: &RequestTrace<'_>, status: u16) {
+        relay_metrics::record_request(trace.elapsed, status);
+        let Some(left_out) = self.routine.take(ROUTINE_LINES) else {
+            return;
+        };
+        info!(
+            event = events::REQUEST_ANSWERED,
+            request = trace.id,
+            route = trace.route,
+            version = trace.version,
+            instance = trace.instance,
+            elapsed_ms = millis(trace.elapsed),
+            status,
+            left_out,
+            "request: answered"
+        );
+    }
+
+    /// The caller of a request left before its answer.
+    pub fn caller_left(&self, id: &str, route: &str, elapsed: Duration) {
+        relay_metrics::count_left();
+        let Some(left_out) = self.routine.take(ROUTINE_LINES) else {
+            return;
+        };
+        info!(
+            event = events::CALLER_LEFT,
+            request = id,
+            route,
+            elapsed_ms = millis(elapsed),
+            left_out,
+            "request: caller left"
+        );
+    }
+
+    /// The upstream gave no whole answer.
+    pub fn upstream_failed(&self, id: &str, stage: &str, cause: &str) {
+        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+            return;
+        };
+        warn!(
+            event = events::UPSTREAM_FAILED,
+            request = id,
+            stage,
+            cause,
+            left_out,
+            "upstream: no whole answer"
+        );
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/relay/src/directory.rs
@@ -0,0 +1,257 @@
+//! What a node believes of the fleet: the document in force, and the upstreams that are listed.
+
+use crate::events;
+
+use compact_str::CompactString;
+use lagoonshore_state::{
+    ids::{DocumentVersion, RegionName},
+    instance_table::{InstanceRecord, InstanceTable},
+    route_table::{FleetDocument, RouteTable},
+    upstream_list::{UpstreamList, UpstreamRecord},
+};
+use std::{
+    cell::{Cell, Ref, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+use tokio::sync::watch;
+use tracing::{info, warn};
+
+/// Where a document or an entry came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewsSource {
+    /// The store.
+    Store,
+    /// Another node.
+    Peer,
+}
+
+/// `FleetDirectory` holds the fleet as the node sees it.
+#[derive(Debug)]
+pub struct FleetDirectory {
+    own_address: SocketAddr,
+    peer_port: u16,
+    region: RegionName,
+    routes: RefCell<Rc<RouteTable>>,
+    document: RefCell<Option<Rc<FleetDocument>>>,
+    upstreams: RefCell<UpstreamList>,
+    instances: RefCell<InstanceTable>,
+    list_is_read: Cell<bool>,
+    store_is_lost: Cell<bool>,
+    faults: Cell<u64>,
+    changes: watch::Sender<u64>,
+}
+
+impl FleetDirectory {
+    /// Creates an empty directory of a node beside the upstream at `own_address`.
+    #[must_use]
+    pub fn new(own_address: SocketAddr, peer_port: u16, region: RegionName) -> Self {
+        Self {
+            own_address,
+            peer_port,
+            region,
+            routes: RefCell::default(),
+            document: RefCell::default(),
+            upstreams: RefCell::default(),
+            instances: RefCell::default(),
+            list_is_read: Cell::new(false),
+            store_is_lost: Cell::new(false),
+            faults: Cell::new(0),
+            changes: watch::channel(0).0,
+        }
+    }
+
+    /// Puts a document in force if it is newer than the one that is; `true` if it was.
+    pub fn take_document(&self, document: FleetDocument, source: NewsSource) -> bool {
+        let held = self.version();
+        if document.version <= held {
+            return false;
+        }
+        info!(
+            event = events::DOCUMENT_IN_FORCE,
+            version = document.version,
+            held,
+            routes = document.routes.len(),
+            ?source,
+            "document: in force"
+        );
+        let document = Rc::new(document);
+        let table = RouteTable::new((*document).clone());
+        self.routes.replace(Rc::new(table));
+        self.document.replace(Some(document));
+        self.note_change();
+        true
+    }
+
+    /// Logs and counts a document that cannot be used; the one in force stays.
+    pub fn refuse_document(&self, revision: u64, fault: &str) {
+        self.faults.set(self.faults.get() + 1);
+        let held = self.version();
+        warn!(
+            event = events::DOCUMENT_REFUSED,
+            revision, held, fault, "document: refused"
+        );
+    }
+
+    /// Takes in what the list says of an upstream.
+    pub fn take_upstream(&self, record: UpstreamRecord) {
+        let name = record.name.clone();
+        let (state, revision) = (record.state, record.revision);
+        let entry = self.instance_record(&record);
+        if !self.upstreams.borrow_mut().upsert(record) {
+            return;
+        }
+        info!(
+            event = events::UPSTREAM_LISTED,
+            instance = %name, service = %entry.service, ?state, revision, "upstream: listed"
+        );
+        self.instances.borrow_mut().upsert(entry);
+        self.note_change();
+    }
+
+    /// Forgets an upstream that is not listed any more.
+    pub fn remove_upstream(&self, name: &str, revision: u64) {
+        if self.upstreams.borrow_mut().remove(name, revision).is_none() {
+            return;
+        }
+        info!(
+            event = events::UPSTREAM_GONE,
+            instance = name,
+            revision,
+            "upstream: gone from the list"
+        );
+        let mut instances = self.instances.borrow_mut();
+        if let Some(key) = instances.find(name) {
+            instances.remove(key);
+        }
+        drop(instances);
+        self.note_change();
+    }
+
+    /// Logs and counts an entry that names no upstream; what was known under its name goes.
+    pub fn refuse_entry(&self, name: &str, revision: u64, fault: &str) {
+        self.faults.set(self.faults.get() + 1);
+        warn!(
+            event = events::ENTRY_REFUSED,
+            instance = name,
+            revision,
+            fault,
+            "list entry: refused"
+        );
+        self.remove_upstream(name, revision);
+    }
+
+    /// Notes that the whole list was read once.
+    pub fn note_list_read(&self) {
+        self.list_is_read.set(true);
+        self.note_change();
+    }
+
+    /// Notes whether the store can be read.
+    pub fn note_store(&self, cause: Option<&str>) {
+        let was_lost = self.store_is_lost.replace(cause.is_some());
+        match cause {
+            Some(cause) if !was_lost => {
+                warn!(
+                    event = events::STORE_LOST,
+                    cause,
+                    version = self.version(),
+                    "store: lost"
+                );
+            }
+            None if was_lost => {
+                info!(event = events::STORE_REGAINED, "store: regained");
+            }
+            _ => {}
+        }
+    }
+
+    /// Version of the document in force; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> DocumentVersion {
+        self.routes.borrow().version()
+    }
+
+    /// Routes in force.
+    #[must_use]
+    pub fn routes(&self) -> Rc<RouteTable> {
+        Rc::clone(&self.routes.borrow())
+    }
+
+    /// Document in force, for other nodes.
+    #[must_use]
+    pub fn document(&self) -> Option<Rc<FleetDocument>> {
+        self.document.borrow().clone()
+    }
+
+    /// Instances as the choice of peers sees them.
+    #[must_use]
+    pub fn instances(&self) -> Ref<'_, InstanceTable> {
+        self.instances.borrow()
+    }
+
+    /// Upstreams that are listed.
+    #[must_use]
+    pub fn upstreams(&self) -> Ref<'_, UpstreamList> {
+        self.upstreams.borrow()
+    }
+
+    /// Number of listed upstreams, each with a node beside it.
+    #[must_use]
+    pub fn node_count(&self) -> u32 {
+        u32::try_from(self.upstreams.borrow().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Slots of the own upstream, once it is listed.
+    #[must_use]
+    pub fn own_slots(&self) -> Option<u32> {
+        let upstreams = self.upstreams.borrow();
+        upstreams.at(self.own_address).map(|own| own.slots)
+    }
+
+    /// Tells whether the upstream `name` gave notice that it leaves, or left.
+    #[must_use]
+    pub fn has_departed(&self, name: &str) -> bool {
+        self.upstreams.borrow().has_departed(name)
+    }
+
+    /// Tells whether the node knows routes and upstreams.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.version() > 0 && self.list_is_read.get() && !self.upstreams.borrow().is_empty()
+    }
+
+    /// Documents and entries that were refused.
+    #[must_use]
+    pub fn faults(&self) -> u64 {
+        self.faults.get()
+    }
+
+    /// Tells of every change.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Names of the listed upstreams.
+    #[must_use]
+    pub fn listed_names(&self) -> Vec<CompactString> {
+        let upstreams = self.upstreams.borrow();
+        upstreams.iter().map(|record| record.name.clone()).collect()
+    }
+
+    fn instance_record(&self, record: &UpstreamRecord) -> InstanceRecord {
+        InstanceRecord {
+            name: record.name.clone(),
+            service: record.service.clone(),
+            zone: record.zone.clone(),
+            region: self.region.clone(),
+            peer: SocketAddr::new(record.address.ip(), self.peer_port),
+            state: record.state,
+        }
+    }
+
+    fn note_change(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/node.rs
@@ -0,0 +1,262 @@
+//! Puts a node together and runs it.
+
+use crate::{
+    admin_door::AdminDoor,
+    caller_door::CallerDoor,
+    calling::{peer_book::PeerBook, peer_links::PeerLinks, request_caller::RequestCaller},
+    decision_log::DecisionLog,
+    directory::{FleetDirectory, NewsSource},
+    error::{RelayError, Result, SignalsSnafu},
+    events,
+    header_scheme::HeaderScheme,
+    http1::door::{self, OpenCount},
+    peer_door::PeerDoor,
+    planned_stop,
+    ready_door::ReadyDoor,
+    relay_metrics,
+    serving::upstream_server::UpstreamServer,
+    state_dump::{self, StateDump},
+};
+
+use lagoonshore_settings::RelaySettings;
+use lagoonshore_transport::{http_door, signals};
+use rand::{SeedableRng, rngs::SmallRng};
+use snafu::ResultExt;
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::Instant;
+use tracing::{info, warn};
+
+/// Connections of callers at the same time.
+const CALLERS_MAX: usize = 2500;
+/// Connections of operators and of readiness checks at the same time.
+const ADMIN_MAX: usize = 32;
+/// Time between two moves of recorded times into their buckets.
+const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
+/// Time in which another node hands over a document.
+const DOCUMENT_TIME: Duration = Duration::from_secs(1);
+/// Time between two messages about suspects.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(500);
+
+/// `RelayNode` is a node with its doors.
+pub struct RelayNode {
+    /// Settings that the node started with.
+    pub settings: RelaySettings,
+    /// The fleet as the node sees it.
+    pub directory: Rc<FleetDirectory>,
+    /// Side beside the upstream.
+    pub server: Rc<UpstreamServer>,
+    /// Door for callers, with the sending side.
+    pub callers: Rc<CallerDoor>,
+    /// Door for readiness checks.
+    pub ready: Rc<ReadyDoor>,
+    /// Open connections of callers.
+    pub caller_connections: OpenCount,
+    links: Rc<PeerLinks>,
+    book: Rc<PeerBook>,
+    scheme: HeaderScheme,
+}
+
+impl RelayNode {
+    /// Puts a node together that knows nothing of the fleet.
+    ///
+    /// # Errors
+    /// [`RelayError::Random`] if the operating system gives no random numbers.
+    pub fn new(settings: RelaySettings, scheme: HeaderScheme) -> Result<Rc<Self>> {
+        let seed = getrandom::u64().map_err(|fault| RelayError::Random {
+            message: fault.to_string(),
+        })?;
+        let peer_port = settings.listen.peers.port();
+        let region = settings.region.clone();
+        let directory = Rc::new(FleetDirectory::new(settings.upstream, peer_port, region));
+        let log = Rc::new(DecisionLog::default());
+        let random = SmallRng::seed_from_u64(seed);
+        let book = Rc::new(PeerBook::new(&settings, Rc::clone(&directory), random));
+        let links = PeerLinks::new();
+        let server = UpstreamServer::new(&settings, scheme, Rc::clone(&directory), Rc::clone(&log));
+        let server = Rc::new(server);
+        let caller = RequestCaller::new(
+            &settings,
+            Rc::clone(&directory),
+            log,
+            Rc::clone(&book),
+            Rc::clone(&links),
+            Rc::clone(&server),
+        );
+        let own_ip = settings.upstream.ip();
+        let callers = CallerDoor::new(scheme, own_ip, Rc::clone(&directory), caller);
+        let ready = Rc::new(ReadyDoor::new(Rc::clone(&directory)));
+        let noted = Rc::clone(&book);
+        links.on_event(Rc::new(move |address, event| {
+            noted.note_link(address, event)
+        }));
+        Ok(Rc::new(Self {
+            settings,
+            directory,
+            server,
+            callers: Rc::new(callers),
+            ready,
+            caller_connections: OpenCount::default(),
+            links,
+            book,
+            scheme,
+        }))
+    }
+
+    /// Opens the doors and serves them on the current thread.
+    ///
+    /// # Errors
+    /// Names the door that cannot be opened.
+    pub async fn open(self: &Rc<Self>) -> Result<()> {
+        let listen = self.settings.listen;
+        let callers = http_door::listen("callers", listen.callers).await?;
+        let ready = http_door::listen("ready", listen.ready).await?;
+        let peers = http_door::listen("peers", listen.peers).await?;
+        let admin = http_door::listen("admin", listen.admin).await?;
+        let serving = door::serve(
+            callers,
+            Rc::clone(&self.callers),
+            self.scheme,
+            Rc::clone(&self.caller_connections),
+            CALLERS_MAX,
+        );
+        actix_rt::spawn(serving);
+        let (count, scheme) = (OpenCount::default(), self.scheme);
+        let serving = door::serve(ready, Rc::clone(&self.ready), scheme, count, ADMIN_MAX);
+        actix_rt::spawn(serving);
+        let door = PeerDoor::new(Rc::clone(&self.server), Rc::clone(&self.directory));
+        actix_rt::spawn(door.serve_links(peers));
+        let metrics = relay_metrics::handle();
+        let node = Rc::clone(self);
+        let state = Box::new(move || node.dump());
+        let door = Rc::new(AdminDoor::new(metrics.clone(), state));
+        let serving = door::serve(admin, door, scheme, OpenCount::default(), ADMIN_MAX);
+        actix_rt::spawn(serving);
+        actix_rt::spawn(async move {
+            loop {
+                actix_rt::time::sleep(UPKEEP_PAUSE).await;
+                metrics.run_upkeep();
+            }
+        });
+        actix_rt::spawn(follow_directory(Rc::clone(self)));
+        actix_rt::spawn(spread_suspects(Rc::clone(self)));
+        info!(
+            event = events::RELAY_STARTED,
+            node = %self.settings.node, service = %self.settings.service,
+            zone = %self.settings.zone, callers = %listen.callers, peers = %listen.peers,
+            "relay: started"
+        );
+        Ok(())
+    }
+
+    /// State of the node.
+    #[must_use]
+    pub fn dump(&self) -> StateDump {
+        let news = self.server.news();
+        StateDump {
+            node: self.settings.node.clone(),
+            service: self.settings.service.clone(),
+            is_ready: self.ready.is_ready(),
+            version: self.directory.version(),
+            refused_entries: self.directory.faults(),
+            slots: crate::serving::slot_gate::GateLoad {
+                in_use: news.in_use,
+                limit: news.limit,
+                queued: news.queued,
+            },
+            calls: self.callers.caller().running(),
+            served: self.server.running(),
+            upstream_connections: self.server.connections_opened(),
+            links: self.links.len(),
+            instances: state_dump::instances(&self.directory, &self.book),
+            routes: self
+                .directory
+                .routes()
+                .routes()
+                .into_iter()
+                .cloned()
+                .collect(),
+        }
+    }
+
+    /// Asks the node at `peer` for its document, which was said to be newer than the own one.
+    pub async fn pull_document(&self, peer: SocketAddr) {
+        let deadline = Instant::now() + DOCUMENT_TIME;
+        // A node that does not answer is asked again with its next news.
+        if let Ok(Some(document)) = self.links.document(peer, deadline).await {
+            self.directory.take_document(document, NewsSource::Peer);
+        }
+    }
+
+    /// Has `reload` called at each SIGHUP.
+    ///
+    /// # Errors
+    /// [`RelayError::Signals`] if no handler can be installed.
+    pub fn on_reload(&self, reload: impl Fn() + 'static) -> Result<()> {
+        signals::on_reload(reload).context(SignalsSnafu)
+    }
+
+    /// Takes over settings that were read again. Addresses, names and memory hold until the
+    /// process starts anew.
+    pub fn take_settings(&self, settings: &RelaySettings) {
+        self.callers.caller().set_repeats(settings.repeats);
+        info!(
+            event = events::SETTINGS_RELOADED,
+            ratio = settings.repeats.ratio,
+            slack = settings.repeats.slack,
+            "settings: reloaded"
+        );
+    }
+
+    /// Logs that settings cannot be used; those in force stay.
+    pub fn refuse_settings(&self, fault: &str) {
+        warn!(event = events::SETTINGS_REFUSED, fault, "settings: refused");
+    }
+
+    /// Waits for the request to stop, and stops.
+    ///
+    /// # Errors
+    /// [`RelayError::Signals`] if no handler can be installed.
+    pub async fn run_until_stopped(&self) -> Result<()> {
+        signals::stop_requested().await.context(SignalsSnafu)?;
+        planned_stop::run(self).await;
+        Ok(())
+    }
+}
+
+/// Hands changes of the directory to those that work by it.
+async fn follow_directory(node: Rc<RelayNode>) {
+    let mut changes = node.directory.changes();
+    while changes.changed().await.is_ok() {
+        node.server.follow_list();
+        node.callers.caller().follow_directory();
+        let listed: BTreeSet<SocketAddr> = {
+            let table = node.directory.instances();
+            table.iter().map(|(_, record)| record.peer).collect()
+        };
+        node.links.retain(|address| listed.contains(&address));
+    }
+}
+
+/// Tells the other nodes of requests that crash upstreams, while there are any.
+async fn spread_suspects(node: Rc<RelayNode>) {
+    loop {
+        actix_rt::time::sleep(SUSPECT_PAUSE).await;
+        let news = node.server.suspect_news();
+        if news.is_empty() {
+            continue;
+        }
+        let peers: Vec<SocketAddr> = {
+            let table = node.directory.instances();
+            let others = table.iter().map(|(_, record)| record.peer);
+            others
+                .filter(|peer| *peer != node.settings.listen.peers)
+                .collect()
+        };
+        for peer in peers {
+            let (links, news) = (Rc::clone(&node.links), news.clone());
+            let deadline = Instant::now() + SUSPECT_PAUSE;
+            // A node that does not hear now hears again while the news is fresh.
+            actix_rt::spawn(async move { links.suspects(peer, news, deadline).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/planned_stop.rs
@@ -0,0 +1,60 @@
+//! Leaving without harm: callers are sent away, what was read is finished, then the process ends.
+
+use crate::{events, http1::door::DoorPhase, node::RelayNode};
+
+use std::time::Duration;
+use tokio::time::Instant;
+use tracing::info;
+
+/// Time in which callers and other nodes learn that the node leaves. Readiness is asked for once a
+/// second, and two answers in a row take callers away.
+const NOTICE_TIME: Duration = Duration::from_millis(2300);
+/// Share of the grace time after which new requests are refused.
+const REFUSE_SHARE: f64 = 0.6;
+/// Time before the end of the grace time at which the process ends whatever still runs.
+const END_MARGIN: Duration = Duration::from_millis(350);
+/// Time between two looks at what still runs.
+const LOOK_TIME: Duration = Duration::from_millis(50);
+/// Time in which last answers leave the process.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
+
+/// Stops `node`; returns when the process may end.
+pub async fn run(node: &RelayNode) {
+    let started = Instant::now();
+    info!(
+        event = events::RELAY_STOPPING,
+        calls = node.callers.caller().running(),
+        served = node.server.running(),
+        "relay: stopping"
+    );
+    node.ready.begin_leaving();
+    node.server.begin_leaving();
+    node.callers.set_phase(DoorPhase::Closing);
+    let grace = node.settings.grace_time;
+    let end = started + grace.saturating_sub(END_MARGIN);
+    let notice_end = (started + NOTICE_TIME).min(end);
+    tokio::time::sleep_until(notice_end).await;
+    node.callers.set_phase(DoorPhase::ClosingIdle);
+    let refuse_at = started + grace.mul_f64(REFUSE_SHARE);
+    while Instant::now() < end && !is_idle(node) {
+        if Instant::now() >= refuse_at {
+            node.callers.end();
+            node.server.close();
+        }
+        actix_rt::time::sleep(LOOK_TIME).await;
+    }
+    let is_finished = is_idle(node);
+    actix_rt::time::sleep(FLUSH_TIME).await;
+    info!(
+        event = events::RELAY_STOPPED,
+        is_finished,
+        calls = node.callers.caller().running(),
+        served = node.server.running(),
+        "relay: stopped"
+    );
+}
+
+fn is_idle(node: &RelayNode) -> bool {
+    let has_callers = node.caller_connections.get() > 0;
+    !has_callers && node.callers.caller().running() == 0 && node.server.running() == 0
+}
--- /dev/null
+++ b/crates/relay/src/ready_door.rs
@@ -0,0 +1,78 @@
+//! The door that tells whether the node takes callers.
+
+use crate::{
+    directory::FleetDirectory,
+    events,
+    http1::door::{self, CallerHandler, DoorAnswer, DoorPhase, DoorRequest},
+};
+
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use lagoonshore_state::route_table::CallerLimits;
+use std::{cell::Cell, rc::Rc};
+use tokio::sync::watch;
+use tracing::info;
+
+/// `ReadyDoor` answers 200 while the node is ready and 503 otherwise, on every path.
+pub struct ReadyDoor {
+    directory: Rc<FleetDirectory>,
+    phase: watch::Sender<DoorPhase>,
+    is_leaving: Cell<bool>,
+    said_ready: Cell<bool>,
+}
+
+impl ReadyDoor {
+    /// Creates the door of a node.
+    #[must_use]
+    pub fn new(directory: Rc<FleetDirectory>) -> Self {
+        Self {
+            directory,
+            phase: watch::channel(DoorPhase::Open).0,
+            is_leaving: Cell::new(false),
+            said_ready: Cell::new(false),
+        }
+    }
+
+    /// Answers 503 from now on.
+    pub fn begin_leaving(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Tells whether the node takes callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving.get() && self.directory.is_complete()
+    }
+}
+
+impl CallerHandler for ReadyDoor {
+    fn answer(self: Rc<Self>, _: DoorRequest) -> LocalBoxFuture<'static, DoorAnswer> {
+        let is_ready = self.is_ready();
+        if self.said_ready.replace(is_ready) != is_ready {
+            info!(
+                event = events::READINESS_CHANGED,
+                is_ready,
+                is_leaving = self.is_leaving.get(),
+                version = self.directory.version(),
+                "readiness: changed"
+            );
+        }
+        door::ready(self.reject(if is_ready { 200 } else { 503 }))
+    }
+
+    fn reject(&self, status: u16) -> DoorAnswer {
+        DoorAnswer {
+            status,
+            fields: Bytes::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    fn limits(&self) -> CallerLimits {
+        CallerLimits::default()
+    }
+
+    fn phase(&self) -> watch::Receiver<DoorPhase> {
+        self.phase.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -0,0 +1,412 @@
+//! Has the own upstream run requests: suspects, slots, the exchange, and what it says.
+
+use super::{
+    crash_watch::CrashWatch,
+    slot_gate::{SlotGate, SlotPermit},
+};
+
+use crate::{
+    decision_log::DecisionLog,
+    directory::FleetDirectory,
+    events,
+    header_scheme::HeaderScheme,
+    http1::{
+        exchange::{ExchangeFault, SentRequest, WholeAnswer},
+        pool::{ConnectionPool, SendFault},
+    },
+    relay_metrics,
+};
+
+use bytes::{BufMut, BytesMut};
+use lagoonshore_coordination::{
+    fingerprint::{self, RequestFingerprint},
+    forwarding::slot_queue::{SlotOffer, SlotRank},
+    outcome::RefusalReason,
+    suspects::{SuspectReport, SuspectTable},
+};
+use lagoonshore_protocol::relay_messages::{
+    NodeNews, RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
+};
+use lagoonshore_settings::{ControlMode, RelaySettings};
+use std::{
+    cell::{Cell, RefCell},
+    fmt::Write,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Slots that are assumed until the upstream is listed.
+const SLOTS_UNLISTED: u32 = 8;
+/// Share of the listed slots that are used: some upstreams slow down when they are nearly full.
+const SLOTS_SHARE: f64 = 0.95;
+/// Least time in which an upstream can do anything; a request with less left is not sent.
+const SEND_TIME_MIN: Duration = Duration::from_millis(4);
+/// Crashes after which a request is not run any more.
+const CRASHES_MAX: u8 = 3;
+/// Time after which a caller may come back to an upstream that is down or leaving.
+const AWAY_RETRY: Duration = Duration::from_millis(300);
+/// First status of answers that tell of a failure of the upstream.
+const FAILURE_STATUS: u16 = 500;
+
+/// `UpstreamServer` runs requests on the upstream beside the node.
+pub struct UpstreamServer {
+    directory: Rc<FleetDirectory>,
+    log: Rc<DecisionLog>,
+    scheme: HeaderScheme,
+    control: ControlMode,
+    gate: SlotGate,
+    pool: ConnectionPool,
+    crashes: CrashWatch,
+    suspects: RefCell<SuspectTable>,
+    is_leaving: Cell<bool>,
+    is_closed: Cell<bool>,
+    running: Cell<u32>,
+}
+
+impl UpstreamServer {
+    /// Creates the server of a node.
+    #[must_use]
+    pub fn new(
+        settings: &RelaySettings,
+        scheme: HeaderScheme,
+        directory: Rc<FleetDirectory>,
+        log: Rc<DecisionLog>,
+    ) -> Self {
+        Self {
+            directory,
+            log,
+            scheme,
+            control: settings.control,
+            gate: SlotGate::new(SLOTS_UNLISTED),
+            pool: ConnectionPool::new(settings.upstream),
+            crashes: CrashWatch::new(settings.upstream),
+            suspects: RefCell::default(),
+            is_leaving: Cell::new(false),
+            is_closed: Cell::new(false),
+            running: Cell::new(0),
+        }
+    }
+
+    /// Takes over the slots that the list gives the own upstream.
+    pub fn follow_list(&self) {
+        if let Some(slots) = self.directory.own_slots() {
+            self.gate.set_limit(usable_slots(slots));
+        }
+    }
+
+    /// Tells other nodes that the node is leaving.
+    pub fn begin_leaving(&self) {
+        self.is_leaving.set(true);
+    }
+
+    /// Refuses all requests from now on.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+    }
+
+    /// Requests that are being served.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running.get()
+    }
+
+    /// Connections to the upstream opened so far.
+    #[must_use]
+    pub const fn connections_opened(&self) -> u64 {
+        self.pool.opened()
+    }
+
+    /// State of the node, as its replies tell it.
+    #[must_use]
+    pub fn news(&self) -> NodeNews {
+        let load = self.gate.load();
+        NodeNews {
+            in_use: load.in_use,
+            limit: load.limit,
+            queued: load.queued,
+            is_leaving: self.is_leaving.get(),
+            version: self.directory.version(),
+        }
+    }
+
+    /// Crashes held against a request, for the nodes that send it.
+    #[must_use]
+    pub fn crashes_of(&self, fingerprint: RequestFingerprint) -> u8 {
+        let report = self.suspects.borrow().report(Instant::now(), fingerprint);
+        report.map_or(0, |report| report.crashes)
+    }
+
+    /// Takes in what other nodes hold against requests.
+    pub fn learn_suspects(&self, reports: &[SuspectReport]) {
+        let mut suspects = self.suspects.borrow_mut();
+        for report in reports {
+            suspects.merge(Instant::now(), *report);
+        }
+    }
+
+    /// Suspects of which other nodes should hear.
+    #[must_use]
+    pub fn suspect_news(&self) -> Vec<SuspectReport> {
+        self.suspects.borrow().reports(Instant::now())
+    }
+
+    /// Runs a request that must be answered before `deadline`.
+    pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
+        let running = RunMark::new(&self.running);
+        let fingerprint = fingerprint_of(&request);
+        let result = self.run(request, deadline, fingerprint).await;
+        drop(running);
+        let suspect = self.suspects.borrow().report(Instant::now(), fingerprint);
+        RelayReply {
+            result,
+            news: self.news(),
+            suspect,
+        }
+    }
+
+    async fn run(
+        &self,
+        request: RelayRequest,
+        deadline: Instant,
+        fingerprint: RequestFingerprint,
+    ) -> RelayResult {
+        let report = SuspectReport {
+            fingerprint,
+            crashes: request.crashes,
+        };
+        if report.crashes > 0 {
+            self.suspects.borrow_mut().merge(Instant::now(), report);
+        }
+        if self.is_closed.get() || self.directory.has_departed(&request.instance) {
+            return refused(RefusalReason::Draining, AWAY_RETRY);
+        }
+        if self.crashes_of(fingerprint) >= CRASHES_MAX {
+            return refused(RefusalReason::Quarantined, Duration::ZERO);
+        }
+        let permit = match self.acquire(&request, deadline).await {
+            Ok(permit) => permit,
+            Err(wait) => return refused(RefusalReason::Overload, wait),
+        };
+        // The wait may have been long enough for the upstream to give notice.
+        if self.directory.has_departed(&request.instance) {
+            return refused(RefusalReason::Draining, AWAY_RETRY);
+        }
+        self.send(request, deadline, permit, fingerprint).await
+    }
+
+    async fn acquire(
+        &self,
+        request: &RelayRequest,
+        deadline: Instant,
+    ) -> Result<Option<SlotPermit>, Duration> {
+        if self.control == ControlMode::PassThrough {
+            return Ok(None);
+        }
+        let now = Instant::now();
+        let aim = now + Duration::from_millis(request.aim_ms.into());
+        let offer = SlotOffer {
+            rank: SlotRank {
+                is_new: !request.is_nested,
+                importance: request.importance,
+            },
+            kind: request.kind,
+            finish_by: if request.is_nested {
+                deadline
+            } else {
+                aim.min(deadline)
+            },
+            wait_max: Duration::from_millis(request.wait_ms.into()),
+        };
+        let permit = self.gate.acquire(offer).await;
+        relay_metrics::record_queue_wait(now.elapsed());
+        permit.map(Some)
+    }
+
+    async fn send(
+        &self,
+        request: RelayRequest,
+        deadline: Instant,
+        mut permit: Option<SlotPermit>,
+        fingerprint: RequestFingerprint,
+    ) -> RelayResult {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left < SEND_TIME_MIN {
+            return refused(RefusalReason::Timeout, Duration::ZERO);
+        }
+        let sent = self.sent_request(&request, left);
+        let started = Instant::now();
+        let answer = tokio::time::timeout(left, self.pool.send(sent, &self.scheme)).await;
+        relay_metrics::record_upstream(started.elapsed(), matches!(answer, Ok(Ok(_))));
+        match answer {
+            Ok(Ok(answer)) => {
+                if let Some(permit) = &mut permit
+                    && !answer.head.is_not_run
+                {
+                    permit.finished();
+                }
+                self.judge(&request, answer, fingerprint)
+            }
+            Ok(Err(SendFault::Connect(kind))) => {
+                self.log
+                    .upstream_failed(&request.id, "connect", &kind.to_string());
+                self.crashes.note_refused();
+                refused(RefusalReason::UpstreamUnreachable, AWAY_RETRY)
+            }
+            Ok(Err(SendFault::Exchange(fault))) => {
+                drop(permit);
+                self.lost(&request, &fault, fingerprint).await
+            }
+            Err(_) => {
+                self.log
+                    .upstream_failed(&request.id, "timeout", "no answer by the deadline");
+                unknown(RefusalReason::Timeout)
+            }
+        }
+    }
+
+    /// Turns an answer of the upstream into what is relayed.
+    fn judge(
+        &self,
+        request: &RelayRequest,
+        answer: WholeAnswer,
+        fingerprint: RequestFingerprint,
+    ) -> RelayResult {
+        let head = &answer.head;
+        if head.is_not_run || head.status == 421 {
+            self.log
+                .upstream_failed(&request.id, "rejected", &head.status.to_string());
+            return RelayResult::Refused(RelayRefusal {
+                reason: match head.status {
+                    421 => RefusalReason::NoInstance,
+                    _ => RefusalReason::Overload,
+                },
+                reach: RequestReach::Rejected,
+                retry_ms: 0,
+            });
+        }
+        let is_success = head.status < 300;
+        if head.is_encoded || (is_success && !head.is_signed) {
+            self.log
+                .upstream_failed(&request.id, "broken", "encoded or unsigned");
+            return unknown(RefusalReason::BrokenAnswer);
+        }
+        if head.status < FAILURE_STATUS {
+            self.suspects.borrow_mut().finished(fingerprint);
+        }
+        RelayResult::Answered(RelayAnswer {
+            status: head.status,
+            fields: head.fields.clone(),
+            body: answer.body,
+        })
+    }
+
+    /// Handles an exchange that failed: the upstream may have crashed while it ran the request.
+    async fn lost(
+        &self,
+        request: &RelayRequest,
+        fault: &ExchangeFault,
+        fingerprint: RequestFingerprint,
+    ) -> RelayResult {
+        self.log
+            .upstream_failed(&request.id, "exchange", &format!("{fault:?}"));
+        let may_be_crash = matches!(fault, ExchangeFault::Broken(_) | ExchangeFault::ClosedEarly);
+        if may_be_crash && self.crashes.is_down().await {
+            let report = self
+                .suspects
+                .borrow_mut()
+                .crashed(Instant::now(), fingerprint);
+            self.pool.clear();
+            tracing::warn!(
+                event = events::CRASH_COUNTED,
+                request = %request.id, fingerprint, crashes = report.crashes,
+                "upstream: crashed while it ran the request"
+            );
+        }
+        match fault {
+            ExchangeFault::NoAnswer => unknown(RefusalReason::BrokenAnswer),
+            _ => unknown(RefusalReason::ConnectionLost),
+        }
+    }
+
+    fn sent_request(&self, request: &RelayRequest, left: Duration) -> SentRequest {
+        let mut head = BytesMut::with_capacity(request.fields.len() + 256);
+        let scheme = &self.scheme;
+        let RelayRequest {
+            id,
+            instance,
+            origin,
+            method,
+            target,
+            ..
+        } = request;
+        // Writing to a buffer in memory does not fail.
+        let _ = write!(head, "{method} {target} HTTP/1.1\r\n");
+        head.put_slice(&request.fields);
+        let _ = write!(head, "{}: {id}\r\n", scheme.request_id);
+        let _ = write!(head, "{}: {}\r\n", scheme.time_limit, left.as_millis());
+        let _ = write!(head, "{}: {instance}\r\n", scheme.expected_instance);
+        let _ = write!(head, "{}: {origin}\r\n", scheme.origin_service);
+        if !request.body.is_empty() || !matches!(method.as_str(), "GET" | "HEAD") {
+            let _ = write!(head, "Content-Length: {}\r\n", request.body.len());
+        }
+        head.put_slice(b"\r\n");
+        SentRequest {
+            head: head.freeze(),
+            body: request.body.clone(),
+            id: Some(id.clone()),
+            is_head: method == "HEAD",
+        }
+    }
+}
+
+/// Counts a request for as long as it is being served.
+struct RunMark<'a>(&'a Cell<u32>);
+
+impl<'a> RunMark<'a> {
+    fn new(running: &'a Cell<u32>) -> Self {
+        running.set(running.get() + 1);
+        Self(running)
+    }
+}
+
+impl Drop for RunMark<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Fingerprint by which all nodes recognise a request that is sent again.
+#[must_use]
+pub fn fingerprint_of(request: &RelayRequest) -> RequestFingerprint {
+    let RelayRequest {
+        origin,
+        method,
+        target,
+        body,
+        ..
+    } = request;
+    fingerprint::of_request(None, origin, method, target, body)
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn usable_slots(slots: u32) -> u32 {
+    ((f64::from(slots) * SLOTS_SHARE) as u32).max(1)
+}
+
+fn refused(reason: RefusalReason, retry: Duration) -> RelayResult {
+    let retry_ms = u32::try_from(retry.as_millis()).unwrap_or(u32::MAX);
+    RelayResult::Refused(RelayRefusal {
+        reason,
+        reach: RequestReach::Unsent,
+        retry_ms,
+    })
+}
+
+const fn unknown(reason: RefusalReason) -> RelayResult {
+    RelayResult::Refused(RelayRefusal {
+        reason,
+        reach: RequestReach::Unknown,
+        retry_ms: 0,
+    })
+}
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -106,12 +106,12 @@
     Trace,
 }
 
-const CONTROL_MODES: [(&str, ControlMode); 2] = [
+pub(crate) const CONTROL_MODES: [(&str, ControlMode); 2] = [
     ("enforce", ControlMode::Enforce),
     ("pass-through", ControlMode::PassThrough),
 ];
 const LOG_FORMATS: [(&str, LogFormat); 2] = [("json", LogFormat::Json), ("text", LogFormat::Text)];
-const LOG_LEVELS: [(&str, LogLevel); 5] = [
+pub(crate) const LOG_LEVELS: [(&str, LogLevel); 5] = [
     ("error", LogLevel::Error),
     ("warn", LogLevel::Warn),
     ("info", LogLevel::Info),
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -16,6 +16,8 @@
 pub type LaneName = CompactString;
 /// `PolicyRevision` counts the revisions of one policy record; it only rises.
 pub type PolicyRevision = u64;
+/// `DocumentVersion` orders the published documents of a fleet; 0 stands for none.
+pub type DocumentVersion = u64;
 /// `ContentHash` is a hash of the bytes of a record, the same at every node.
 pub type ContentHash = u64;
 /// `IncarnationId` tells one run of a node from another; drawn at random when a process starts.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,7 +14,9 @@
 pub mod policy;
 pub mod policy_set;
 pub mod queue;
+pub mod route_table;
 pub mod service_cost;
 pub mod units;
+pub mod upstream_list;
 
 pub use error::{Result, StateError};
