Let calls inherit importance; pace new requests by the wait of their calls

Ruled out: refusing at the entry by latency against the aim; the tail of the work itself (seven times as long for 3 in 100) looks the same as a queue.

Change: a node keeps the requests that its upstream runs; a call whose id continues the id of one of them inherits its importance and whether it is a repeat. Replies carry the time waited for slots, here and below; an upstream lets fewer new requests of a kind in while the calls of that kind wait for more than a quarter of the aim. Repeats of runs are counted along the chain, so that the allowance can be used up to 0.7 where it was 0.15. A caller that comes back names less time; the aim counts from its first try.

--- a/crates/coordination/src/forwarding/repeat_allowance.rs
+++ b/crates/coordination/src/forwarding/repeat_allowance.rs
@@ -5,7 +5,7 @@
 //! only. A repeat of a request whose run makes calls repeats these as well, so that a part of the
 //! allowance is kept for what follows below.
 
-use lagoonshore_state::ids::ServiceName;
+use lagoonshore_state::{ids::ServiceName, units::RequestImportance};
 
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
@@ -22,9 +22,10 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Duration,
-    /// Share of the allowance that a node spends itself; the rest is left for calls that a
-    /// repeated run repeats.
+    /// Share of the allowance that is spent; the rest is left for what nodes cannot see.
     pub own_share: f64,
+    /// Share of that which requests of less than the highest importance may use up.
+    pub common_share: f64,
 }
 
 impl Default for AllowanceRules {
@@ -33,7 +34,8 @@
             ratio: 0.1,
             slack: 0.0,
             window: Duration::from_secs(10),
-            own_share: 0.15,
+            own_share: 0.7,
+            common_share: 0.6,
         }
     }
 }
@@ -85,8 +87,20 @@
         self.part(now, service).requests += 1;
     }
 
-    /// Takes one repeat at `service` out of the allowance; `false` if it is used up.
-    pub fn take(&mut self, now: Instant, service: &ServiceName) -> bool {
+    /// Counts a repeat that is made whatever the allowance says: a call of a repeated run.
+    pub fn note_repeat(&mut self, now: Instant, service: &ServiceName) {
+        self.part(now, service).repeats += 1;
+    }
+
+    /// Takes one repeat at `service` out of the allowance; `false` if it is used up. A repeat
+    /// whose run makes calls costs `cost` repeats.
+    pub fn take(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        importance: RequestImportance,
+        cost: u32,
+    ) -> bool {
         let rules = self.rules;
         let slack = rules.slack / f64::from(self.nodes);
         self.part(now, service);
@@ -94,11 +108,13 @@
             return false;
         };
         let (requests, repeats) = window.totals(now, rules.window);
-        let allowed = rules.own_share * (rules.ratio * f64::from(requests) + slack);
-        if f64::from(repeats) + 1.0 > allowed {
+        let is_common = importance > RequestImportance(0);
+        let share = if is_common { rules.common_share } else { 1.0 };
+        let allowed = rules.own_share * share * (rules.ratio * f64::from(requests) + slack);
+        if f64::from(repeats) + f64::from(cost) > allowed {
             return false;
         }
-        self.part(now, service).repeats += 1;
+        self.part(now, service).repeats += cost;
         true
     }
 
--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -2,8 +2,9 @@
 //!
 //! A request is refused on arrival where the wait that stands before it is longer than it may
 //! wait, so that its caller learns at once when to come back. Waiting requests are ordered by
-//! rank, then by the time by which they must start. Calls of requests that run already go before
-//! new requests: turning one away would throw away the work of its parent.
+//! rank, then by the time by which they must start. Among requests of the same importance, calls
+//! of requests that run already go before new ones: turning one away would throw away the work of
+//! its parent.
 
 use lagoonshore_state::units::RequestImportance;
 
@@ -28,10 +29,10 @@
 /// `SlotRank` orders waiting requests; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct SlotRank {
+    /// Importance; that of the first request of the chain for a call.
+    pub importance: RequestImportance,
     /// Whether the request is new; calls of running requests go first.
     pub is_new: bool,
-    /// Importance.
-    pub importance: RequestImportance,
 }
 
 /// `SlotOffer` describes a request that asks for a slot.
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -27,7 +27,7 @@
         pub fields: Bytes,
         /// Body.
         pub body: Bytes,
-        /// Importance of its route.
+        /// Importance of the first request of its chain.
         pub importance: RequestImportance,
         /// Whether it is a call that a running request makes.
         pub is_nested: bool,
@@ -37,6 +37,8 @@
         pub aim_ms: u32,
         /// Longest wait for a slot, in milliseconds.
         pub wait_ms: u32,
+        /// Whether it is sent again, or is a call of a run that was.
+        pub is_repeat: bool,
         /// Crashes that the sender knows the request to have caused.
         pub crashes: u8,
     }
@@ -87,6 +89,10 @@
         pub result: RelayResult,
         /// State of the node that replies.
         pub news: NodeNews,
+        /// Milliseconds that the request and the calls of its run waited for slots.
+        pub wait_ms: u32,
+        /// Calls that its run made, here and below.
+        pub calls: u32,
         /// What the node holds against the request.
         pub suspect: Option<SuspectReport>,
     }
--- a/crates/relay/src/caller_door.rs
+++ b/crates/relay/src/caller_door.rs
@@ -8,45 +8,56 @@
         door::{CallerHandler, DoorAnswer, DoorPhase, DoorRequest},
         head::RequestHead,
     },
+    serving::running_table::RunningTable,
 };
 
 use bytes::{BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_coordination::outcome::RefusalReason;
-use lagoonshore_state::route_table::CallerLimits;
-use std::{cell::Cell, fmt::Write, net::IpAddr, rc::Rc, time::Duration};
+use lagoonshore_state::route_table::{CallerLimits, RouteEntry};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    fmt::Write,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::sync::watch;
 
 /// Time after which a caller may come back to a node that does not know the fleet yet.
 const STARTING_RETRY: Duration = Duration::from_millis(300);
+/// Routes whose time limits are remembered.
+const ROUTES_MAX: usize = 2048;
 /// Time after which a caller may come back to a node that is ending.
 const ENDING_RETRY: Duration = Duration::from_millis(500);
 
 /// `CallerDoor` answers callers.
 pub struct CallerDoor {
     scheme: HeaderScheme,
-    own_ip: IpAddr,
     directory: Rc<FleetDirectory>,
+    table: Rc<RunningTable>,
     caller: RequestCaller,
+    time_limits: RefCell<HashMap<CompactString, Duration>>,
     phase: watch::Sender<DoorPhase>,
     is_ending: Cell<bool>,
 }
 
 impl CallerDoor {
-    /// Creates the door of a node whose upstream calls from `own_ip`.
+    /// Creates the door of a node whose upstream runs what `table` holds.
     #[must_use]
     pub fn new(
         scheme: HeaderScheme,
-        own_ip: IpAddr,
         directory: Rc<FleetDirectory>,
+        table: Rc<RunningTable>,
         caller: RequestCaller,
     ) -> Self {
         Self {
             scheme,
-            own_ip,
             directory,
+            table,
             caller,
+            time_limits: RefCell::default(),
             phase: watch::channel(DoorPhase::Open).0,
             is_ending: Cell::new(false),
         }
@@ -73,7 +84,6 @@
             head,
             body,
             received,
-            peer,
         } = request;
         let id = head.id.clone().unwrap_or_default();
         if id.is_empty() {
@@ -89,26 +99,44 @@
         let Some(route) = routes.find(&head.host, &head.target) else {
             return self.own_answer(&id, 404, None, "no route");
         };
-        let limit = head.time_limit.unwrap_or(route.timeout).min(route.timeout);
+        let parent = self.table.parent_of(&id, self.scheme.call_separator);
+        let limit = head.time_limit.unwrap_or(route.timeout);
+        let spent = match parent {
+            Some(_) => Duration::ZERO,
+            None => self.spent(&route, limit),
+        };
         let RequestHead {
             method,
             target,
             fields,
             ..
         } = head;
-        let routed = RoutedRequest {
+        let request = RoutedRequest {
             id: id.clone(),
             version: routes.version(),
             method,
             target,
             fields,
             body,
-            is_nested: peer == self.own_ip,
+            parent,
+            spent,
             received,
-            deadline: received + limit,
+            deadline: received + limit.min(route.timeout),
             route,
         };
-        self.to_answer(&id, self.caller.call(routed).await)
+        self.to_answer(&id, self.caller.call(request).await)
+    }
+
+    /// Time that a caller had spent on a request before this try: callers of one route begin with
+    /// the same time limit, so that one who comes back names less.
+    fn spent(&self, route: &RouteEntry, limit: Duration) -> Duration {
+        let mut limits = self.time_limits.borrow_mut();
+        if limits.len() >= ROUTES_MAX {
+            limits.clear();
+        }
+        let longest = limits.entry(route.name.clone()).or_insert(limit);
+        *longest = limit.max(*longest);
+        longest.saturating_sub(limit)
     }
 
     fn to_answer(&self, id: &CompactString, end: CallEnd) -> DoorAnswer {
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -8,7 +8,11 @@
 use crate::{
     decision_log::{DecisionLog, RequestTrace},
     directory::FleetDirectory,
-    serving::upstream_server::{self, UpstreamServer},
+    header_scheme::HeaderScheme,
+    serving::{
+        running_table::RunningRequest,
+        upstream_server::{self, UpstreamServer},
+    },
 };
 
 use bytes::Bytes;
@@ -26,7 +30,10 @@
     RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
 };
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RepeatSettings};
-use lagoonshore_state::{ids::ServiceName, instance_table::InstanceKey, route_table::RouteEntry};
+use lagoonshore_state::{
+    ids::ServiceName, instance_table::InstanceKey, route_table::RouteEntry,
+    units::RequestImportance,
+};
 use siphasher::sip::SipHasher13;
 use std::{
     cell::{Cell, RefCell},
@@ -70,8 +77,10 @@
     pub fields: Bytes,
     /// Body.
     pub body: Bytes,
-    /// Whether the upstream on the own instance makes the request while it runs another.
-    pub is_nested: bool,
+    /// The request that it is made for, if the upstream on the own instance makes it.
+    pub parent: Option<RunningRequest>,
+    /// Time that its caller had spent on it before: earlier tries, and waits between them.
+    pub spent: Duration,
     /// Time at which it was received.
     pub received: Instant,
     /// Time after which an answer is of no use.
@@ -92,6 +101,7 @@
 /// `RequestCaller` sends the requests that begin on the own instance.
 pub struct RequestCaller {
     origin: ServiceName,
+    call_separator: char,
     own_peer: SocketAddr,
     control: ControlMode,
     directory: Rc<FleetDirectory>,
@@ -112,6 +122,10 @@
     /// Upstreams that read the request.
     reached: u32,
     may_have_run: bool,
+    /// Calls that its runs made, here and below.
+    calls: u32,
+    /// Time that it and the calls of its runs waited for slots.
+    wait: Duration,
     reason: RefusalReason,
     retry: Option<Duration>,
     failure: Option<RelayAnswer>,
@@ -123,6 +137,7 @@
     #[must_use]
     pub fn new(
         settings: &RelaySettings,
+        scheme: HeaderScheme,
         directory: Rc<FleetDirectory>,
         log: Rc<DecisionLog>,
         book: Rc<PeerBook>,
@@ -132,6 +147,7 @@
         let rules = allowance_rules(settings.repeats);
         Self {
             origin: settings.service.clone(),
+            call_separator: scheme.call_separator,
             own_peer: settings.listen.peers,
             control: settings.control,
             directory,
@@ -191,9 +207,32 @@
             Err(_) => progress.end_late(),
         };
         self.note_end(&request, &progress, &end);
+        self.note_call(&request, &progress, &end);
         end
     }
 
+    /// Adds a call of the upstream to the request that it is made for. One that was refused or
+    /// timed out counts as if it had waited for the whole aim.
+    fn note_call(&self, request: &RoutedRequest, progress: &CallProgress, end: &CallEnd) {
+        if request.parent.is_none() {
+            return;
+        }
+        let is_full = match end {
+            CallEnd::Answered(_) => false,
+            CallEnd::NotRun(reason, _) | CallEnd::Unknown(reason) => {
+                matches!(reason, RefusalReason::Overload | RefusalReason::Timeout)
+            }
+        };
+        let floor = if is_full {
+            request.route.aim
+        } else {
+            Duration::ZERO
+        };
+        let wait = progress.wait.max(floor);
+        let table = self.server.table();
+        table.note_call(&request.id, self.call_separator, wait, progress.calls);
+    }
+
     /// Asks one instance after the other; `None` if no answer came.
     async fn try_instances(
         &self,
@@ -201,9 +240,7 @@
         progress: &mut CallProgress,
     ) -> Option<RelayAnswer> {
         let now = Instant::now();
-        self.allowance
-            .borrow_mut()
-            .note_request(now, &progress.service);
+        self.note_first(now, request, &progress.service);
         while progress.asked.len() < ASKED_MAX {
             let Some(target) = self.book.choose(&progress.service, &progress.asked) else {
                 break;
@@ -235,6 +272,15 @@
         progress.failure.take()
     }
 
+    /// Counts the first sending, which is a repeat where the run that makes the call is one.
+    fn note_first(&self, now: Instant, request: &RoutedRequest, service: &ServiceName) {
+        let mut allowance = self.allowance.borrow_mut();
+        allowance.note_request(now, service);
+        if request.parent.is_some_and(|parent| parent.is_repeat) {
+            allowance.note_repeat(now, service);
+        }
+    }
+
     /// Tells whether the request may go to one more instance. A sending that follows one which
     /// reached an upstream is a repeat, and is paid for.
     fn may_send(&self, request: &RoutedRequest, progress: &CallProgress) -> bool {
@@ -248,8 +294,10 @@
             if is_late || progress.reached >= request.route.attempts {
                 return false;
             }
+            let cost = 1 + progress.calls;
+            let importance = importance(request);
             let mut allowance = self.allowance.borrow_mut();
-            if !allowance.take(Instant::now(), &progress.service) {
+            if !allowance.take(Instant::now(), &progress.service, importance, cost) {
                 return false;
             }
         }
@@ -295,8 +343,9 @@
         target: &PeerTarget,
         has_others: bool,
     ) -> RelayRequest {
-        let aim_left =
-            (request.received + request.route.aim).saturating_duration_since(Instant::now());
+        let gone = request.spent + request.received.elapsed();
+        let aim_left = request.route.aim.saturating_sub(gone);
+        let is_repeat = request.parent.is_some_and(|parent| parent.is_repeat);
         let wait = if has_others {
             request.route.aim.mul_f64(FIRST_WAIT_SHARE)
         } else {
@@ -310,11 +359,12 @@
             target: request.target.clone(),
             fields: request.fields.clone(),
             body: request.body.clone(),
-            importance: request.route.importance,
-            is_nested: request.is_nested,
+            importance: importance(request),
+            is_nested: request.parent.is_some(),
             kind: kind_of(&request.route.name),
             aim_ms: whole_millis(aim_left),
             wait_ms: whole_millis(wait),
+            is_repeat: is_repeat || progress.reached > 0,
             crashes: 0,
         };
         if progress.reached > 0 || request.route.is_idempotent {
@@ -331,6 +381,8 @@
         progress: &mut CallProgress,
         reply: RelayReply,
     ) -> Option<RelayAnswer> {
+        progress.wait += Duration::from_millis(reply.wait_ms.into());
+        progress.calls += reply.calls;
         match reply.result {
             RelayResult::Answered(answer) => {
                 let may_repeat = request.route.is_idempotent && answer.status >= FAILURE_STATUS;
@@ -385,6 +437,8 @@
             asked: Vec::new(),
             reached: 0,
             may_have_run: false,
+            calls: 0,
+            wait: Duration::ZERO,
             reason: RefusalReason::NoInstance,
             retry: None,
             failure: None,
@@ -545,6 +599,12 @@
     }
 }
 
+/// Importance of the first request of the chain.
+fn importance(request: &RoutedRequest) -> RequestImportance {
+    let inherited = request.parent.map(|parent| parent.importance);
+    inherited.unwrap_or(request.route.importance)
+}
+
 fn allowance_rules(repeats: RepeatSettings) -> AllowanceRules {
     AllowanceRules {
         ratio: repeats.ratio,
--- a/crates/relay/src/header_scheme.rs
+++ b/crates/relay/src/header_scheme.rs
@@ -16,6 +16,8 @@
     pub expected_instance: &'static str,
     /// Service on whose instance the request began.
     pub origin_service: &'static str,
+    /// Character by which the id of a call continues the id of the request that it is made for.
+    pub call_separator: char,
 }
 
 impl HeaderScheme {
--- a/crates/relay/src/http1/door.rs
+++ b/crates/relay/src/http1/door.rs
@@ -12,7 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_state::route_table::CallerLimits;
-use std::{cell::Cell, collections::VecDeque, io::ErrorKind, net::IpAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::VecDeque, io::ErrorKind, rc::Rc, time::Duration};
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
@@ -40,8 +40,6 @@
     pub body: Bytes,
     /// Time at which the first byte of the head was read.
     pub received: Instant,
-    /// Address that the request came from.
-    pub peer: IpAddr,
 }
 
 /// `DoorAnswer` is an answer to send.
@@ -91,7 +89,7 @@
     connections_max: usize,
 ) {
     loop {
-        let Ok((stream, peer)) = listener.accept().await else {
+        let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -99,7 +97,7 @@
             continue;
         }
         let mark = OpenMark::new(&open);
-        let connection = DoorConnection::new(stream, peer.ip(), Rc::clone(&handler), scheme);
+        let connection = DoorConnection::new(stream, Rc::clone(&handler), scheme);
         actix_rt::spawn(async move {
             connection.serve().await;
             drop(mark);
@@ -153,7 +151,6 @@
 
 struct DoorConnection<H: CallerHandler> {
     stream: TcpStream,
-    peer: IpAddr,
     handler: Rc<H>,
     scheme: HeaderScheme,
     input: BytesMut,
@@ -167,13 +164,12 @@
 }
 
 impl<H: CallerHandler> DoorConnection<H> {
-    fn new(stream: TcpStream, peer: IpAddr, handler: Rc<H>, scheme: HeaderScheme) -> Self {
+    fn new(stream: TcpStream, handler: Rc<H>, scheme: HeaderScheme) -> Self {
         // Without the option, answers only come a little later.
         let _ = stream.set_nodelay(true);
         let phase = handler.phase();
         Self {
             stream,
-            peer,
             handler,
             scheme,
             input: BytesMut::new(),
@@ -362,7 +358,6 @@
             head,
             body: body.finish(),
             received,
-            peer: self.peer,
         };
         let answer = Rc::clone(&self.handler).answer(request);
         self.pending.push_back(PendingAnswer {
--- a/crates/relay/src/http1/exchange.rs
+++ b/crates/relay/src/http1/exchange.rs
@@ -148,9 +148,8 @@
     fn end(&self) -> Result<bool, ExchangeFault> {
         match &self.started {
             Some((_, body)) if body.ends_with_connection() => Ok(true),
-            Some(_) => Err(ExchangeFault::CutOff),
             None if self.buffer.is_empty() => Err(ExchangeFault::ClosedEarly),
-            None => Err(ExchangeFault::CutOff),
+            _ => Err(ExchangeFault::CutOff),
         }
     }
 
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -238,7 +238,7 @@
 
     fn concerns_connection(&self, name: &str) -> bool {
         let is_own = |other: &&str| name.eq_ignore_ascii_case(other);
-        CONNECTION_FIELDS.iter().any(|other| is_own(other)) || self.named.iter().any(is_own)
+        CONNECTION_FIELDS.iter().any(is_own) || self.named.iter().any(is_own)
     }
 }
 
--- a/crates/relay/src/logging.rs
+++ b/crates/relay/src/logging.rs
@@ -8,7 +8,6 @@
 const LINES_MAX: usize = 4096;
 
 /// Installs the log writer of the process. Lines are written until the guard is dropped.
-#[must_use]
 pub fn install(level: LogLevel) -> WorkerGuard {
     let level = level.as_str();
     // The peer library logs each call at its own levels; only its faults concern operators.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -76,18 +76,19 @@
         let server = Rc::new(server);
         let caller = RequestCaller::new(
             &settings,
+            scheme,
             Rc::clone(&directory),
             log,
             Rc::clone(&book),
             Rc::clone(&links),
             Rc::clone(&server),
         );
-        let own_ip = settings.upstream.ip();
-        let callers = CallerDoor::new(scheme, own_ip, Rc::clone(&directory), caller);
+        let table = Rc::clone(server.table());
+        let callers = CallerDoor::new(scheme, Rc::clone(&directory), table, caller);
         let ready = Rc::new(ReadyDoor::new(Rc::clone(&directory)));
         let noted = Rc::clone(&book);
         links.on_event(Rc::new(move |address, event| {
-            noted.note_link(address, event)
+            noted.note_link(address, event);
         }));
         Ok(Rc::new(Self {
             settings,
--- a/crates/relay/src/serving/slot_gate.rs
+++ b/crates/relay/src/serving/slot_gate.rs
@@ -73,21 +73,28 @@
     /// # Errors
     /// The wait that stands before the request, if it is longer than the request may wait.
     pub async fn acquire(&self, offer: SlotOffer) -> Result<SlotPermit, Duration> {
+        let waiting = match self.offer(offer) {
+            GateVerdict::Admitted => return Ok(self.permit(offer.kind)),
+            GateVerdict::Refused(wait) => return Err(wait),
+            GateVerdict::Waiting(waiting) => waiting,
+        };
+        waiting.wait(offer.finish_by).await
+    }
+
+    fn offer(&self, offer: SlotOffer) -> GateVerdict {
         let mut state = self.inner.borrow_mut();
         let ticket = match state.queue.offer(Instant::now(), offer) {
-            SlotVerdict::Admitted => return Ok(self.permit(offer.kind)),
-            SlotVerdict::Refused(wait) => return Err(wait),
+            SlotVerdict::Admitted => return GateVerdict::Admitted,
+            SlotVerdict::Refused(wait) => return GateVerdict::Refused(wait),
             SlotVerdict::Queued(ticket) => ticket,
         };
         let (sender, receiver) = oneshot::channel();
         state.waiters.insert(ticket, (sender, offer.kind));
-        drop(state);
-        let waiting = WaitTicket {
+        GateVerdict::Waiting(WaitTicket {
             gate: self.clone(),
             ticket,
             receiver,
-        };
-        waiting.wait(offer.finish_by).await
+        })
     }
 
     fn permit(&self, kind: KindId) -> SlotPermit {
@@ -100,7 +107,7 @@
     }
 
     fn refill(&self) {
-        self.change(|queue, now| queue.refill(now));
+        self.change(SlotQueue::refill);
     }
 
     fn change(&self, act: impl FnOnce(&mut SlotQueue, Instant) -> SlotChange) {
@@ -130,6 +137,12 @@
     }
 }
 
+enum GateVerdict {
+    Admitted,
+    Refused(Duration),
+    Waiting(WaitTicket),
+}
+
 struct WaitTicket {
     gate: SlotGate,
     ticket: TicketId,
@@ -177,6 +190,6 @@
             let mut state = self.gate.inner.borrow_mut();
             state.queue.record(self.kind, held);
         }
-        self.gate.change(|queue, now| queue.release(now));
+        self.gate.change(SlotQueue::release);
     }
 }
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -2,6 +2,7 @@
 
 use super::{
     crash_watch::CrashWatch,
+    running_table::{RunningRequest, RunningTable},
     slot_gate::{SlotGate, SlotPermit},
 };
 
@@ -20,7 +21,10 @@
 use bytes::{BufMut, BytesMut};
 use lagoonshore_coordination::{
     fingerprint::{self, RequestFingerprint},
-    forwarding::slot_queue::{SlotOffer, SlotRank},
+    forwarding::{
+        kind_pacer::KindPacer,
+        slot_queue::{KindId, SlotOffer, SlotRank},
+    },
     outcome::RefusalReason,
     suspects::{SuspectReport, SuspectTable},
 };
@@ -46,6 +50,10 @@
 const CRASHES_MAX: u8 = 3;
 /// Time after which a caller may come back to an upstream that is down or leaving.
 const AWAY_RETRY: Duration = Duration::from_millis(300);
+/// Time after which a caller may come back when calls further down have to wait.
+const PACE_RETRY: Duration = Duration::from_millis(250);
+/// Requests of one kind, running and waiting, in multiples of the slots.
+const PACE_SLOTS: u32 = 3;
 /// First status of answers that tell of a failure of the upstream.
 const FAILURE_STATUS: u16 = 500;
 
@@ -59,6 +67,8 @@
     pool: ConnectionPool,
     crashes: CrashWatch,
     suspects: RefCell<SuspectTable>,
+    pacer: RefCell<KindPacer>,
+    table: Rc<RunningTable>,
     is_leaving: Cell<bool>,
     is_closed: Cell<bool>,
     running: Cell<u32>,
@@ -82,6 +92,8 @@
             pool: ConnectionPool::new(settings.upstream),
             crashes: CrashWatch::new(settings.upstream),
             suspects: RefCell::default(),
+            pacer: RefCell::default(),
+            table: Rc::default(),
             is_leaving: Cell::new(false),
             is_closed: Cell::new(false),
             running: Cell::new(0),
@@ -117,6 +129,12 @@
         self.pool.opened()
     }
 
+    /// Requests that the upstream is running, to which its calls belong.
+    #[must_use]
+    pub const fn table(&self) -> &Rc<RunningTable> {
+        &self.table
+    }
+
     /// State of the node, as its replies tell it.
     #[must_use]
     pub fn news(&self) -> NodeNews {
@@ -155,12 +173,15 @@
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
         let running = RunMark::new(&self.running);
         let fingerprint = fingerprint_of(&request);
-        let result = self.run(request, deadline, fingerprint).await;
+        let mut cost = RunCost::default();
+        let result = self.run(request, deadline, fingerprint, &mut cost).await;
         drop(running);
         let suspect = self.suspects.borrow().report(Instant::now(), fingerprint);
         RelayReply {
             result,
             news: self.news(),
+            wait_ms: u32::try_from(cost.wait.as_millis()).unwrap_or(u32::MAX),
+            calls: cost.calls,
             suspect,
         }
     }
@@ -170,6 +191,7 @@
         request: RelayRequest,
         deadline: Instant,
         fingerprint: RequestFingerprint,
+        cost: &mut RunCost,
     ) -> RelayResult {
         let report = SuspectReport {
             fingerprint,
@@ -184,15 +206,55 @@
         if self.crashes_of(fingerprint) >= CRASHES_MAX {
             return refused(RefusalReason::Quarantined, Duration::ZERO);
         }
+        let Some(pace) = self.enter_pace(&request) else {
+            return refused(RefusalReason::Overload, PACE_RETRY);
+        };
+        let asked = Instant::now();
         let permit = match self.acquire(&request, deadline).await {
             Ok(permit) => permit,
             Err(wait) => return refused(RefusalReason::Overload, wait),
         };
+        cost.wait = asked.elapsed();
         // The wait may have been long enough for the upstream to give notice.
         if self.directory.has_departed(&request.instance) {
             return refused(RefusalReason::Draining, AWAY_RETRY);
         }
-        self.send(request, deadline, permit, fingerprint).await
+        let (kind, aim) = (request.kind, Duration::from_millis(request.aim_ms.into()));
+        let running = RunningRequest {
+            importance: request.importance,
+            is_repeat: request.is_repeat,
+            ..RunningRequest::default()
+        };
+        let entry = self.table.open(&request.id, running);
+        let result = self.send(request, deadline, permit, fingerprint).await;
+        let below = entry.close();
+        cost.wait += below.wait;
+        cost.calls = below.calls;
+        if below.calls > 0 {
+            let mut pacer = self.pacer.borrow_mut();
+            pacer.learn(Instant::now(), kind, below.wait, aim);
+        }
+        drop(pace);
+        result
+    }
+
+    /// Lets a new request in, if the calls of others of its kind get through in time. A call of a
+    /// running request is always let in: its parent's work would be lost.
+    fn enter_pace(&self, request: &RelayRequest) -> Option<PaceMark<'_>> {
+        let is_paced = !request.is_nested && self.control == ControlMode::Enforce;
+        if !is_paced {
+            return Some(PaceMark {
+                pacer: &self.pacer,
+                kind: None,
+            });
+        }
+        let most = self.gate.load().limit.saturating_mul(PACE_SLOTS);
+        let kind = request.kind;
+        let may_enter = self.pacer.borrow_mut().enter(kind, most);
+        may_enter.then_some(PaceMark {
+            pacer: &self.pacer,
+            kind: Some(kind),
+        })
     }
 
     async fn acquire(
@@ -376,6 +438,27 @@
     }
 }
 
+/// Counts a paced request until it ends.
+struct PaceMark<'a> {
+    pacer: &'a RefCell<KindPacer>,
+    kind: Option<KindId>,
+}
+
+impl Drop for PaceMark<'_> {
+    fn drop(&mut self) {
+        if let Some(kind) = self.kind {
+            self.pacer.borrow_mut().leave(kind);
+        }
+    }
+}
+
+/// What a run cost beside its own work.
+#[derive(Clone, Copy, Debug, Default)]
+struct RunCost {
+    wait: Duration,
+    calls: u32,
+}
+
 /// Fingerprint by which all nodes recognise a request that is sent again.
 #[must_use]
 pub fn fingerprint_of(request: &RelayRequest) -> RequestFingerprint {
