Learn the upstream's own name after a loss of power; leave more gently

Ruled out: leaving the expected name out of requests; it is what keeps a request from a service that took over an address.

Change: an upstream that answers 421 or a health check tells its name, which is taken over if the address was known to serve the service less than the reuse time ago. An upstream that refuses connections is looked for with health checks, and requests are refused meanwhile. A stop waits for two readiness checks in place of a fixed time, and other nodes are told last.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -42,5 +42,11 @@
 pub const PEER_LOST: u16 = 3301;
 /// A link to another node was made again.
 pub const PEER_REGAINED: u16 = 3302;
+/// The upstream takes no connections.
+pub const UPSTREAM_DOWN: u16 = 3402;
+/// The upstream takes connections again.
+pub const UPSTREAM_UP: u16 = 3403;
+/// The upstream answers under another name than the list gives it.
+pub const UPSTREAM_RENAMED: u16 = 3404;
 /// A request was in progress at a crash of the upstream.
 pub const CRASH_COUNTED: u16 = 3401;
--- a/crates/relay/src/header_scheme.rs
+++ b/crates/relay/src/header_scheme.rs
@@ -14,6 +14,8 @@
     pub not_run: &'static str,
     /// Name of the upstream that alone may run the request.
     pub expected_instance: &'static str,
+    /// Name of the upstream that answers, in answers about itself.
+    pub own_instance: &'static str,
     /// Service on whose instance the request began.
     pub origin_service: &'static str,
     /// Character by which the id of a call continues the id of the request that it is made for.
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -57,6 +57,8 @@
     pub status: u16,
     /// Echoed id of the request.
     pub id: Option<CompactString>,
+    /// Name by which the upstream calls itself.
+    pub instance: Option<CompactString>,
     /// Whether the upstream says that it did not run the request.
     pub is_not_run: bool,
     /// Whether the upstream signed the answer.
@@ -176,6 +178,7 @@
     Ok(AnswerHead {
         status,
         id: text(fields, scheme.request_id).map(Into::into),
+        instance: text(fields, scheme.own_instance).map(Into::into),
         is_not_run: text(fields, scheme.not_run).is_some(),
         is_signed: text(fields, scheme.signature).is_some(),
         is_encoded: text(fields, "content-encoding").is_some(),
--- a/crates/relay/src/planned_stop.rs
+++ b/crates/relay/src/planned_stop.rs
@@ -6,9 +6,15 @@
 use tokio::time::Instant;
 use tracing::info;
 
-/// Time in which callers and other nodes learn that the node leaves. Readiness is asked for once a
-/// second, and two answers in a row take callers away.
+/// Longest time in which callers learn that the node leaves.
 const NOTICE_TIME: Duration = Duration::from_millis(2300);
+/// Answers of the readiness check that take callers away.
+const NOTICES: u32 = 2;
+/// Time from the last of them until callers are gone.
+const NOTICE_MARGIN: Duration = Duration::from_millis(100);
+/// Time in which other nodes learn that the node leaves. Its upstream goes on serving them until
+/// then, since no other upstream is spared by sending them away sooner.
+const PEER_NOTICE_TIME: Duration = Duration::from_millis(250);
 /// Share of the grace time after which new requests are refused.
 const REFUSE_SHARE: f64 = 0.6;
 /// Time before the end of the grace time at which the process ends whatever still runs.
@@ -28,13 +34,17 @@
         "relay: stopping"
     );
     node.ready.begin_leaving();
-    node.server.begin_leaving();
     node.callers.set_phase(DoorPhase::Closing);
     let grace = node.settings.grace_time;
     let end = started + grace.saturating_sub(END_MARGIN);
     let notice_end = (started + NOTICE_TIME).min(end);
-    tokio::time::sleep_until(notice_end).await;
+    while Instant::now() < notice_end && node.ready.refusals() < NOTICES {
+        actix_rt::time::sleep(LOOK_TIME).await;
+    }
+    actix_rt::time::sleep(NOTICE_MARGIN).await;
     node.callers.set_phase(DoorPhase::ClosingIdle);
+    node.server.begin_leaving();
+    actix_rt::time::sleep(PEER_NOTICE_TIME).await;
     let refuse_at = started + grace.mul_f64(REFUSE_SHARE);
     while Instant::now() < end && !is_idle(node) {
         if Instant::now() >= refuse_at {
--- a/crates/relay/src/ready_door.rs
+++ b/crates/relay/src/ready_door.rs
@@ -19,6 +19,8 @@
     phase: watch::Sender<DoorPhase>,
     is_leaving: Cell<bool>,
     said_ready: Cell<bool>,
+    /// Answers since the node began to leave.
+    refusals: Cell<u32>,
 }
 
 impl ReadyDoor {
@@ -30,6 +32,7 @@
             phase: watch::channel(DoorPhase::Open).0,
             is_leaving: Cell::new(false),
             said_ready: Cell::new(false),
+            refusals: Cell::new(0),
         }
     }
 
@@ -38,6 +41,12 @@
         self.is_leaving.set(true);
     }
 
+    /// Answers given since the node began to leave.
+    #[must_use]
+    pub const fn refusals(&self) -> u32 {
+        self.refusals.get()
+    }
+
     /// Tells whether the node takes callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -48,6 +57,9 @@
 impl CallerHandler for ReadyDoor {
     fn answer(self: Rc<Self>, _: DoorRequest) -> LocalBoxFuture<'static, DoorAnswer> {
         let is_ready = self.is_ready();
+        if self.is_leaving.get() {
+            self.refusals.set(self.refusals.get() + 1);
+        }
         if self.said_ready.replace(is_ready) != is_ready {
             info!(
                 event = events::READINESS_CHANGED,
--- a/crates/relay/src/serving/mod.rs
+++ b/crates/relay/src/serving/mod.rs
@@ -1,6 +1,6 @@
 //! The side beside the upstream that runs a request.
 
-pub mod crash_watch;
+pub mod own_upstream;
 pub mod running_table;
 pub mod slot_gate;
 pub mod upstream_server;
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -1,7 +1,7 @@
 //! Has the own upstream run requests: suspects, slots, the exchange, and what it says.
 
 use super::{
-    crash_watch::CrashWatch,
+    own_upstream::OwnUpstream,
     running_table::{RunningRequest, RunningTable},
     slot_gate::{SlotGate, SlotPermit},
 };
@@ -54,6 +54,8 @@
 const PACE_RETRY: Duration = Duration::from_millis(250);
 /// Requests of one kind, running and waiting, in multiples of the slots.
 const PACE_SLOTS: u32 = 3;
+/// Status by which an upstream says that another one was expected (RFC 9110, section 15.5.20).
+const MISDIRECTED: u16 = 421;
 /// First status of answers that tell of a failure of the upstream.
 const FAILURE_STATUS: u16 = 500;
 
@@ -64,8 +66,8 @@
     scheme: HeaderScheme,
     control: ControlMode,
     gate: SlotGate,
-    pool: ConnectionPool,
-    crashes: CrashWatch,
+    pool: Rc<ConnectionPool>,
+    own: Rc<OwnUpstream>,
     suspects: RefCell<SuspectTable>,
     pacer: RefCell<KindPacer>,
     table: Rc<RunningTable>,
@@ -83,14 +85,16 @@
         directory: Rc<FleetDirectory>,
         log: Rc<DecisionLog>,
     ) -> Self {
+        let pool = Rc::new(ConnectionPool::new(settings.upstream));
+        let own = OwnUpstream::new(settings, scheme, Rc::clone(&directory), Rc::clone(&pool));
         Self {
             directory,
             log,
             scheme,
             control: settings.control,
             gate: SlotGate::new(SLOTS_UNLISTED),
-            pool: ConnectionPool::new(settings.upstream),
-            crashes: CrashWatch::new(settings.upstream),
+            pool,
+            own: Rc::new(own),
             suspects: RefCell::default(),
             pacer: RefCell::default(),
             table: Rc::default(),
@@ -125,7 +129,7 @@
 
     /// Connections to the upstream opened so far.
     #[must_use]
-    pub const fn connections_opened(&self) -> u64 {
+    pub fn connections_opened(&self) -> u64 {
         self.pool.opened()
     }
 
@@ -203,6 +207,9 @@
         if self.is_closed.get() || self.directory.has_departed(&request.instance) {
             return refused(RefusalReason::Draining, AWAY_RETRY);
         }
+        if self.own.is_down() {
+            return refused(RefusalReason::UpstreamUnreachable, AWAY_RETRY);
+        }
         if self.crashes_of(fingerprint) >= CRASHES_MAX {
             return refused(RefusalReason::Quarantined, Duration::ZERO);
         }
@@ -296,9 +303,9 @@
         if left < SEND_TIME_MIN {
             return refused(RefusalReason::Timeout, Duration::ZERO);
         }
-        let sent = self.sent_request(&request, left);
         let started = Instant::now();
-        let answer = tokio::time::timeout(left, self.pool.send(sent, &self.scheme)).await;
+        let exchange = self.exchange(&request, deadline);
+        let answer = tokio::time::timeout(left, exchange).await;
         relay_metrics::record_upstream(started.elapsed(), matches!(answer, Ok(Ok(_))));
         match answer {
             Ok(Ok(answer)) => {
@@ -312,7 +319,7 @@
             Ok(Err(SendFault::Connect(kind))) => {
                 self.log
                     .upstream_failed(&request.id, "connect", &kind.to_string());
-                self.crashes.note_refused();
+                self.own.note_refused();
                 refused(RefusalReason::UpstreamUnreachable, AWAY_RETRY)
             }
             Ok(Err(SendFault::Exchange(fault))) => {
@@ -327,6 +334,30 @@
         }
     }
 
+    /// Sends the request to the upstream, and once more where another one than expected has taken
+    /// its place and may run it as well.
+    async fn exchange(
+        &self,
+        request: &RelayRequest,
+        deadline: Instant,
+    ) -> Result<WholeAnswer, SendFault> {
+        let expected = self.own.target(&request.instance);
+        let sent = self.sent_request(request, &expected, deadline);
+        let answer = self.pool.send(sent, &self.scheme).await?;
+        if answer.head.status != MISDIRECTED {
+            if answer.head.is_signed {
+                self.own.note_answer();
+            }
+            return Ok(answer);
+        }
+        let found = answer.head.instance.as_ref();
+        let Some(found) = found.filter(|found| self.own.adopt(found)) else {
+            return Ok(answer);
+        };
+        let sent = self.sent_request(request, found, deadline);
+        self.pool.send(sent, &self.scheme).await
+    }
+
     /// Turns an answer of the upstream into what is relayed.
     fn judge(
         &self,
@@ -335,12 +366,12 @@
         fingerprint: RequestFingerprint,
     ) -> RelayResult {
         let head = &answer.head;
-        if head.is_not_run || head.status == 421 {
+        if head.is_not_run || head.status == MISDIRECTED {
             self.log
                 .upstream_failed(&request.id, "rejected", &head.status.to_string());
             return RelayResult::Refused(RelayRefusal {
                 reason: match head.status {
-                    421 => RefusalReason::NoInstance,
+                    MISDIRECTED => RefusalReason::NoInstance,
                     _ => RefusalReason::Overload,
                 },
                 reach: RequestReach::Rejected,
@@ -373,12 +404,11 @@
         self.log
             .upstream_failed(&request.id, "exchange", &format!("{fault:?}"));
         let may_be_crash = matches!(fault, ExchangeFault::Broken(_) | ExchangeFault::ClosedEarly);
-        if may_be_crash && self.crashes.is_down().await {
+        if may_be_crash && self.own.look_after_break().await {
             let report = self
                 .suspects
                 .borrow_mut()
                 .crashed(Instant::now(), fingerprint);
-            self.pool.clear();
             tracing::warn!(
                 event = events::CRASH_COUNTED,
                 request = %request.id, fingerprint, crashes = report.crashes,
@@ -391,12 +421,17 @@
         }
     }
 
-    fn sent_request(&self, request: &RelayRequest, left: Duration) -> SentRequest {
+    fn sent_request(
+        &self,
+        request: &RelayRequest,
+        expected: &str,
+        deadline: Instant,
+    ) -> SentRequest {
+        let left = deadline.saturating_duration_since(Instant::now());
         let mut head = BytesMut::with_capacity(request.fields.len() + 256);
         let scheme = &self.scheme;
         let RelayRequest {
             id,
-            instance,
             origin,
             method,
             target,
@@ -407,7 +442,7 @@
         head.put_slice(&request.fields);
         let _ = write!(head, "{}: {id}\r\n", scheme.request_id);
         let _ = write!(head, "{}: {}\r\n", scheme.time_limit, left.as_millis());
-        let _ = write!(head, "{}: {instance}\r\n", scheme.expected_instance);
+        let _ = write!(head, "{}: {expected}\r\n", scheme.expected_instance);
         let _ = write!(head, "{}: {origin}\r\n", scheme.origin_service);
         if !request.body.is_empty() || !matches!(method.as_str(), "GET" | "HEAD") {
             let _ = write!(head, "Content-Length: {}\r\n", request.body.len());
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -34,6 +34,8 @@
     pub repeats: RepeatSettings,
     /// Time between the request to stop and the kill that follows.
     pub grace_time: Duration,
+    /// Least time between the end of an upstream and the use of its address by another service.
+    pub reuse_time: Duration,
     /// Memory that the process may use, in mebibytes.
     pub memory_mib: u32,
     /// Least level of log lines.
@@ -78,6 +80,7 @@
     store: PlacedText,
     repeats: RepeatText,
     grace_seconds: Spanned<f64>,
+    address_reuse_seconds: Spanned<f64>,
     memory_mib: Spanned<f64>,
     log: Option<PlacedText>,
     control: Option<PlacedText>,
@@ -139,6 +142,11 @@
             store: checker.address("store", &text.store),
             repeats: repeats(&mut checker, &text.repeats),
             grace_time: seconds(&mut checker, "grace_seconds", &text.grace_seconds),
+            reuse_time: seconds(
+                &mut checker,
+                "address_reuse_seconds",
+                &text.address_reuse_seconds,
+            ),
             memory_mib: whole(&mut checker, "memory_mib", &text.memory_mib),
             log: checker.choice(
                 "log",
--- a/crates/state/src/route_table.rs
+++ b/crates/state/src/route_table.rs
@@ -57,6 +57,8 @@
     pub struct ServiceEntry {
         /// Name of the service.
         pub name: ServiceName,
+        /// Path at which its upstreams tell whether they are healthy, and their names.
+        pub health_path: CompactString,
         /// Connections that one upstream accepts.
         pub connections: u32,
     }
