Leave silent nodes sooner; have requests name their service

Ruled out: cutting links at the first lost probe; a frozen or slow node would lose requests that may run only once.

Change: a link whose node does not answer a probe within 200 ms is suspected: requests that may run twice go elsewhere at once, others wait for the link's end. A lost node is marked as out of reach with every failed try. A request names its service, and a node beside an upstream of another one refuses it.

Open: a bound on how long a name taken over is trusted is tested only by the service that the request names.

--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -15,6 +15,8 @@
     pub struct RelayRequest {
         /// Id that the caller gave the request.
         pub id: CompactString,
+        /// Service that it is for.
+        pub service: ServiceName,
         /// Upstream that is to run it.
         pub instance: InstanceName,
         /// Service of the instance on which the request began.
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -23,7 +23,11 @@
     serde_transport,
     tokio_serde::formats::Bincode,
 };
-use tokio::{sync::Mutex, task::JoinHandle, time::Instant};
+use tokio::{
+    sync::{Mutex, watch},
+    task::JoinHandle,
+    time::Instant,
+};
 use tokio_util::codec::LengthDelimitedCodec;
 use tracing::{info, warn};
 
@@ -34,15 +38,14 @@
 /// Calls in flight on one link.
 const IN_FLIGHT_MAX: usize = 4096;
 /// Silence on a link with calls in flight after which the node is asked whether it lives.
-const SILENCE_TIME: Duration = Duration::from_millis(250);
-/// Time for the answer, after which the node is suspected.
-const PROBE_TIME: Duration = Duration::from_millis(350);
+const SILENCE_TIME: Duration = Duration::from_millis(200);
+/// Time for the answer, after which the node is suspected and requests that may run twice go
+/// elsewhere.
+const PROBE_TIME: Duration = Duration::from_millis(200);
 /// Probes in a row without an answer after which the link is cut.
-const PROBES_LOST_MAX: u32 = 3;
+const PROBES_LOST_MAX: u32 = 5;
 /// Time between two tries to reach a node that was lost.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
-/// Time for which a lost node is tried.
-const RECONNECT_TIME: Duration = Duration::from_secs(12);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
 
 /// `LinkEvent` is what links tell of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,6 +78,7 @@
     alive: Cell<bool>,
     in_flight: Cell<u32>,
     heard: Cell<Instant>,
+    suspected: watch::Sender<bool>,
 }
 
 impl Drop for PeerLink {
@@ -111,7 +115,8 @@
         self.hook.replace(Some(hook));
     }
 
-    /// Has the node at `address` run a request; dropping the future cancels it there.
+    /// Has the node at `address` run a request; dropping the future cancels it there. One that
+    /// may run twice is given up as soon as the node is suspected.
     ///
     /// # Errors
     /// Why there is no reply.
@@ -120,10 +125,17 @@
         address: SocketAddr,
         request: RelayRequest,
         deadline: Instant,
+        may_run_twice: bool,
     ) -> Result<RelayReply, LinkFault> {
         let link = self.link(address).await?;
         let mark = FlightMark::new(&link);
-        let reply = link.client.relay(context(deadline), request).await;
+        let mut suspected = link.suspected.subscribe();
+        let reply = tokio::select! {
+            reply = link.client.relay(context(deadline), request) => reply,
+            Ok(_) = suspected.wait_for(|is_suspected| *is_suspected), if may_run_twice => {
+                return Err(LinkFault::Lost);
+            }
+        };
         drop(mark);
         reply.map_err(|fault| self.call_fault(address, &link, &fault))
     }
@@ -231,6 +243,7 @@
             alive: Cell::new(true),
             in_flight: Cell::new(0),
             heard: Cell::new(Instant::now()),
+            suspected: watch::channel(false).0,
         }))
     }
 
@@ -313,18 +326,20 @@
             return;
         }
         let is_silent = link.heard.get().elapsed() >= SILENCE_TIME;
-        if link.in_flight.get() == 0 || !is_silent {
-            lost = 0;
+        if lost == 0 && (link.in_flight.get() == 0 || !is_silent) {
             continue;
         }
         let probe = link.client.probe(context(Instant::now() + PROBE_TIME));
         if let Ok(Ok(news)) = actix_rt::time::timeout(PROBE_TIME, probe).await {
             lost = 0;
+            link.suspected
+                .send_if_modified(|is_suspected| std::mem::take(is_suspected));
             link.heard.set(Instant::now());
             links.tell(address, LinkEvent::News(news));
             continue;
         }
         lost += 1;
+        link.suspected.send_replace(true);
         if lost < PROBES_LOST_MAX {
             links.tell(address, LinkEvent::Lost);
             continue;
@@ -336,19 +351,16 @@
     }
 }
 
-/// Tries to reach a node that was lost, so that it takes work again soon after it is back.
+/// Tries to reach a node that was lost for as long as it is listed, so that no request has to find
+/// out whether it is back.
 async fn reconnect(links: Weak<PeerLinks>, address: SocketAddr) {
-    let until = Instant::now() + RECONNECT_TIME;
-    while Instant::now() < until {
+    loop {
         actix_rt::time::sleep(RECONNECT_PAUSE).await;
         let Some(links) = links.upgrade() else { return };
-        if links.link(address).await.is_ok() {
+        if !links.places.borrow().contains_key(&address) || links.link(address).await.is_ok() {
             return;
         }
-    }
-    if let Some(links) = links.upgrade() {
-        // From here on, the next request for the node finds out.
-        links.place(address).is_lost.set(false);
+        links.tell(address, LinkEvent::Lost);
     }
 }
 
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -317,11 +317,12 @@
         let message = self.message(request, progress, target, has_others);
         let typical = self.typical(&request.route.name);
         let record = SendRecord::open(&self.book, target.key, typical);
+        let may_run_twice = request.route.is_idempotent;
         let reply = if target.address == self.own_peer {
             Ok(self.server.serve(message, request.deadline).await)
         } else {
             self.links
-                .relay(target.address, message, request.deadline)
+                .relay(target.address, message, request.deadline, may_run_twice)
                 .await
         };
         let elapsed = record.close(&reply);
@@ -353,6 +354,7 @@
         };
         let mut message = RelayRequest {
             id: request.id.clone(),
+            service: progress.service.clone(),
             instance: target.name.clone(),
             origin: self.origin.clone(),
             method: request.method.clone(),
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -32,6 +32,7 @@
     NodeNews, RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
 };
 use lagoonshore_settings::{ControlMode, RelaySettings};
+use lagoonshore_state::ids::ServiceName;
 use std::{
     cell::{Cell, RefCell},
     fmt::Write,
@@ -65,6 +66,7 @@
     log: Rc<DecisionLog>,
     scheme: HeaderScheme,
     control: ControlMode,
+    service: ServiceName,
     gate: SlotGate,
     pool: Rc<ConnectionPool>,
     own: Rc<OwnUpstream>,
@@ -92,6 +94,7 @@
             log,
             scheme,
             control: settings.control,
+            service: settings.service.clone(),
             gate: SlotGate::new(SLOTS_UNLISTED),
             pool,
             own: Rc::new(own),
@@ -204,6 +207,10 @@
         if report.crashes > 0 {
             self.suspects.borrow_mut().merge(Instant::now(), report);
         }
+        // The sender's list may be older than the use of this address by another service.
+        if request.service != self.service {
+            return refused(RefusalReason::NoInstance, Duration::ZERO);
+        }
         if self.is_closed.get() || self.directory.has_departed(&request.instance) {
             return refused(RefusalReason::Draining, AWAY_RETRY);
         }
