--- /dev/null
+++ b/crates/coordination/tests/forwarding.rs
@@ -0,0 +1,212 @@
+//! Weights, the allowance for repeats, and the pace of new requests.
+
+use lagoonshore_coordination::forwarding::{
+    kind_pacer::KindPacer,
+    repeat_allowance::{AllowanceRules, RepeatAllowance},
+    traffic_split::TrafficSplit,
+};
+use lagoonshore_state::{
+    ids::ServiceName,
+    route_table::{RouteEntry, RouteTarget},
+    units::RequestImportance,
+};
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn route(weights: &[(&str, u32)]) -> RouteEntry {
+    let targets = weights.iter().map(|(service, weight)| RouteTarget {
+        service: (*service).into(),
+        weight: *weight,
+    });
+    RouteEntry {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        targets: targets.collect(),
+        is_idempotent: true,
+        timeout: Duration::from_secs(5),
+        aim: Duration::from_secs(1),
+        attempts: 2,
+        importance: RequestImportance(2),
+    }
+}
+
+fn shares(
+    split: &mut TrafficSplit,
+    route: &RouteEntry,
+    requests: usize,
+) -> Vec<(ServiceName, usize)> {
+    let chosen: Vec<_> = (0..requests).filter_map(|_| split.choose(route)).collect();
+    let count = |target: &RouteTarget| {
+        let of_target = chosen.iter().filter(|service| **service == target.service);
+        (target.service.clone(), of_target.count())
+    };
+    route.targets.iter().map(count).collect()
+}
+
+#[test]
+fn weights_hold_over_any_hundred_requests() {
+    let mut split = TrafficSplit::default();
+    let route = route(&[("a", 90), ("b", 10)]);
+    for _ in 0..5 {
+        let shares = shares(&mut split, &route, 100);
+        assert_eq!(shares, vec![("a".into(), 90), ("b".into(), 10)]);
+    }
+}
+
+#[test]
+fn a_weight_of_zero_gets_nothing_and_no_weight_at_all_no_service() {
+    let mut split = TrafficSplit::default();
+    let shares = shares(&mut split, &route(&[("a", 0), ("b", 1)]), 10);
+    assert_eq!(shares, vec![("a".into(), 0), ("b".into(), 10)]);
+    assert_eq!(split.choose(&route(&[("a", 0), ("b", 0)])), None);
+}
+
+#[test]
+fn new_weights_of_a_route_start_at_once() {
+    let mut split = TrafficSplit::default();
+    shares(&mut split, &route(&[("a", 99), ("b", 1)]), 50);
+    let shares = shares(&mut split, &route(&[("a", 1), ("b", 1)]), 10);
+    assert_eq!(shares, vec![("a".into(), 5), ("b".into(), 5)]);
+}
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn rules() -> AllowanceRules {
+    AllowanceRules {
+        ratio: 0.2,
+        slack: 48.0,
+        window: WINDOW,
+        own_share: 1.0,
+        common_share: 0.5,
+    }
+}
+
+/// Every node of a fleet repeats as much as it may, in every window: the sum stays in the bound.
+#[test]
+fn a_fleet_stays_within_its_bound_in_every_window() {
+    const NODES: u32 = 12;
+    let start = Instant::now();
+    let service = ServiceName::from("s");
+    let mut nodes: Vec<_> = (0..NODES)
+        .map(|_| RepeatAllowance::new(rules(), NODES))
+        .collect();
+    let mut repeats = Vec::new();
+    for step in 0..400_u64 {
+        let now = start + Duration::from_millis(step * 100);
+        for node in &mut nodes {
+            node.note_request(now, &service);
+            while node.take(now, &service, RequestImportance(0), 1) {
+                repeats.push(now);
+            }
+        }
+    }
+    let requests_in_window = f64::from(NODES) * 100.0;
+    let bound = 0.2 * requests_in_window + 48.0;
+    for step in 0..300_u64 {
+        let from = start + Duration::from_millis(step * 100);
+        let in_window = repeats
+            .iter()
+            .filter(|at| **at >= from && **at < from + WINDOW);
+        let count = in_window.count();
+        assert!(
+            (count as f64) <= bound,
+            "{count} repeats from {step}, {bound} allowed"
+        );
+    }
+    assert!(
+        repeats.len() > 200,
+        "the allowance is used: {}",
+        repeats.len()
+    );
+}
+
+#[test]
+fn requests_of_the_highest_importance_keep_a_part_for_themselves() {
+    let now = Instant::now();
+    let service = ServiceName::from("s");
+    let mut node = RepeatAllowance::new(rules(), 1);
+    let mut count = |importance, cost| {
+        let taken = (0..).take_while(|_| node.take(now, &service, importance, cost));
+        taken.count()
+    };
+    assert_eq!(count(RequestImportance(2), 1), 24);
+    assert_eq!(count(RequestImportance(0), 4), 6);
+}
+
+#[test]
+fn calls_of_repeated_runs_use_the_allowance_up() {
+    let now = Instant::now();
+    let service = ServiceName::from("s");
+    let mut node = RepeatAllowance::new(rules(), 1);
+    for _ in 0..48 {
+        node.note_repeat(now, &service);
+    }
+    assert!(!node.take(now, &service, RequestImportance(0), 1));
+    let later = now + WINDOW * 2;
+    assert!(node.take(later, &service, RequestImportance(0), 1));
+}
+
+#[test]
+fn a_list_that_loses_entries_for_a_moment_frees_no_more_than_half() {
+    let now = Instant::now();
+    let service = ServiceName::from("s");
+    let mut node = RepeatAllowance::new(rules(), 12);
+    node.set_nodes(1);
+    let taken = (0..).take_while(|_| node.take(now, &service, RequestImportance(0), 1));
+    assert_eq!(taken.count(), 8);
+}
+
+const AIM: Duration = Duration::from_secs(1);
+
+/// Calls below wait for half of the aim while more than ten requests run: the pace finds a number
+/// near ten, and rises again when the calls wait no more.
+#[test]
+fn the_pace_follows_the_wait_below() {
+    let start = Instant::now();
+    let mut pacer = KindPacer::default();
+    let mut running = 0_u32;
+    let mut at_end = Vec::new();
+    for step in 0..300_u64 {
+        let now = start + Duration::from_millis(step * 50);
+        while pacer.enter(7, 80) {
+            running += 1;
+        }
+        let wait = if running > 10 {
+            AIM / 2
+        } else {
+            Duration::ZERO
+        };
+        for _ in 0..running.div_ceil(4) {
+            pacer.learn(now, 7, wait, AIM);
+            pacer.leave(7);
+            running -= 1;
+        }
+        if step > 200 {
+            at_end.push(running);
+        }
+    }
+    let mean = at_end.iter().sum::<u32>() / u32::try_from(at_end.len()).expect("a small number");
+    assert!((4..=14).contains(&mean), "{mean} run on average");
+    for step in 0..400_u64 {
+        pacer.learn(
+            start + Duration::from_secs(20 + step),
+            7,
+            Duration::ZERO,
+            AIM,
+        );
+    }
+    assert!(pacer.limit(7).is_some_and(|limit| limit > 60.0));
+}
+
+#[test]
+fn kinds_do_not_slow_each_other() {
+    let now = Instant::now();
+    let mut pacer = KindPacer::default();
+    assert!(pacer.enter(1, 50) && pacer.enter(2, 50));
+    for step in 0..50_u64 {
+        pacer.learn(now + Duration::from_millis(step * 200), 1, AIM, AIM);
+    }
+    assert!(pacer.limit(1).is_some_and(|limit| limit <= 2.0));
+    assert!(pacer.limit(2).is_some_and(|limit| limit >= 50.0));
+}
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -102,7 +102,7 @@
 pub struct RequestCaller {
     origin: ServiceName,
     call_separator: char,
-    own_peer: SocketAddr,
+    own_peer: Cell<SocketAddr>,
     control: ControlMode,
     directory: Rc<FleetDirectory>,
     log: Rc<DecisionLog>,
@@ -148,7 +148,7 @@
         Self {
             origin: settings.service.clone(),
             call_separator: scheme.call_separator,
-            own_peer: settings.listen.peers,
+            own_peer: Cell::new(settings.listen.peers),
             control: settings.control,
             directory,
             log,
@@ -162,6 +162,17 @@
         }
     }
 
+    /// Sets the address at which other nodes reach the own one.
+    pub fn set_own_peer(&self, address: SocketAddr) {
+        self.own_peer.set(address);
+    }
+
+    /// Address at which other nodes reach the own one.
+    #[must_use]
+    pub const fn own_peer(&self) -> SocketAddr {
+        self.own_peer.get()
+    }
+
     /// Takes over changed bounds on repeats.
     pub fn set_repeats(&self, repeats: RepeatSettings) {
         self.allowance
@@ -318,7 +329,7 @@
         let typical = self.typical(&request.route.name);
         let record = SendRecord::open(&self.book, target.key, typical);
         let may_run_twice = request.route.is_idempotent;
-        let reply = if target.address == self.own_peer {
+        let reply = if target.address == self.own_peer.get() {
             Ok(self.server.serve(message, request.deadline).await)
         } else {
             self.links
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub struct FleetDirectory {
     own_address: SocketAddr,
-    peer_port: u16,
+    peer_port: Cell<u16>,
     region: RegionName,
     routes: RefCell<Rc<RouteTable>>,
     document: RefCell<Option<Rc<FleetDocument>>>,
@@ -45,10 +45,10 @@
 impl FleetDirectory {
     /// Creates an empty directory of a node beside the upstream at `own_address`.
     #[must_use]
-    pub fn new(own_address: SocketAddr, peer_port: u16, region: RegionName) -> Self {
+    pub fn new(own_address: SocketAddr, region: RegionName) -> Self {
         Self {
             own_address,
-            peer_port,
+            peer_port: Cell::new(0),
             region,
             routes: RefCell::default(),
             document: RefCell::default(),
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Sets the port at which all nodes listen for each other.
+    pub fn set_peer_port(&self, port: u16) {
+        self.peer_port.set(port);
+    }
+
     /// Puts a document in force if it is newer than the one that is; `true` if it was.
     pub fn take_document(&self, document: FleetDocument, source: NewsSource) -> bool {
         let held = self.version();
@@ -246,7 +251,7 @@
             service: record.service.clone(),
             zone: record.zone.clone(),
             region: self.region.clone(),
-            peer: SocketAddr::new(record.address.ip(), self.peer_port),
+            peer: SocketAddr::new(record.address.ip(), self.peer_port.get()),
             state: record.state,
         }
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -18,7 +18,8 @@
     state_dump::{self, StateDump},
 };
 
-use lagoonshore_settings::RelaySettings;
+use actix_rt::net::TcpListener;
+use lagoonshore_settings::{RelaySettings, relay_settings::RelayListen};
 use lagoonshore_transport::{http_door, signals};
 use rand::{SeedableRng, rngs::SmallRng};
 use snafu::ResultExt;
@@ -65,9 +66,8 @@
         let seed = getrandom::u64().map_err(|fault| RelayError::Random {
             message: fault.to_string(),
         })?;
-        let peer_port = settings.listen.peers.port();
         let region = settings.region.clone();
-        let directory = Rc::new(FleetDirectory::new(settings.upstream, peer_port, region));
+        let directory = Rc::new(FleetDirectory::new(settings.upstream, region));
         let log = Rc::new(DecisionLog::default());
         let random = SmallRng::seed_from_u64(seed);
         let book = Rc::new(PeerBook::new(&settings, Rc::clone(&directory), random));
@@ -103,16 +103,24 @@
         }))
     }
 
-    /// Opens the doors and serves them on the current thread.
+    /// Opens the doors and serves them on the current thread; returns where they listen.
     ///
     /// # Errors
     /// Names the door that cannot be opened.
-    pub async fn open(self: &Rc<Self>) -> Result<()> {
+    pub async fn open(self: &Rc<Self>) -> Result<RelayListen> {
         let listen = self.settings.listen;
         let callers = http_door::listen("callers", listen.callers).await?;
         let ready = http_door::listen("ready", listen.ready).await?;
         let peers = http_door::listen("peers", listen.peers).await?;
         let admin = http_door::listen("admin", listen.admin).await?;
+        let bound = RelayListen {
+            callers: bound_address(&callers, listen.callers),
+            ready: bound_address(&ready, listen.ready),
+            peers: bound_address(&peers, listen.peers),
+            admin: bound_address(&admin, listen.admin),
+        };
+        self.directory.set_peer_port(bound.peers.port());
+        self.callers.caller().set_own_peer(bound.peers);
         let serving = door::serve(
             callers,
             Rc::clone(&self.callers),
@@ -143,10 +151,10 @@
         info!(
             event = events::RELAY_STARTED,
             node = %self.settings.node, service = %self.settings.service,
-            zone = %self.settings.zone, callers = %listen.callers, peers = %listen.peers,
+            zone = %self.settings.zone, callers = %bound.callers, peers = %bound.peers,
             "relay: started"
         );
-        Ok(())
+        Ok(bound)
     }
 
     /// State of the node.
@@ -224,6 +232,11 @@
     }
 }
 
+fn bound_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    // A listener that tells no address listens where it was asked to.
+    listener.local_addr().unwrap_or(asked)
+}
+
 /// Hands changes of the directory to those that work by it.
 async fn follow_directory(node: Rc<RelayNode>) {
     let mut changes = node.directory.changes();
@@ -246,12 +259,11 @@
         if news.is_empty() {
             continue;
         }
+        let own = node.callers.caller().own_peer();
         let peers: Vec<SocketAddr> = {
             let table = node.directory.instances();
             let others = table.iter().map(|(_, record)| record.peer);
-            others
-                .filter(|peer| *peer != node.settings.listen.peers)
-                .collect()
+            others.filter(|peer| *peer != own).collect()
         };
         for peer in peers {
             let (links, news) = (Rc::clone(&node.links), news.clone());
--- /dev/null
+++ b/crates/relay/tests/support/upstream.rs
@@ -0,0 +1,196 @@
+//! An upstream that answers as a test says.
+
+use super::SCHEME;
+
+use actix_rt::net::{TcpListener, TcpStream};
+use bytes::BytesMut;
+use lagoonshore_relay::http1::{body::BodyReader, head};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// What an upstream does with one request, by the last part of the path.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenRequest {
+    pub id: String,
+    pub method: String,
+    pub target: String,
+    pub body: String,
+    pub fields: String,
+}
+
+type SharedSeen = Rc<RefCell<Vec<SeenRequest>>>;
+
+/// An upstream on loopback. What it does follows from the path of a request:
+/// `ok` answers, `slow` answers after 300 ms, `never` does not answer, `cut` breaks off in the
+/// body, `late` first sends an answer to another request, `surplus` sends bytes behind its answer,
+/// `unframed` gives no length, `fail` answers 500, `shed` says that it did not run, `unsigned`
+/// leaves the signature out, `drop` closes without an answer.
+pub(crate) struct StandInUpstream {
+    pub address: SocketAddr,
+    pub slots: u32,
+    pub seen: SharedSeen,
+    pub name: Rc<RefCell<String>>,
+    pub dropped: Rc<Cell<u32>>,
+    accepting: actix_rt::task::JoinHandle<()>,
+}
+
+impl StandInUpstream {
+    pub(crate) async fn start(ip: &str) -> Self {
+        let listener = TcpListener::bind(format!("{ip}:0"))
+            .await
+            .expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let seen = SharedSeen::default();
+        let name = Rc::new(RefCell::new(String::new()));
+        let dropped = Rc::new(Cell::new(0));
+        let shared = (Rc::clone(&seen), Rc::clone(&name), Rc::clone(&dropped));
+        let accepting = actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (seen, name, dropped) = shared.clone();
+                actix_rt::spawn(serve(stream, seen, name, dropped));
+            }
+        });
+        Self {
+            address,
+            slots: 10,
+            seen,
+            name,
+            dropped,
+            accepting,
+        }
+    }
+
+    /// Ids of the requests that were read, in their order.
+    pub(crate) fn ids(&self) -> Vec<String> {
+        self.seen
+            .borrow()
+            .iter()
+            .map(|seen| seen.id.clone())
+            .collect()
+    }
+
+    /// Takes no connections any more.
+    pub(crate) fn stop(&self) {
+        self.accepting.abort();
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    seen: SharedSeen,
+    name: Rc<RefCell<String>>,
+    dropped: Rc<Cell<u32>>,
+) {
+    let mut buffer = BytesMut::new();
+    loop {
+        let Some(request) = read_request(&mut stream, &mut buffer).await else {
+            return;
+        };
+        let (head, body) = request;
+        let fields = String::from_utf8_lossy(&head.fields).into_owned();
+        let id = head.id.clone().unwrap_or_default().to_string();
+        let own = name.borrow().clone();
+        let expected = field(&head.raw, SCHEME.expected_instance);
+        if !own.is_empty() && expected.is_some_and(|expected| expected != own) {
+            let text = format!(
+                "HTTP/1.1 421 Misdirected Request\r\n{}: {own}\r\nContent-Length: 0\r\n\r\n",
+                SCHEME.own_instance
+            );
+            let text = text.replace("\r\n\r\n", &format!("\r\nRequest-Id: {id}\r\n\r\n"));
+            let _ = stream.write_all(text.as_bytes()).await;
+            continue;
+        }
+        seen.borrow_mut().push(SeenRequest {
+            id: id.clone(),
+            method: head.method.to_string(),
+            target: head.target.to_string(),
+            body: String::from_utf8_lossy(&body).into_owned(),
+            fields: fields + &head.raw,
+        });
+        let path = head.target.split('?').next().unwrap_or_default();
+        let act = path.rsplit('/').next().unwrap_or_default().to_owned();
+        if !answer(&mut stream, &act, &id, &dropped).await {
+            return;
+        }
+    }
+}
+
+/// Sends what `act` asks for; `false` ends the connection.
+async fn answer(stream: &mut TcpStream, act: &str, id: &str, dropped: &Rc<Cell<u32>>) -> bool {
+    let signed = format!("Request-Id: {id}\r\nSignature: s\r\n");
+    let ok = format!("HTTP/1.1 200 OK\r\n{signed}Content-Length: 4\r\n\r\nbody");
+    let (text, keeps) = match act {
+        "slow" => {
+            actix_rt::time::sleep(Duration::from_millis(300)).await;
+            (ok, true)
+        }
+        "never" => {
+            let mut waste = [0; 1];
+            while stream.read(&mut waste).await.is_ok_and(|read| read > 0) {}
+            dropped.set(dropped.get() + 1);
+            return false;
+        }
+        "cut" => (ok.replace("Content-Length: 4", "Content-Length: 40"), false),
+        "late" => (ok.replace(id, "another") + &ok, true),
+        "surplus" => (ok.clone() + &ok.replace(id, "another"), true),
+        "unframed" => (ok.replace("Content-Length: 4\r\n", ""), false),
+        "fail" => (ok.replace("200 OK", "500 Internal Server Error"), true),
+        "shed" => (
+            format!(
+                "HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            ),
+            true,
+        ),
+        "unsigned" => (ok.replace("Signature: s\r\n", ""), true),
+        "drop" => return false,
+        _ => (ok, true),
+    };
+    stream.write_all(text.as_bytes()).await.is_ok() && keeps
+}
+
+struct ReadHead {
+    inner: head::RequestHead,
+    raw: String,
+}
+
+impl std::ops::Deref for ReadHead {
+    type Target = head::RequestHead;
+
+    fn deref(&self) -> &Self::Target {
+        &self.inner
+    }
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+) -> Option<(ReadHead, bytes::Bytes)> {
+    let (head, raw) = loop {
+        let before = String::from_utf8_lossy(buffer).into_owned();
+        if let Some(head) = head::take_request(buffer, 64 * 1024, &SCHEME).ok()? {
+            let end = before.len() - String::from_utf8_lossy(buffer).len();
+            break (head, before[..end].to_owned());
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let mut body = BodyReader::new(head.framing, 1024 * 1024).ok()?;
+    while !body.take_from(buffer).ok()? {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some((ReadHead { inner: head, raw }, body.finish()))
+}
+
+fn field(raw: &str, name: &str) -> Option<String> {
+    let lines = raw.lines().filter_map(|line| line.split_once(": "));
+    let mut found = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+    found.next().map(|(_, value)| value.to_owned())
+}
--- /dev/null
+++ b/crates/relay/tests/whole_path.rs
@@ -0,0 +1,311 @@
+//! Requests through nodes over real sockets: what callers get and what upstreams see.
+
+mod support;
+
+use lagoonshore_state::instance_table::InstanceState;
+use rstest::rstest;
+use std::time::Duration;
+use support::{TestFleet, ask, ask_raw, route, until};
+
+/// Two zones; service `a` has an upstream in each, service `b` one in the second.
+async fn fleet() -> TestFleet {
+    let fleet = TestFleet::start(&[("a", "z1"), ("a", "z2"), ("b", "z2")]).await;
+    fleet.publish(
+        1,
+        &[
+            route("/a/", "a", true),
+            route("/once/", "a", false),
+            route("/b/", "b", true),
+            route("/b-once/", "b", false),
+        ],
+    );
+    fleet
+}
+
+#[actix_rt::test]
+async fn a_request_reaches_an_upstream_of_its_service_byte_for_byte() {
+    let fleet = fleet().await;
+    let door = fleet.members[0].listen.callers;
+    let more = "X-Own: Kept\r\nConnection: x-hop\r\nX-Hop: gone\r\nOrigin-Service: forged\r\n";
+    let answer = ask(door, "DELETE", "/b/%2e/x//ok?q=%20&p", "i1", more).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, "body"));
+    let seen = fleet.members[2].upstream.seen.borrow()[0].clone();
+    assert_eq!(seen.method, "DELETE");
+    assert_eq!(seen.target, "/b/%2e/x//ok?q=%20&p");
+    assert!(seen.fields.contains("X-Own: Kept\r\n"));
+    assert!(
+        seen.fields.contains("origin-service: a\r\n"),
+        "{}",
+        seen.fields
+    );
+    assert!(!seen.fields.contains("forged") && !seen.fields.contains("gone"));
+    assert!(seen.fields.contains("expected-instance: u2\r\n"));
+}
+
+#[actix_rt::test]
+async fn the_own_zone_is_used_first() {
+    let fleet = fleet().await;
+    for index in 0..10 {
+        let id = format!("i{index}");
+        ask(fleet.members[0].listen.callers, "GET", "/a/ok", &id, "").await;
+    }
+    assert_eq!(fleet.members[0].upstream.ids().len(), 10);
+}
+
+#[rstest]
+#[case::late_answer_of_another("/b/late", 200)]
+#[case::surplus_answer("/b/surplus", 200)]
+#[case::no_length("/b/unframed", 200)]
+#[case::cut_off("/b-once/cut", 502)]
+#[case::unsigned_success("/b-once/unsigned", 502)]
+#[case::closed_without_answer("/b-once/drop", 502)]
+#[case::failure_of_the_upstream("/b-once/fail", 500)]
+#[case::not_run("/b-once/shed", 503)]
+#[case::no_route("/c/ok", 404)]
+#[actix_rt::test]
+async fn an_answer_is_whole_and_true(#[case] path: &str, #[case] status: u16) {
+    let fleet = fleet().await;
+    for id in ["i1", "i2"] {
+        let answer = ask(fleet.members[0].listen.callers, "POST", path, id, "").await;
+        assert_eq!(answer.status, status, "{answer:?}");
+        let is_own = answer.fields.contains("Lagoonshore-Reason");
+        assert_eq!(is_own, status >= 404 && status != 500, "{answer:?}");
+        if status == 200 {
+            assert_eq!(answer.body, "body");
+            assert!(
+                answer.fields.contains(&format!("Request-Id: {id}")),
+                "{answer:?}"
+            );
+        }
+        if status == 503 {
+            assert!(answer.fields.contains("Retry-After: "), "{answer:?}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_may_run_once_is_sent_once() {
+    let fleet = fleet().await;
+    for path in ["/once/drop", "/once/cut", "/once/fail", "/once/unsigned"] {
+        ask(fleet.members[0].listen.callers, "POST", path, path, "").await;
+    }
+    let members = fleet.members.iter();
+    let ids: Vec<String> = members.flat_map(|member| member.upstream.ids()).collect();
+    assert_eq!(
+        ids,
+        vec!["/once/drop", "/once/cut", "/once/fail", "/once/unsigned"]
+    );
+}
+
+#[actix_rt::test]
+async fn an_idempotent_request_goes_to_another_upstream_after_a_lost_answer() {
+    let fleet = fleet().await;
+    let answer = ask(fleet.members[0].listen.callers, "GET", "/a/drop", "i1", "").await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(fleet.members[0].upstream.ids(), vec!["i1"]);
+    assert_eq!(fleet.members[1].upstream.ids(), vec!["i1"]);
+}
+
+#[actix_rt::test]
+async fn pipelined_requests_are_served_together_and_answered_in_order() {
+    let fleet = fleet().await;
+    let one = |path: &str, id: &str, close: &str| {
+        format!("GET {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\n{close}\r\n")
+    };
+    let text = one("/a/slow", "i1", "")
+        + &one("/a/ok", "i2", "")
+        + &one("/a/slow", "i3", "Connection: close\r\n")
+        + &one("/a/ok", "i4", "");
+    let answer = ask_raw(fleet.members[0].listen.callers, text.as_bytes()).await;
+    let ids: Vec<&str> = answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("Request-Id: "))
+        .collect();
+    assert_eq!(ids, vec!["i1", "i2", "i3"], "{answer}");
+    let mut seen = fleet.members[0].upstream.ids();
+    seen.sort();
+    assert_eq!(
+        seen,
+        vec!["i1", "i2", "i3"],
+        "nothing behind a close is passed on"
+    );
+}
+
+#[rstest]
+#[case::two_lengths(
+    "POST /a/ok HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    400
+)]
+#[case::length_and_chunks(
+    "POST /a/ok HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    400
+)]
+#[case::other_encoding("POST /a/ok HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 400)]
+#[case::whole_address("GET http://h/a/ok HTTP/1.1\r\n\r\n", 400)]
+#[case::no_request("\u{1}\u{2}\u{3}\r\n\r\n", 400)]
+#[case::no_id("GET /a/ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", 400)]
+#[case::long_body("POST /a/ok HTTP/1.1\r\nContent-Length: 999999\r\n\r\n", 413)]
+#[actix_rt::test]
+async fn unreadable_requests_are_refused_and_reach_no_upstream(
+    #[case] text: &str,
+    #[case] status: u16,
+) {
+    let fleet = fleet().await;
+    let answer = ask_raw(fleet.members[0].listen.callers, text.as_bytes()).await;
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")),
+        "{answer}"
+    );
+    assert_eq!(fleet.members[0].upstream.ids().len(), 0);
+}
+
+#[actix_rt::test]
+async fn chunks_arrive_as_one_body() {
+    let fleet = fleet().await;
+    let text = "POST /b/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: i\r\nTransfer-Encoding: chunked\r\n\
+                Connection: close\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\n";
+    let answer = ask_raw(fleet.members[0].listen.callers, text.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert_eq!(fleet.members[2].upstream.seen.borrow()[0].body, "abcde");
+}
+
+#[actix_rt::test]
+async fn a_caller_that_leaves_ends_the_work_on_both_sides() {
+    let fleet = fleet().await;
+    let request = b"GET /b/never HTTP/1.1\r\nHost: h\r\nRequest-Id: i\r\n\r\n";
+    let mut stream = actix_rt::net::TcpStream::connect(fleet.members[0].listen.callers)
+        .await
+        .expect("an open door");
+    tokio::io::AsyncWriteExt::write_all(&mut stream, request)
+        .await
+        .expect("sent");
+    until(|| fleet.members[2].upstream.ids() == vec!["i"]).await;
+    drop(stream);
+    until(|| fleet.members[2].upstream.dropped.get() == 1).await;
+    until(|| fleet.members[2].node.server.running() == 0).await;
+}
+
+#[actix_rt::test]
+async fn an_upstream_that_leaves_gets_no_new_request() {
+    let mut fleet = fleet().await;
+    fleet.list(0, InstanceState::Leaving);
+    for id in ["i1", "i2", "i3"] {
+        let answer = ask(fleet.members[0].listen.callers, "POST", "/once/ok", id, "").await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!(fleet.members[0].upstream.ids().len(), 0);
+    assert_eq!(fleet.members[1].upstream.ids(), vec!["i1", "i2", "i3"]);
+}
+
+#[actix_rt::test]
+async fn a_node_that_heard_of_a_departure_refuses_for_nodes_that_did_not() {
+    let fleet = fleet().await;
+    let knows = &fleet.members[2].node.directory;
+    knows.remove_upstream("u2", 1000);
+    let answer = ask(
+        fleet.members[0].listen.callers,
+        "POST",
+        "/b-once/ok",
+        "i1",
+        "",
+    )
+    .await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert!(
+        answer.fields.contains("Lagoonshore-Reason: draining"),
+        "{answer:?}"
+    );
+    assert_eq!(fleet.members[2].upstream.ids().len(), 0);
+}
+
+#[actix_rt::test]
+async fn an_upstream_that_took_the_place_of_another_is_used_at_once() {
+    let fleet = fleet().await;
+    *fleet.members[2].upstream.name.borrow_mut() = "u2-again".to_owned();
+    let answer = ask(
+        fleet.members[0].listen.callers,
+        "POST",
+        "/b-once/ok",
+        "i1",
+        "",
+    )
+    .await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let seen = fleet.members[2].upstream.seen.borrow()[0].clone();
+    assert!(
+        seen.fields.contains("expected-instance: u2-again"),
+        "{}",
+        seen.fields
+    );
+}
+
+/// The list of the sender names an upstream of `b` at an address at which `a` serves now.
+#[actix_rt::test]
+async fn an_address_that_passed_to_another_service_takes_no_request_of_the_old_one() {
+    let mut fleet = fleet().await;
+    fleet.members[1].service = "b".into();
+    fleet.members[1].name = "old-b".into();
+    fleet.list(1, InstanceState::Live);
+    fleet.list(2, InstanceState::Leaving);
+    let answer = ask(
+        fleet.members[0].listen.callers,
+        "POST",
+        "/b-once/ok",
+        "i1",
+        "",
+    )
+    .await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(fleet.members[1].upstream.ids().len(), 0);
+}
+
+#[actix_rt::test]
+async fn an_upstream_that_is_down_is_not_run_and_found_again() {
+    let fleet = fleet().await;
+    fleet.members[2].upstream.stop();
+    until(|| true).await;
+    actix_rt::time::sleep(Duration::from_millis(20)).await;
+    let answer = ask(
+        fleet.members[0].listen.callers,
+        "POST",
+        "/b-once/ok",
+        "i1",
+        "",
+    )
+    .await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+}
+
+#[actix_rt::test]
+async fn a_node_that_knows_no_routes_answers_503() {
+    let fleet = TestFleet::start(&[("a", "z1")]).await;
+    let answer = ask(fleet.members[0].listen.callers, "GET", "/a/ok", "i1", "").await;
+    assert_eq!(answer.status, 503);
+    let ready = ask(fleet.members[0].listen.ready, "GET", "/ready", "x", "").await;
+    assert_eq!(ready.status, 503);
+    fleet.publish(1, &[route("/a/", "a", true)]);
+    let ready = ask(fleet.members[0].listen.ready, "GET", "/ready", "x", "").await;
+    assert_eq!(ready.status, 200);
+}
+
+#[actix_rt::test]
+async fn an_older_document_changes_nothing() {
+    let fleet = fleet().await;
+    fleet.publish(5, &[route("/new/", "a", true)]);
+    fleet.publish(4, &[route("/a/", "a", true)]);
+    let door = fleet.members[0].listen.callers;
+    assert_eq!(ask(door, "GET", "/a/ok", "i1", "").await.status, 404);
+    assert_eq!(ask(door, "GET", "/new/ok", "i2", "").await.status, 200);
+}
+
+#[actix_rt::test]
+async fn operators_read_state_and_metrics() {
+    let fleet = fleet().await;
+    let admin = fleet.members[0].listen.admin;
+    ask(fleet.members[0].listen.callers, "GET", "/b/ok", "i1", "").await;
+    let state = ask(admin, "GET", "/state", "x", "").await;
+    assert!(state.body.contains("\"version\": 1"), "{}", state.body);
+    assert!(state.body.contains("\"name\": \"u2\""), "{}", state.body);
+    assert_eq!(ask(admin, "GET", "/metrics", "x", "").await.status, 200);
+    assert_eq!(ask(admin, "GET", "/other", "x", "").await.status, 404);
+}
