--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -183,7 +183,13 @@
 }
 
 /// Sends a request on a connection of its own.
-pub(crate) async fn ask(door: SocketAddr, method: &str, path: &str, id: &str, more: &str) -> CallerAnswer {
+pub(crate) async fn ask(
+    door: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    more: &str,
+) -> CallerAnswer {
     let stream = TcpStream::connect(door).await.expect("an open door");
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nTime-Limit-Ms: 3000\r\n{more}\r\n"
