--- a/crates/coordination/src/forwarding/kind_pacer.rs
+++ b/crates/coordination/src/forwarding/kind_pacer.rs
@@ -26,6 +26,8 @@
 const INCREASE: f64 = 0.25;
 /// Least bound: some requests always find out how things are.
 const LIMIT_MIN: f64 = 2.0;
+/// Share of the bound that first tries may use.
+const FIRST_SHARE: f64 = 0.85;
 /// Kinds that are remembered.
 const KINDS_MAX: usize = 256;
 
@@ -44,8 +46,9 @@
 }
 
 impl KindPacer {
-    /// Lets a request of `kind` in, if its bound allows one more; `most` bounds it in any case.
-    pub fn enter(&mut self, kind: KindId, most: u32) -> bool {
+    /// Lets a request of `kind` in, if its bound allows one more; `most` bounds it in any case. A
+    /// part of the bound is kept for callers that were told to come back and did.
+    pub fn enter(&mut self, kind: KindId, most: u32, is_returning: bool) -> bool {
         if self.kinds.len() >= KINDS_MAX && !self.kinds.contains_key(&kind) {
             self.kinds.retain(|_, pace| pace.running > 0);
         }
@@ -55,7 +58,9 @@
             .entry(kind)
             .or_insert_with(|| KindPace::new(most));
         pace.limit = pace.limit.min(most).max(LIMIT_MIN);
-        if f64::from(pace.running) + 1.0 > pace.limit {
+        let share = if is_returning { 1.0 } else { FIRST_SHARE };
+        let bound = (pace.limit * share).max(LIMIT_MIN);
+        if f64::from(pace.running) + 1.0 > bound {
             return false;
         }
         pace.running += 1;
--- a/crates/coordination/src/forwarding/repeat_allowance.rs
+++ b/crates/coordination/src/forwarding/repeat_allowance.rs
@@ -34,8 +34,8 @@
             ratio: 0.1,
             slack: 0.0,
             window: Duration::from_secs(10),
-            own_share: 0.7,
-            common_share: 0.6,
+            own_share: 0.65,
+            common_share: 0.55,
         }
     }
 }
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -169,7 +169,7 @@
     let mut at_end = Vec::new();
     for step in 0..300_u64 {
         let now = start + Duration::from_millis(step * 50);
-        while pacer.enter(7, 80) {
+        while pacer.enter(7, 80, false) {
             running += 1;
         }
         let wait = if running > 10 {
@@ -203,10 +203,18 @@
 fn kinds_do_not_slow_each_other() {
     let now = Instant::now();
     let mut pacer = KindPacer::default();
-    assert!(pacer.enter(1, 50) && pacer.enter(2, 50));
+    assert!(pacer.enter(1, 50, false) && pacer.enter(2, 50, false));
     for step in 0..50_u64 {
         pacer.learn(now + Duration::from_millis(step * 200), 1, AIM, AIM);
     }
     assert!(pacer.limit(1).is_some_and(|limit| limit <= 2.0));
     assert!(pacer.limit(2).is_some_and(|limit| limit >= 50.0));
 }
+
+#[test]
+fn a_part_of_the_pace_is_kept_for_callers_that_come_back() {
+    let mut pacer = KindPacer::default();
+    let first = (0..).take_while(|_| pacer.enter(1, 20, false)).count();
+    let returning = (0..).take_while(|_| pacer.enter(1, 20, true)).count();
+    assert_eq!((first, returning), (17, 3));
+}
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -39,6 +39,8 @@
         pub aim_ms: u32,
         /// Longest wait for a slot, in milliseconds.
         pub wait_ms: u32,
+        /// Whether its caller came back with it after an earlier try.
+        pub is_returning: bool,
         /// Whether it is sent again, or is a call of a run that was.
         pub is_repeat: bool,
         /// Crashes that the sender knows the request to have caused.
@@ -64,6 +66,8 @@
         pub reach: RequestReach,
         /// Milliseconds after which trying again can help.
         pub retry_ms: u32,
+        /// Whether what is full lies further down, so that another instance is no better.
+        pub is_below: bool,
     }
 
     /// `RequestReach` says how far a request without an answer got.
@@ -95,6 +99,8 @@
         pub wait_ms: u32,
         /// Calls that its run made, here and below.
         pub calls: u32,
+        /// Whether a call of its run, here or below, was refused for want of slots.
+        pub is_starved: bool,
         /// What the node holds against the request.
         pub suspect: Option<SuspectReport>,
     }
@@ -112,5 +118,7 @@
         pub is_leaving: bool,
         /// Version of the document in force.
         pub version: DocumentVersion,
+        /// Newest change of the store that the node has seen.
+        pub revision: u64,
     }
 }
--- a/crates/relay/src/calling/peer_book.rs
+++ b/crates/relay/src/calling/peer_book.rs
@@ -70,7 +70,9 @@
     }
 
     /// Takes the state that a node told.
-    pub fn take_news(&self, key: InstanceKey, news: NodeNews) {
+    pub fn take_news(&self, key: InstanceKey, address: SocketAddr, news: NodeNews) {
+        self.directory
+            .note_peer(address, news.version, news.revision);
         let report = reported(news);
         let mut selector = self.selector.borrow_mut();
         selector.take_report(key, Instant::now(), report);
@@ -122,6 +124,8 @@
                 }
                 LinkEvent::Regained => selector.set_leaving(key, false),
                 LinkEvent::News(news) => {
+                    self.directory
+                        .note_peer(address, news.version, news.revision);
                     selector.take_report(key, Instant::now(), reported(news));
                 }
             }
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -10,7 +10,7 @@
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     serving::{
-        running_table::RunningRequest,
+        running_table::{CallSum, RunningRequest},
         upstream_server::{self, UpstreamServer},
     },
 };
@@ -122,10 +122,12 @@
     /// Upstreams that read the request.
     reached: u32,
     may_have_run: bool,
-    /// Calls that its runs made, here and below.
-    calls: u32,
-    /// Time that it and the calls of its runs waited for slots.
-    wait: Duration,
+    /// Whether the last upstream turned the request away itself.
+    is_rejected: bool,
+    /// What its runs and their calls came to.
+    below: CallSum,
+    /// Whether what is full lies below the instances that were asked.
+    is_full_below: bool,
     reason: RefusalReason,
     retry: Option<Duration>,
     failure: Option<RelayAnswer>,
@@ -222,26 +224,21 @@
         end
     }
 
-    /// Adds a call of the upstream to the request that it is made for. One that was refused or
-    /// timed out counts as if it had waited for the whole aim.
+    /// Adds a call of the upstream to the request that it is made for.
     fn note_call(&self, request: &RoutedRequest, progress: &CallProgress, end: &CallEnd) {
         if request.parent.is_none() {
             return;
         }
-        let is_full = match end {
+        let is_refused = match end {
             CallEnd::Answered(_) => false,
             CallEnd::NotRun(reason, _) | CallEnd::Unknown(reason) => {
                 matches!(reason, RefusalReason::Overload | RefusalReason::Timeout)
             }
         };
-        let floor = if is_full {
-            request.route.aim
-        } else {
-            Duration::ZERO
-        };
-        let wait = progress.wait.max(floor);
+        let mut below = progress.below;
+        below.is_starved |= is_refused && !progress.is_rejected;
         let table = self.server.table();
-        table.note_call(&request.id, self.call_separator, wait, progress.calls);
+        table.note_call(&request.id, self.call_separator, below);
     }
 
     /// Asks one instance after the other; `None` if no answer came.
@@ -305,7 +302,7 @@
             if is_late || progress.reached >= request.route.attempts {
                 return false;
             }
-            let cost = 1 + progress.calls;
+            let cost = 1 + progress.below.calls;
             let importance = importance(request);
             let mut allowance = self.allowance.borrow_mut();
             if !allowance.take(Instant::now(), &progress.service, importance, cost) {
@@ -327,7 +324,7 @@
     ) -> Result<RelayReply, LinkFault> {
         let message = self.message(request, progress, target, has_others);
         let typical = self.typical(&request.route.name);
-        let record = SendRecord::open(&self.book, target.key, typical);
+        let record = SendRecord::open(&self.book, target, typical);
         let may_run_twice = request.route.is_idempotent;
         let reply = if target.address == self.own_peer.get() {
             Ok(self.server.serve(message, request.deadline).await)
@@ -377,6 +374,7 @@
             kind: kind_of(&request.route.name),
             aim_ms: whole_millis(aim_left),
             wait_ms: whole_millis(wait),
+            is_returning: !request.spent.is_zero(),
             is_repeat: is_repeat || progress.reached > 0,
             crashes: 0,
         };
@@ -394,8 +392,9 @@
         progress: &mut CallProgress,
         reply: RelayReply,
     ) -> Option<RelayAnswer> {
-        progress.wait += Duration::from_millis(reply.wait_ms.into());
-        progress.calls += reply.calls;
+        progress.below.wait += Duration::from_millis(reply.wait_ms.into());
+        progress.below.calls += reply.calls;
+        progress.below.is_starved |= reply.is_starved;
         match reply.result {
             RelayResult::Answered(answer) => {
                 let may_repeat = request.route.is_idempotent && answer.status >= FAILURE_STATUS;
@@ -450,8 +449,9 @@
             asked: Vec::new(),
             reached: 0,
             may_have_run: false,
-            calls: 0,
-            wait: Duration::ZERO,
+            is_rejected: false,
+            below: CallSum::default(),
+            is_full_below: false,
             reason: RefusalReason::NoInstance,
             retry: None,
             failure: None,
@@ -460,6 +460,8 @@
     }
 
     fn note_refusal(&mut self, refusal: RelayRefusal) {
+        self.is_full_below |= refusal.is_below;
+        self.is_rejected = refusal.reach == RequestReach::Rejected;
         match refusal.reach {
             RequestReach::Unsent => self.note_unsent(refusal.reason),
             RequestReach::Rejected => {
@@ -486,7 +488,7 @@
 
     fn may_go_on(&self, request: &RoutedRequest) -> bool {
         let is_safe = !self.may_have_run || request.route.is_idempotent;
-        is_safe && self.reason != RefusalReason::Quarantined
+        is_safe && !self.is_full_below && self.reason != RefusalReason::Quarantined
     }
 
     fn end(&self) -> CallEnd {
@@ -514,17 +516,19 @@
 struct SendRecord<'a> {
     book: &'a PeerBook,
     key: InstanceKey,
+    address: SocketAddr,
     typical: Option<Duration>,
     started: Instant,
     is_closed: bool,
 }
 
 impl<'a> SendRecord<'a> {
-    fn open(book: &'a PeerBook, key: InstanceKey, typical: Option<Duration>) -> Self {
-        book.started(key);
+    fn open(book: &'a PeerBook, target: &PeerTarget, typical: Option<Duration>) -> Self {
+        book.started(target.key);
         Self {
             book,
-            key,
+            key: target.key,
+            address: target.address,
             typical,
             started: Instant::now(),
             is_closed: false,
@@ -545,7 +549,7 @@
                 return elapsed;
             }
         };
-        self.book.take_news(self.key, reply.news);
+        self.book.take_news(self.key, self.address, reply.news);
         match &reply.result {
             RelayResult::Answered(_) => {
                 let typical = self.typical.unwrap_or(elapsed);
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -13,6 +13,7 @@
     cell::{Cell, Ref, RefCell},
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 use tokio::sync::watch;
 use tracing::{info, warn};
@@ -26,6 +27,17 @@
     Peer,
 }
 
+/// `PeerKnowledge` is the newest that other nodes were heard to know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerKnowledge {
+    /// Newest version of the document.
+    pub version: DocumentVersion,
+    /// A node that has it in force.
+    pub peer: Option<SocketAddr>,
+    /// Newest change of the store.
+    pub revision: u64,
+}
+
 /// `FleetDirectory` holds the fleet as the node sees it.
 #[derive(Debug)]
 pub struct FleetDirectory {
@@ -39,6 +51,8 @@
     list_is_read: Cell<bool>,
     store_is_lost: Cell<bool>,
     faults: Cell<u64>,
+    revision: Cell<u64>,
+    peers: watch::Sender<PeerKnowledge>,
     changes: watch::Sender<u64>,
 }
 
@@ -57,6 +71,8 @@
             list_is_read: Cell::new(false),
             store_is_lost: Cell::new(false),
             faults: Cell::new(0),
+            revision: Cell::new(0),
+            peers: watch::channel(PeerKnowledge::default()).0,
             changes: watch::channel(0).0,
         }
     }
@@ -152,6 +168,54 @@
         self.note_change();
     }
 
+    /// Notes a change of the store that was taken in.
+    pub fn note_revision(&self, revision: u64) {
+        self.revision.set(self.revision.get().max(revision));
+    }
+
+    /// Newest change of the store that was taken in.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Notes what another node was heard to know.
+    pub fn note_peer(&self, peer: SocketAddr, version: DocumentVersion, revision: u64) {
+        self.peers.send_if_modified(|known| {
+            let is_news = version > known.version || revision > known.revision;
+            if version > known.version {
+                known.version = version;
+                known.peer = Some(peer);
+            }
+            known.revision = known.revision.max(revision);
+            is_news
+        });
+    }
+
+    /// Tells what other nodes know, as it changes.
+    #[must_use]
+    pub fn peers(&self) -> watch::Receiver<PeerKnowledge> {
+        self.peers.subscribe()
+    }
+
+    /// Waits until other nodes have known of a newer change of the store for `time`.
+    pub async fn is_behind_peers(&self, time: Duration) {
+        let mut peers = self.peers();
+        loop {
+            let newest = peers.borrow_and_update().revision;
+            if newest > self.revision() {
+                actix_rt::time::sleep(time).await;
+                if newest > self.revision() {
+                    return;
+                }
+            }
+            // The directory keeps the other end.
+            if peers.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Notes whether the store can be read.
     pub fn note_store(&self, cause: Option<&str>) {
         let was_lost = self.store_is_lost.replace(cause.is_some());
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -35,6 +35,8 @@
 const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
 /// Time in which another node hands over a document.
 const DOCUMENT_TIME: Duration = Duration::from_secs(1);
+/// Time in which the store tells of a document that another node has already.
+const STORE_LEAD: Duration = Duration::from_millis(200);
 /// Time between two messages about suspects.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -148,6 +150,7 @@
         });
         actix_rt::spawn(follow_directory(Rc::clone(self)));
         actix_rt::spawn(spread_suspects(Rc::clone(self)));
+        actix_rt::spawn(follow_peers(Rc::clone(self)));
         info!(
             event = events::RELAY_STARTED,
             node = %self.settings.node, service = %self.settings.service,
@@ -188,9 +191,9 @@
     }
 
     /// Asks the node at `peer` for its document, which was said to be newer than the own one.
-    pub async fn pull_document(&self, peer: SocketAddr) {
+    async fn pull_document(&self, peer: SocketAddr) {
         let deadline = Instant::now() + DOCUMENT_TIME;
-        // A node that does not answer is asked again with its next news.
+        // A node that does not answer is asked again with the next news.
         if let Ok(Some(document)) = self.links.document(peer, deadline).await {
             self.directory.take_document(document, NewsSource::Peer);
         }
@@ -251,6 +254,23 @@
     }
 }
 
+/// Takes a document from another node where the store has not told of it.
+async fn follow_peers(node: Rc<RelayNode>) {
+    let mut peers = node.directory.peers();
+    while peers.changed().await.is_ok() {
+        let known = *peers.borrow_and_update();
+        if known.version <= node.directory.version() {
+            continue;
+        }
+        actix_rt::time::sleep(STORE_LEAD).await;
+        if let Some(peer) = known.peer
+            && known.version > node.directory.version()
+        {
+            node.pull_document(peer).await;
+        }
+    }
+}
+
 /// Tells the other nodes of requests that crash upstreams, while there are any.
 async fn spread_suspects(node: Rc<RelayNode>) {
     loop {
--- a/crates/relay/src/serving/running_table.rs
+++ b/crates/relay/src/serving/running_table.rs
@@ -23,6 +23,8 @@
     pub wait: Duration,
     /// Their number, here and below.
     pub calls: u32,
+    /// Whether one of them was refused for want of slots.
+    pub is_starved: bool,
 }
 
 /// `RunningTable` holds the requests that the upstream is running, by their ids.
@@ -49,14 +51,16 @@
         self.requests.borrow().get(parent).copied()
     }
 
-    /// Adds what a call came to, to the request that it was made for.
-    pub fn note_call(&self, id: &str, separator: char, wait: Duration, calls: u32) {
+    /// Adds what a call came to, with the calls of its own run, to the request that it was made
+    /// for.
+    pub fn note_call(&self, id: &str, separator: char, call: CallSum) {
         let Some((parent, _)) = id.rsplit_once(separator) else {
             return;
         };
         if let Some(request) = self.requests.borrow_mut().get_mut(parent) {
-            request.below.wait += wait;
-            request.below.calls += calls + 1;
+            request.below.wait += call.wait;
+            request.below.calls += call.calls + 1;
+            request.below.is_starved |= call.is_starved;
         }
     }
 }
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -2,7 +2,7 @@
 
 use super::{
     own_upstream::OwnUpstream,
-    running_table::{RunningRequest, RunningTable},
+    running_table::{CallSum, RunningRequest, RunningTable},
     slot_gate::{SlotGate, SlotPermit},
 };
 
@@ -152,6 +152,7 @@
             queued: load.queued,
             is_leaving: self.is_leaving.get(),
             version: self.directory.version(),
+            revision: self.directory.revision(),
         }
     }
 
@@ -180,7 +181,7 @@
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
         let running = RunMark::new(&self.running);
         let fingerprint = fingerprint_of(&request);
-        let mut cost = RunCost::default();
+        let mut cost = CallSum::default();
         let result = self.run(request, deadline, fingerprint, &mut cost).await;
         drop(running);
         let suspect = self.suspects.borrow().report(Instant::now(), fingerprint);
@@ -189,6 +190,7 @@
             news: self.news(),
             wait_ms: u32::try_from(cost.wait.as_millis()).unwrap_or(u32::MAX),
             calls: cost.calls,
+            is_starved: cost.is_starved,
             suspect,
         }
     }
@@ -198,7 +200,7 @@
         request: RelayRequest,
         deadline: Instant,
         fingerprint: RequestFingerprint,
-        cost: &mut RunCost,
+        cost: &mut CallSum,
     ) -> RelayResult {
         let report = SuspectReport {
             fingerprint,
@@ -221,7 +223,7 @@
             return refused(RefusalReason::Quarantined, Duration::ZERO);
         }
         let Some(pace) = self.enter_pace(&request) else {
-            return refused(RefusalReason::Overload, PACE_RETRY);
+            return full_below();
         };
         let asked = Instant::now();
         let permit = match self.acquire(&request, deadline).await {
@@ -244,9 +246,11 @@
         let below = entry.close();
         cost.wait += below.wait;
         cost.calls = below.calls;
+        cost.is_starved = below.is_starved;
         if below.calls > 0 {
+            let wait = if below.is_starved { aim } else { below.wait };
             let mut pacer = self.pacer.borrow_mut();
-            pacer.learn(Instant::now(), kind, below.wait, aim);
+            pacer.learn(Instant::now(), kind, wait, aim);
         }
         drop(pace);
         result
@@ -264,7 +268,10 @@
         }
         let most = self.gate.load().limit.saturating_mul(PACE_SLOTS);
         let kind = request.kind;
-        let may_enter = self.pacer.borrow_mut().enter(kind, most);
+        let may_enter = self
+            .pacer
+            .borrow_mut()
+            .enter(kind, most, request.is_returning);
         may_enter.then_some(PaceMark {
             pacer: &self.pacer,
             kind: Some(kind),
@@ -383,6 +390,7 @@
                 },
                 reach: RequestReach::Rejected,
                 retry_ms: 0,
+                is_below: false,
             });
         }
         let is_success = head.status < 300;
@@ -494,13 +502,6 @@
     }
 }
 
-/// What a run cost beside its own work.
-#[derive(Clone, Copy, Debug, Default)]
-struct RunCost {
-    wait: Duration,
-    calls: u32,
-}
-
 /// Fingerprint by which all nodes recognise a request that is sent again.
 #[must_use]
 pub fn fingerprint_of(request: &RelayRequest) -> RequestFingerprint {
@@ -525,6 +526,18 @@
         reason,
         reach: RequestReach::Unsent,
         retry_ms,
+        is_below: false,
+    })
+}
+
+/// Refuses a request because calls like those that it would make find no slots.
+fn full_below() -> RelayResult {
+    let retry_ms = u32::try_from(PACE_RETRY.as_millis()).unwrap_or(u32::MAX);
+    RelayResult::Refused(RelayRefusal {
+        reason: RefusalReason::Overload,
+        reach: RequestReach::Unsent,
+        retry_ms,
+        is_below: true,
     })
 }
 
@@ -533,5 +546,6 @@
         reason,
         reach: RequestReach::Unknown,
         retry_ms: 0,
+        is_below: false,
     })
 }
