--- a/crates/daemon/src/node_process.rs
+++ b/crates/daemon/src/node_process.rs
@@ -5,7 +5,7 @@
     error::{Result, SignalsSnafu},
     events, health_probe, inbound_door, life_cycle,
     node::{Node, SharedNode},
-    node_metrics, outbound_door,
+    outbound_door,
     peer_door::PeerDoor,
     planned_stop, platform_watch,
 };
@@ -13,7 +13,7 @@
 use lagoonshore_settings::NodeSettings;
 use lagoonshore_transport::{
     http_door::{self, DoorLimits},
-    peer_server,
+    metrics_recorder, peer_server,
     platform_reader::ConsulReader,
     signals,
 };
@@ -103,8 +103,8 @@
     let handler = move |request| outbound_door::answer(shared.clone(), request);
     actix_rt::spawn(http_door::serve(outbound, DoorLimits::default(), handler));
     actix_rt::spawn(peer_server::serve(peer, PeerDoor::new(node.clone())));
-    let (shared, metrics) = (node.clone(), node_metrics::handle());
-    actix_rt::spawn(node_metrics::keep(metrics.clone()));
+    let (shared, metrics) = (node.clone(), metrics_recorder::handle());
+    actix_rt::spawn(metrics_recorder::keep(metrics.clone()));
     let handler = move |request| {
         let answer = admin_door::answer(&shared, &metrics, &request);
         std::future::ready(answer)
--- a/crates/daemon/tests/event_catalogue.rs
+++ b/crates/daemon/tests/event_catalogue.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
-const CODE: &str = include_str!("../src/events.rs");
+const CODE: &str = concat!(
+    include_str!("../src/events.rs"),
+    include_str!("../../relay/src/events.rs")
+);
 const CATALOGUE: &str = include_str!("../../../docs/EVENTS.md");
 
 fn numbers<'a>(fields: impl Iterator<Item = &'a str>) -> (Vec<u16>, BTreeSet<u16>) {
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -27,7 +27,7 @@
     retries::route_latency::RouteLatency,
 };
 use lagoonshore_protocol::relay_messages::{
-    RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
+    NodeNews, RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
 };
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RepeatSettings};
 use lagoonshore_state::{
@@ -46,7 +46,7 @@
 use tokio::time::Instant;
 
 /// Instances that may be asked for a slot before a request is refused.
-const ASKED_MAX: usize = 4;
+const ASKED_MAX: usize = 3;
 /// Share of the aim for which a request may wait at one instance while others are left to ask.
 const FIRST_WAIT_SHARE: f64 = 0.15;
 /// Least time to come back after a refusal.
@@ -132,6 +132,8 @@
     retry: Option<Duration>,
     failure: Option<RelayAnswer>,
     last: CompactString,
+    /// Load that the node of the last instance told.
+    load: NodeNews,
 }
 
 impl RequestCaller {
@@ -258,10 +260,8 @@
             }
             progress.asked.push(target.key);
             progress.last.clone_from(&target.name);
-            let has_others = self
-                .book
-                .choose(&progress.service, &progress.asked)
-                .is_some();
+            let may_ask_more = progress.asked.len() < ASKED_MAX;
+            let has_others = may_ask_more && self.has_others(progress);
             let reply = self.send(request, progress, &target, has_others).await;
             match reply {
                 Ok(reply) => {
@@ -280,6 +280,11 @@
         progress.failure.take()
     }
 
+    fn has_others(&self, progress: &CallProgress) -> bool {
+        let other = self.book.choose(&progress.service, &progress.asked);
+        other.is_some()
+    }
+
     /// Counts the first sending, which is a repeat where the run that makes the call is one.
     fn note_first(&self, now: Instant, request: &RoutedRequest, service: &ServiceName) {
         let mut allowance = self.allowance.borrow_mut();
@@ -392,6 +397,7 @@
         progress: &mut CallProgress,
         reply: RelayReply,
     ) -> Option<RelayAnswer> {
+        progress.load = reply.news;
         progress.below.wait += Duration::from_millis(reply.wait_ms.into());
         progress.below.calls += reply.calls;
         progress.below.is_starved |= reply.is_starved;
@@ -456,6 +462,7 @@
             retry: None,
             failure: None,
             last: CompactString::default(),
+            load: NodeNews::default(),
         }
     }
 
@@ -638,6 +645,7 @@
         version: request.version,
         elapsed: request.received.elapsed(),
         instance: &progress.last,
+        load: progress.load,
     }
 }
 
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -5,6 +5,7 @@
 
 use crate::{events, relay_metrics};
 
+use lagoonshore_protocol::relay_messages::NodeNews;
 use std::{cell::Cell, time::Duration};
 use tokio::time::Instant;
 use tracing::{info, warn};
@@ -29,6 +30,8 @@
     pub elapsed: Duration,
     /// Upstream that it went to last; empty if to none.
     pub instance: &'a str,
+    /// Load that the node beside that upstream told with its last reply.
+    pub load: NodeNews,
 }
 
 /// `DecisionLog` writes lines on requests.
@@ -78,6 +81,9 @@
             instance = trace.instance,
             elapsed_ms = millis(trace.elapsed),
             retry_ms = millis(retry),
+            in_use = trace.load.in_use,
+            limit = trace.load.limit,
+            queued = trace.load.queued,
             reason,
             left_out,
             "request: refused, not run"
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -13,14 +13,13 @@
     peer_door::PeerDoor,
     planned_stop,
     ready_door::ReadyDoor,
-    relay_metrics,
     serving::upstream_server::UpstreamServer,
     state_dump::{self, StateDump},
 };
 
 use actix_rt::net::TcpListener;
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListen};
-use lagoonshore_transport::{http_door, signals};
+use lagoonshore_transport::{http_door, metrics_recorder, signals};
 use rand::{SeedableRng, rngs::SmallRng};
 use snafu::ResultExt;
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
@@ -31,8 +30,6 @@
 const CALLERS_MAX: usize = 2500;
 /// Connections of operators and of readiness checks at the same time.
 const ADMIN_MAX: usize = 32;
-/// Time between two moves of recorded times into their buckets.
-const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
 /// Time in which another node hands over a document.
 const DOCUMENT_TIME: Duration = Duration::from_secs(1);
 /// Time in which the store tells of a document that another node has already.
@@ -136,18 +133,13 @@
         actix_rt::spawn(serving);
         let door = PeerDoor::new(Rc::clone(&self.server), Rc::clone(&self.directory));
         actix_rt::spawn(door.serve_links(peers));
-        let metrics = relay_metrics::handle();
+        let metrics = metrics_recorder::handle();
         let node = Rc::clone(self);
         let state = Box::new(move || node.dump());
         let door = Rc::new(AdminDoor::new(metrics.clone(), state));
         let serving = door::serve(admin, door, scheme, OpenCount::default(), ADMIN_MAX);
         actix_rt::spawn(serving);
-        actix_rt::spawn(async move {
-            loop {
-                actix_rt::time::sleep(UPKEEP_PAUSE).await;
-                metrics.run_upkeep();
-            }
-        });
+        actix_rt::spawn(metrics_recorder::keep(metrics));
         actix_rt::spawn(follow_directory(Rc::clone(self)));
         actix_rt::spawn(spread_suspects(Rc::clone(self)));
         actix_rt::spawn(follow_peers(Rc::clone(self)));
--- a/crates/relay/src/planned_stop.rs
+++ b/crates/relay/src/planned_stop.rs
@@ -17,8 +17,9 @@
 const PEER_NOTICE_TIME: Duration = Duration::from_millis(250);
 /// Share of the grace time after which new requests are refused.
 const REFUSE_SHARE: f64 = 0.6;
-/// Time before the end of the grace time at which the process ends whatever still runs.
-const END_MARGIN: Duration = Duration::from_millis(350);
+/// Share of the grace time after which the process ends whatever still runs, so that it has ended
+/// by itself before it is killed, also on a slow instance.
+const END_SHARE: f64 = 0.85;
 /// Time between two looks at what still runs.
 const LOOK_TIME: Duration = Duration::from_millis(50);
 /// Time in which last answers leave the process.
@@ -36,7 +37,7 @@
     node.ready.begin_leaving();
     node.callers.set_phase(DoorPhase::Closing);
     let grace = node.settings.grace_time;
-    let end = started + grace.saturating_sub(END_MARGIN);
+    let end = started + grace.mul_f64(END_SHARE);
     let notice_end = (started + NOTICE_TIME).min(end);
     while Instant::now() < notice_end && node.ready.refusals() < NOTICES {
         actix_rt::time::sleep(LOOK_TIME).await;
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -1,33 +1,7 @@
 //! Counters and latency histograms of a node; docs/METRICS.md is their catalogue.
 
 use metrics::{counter, histogram};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use std::{sync::OnceLock, time::Duration};
-
-/// Upper bounds of the buckets of all histograms, in seconds.
-const TIME_BUCKETS: [f64; 13] = [
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 30.0,
-];
-
-static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-
-/// Installs the recorder of the process, once.
-#[must_use]
-pub fn handle() -> PrometheusHandle {
-    HANDLE.get_or_init(install).clone()
-}
-
-fn install() -> PrometheusHandle {
-    let builder = PrometheusBuilder::new();
-    let builder = builder
-        .set_buckets(&TIME_BUCKETS)
-        .unwrap_or_else(|_| PrometheusBuilder::new());
-    let recorder = builder.build_recorder();
-    let handle = recorder.handle();
-    // Where another recorder is there already, the page shows nothing.
-    let _ = metrics::set_global_recorder(recorder);
-    handle
-}
+use std::time::Duration;
 
 pub(crate) fn record_request(elapsed: Duration, status: u16) {
     histogram!("lagoonshore_relay_request_seconds").record(elapsed.as_secs_f64());
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod error;
 pub mod http_door;
 pub mod leaving_watch;
+pub mod metrics_recorder;
 pub mod peer_link;
 pub mod peer_server;
 pub mod platform_reader;
