--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -234,7 +234,7 @@
         let is_refused = match end {
             CallEnd::Answered(_) => false,
             CallEnd::NotRun(reason, _) | CallEnd::Unknown(reason) => {
-                matches!(reason, RefusalReason::Overload | RefusalReason::Timeout)
+                *reason == RefusalReason::Overload
             }
         };
         let mut below = progress.below;
