--- a/crates/relay/src/http1/door.rs
+++ b/crates/relay/src/http1/door.rs
@@ -80,7 +80,8 @@
 /// `OpenCount` counts the open connections of a door.
 pub type OpenCount = Rc<Cell<usize>>;
 
-/// Serves `listener` until the future is dropped; connections above `connections_max` are closed.
+/// Serves `listener` until the handler closes idle connections; connections above
+/// `connections_max` are closed at once.
 pub async fn serve<H: CallerHandler>(
     listener: TcpListener,
     handler: Rc<H>,
@@ -88,8 +89,15 @@
     open: OpenCount,
     connections_max: usize,
 ) {
+    let mut phase = handler.phase();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        // Connections that wait to be accepted go before the end of the door.
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            Ok(_) = phase.wait_for(|phase| *phase == DoorPhase::ClosingIdle) => return,
+        };
+        let Ok((stream, _)) = accepted else {
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
--- a/crates/relay/src/planned_stop.rs
+++ b/crates/relay/src/planned_stop.rs
@@ -49,13 +49,17 @@
     let refuse_at = started + grace.mul_f64(REFUSE_SHARE);
     while Instant::now() < end && !is_idle(node) {
         if Instant::now() >= refuse_at {
-            node.callers.end();
-            node.server.close();
+            refuse_all(node);
         }
         actix_rt::time::sleep(LOOK_TIME).await;
     }
-    let is_finished = is_idle(node);
+    // What comes from here on would be cut by the end of the process.
+    refuse_all(node);
     actix_rt::time::sleep(FLUSH_TIME).await;
+    while Instant::now() < end && !is_idle(node) {
+        actix_rt::time::sleep(LOOK_TIME).await;
+    }
+    let is_finished = is_idle(node);
     info!(
         event = events::RELAY_STOPPED,
         is_finished,
@@ -65,6 +69,11 @@
     );
 }
 
+fn refuse_all(node: &RelayNode) {
+    node.callers.end();
+    node.server.close();
+}
+
 fn is_idle(node: &RelayNode) -> bool {
     let has_callers = node.caller_connections.get() > 0;
     !has_callers && node.callers.caller().running() == 0 && node.server.running() == 0
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -18,7 +18,12 @@
     units::RequestImportance,
     upstream_list::UpstreamRecord,
 };
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     time::Instant,
@@ -53,15 +58,15 @@
 }
 
 impl TestFleet {
-    /// Starts a node for each pair of service and zone. The first one takes any free port for
-    /// other nodes; the others take the same port at addresses of their own.
+    /// Starts a node for each pair of service and zone, at addresses that no other fleet uses: all
+    /// nodes listen for each other at the same port.
     pub(crate) async fn start(places: &[(&str, &str)]) -> Self {
         let mut members: Vec<FleetMember> = Vec::new();
+        let net = own_net();
         for (index, (service, zone)) in places.iter().enumerate() {
-            let ip = format!("127.0.0.{}", index + 11);
-            let port = members.first().map_or(0, |first| first.listen.peers.port());
+            let ip = format!("{net}.{}", index + 1);
             let upstream = StandInUpstream::start(&ip).await;
-            let settings = settings(&ip, port, service, zone, upstream.address);
+            let settings = settings(&ip, service, zone, upstream.address);
             let node = RelayNode::new(settings, SCHEME).expect("random numbers");
             let listen = node.open().await.expect("free addresses");
             members.push(FleetMember {
@@ -158,16 +163,20 @@
     }
 }
 
-fn settings(
-    ip: &str,
-    peer_port: u16,
-    service: &str,
-    zone: &str,
-    upstream: SocketAddr,
-) -> RelaySettings {
+/// Port at which nodes listen for each other; below the ports that the system gives out.
+const PEER_PORT: u16 = 7600;
+
+/// First three parts of addresses that only one fleet uses.
+fn own_net() -> String {
+    static FLEETS: AtomicU32 = AtomicU32::new(0);
+    let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
+    format!("127.{}.{}", 20 + std::process::id() % 200, fleet % 250)
+}
+
+fn settings(ip: &str, service: &str, zone: &str, upstream: SocketAddr) -> RelaySettings {
     let text = format!(
         "node: n\nservice: {service}\nzone: {zone}\nregion: r\nlisten:\n  callers: {ip}:0\n  \
-         ready: {ip}:0\n  peers: {ip}:{peer_port}\n  admin: {ip}:0\nupstream: {upstream}\n\
+         ready: {ip}:0\n  peers: {ip}:{PEER_PORT}\n  admin: {ip}:0\nupstream: {upstream}\n\
          store: 127.0.0.1:1\nrepeats:\n  ratio: 0.2\n  slack: 48\n  window_seconds: 10\n\
          grace_seconds: 6\naddress_reuse_seconds: 2\nmemory_mib: 100\n"
     );
--- a/crates/relay/tests/whole_path.rs
+++ b/crates/relay/tests/whole_path.rs
@@ -298,6 +298,38 @@
     assert_eq!(ask(door, "GET", "/new/ok", "i2", "").await.status, 200);
 }
 
+/// What is left of the process after a stop ends at any moment, with all that it has let in.
+#[actix_rt::test]
+async fn after_a_stop_nothing_more_is_let_in() {
+    let fleet = fleet().await;
+    let stopping = &fleet.members[2];
+    let watched = stopping.node.clone();
+    let ready = stopping.listen.ready;
+    let checks = actix_rt::spawn(async move {
+        loop {
+            ask(ready, "GET", "/ready", "x", "").await;
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    lagoonshore_relay::planned_stop::run(&watched).await;
+    checks.abort();
+    let answer = ask(
+        fleet.members[0].listen.callers,
+        "POST",
+        "/b-once/ok",
+        "i1",
+        "",
+    )
+    .await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    assert_eq!(stopping.upstream.ids().len(), 0);
+    let connected = actix_rt::net::TcpStream::connect(stopping.listen.callers).await;
+    assert!(
+        connected.is_err(),
+        "callers are told at once that nobody listens"
+    );
+}
+
 #[actix_rt::test]
 async fn operators_read_state_and_metrics() {
     let fleet = fleet().await;
