--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -5,3 +5,4 @@
 pub mod repeat_allowance;
 pub mod slot_queue;
 pub mod traffic_split;
+pub mod zone_doubt;
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -4,6 +4,7 @@
     kind_pacer::KindPacer,
     repeat_allowance::{AllowanceRules, RepeatAllowance},
     traffic_split::TrafficSplit,
+    zone_doubt::ZoneDoubt,
 };
 use lagoonshore_state::{
     ids::ServiceName,
@@ -218,3 +219,33 @@
     let returning = (0..).take_while(|_| pacer.enter(1, 20, true)).count();
     assert_eq!((first, returning), (17, 3));
 }
+
+fn node(number: u8) -> std::net::SocketAddr {
+    ([127, 0, 0, number], 1).into()
+}
+
+#[test]
+fn two_silent_nodes_put_their_zone_in_doubt_until_one_is_heard() {
+    let now = Instant::now();
+    let mut doubt = ZoneDoubt::default();
+    doubt.note_silent(now, node(1), "z1".into());
+    doubt.note_silent(now, node(1), "z1".into());
+    doubt.note_silent(now, node(2), "z2".into());
+    assert!(
+        !doubt.is_doubted(now, "z1"),
+        "one silent node is no sign of a cut"
+    );
+    doubt.note_silent(now, node(3), "z1".into());
+    assert!(doubt.is_doubted(now, "z1") && !doubt.is_doubted(now, "z2"));
+    doubt.note_heard(node(3));
+    assert!(!doubt.is_doubted(now, "z1"));
+}
+
+#[test]
+fn doubt_ends_by_itself() {
+    let now = Instant::now();
+    let mut doubt = ZoneDoubt::default();
+    doubt.note_silent(now, node(1), "z1".into());
+    doubt.note_silent(now, node(2), "z1".into());
+    assert!(!doubt.is_doubted(now + Duration::from_secs(2), "z1"));
+}
--- a/crates/relay/src/calling/peer_book.rs
+++ b/crates/relay/src/calling/peer_book.rs
@@ -5,6 +5,7 @@
 use crate::directory::FleetDirectory;
 
 use lagoonshore_coordination::{
+    forwarding::zone_doubt::ZoneDoubt,
     request_life::CallRefusal,
     routing::{PeerSelector, PeerSummary, RoutingOrigin, peer_view::ReportedLoad},
 };
@@ -30,6 +31,7 @@
 pub struct PeerBook {
     directory: Rc<FleetDirectory>,
     selector: RefCell<PeerSelector>,
+    doubt: RefCell<ZoneDoubt>,
     random: RefCell<SmallRng>,
 }
 
@@ -46,12 +48,34 @@
         Self {
             directory,
             selector: RefCell::new(PeerSelector::new(origin)),
+            doubt: RefCell::default(),
             random: RefCell::new(random),
         }
     }
 
-    /// Chooses an instance of `service` that is not in `tried`.
+    /// Chooses an instance of `service` that is not in `tried`, at first in zones that are not in
+    /// doubt.
     pub fn choose(&self, service: &str, tried: &[InstanceKey]) -> Option<PeerTarget> {
+        if !self.doubt.borrow().is_calm() {
+            let mut avoided = self.in_doubt(service);
+            avoided.extend_from_slice(tried);
+            if let Some(target) = self.choose_from(service, &avoided) {
+                return Some(target);
+            }
+        }
+        self.choose_from(service, tried)
+    }
+
+    /// Instances of `service` in zones that are in doubt.
+    fn in_doubt(&self, service: &str) -> Vec<InstanceKey> {
+        let (now, doubt) = (Instant::now(), self.doubt.borrow());
+        let table = self.directory.instances();
+        let listed = table.of_service(service);
+        let doubted = listed.filter(|(_, record)| doubt.is_doubted(now, &record.zone));
+        doubted.map(|(key, _)| key).collect()
+    }
+
+    fn choose_from(&self, service: &str, tried: &[InstanceKey]) -> Option<PeerTarget> {
         let table = self.directory.instances();
         let mut selector = self.selector.borrow_mut();
         let mut random = self.random.borrow_mut();
@@ -73,6 +97,7 @@
     pub fn take_news(&self, key: InstanceKey, address: SocketAddr, news: NodeNews) {
         self.directory
             .note_peer(address, news.version, news.revision);
+        self.doubt.borrow_mut().note_heard(address);
         let report = reported(news);
         let mut selector = self.selector.borrow_mut();
         selector.take_report(key, Instant::now(), report);
@@ -114,11 +139,16 @@
     /// Takes in what a link tells of the node at `address`.
     pub fn note_link(&self, address: SocketAddr, event: LinkEvent) {
         let table = self.directory.instances();
+        if event != LinkEvent::Lost {
+            self.doubt.borrow_mut().note_heard(address);
+        }
         let here = table.iter().filter(|(_, record)| record.peer == address);
-        for (key, _) in here {
+        for (key, record) in here {
             let mut selector = self.selector.borrow_mut();
             match event {
                 LinkEvent::Lost => {
+                    let mut doubt = self.doubt.borrow_mut();
+                    doubt.note_silent(Instant::now(), address, record.zone.clone());
                     selector.started(key);
                     selector.unreachable(key, Instant::now());
                 }
