Have peers teach a node that restarts while the store is away

Cause: a node that was restarted during an outage of the store knew no routes for as long as the outage lasted.

Ruled out: keeping callers away, which readiness does already; the requests came from other nodes.

Change: a node without a document refuses requests of other nodes, unsent. A node whose link to it is made again asks for its version and, if that is 0, hands over document and list. What the store says goes before that.

--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -5,9 +5,12 @@
 use lagoonshore_coordination::{outcome::RefusalReason, suspects::SuspectReport};
 use lagoonshore_state::{
     data_type,
-    ids::{DocumentVersion, InstanceName, ServiceName},
+    ids::{DocumentVersion, InstanceName, ServiceName, ZoneName},
+    instance_table::InstanceState,
+    route_table::FleetDocument,
     units::RequestImportance,
 };
+use std::net::SocketAddr;
 
 data_type! {
     /// `RelayRequest` asks a node to have its upstream run a request.
@@ -105,6 +108,34 @@
         pub suspect: Option<SuspectReport>,
     }
 
+    /// `FleetKnowledge` is all that a node knows of the fleet, for one that has just started and
+    /// cannot read the store.
+    pub struct FleetKnowledge {
+        /// Document in force.
+        pub document: FleetDocument,
+        /// Listed upstreams.
+        pub upstreams: Vec<ListedUpstream>,
+    }
+
+    /// `ListedUpstream` is an entry of the list as nodes tell it.
+    #[derive(Eq)]
+    pub struct ListedUpstream {
+        /// Name of this run of the upstream.
+        pub name: InstanceName,
+        /// Service that it belongs to.
+        pub service: ServiceName,
+        /// Its availability zone.
+        pub zone: ZoneName,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Requests that it serves at the same time.
+        pub slots: u32,
+        /// Whether it takes new work.
+        pub state: InstanceState,
+        /// Change of the store that the entry stems from.
+        pub revision: u64,
+    }
+
     /// `NodeNews` is what a node tells with each of its replies.
     #[derive(Copy, Default, Eq)]
     pub struct NodeNews {
--- a/crates/protocol/src/relay_service.rs
+++ b/crates/protocol/src/relay_service.rs
@@ -3,7 +3,7 @@
 // The attribute macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use crate::relay_messages::{NodeNews, RelayReply, RelayRequest};
+use crate::relay_messages::{FleetKnowledge, NodeNews, RelayReply, RelayRequest};
 
 use lagoonshore_state::route_table::FleetDocument;
 
@@ -18,6 +18,8 @@
     async fn probe() -> NodeNews;
     /// Hands over the document in force.
     async fn document() -> Option<FleetDocument>;
+    /// Tells a node that knows no document yet what the sender knows.
+    async fn teach(knowledge: FleetKnowledge);
     /// Tells the node of requests that crash upstreams.
     async fn suspects(reports: Vec<SuspectReport>);
 }
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -6,7 +6,7 @@
 use actix_rt::net::TcpStream;
 use lagoonshore_coordination::suspects::SuspectReport;
 use lagoonshore_protocol::{
-    relay_messages::{NodeNews, RelayReply, RelayRequest},
+    relay_messages::{FleetKnowledge, NodeNews, RelayReply, RelayRequest},
     relay_service::RelayServiceClient,
 };
 use lagoonshore_state::route_table::FleetDocument;
@@ -154,6 +154,35 @@
         reply.map_err(|fault| self.call_fault(address, &link, &fault))
     }
 
+    /// Asks the node at `address` for its state.
+    ///
+    /// # Errors
+    /// Why there is no reply.
+    pub async fn probe(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Result<NodeNews, LinkFault> {
+        let link = self.link(address).await?;
+        let reply = link.client.probe(context(deadline)).await;
+        reply.map_err(|fault| self.call_fault(address, &link, &fault))
+    }
+
+    /// Tells the node at `address` all that is known of the fleet.
+    ///
+    /// # Errors
+    /// Why the node may not have heard.
+    pub async fn teach(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        knowledge: FleetKnowledge,
+        deadline: Instant,
+    ) -> Result<(), LinkFault> {
+        let link = self.link(address).await?;
+        let told = link.client.teach(context(deadline), knowledge).await;
+        told.map_err(|fault| self.call_fault(address, &link, &fault))
+    }
+
     /// Tells the node at `address` of suspects.
     ///
     /// # Errors
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -3,6 +3,7 @@
 use crate::events;
 
 use compact_str::CompactString;
+use lagoonshore_protocol::relay_messages::{FleetKnowledge, ListedUpstream};
 use lagoonshore_state::{
     ids::{DocumentVersion, RegionName},
     instance_table::{InstanceRecord, InstanceTable},
@@ -15,7 +16,7 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 use tracing::{info, warn};
 
 /// Where a document or an entry came from.
@@ -104,6 +105,49 @@
         true
     }
 
+    /// All that the node knows, for one that has just started.
+    #[must_use]
+    pub fn knowledge(&self) -> Option<FleetKnowledge> {
+        let document = (*self.document()?).clone();
+        let upstreams = self.upstreams.borrow();
+        let listed = upstreams.iter().map(|record| ListedUpstream {
+            name: record.name.clone(),
+            service: record.service.clone(),
+            zone: record.zone.clone(),
+            address: record.address,
+            slots: record.slots,
+            state: record.state,
+            revision: record.revision,
+        });
+        Some(FleetKnowledge {
+            document,
+            upstreams: listed.collect(),
+        })
+    }
+
+    /// Takes over what another node knows, if nothing is known yet. The store, once it is read,
+    /// goes before it.
+    pub fn learn(&self, knowledge: FleetKnowledge) {
+        if self.version() > 0 {
+            return;
+        }
+        let now = Instant::now();
+        for listed in knowledge.upstreams {
+            self.take_upstream(UpstreamRecord {
+                name: listed.name,
+                service: listed.service,
+                zone: listed.zone,
+                address: listed.address,
+                slots: listed.slots,
+                state: listed.state,
+                cold_until: now,
+                revision: listed.revision,
+            });
+        }
+        self.take_document(knowledge.document, NewsSource::Peer);
+        self.note_list_read();
+    }
+
     /// Logs and counts a document that cannot be used; the one in force stays.
     pub fn refuse_document(&self, revision: u64, fault: &str) {
         self.faults.set(self.faults.get() + 1);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -3,7 +3,11 @@
 use crate::{
     admin_door::AdminDoor,
     caller_door::CallerDoor,
-    calling::{peer_book::PeerBook, peer_links::PeerLinks, request_caller::RequestCaller},
+    calling::{
+        peer_book::PeerBook,
+        peer_links::{LinkEvent, PeerLinks},
+        request_caller::RequestCaller,
+    },
     decision_log::DecisionLog,
     directory::{FleetDirectory, NewsSource},
     error::{RelayError, Result, SignalsSnafu},
@@ -34,6 +38,8 @@
 const DOCUMENT_TIME: Duration = Duration::from_secs(1);
 /// Time in which the store tells of a document that another node has already.
 const STORE_LEAD: Duration = Duration::from_millis(200);
+/// Time in which a node that came back reads the store itself.
+const TEACH_LEAD: Duration = Duration::from_millis(200);
 /// Time between two messages about suspects.
 const SUSPECT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -85,9 +91,15 @@
         let table = Rc::clone(server.table());
         let callers = CallerDoor::new(scheme, Rc::clone(&directory), table, caller);
         let ready = Rc::new(ReadyDoor::new(Rc::clone(&directory)));
-        let noted = Rc::clone(&book);
+        let (noted, known) = (Rc::clone(&book), Rc::clone(&directory));
+        let teaching = Rc::downgrade(&links);
         links.on_event(Rc::new(move |address, event| {
             noted.note_link(address, event);
+            if event == LinkEvent::Regained
+                && let Some(links) = teaching.upgrade()
+            {
+                actix_rt::spawn(teach(links, Rc::clone(&known), address));
+            }
         }));
         Ok(Rc::new(Self {
             settings,
@@ -246,6 +258,21 @@
     }
 }
 
+/// Teaches a node that came back and still knows nothing: it may not reach the store.
+async fn teach(links: Rc<PeerLinks>, directory: Rc<FleetDirectory>, address: SocketAddr) {
+    actix_rt::time::sleep(TEACH_LEAD).await;
+    let deadline = Instant::now() + DOCUMENT_TIME;
+    let Ok(news) = links.probe(address, deadline).await else {
+        return;
+    };
+    if news.version == 0
+        && let Some(knowledge) = directory.knowledge()
+    {
+        // A node that does not hear it from here hears it from another one.
+        let _ = links.teach(address, knowledge, deadline).await;
+    }
+}
+
 /// Takes a document from another node where the store has not told of it.
 async fn follow_peers(node: Rc<RelayNode>) {
     let mut peers = node.directory.peers();
--- a/crates/relay/src/peer_door.rs
+++ b/crates/relay/src/peer_door.rs
@@ -9,7 +9,7 @@
 use futures::StreamExt;
 use lagoonshore_coordination::suspects::SuspectReport;
 use lagoonshore_protocol::{
-    relay_messages::{NodeNews, RelayReply, RelayRequest},
+    relay_messages::{FleetKnowledge, NodeNews, RelayReply, RelayRequest},
     relay_service::RelayService,
 };
 use lagoonshore_state::route_table::FleetDocument;
@@ -97,6 +97,10 @@
             .map(|document| (*document).clone())
     }
 
+    async fn teach(self, _: Context, knowledge: FleetKnowledge) {
+        self.directory.learn(knowledge);
+    }
+
     async fn suspects(self, _: Context, reports: Vec<SuspectReport>) {
         self.server.learn_suspects(&reports);
     }
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -209,6 +209,10 @@
         if report.crashes > 0 {
             self.suspects.borrow_mut().merge(Instant::now(), report);
         }
+        // The calls of a run would find no routes.
+        if self.directory.version() == 0 {
+            return refused(RefusalReason::Starting, AWAY_RETRY);
+        }
         // The sender's list may be older than the use of this address by another service.
         if request.service != self.service {
             return refused(RefusalReason::NoInstance, Duration::ZERO);
--- a/crates/relay/tests/whole_path.rs
+++ b/crates/relay/tests/whole_path.rs
@@ -330,6 +330,32 @@
     );
 }
 
+#[actix_rt::test]
+async fn a_node_that_knows_nothing_takes_no_work_until_it_is_taught() {
+    let fleet = fleet().await;
+    let started = TestFleet::start(&[("b", "z1")]).await;
+    let lonely = &started.members[0];
+    let knowledge = fleet.members[0]
+        .node
+        .directory
+        .knowledge()
+        .expect("a document");
+    assert_eq!(lonely.node.directory.version(), 0);
+    assert!(!lonely.node.ready.is_ready());
+    lonely.node.directory.learn(knowledge.clone());
+    assert!(lonely.node.ready.is_ready());
+    let answer = ask(lonely.listen.callers, "GET", "/a/ok", "i1", "").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let mut newer = knowledge;
+    newer.document.version = 9;
+    lonely.node.directory.learn(newer);
+    assert_eq!(
+        lonely.node.directory.version(),
+        1,
+        "one that knows is not taught"
+    );
+}
+
 #[actix_rt::test]
 async fn operators_read_state_and_metrics() {
     let fleet = fleet().await;
