Choose around instances that fail a part of their calls; do not queue for connections

In a cut of a zone, requests waited in a row for a link to be made, each for the time-out of the one before (350 ms to 3.3 s).

Ruled out: a shorter time for connections; the waits added up to any number.

Change: the choice of peers keeps a moving share of failures, and a peer that fails a quarter of its calls comes after others with room. A request that waited for a connection which failed fails with it; while a node is lost only the search for it makes connections. Requests that may run once use only connections that were idle for half a second at most, since an upstream may forget idle ones and what is sent then is lost without a word.

Both tests of links failed first; the test of the choice fails with the share switched off.

--- a/crates/coordination/src/routing/candidate_choice.rs
+++ b/crates/coordination/src/routing/candidate_choice.rs
@@ -33,9 +33,10 @@
         is_trusted && self.record.state == InstanceState::Live
     }
 
-    /// Tells whether the instance is neither full nor a straggler.
+    /// Tells whether the instance is neither full nor a straggler, and fails few calls.
     fn has_room(&self, now: Instant) -> bool {
-        self.view.utilization(now) < FULL_UTILIZATION && !self.view.is_straggling(now)
+        let is_sound = !self.view.is_straggling(now) && !self.view.is_failing(now);
+        is_sound && self.view.utilization(now) < FULL_UTILIZATION
     }
 
     fn is_near(&self, zone: &str) -> bool {
--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -32,6 +32,8 @@
         pub utilization: f64,
         /// Failures in a row.
         pub failures: u32,
+        /// Share of the calls that failed lately.
+        pub failure_share: f64,
         /// Whether the peer takes calls.
         pub condition: PeerCondition,
         /// Share of its calls that the peer takes while it warms up; 1 afterwards.
@@ -131,6 +133,7 @@
         table: &InstanceTable,
     ) {
         let Some(view) = self.ended(key) else { return };
+        view.note_end(now, false);
         view.sample(now, latency, typical);
         view.answers = view.answers.saturating_add(1);
         if self.is_outlier(key, table) {
@@ -172,9 +175,17 @@
         }
     }
 
+    /// Notes that a call ended with an answer by which the upstream itself failed it.
+    pub fn answered_badly(&mut self, key: InstanceKey, now: Instant) {
+        if let Some(view) = self.ended(key) {
+            view.note_end(now, true);
+        }
+    }
+
     /// Notes that a call ended without a reply.
     pub fn failed(&mut self, key: InstanceKey, now: Instant, table: &InstanceTable) {
         let Some(view) = self.ended(key) else { return };
+        view.note_end(now, true);
         if view.ejection.note_failure() {
             self.eject(key, now, table);
         }
@@ -236,6 +247,7 @@
             slowness: view.slowness(now),
             utilization: view.utilization(now),
             failures: view.ejection.failures(),
+            failure_share: view.failure_share(now),
             condition: view.ejection.condition(now),
             slow_start_share: slow_start::share(now, view.warming_since),
             draining: view.is_draining(now),
--- a/crates/coordination/src/routing/peer_view.rs
+++ b/crates/coordination/src/routing/peer_view.rs
@@ -18,6 +18,12 @@
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(500);
 /// Time for which an overload refusal marks a peer as full.
 const OVERLOAD_MEMORY: Duration = Duration::from_millis(200);
+/// Weight of one call in the moving share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Time in which the share of failures loses half of its weight, so that a peer is tried again.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Share of failures from which other peers go first.
+const FAILING_SHARE: f64 = 0.25;
 /// Time for which a notice that the peer is leaving holds.
 const DRAINING_MEMORY: Duration = Duration::from_secs(10);
 
@@ -55,6 +61,8 @@
     sampled_at: Instant,
     report: Option<(Instant, ReportedLoad)>,
     overloaded_at: Option<Instant>,
+    failure_share: f64,
+    failure_at: Instant,
     draining_at: Option<Instant>,
     leaving: bool,
 }
@@ -75,6 +83,8 @@
             sampled_at: now,
             report: None,
             overloaded_at: None,
+            failure_share: 0.0,
+            failure_at: now,
             draining_at: None,
             leaving: false,
         }
@@ -136,6 +146,27 @@
         self.draining_at = report.draining.then_some(now);
     }
 
+    /// Notes whether a call failed. A peer that fails a part of its calls never fails enough of
+    /// them in a row to be ejected.
+    pub fn note_end(&mut self, now: Instant, has_failed: bool) {
+        let sample = f64::from(u8::from(has_failed));
+        let known = self.failure_share(now);
+        self.failure_share = known + FAILURE_WEIGHT * (sample - known);
+        self.failure_at = now;
+    }
+
+    /// Share of the calls that failed lately.
+    #[must_use]
+    pub fn failure_share(&self, now: Instant) -> f64 {
+        self.failure_share * aged(now, self.failure_at, FAILURE_HALF_LIFE)
+    }
+
+    /// Tells whether so many calls fail that other peers go first.
+    #[must_use]
+    pub fn is_failing(&self, now: Instant) -> bool {
+        self.failure_share(now) >= FAILING_SHARE
+    }
+
     /// Notes a refusal for overload.
     pub const fn note_overload(&mut self, now: Instant) {
         self.overloaded_at = Some(now);
--- a/crates/coordination/tests/peer_selection.rs
+++ b/crates/coordination/tests/peer_selection.rs
@@ -204,3 +204,28 @@
     world.selector.set_leaving(world.keys[0], false);
     assert_eq!(world.chosen(), [0]);
 }
+
+/// The instance of the own zone loses every second answer. It is never ejected, since it never
+/// fails three times in a row, and yet most calls go elsewhere.
+#[rstest]
+fn an_instance_that_fails_half_of_its_calls_gets_few_of_them(#[values(1, 2, 3)] seed: u64) {
+    let world = SelectorWorld::new(seed, &["izmit", "gebze", "golcuk"]);
+    let (mut selector, table, keys) = (world.selector, world.table, world.keys);
+    let (mut now, mut random) = (world.now, SmallRng::seed_from_u64(seed));
+    let (mut failing, mut failed) = (0_u32, 0_u32);
+    for _ in 0..CALLS {
+        now += CALL_INTERVAL;
+        let chosen = selector.choose(now, &table, SERVICE, &[], &mut random);
+        let key = chosen.expect("an instance");
+        selector.started(key);
+        failing += u32::from(key == keys[0]);
+        if key == keys[0] && failing % 2 == 0 {
+            failed += 1;
+            selector.failed(key, now, &table);
+        } else {
+            selector.answered(key, now, TYPICAL, TYPICAL, &table);
+        }
+    }
+    assert!(failed < 60, "{failed} of {CALLS} calls failed");
+    assert!(failing > 0, "it is tried now and then");
+}
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -34,6 +34,8 @@
         pub body: Bytes,
         /// Importance of the first request of its chain.
         pub importance: RequestImportance,
+        /// Whether running it twice does the same as running it once.
+        pub is_idempotent: bool,
         /// Whether it is a call that a running request makes.
         pub is_nested: bool,
         /// Kind of request, for learning how long it takes.
--- a/crates/relay/src/calling/peer_book.rs
+++ b/crates/relay/src/calling/peer_book.rs
@@ -110,6 +110,12 @@
         selector.answered(key, Instant::now(), elapsed, typical, &table);
     }
 
+    /// Notes an answer by which the upstream itself failed the request.
+    pub fn answered_badly(&self, key: InstanceKey) {
+        let mut selector = self.selector.borrow_mut();
+        selector.answered_badly(key, Instant::now());
+    }
+
     /// Notes a refusal that a node sent.
     pub fn refused(&self, key: InstanceKey, refusal: CallRefusal) {
         let table = self.directory.instances();
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -222,17 +222,35 @@
         Rc::clone(self.places.borrow_mut().entry(address).or_default())
     }
 
+    /// The link to a node. While the node is lost, only the search for it makes connections, so
+    /// that no request waits for one.
     async fn link(self: &Rc<Self>, address: SocketAddr) -> Result<Rc<PeerLink>, LinkFault> {
         let place = self.place(address);
         if let Some(link) = place.live() {
             return Ok(link);
         }
+        if place.is_lost.get() {
+            return Err(LinkFault::Connect);
+        }
         let guard = place.connecting.lock().await;
         if let Some(link) = place.live() {
             return Ok(link);
         }
-        let made = self.connect(address).await;
+        // The try of a request that came before has failed meanwhile.
+        if place.is_lost.get() {
+            return Err(LinkFault::Connect);
+        }
+        let made = self.make(address, &place).await;
         drop(guard);
+        made
+    }
+
+    async fn make(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        place: &PeerPlace,
+    ) -> Result<Rc<PeerLink>, LinkFault> {
+        let made = self.connect(address).await;
         let Some(link) = made else {
             self.lose(address, "no connection");
             return Err(LinkFault::Connect);
@@ -386,7 +404,9 @@
     loop {
         actix_rt::time::sleep(RECONNECT_PAUSE).await;
         let Some(links) = links.upgrade() else { return };
-        if !links.places.borrow().contains_key(&address) || links.link(address).await.is_ok() {
+        let place = links.places.borrow().get(&address).cloned();
+        let Some(place) = place else { return };
+        if place.live().is_some() || links.make(address, &place).await.is_ok() {
             return;
         }
         links.tell(address, LinkEvent::Lost);
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -375,6 +375,7 @@
             fields: request.fields.clone(),
             body: request.body.clone(),
             importance: importance(request),
+            is_idempotent: request.route.is_idempotent,
             is_nested: request.parent.is_some(),
             kind: kind_of(&request.route.name),
             aim_ms: whole_millis(aim_left),
@@ -558,6 +559,12 @@
         };
         self.book.take_news(self.key, self.address, reply.news);
         match &reply.result {
+            // Where the run made calls, one of them may be the cause.
+            RelayResult::Answered(answer)
+                if answer.status >= FAILURE_STATUS && reply.calls == 0 =>
+            {
+                self.book.answered_badly(self.key);
+            }
             RelayResult::Answered(_) => {
                 let typical = self.typical.unwrap_or(elapsed);
                 self.book.answered(self.key, elapsed, typical);
--- a/crates/relay/src/http1/pool.rs
+++ b/crates/relay/src/http1/pool.rs
@@ -15,12 +15,15 @@
 
 /// Time for a connection to be made.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
+/// Idle time of a connection that any request may use.
+pub const IDLE_ANY: Duration = Duration::MAX;
 /// Part of its keep-alive time for which an idle connection is reused, so that none is used just
 /// as it ends.
 const KEEP_SHARE: f64 = 0.7;
 
 struct IdleConnection {
     stream: TcpStream,
+    since: Instant,
     until: Instant,
 }
 
@@ -71,7 +74,9 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Sends `request` and waits for its whole answer. Dropping the future closes the connection,
+    /// Sends `request` and waits for its whole answer, on a connection that was idle for
+    /// `idle_max` at most: a server may forget an idle connection, and what is sent on it then is
+    /// lost without a word on whether it ran. Dropping the future closes the connection,
     /// which tells the server that nobody waits any more.
     ///
     /// # Errors
@@ -80,8 +85,9 @@
         &self,
         request: SentRequest,
         scheme: &HeaderScheme,
+        idle_max: Duration,
     ) -> Result<WholeAnswer, SendFault> {
-        let stream = match self.take_idle() {
+        let stream = match self.take_idle(idle_max) {
             Some(stream) => stream,
             None => self.connect().await?,
         };
@@ -89,24 +95,26 @@
             .await
             .map_err(SendFault::Exchange)?;
         if let Some(keeps) = answer.keeps {
-            let until = Instant::now() + keeps.mul_f64(KEEP_SHARE);
-            self.idle
-                .borrow_mut()
-                .push(IdleConnection { stream, until });
+            let since = Instant::now();
+            let until = since + keeps.mul_f64(KEEP_SHARE);
+            let kept = IdleConnection {
+                stream,
+                since,
+                until,
+            };
+            self.idle.borrow_mut().push(kept);
         }
         Ok(answer)
     }
 
     /// Takes the connection that was used last, if nothing has come on it since.
-    fn take_idle(&self) -> Option<TcpStream> {
+    fn take_idle(&self, idle_max: Duration) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
-        while let Some(IdleConnection { stream, until }) = idle.pop() {
-            if until <= now {
-                // All below it have been idle for longer.
-                idle.retain(|held| held.until > now);
-                continue;
-            }
+        idle.retain(|held| held.until > now);
+        // The last one was used last.
+        while idle.last().is_some_and(|held| now - held.since <= idle_max) {
+            let IdleConnection { stream, .. } = idle.pop()?;
             let read = stream.try_read(&mut [0]);
             if read.is_err_and(|fault| fault.kind() == ErrorKind::WouldBlock) {
                 return Some(stream);
--- a/crates/relay/src/serving/own_upstream.rs
+++ b/crates/relay/src/serving/own_upstream.rs
@@ -10,7 +10,7 @@
     header_scheme::HeaderScheme,
     http1::{
         exchange::SentRequest,
-        pool::{ConnectionPool, SendFault},
+        pool::{ConnectionPool, IDLE_ANY, SendFault},
     },
 };
 
@@ -201,7 +201,7 @@
             id: None,
             is_head: false,
         };
-        let asking = self.pool.send(request, &self.scheme);
+        let asking = self.pool.send(request, &self.scheme, IDLE_ANY);
         let answer = actix_rt::time::timeout(LOOK_TIME, asking).await;
         let answer = answer.map_err(|_| SendFault::Connect(ErrorKind::TimedOut))??;
         Ok(answer.head.instance)
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -13,7 +13,7 @@
     header_scheme::HeaderScheme,
     http1::{
         exchange::{ExchangeFault, SentRequest, WholeAnswer},
-        pool::{ConnectionPool, SendFault},
+        pool::{ConnectionPool, IDLE_ANY, SendFault},
     },
     relay_metrics,
 };
@@ -43,6 +43,8 @@
 
 /// Slots that are assumed until the upstream is listed.
 const SLOTS_UNLISTED: u32 = 8;
+/// Idle time of a connection that a request may use which must not run twice.
+const IDLE_ONCE: Duration = Duration::from_millis(500);
 /// Share of the listed slots that are used: some upstreams slow down when they are nearly full.
 const SLOTS_SHARE: f64 = 0.95;
 /// Least time in which an upstream can do anything; a request with less left is not sent.
@@ -360,8 +362,13 @@
         deadline: Instant,
     ) -> Result<WholeAnswer, SendFault> {
         let expected = self.own.target(&request.instance);
+        let idle_max = if request.is_idempotent {
+            IDLE_ANY
+        } else {
+            IDLE_ONCE
+        };
         let sent = self.sent_request(request, &expected, deadline);
-        let answer = self.pool.send(sent, &self.scheme).await?;
+        let answer = self.pool.send(sent, &self.scheme, idle_max).await?;
         if answer.head.status != MISDIRECTED {
             if answer.head.is_signed {
                 self.own.note_answer();
@@ -373,7 +380,7 @@
             return Ok(answer);
         };
         let sent = self.sent_request(request, found, deadline);
-        self.pool.send(sent, &self.scheme).await
+        self.pool.send(sent, &self.scheme, idle_max).await
     }
 
     /// Turns an answer of the upstream into what is relayed.
--- /dev/null
+++ b/crates/relay/tests/peer_links.rs
@@ -0,0 +1,90 @@
+//! Links to nodes that do not answer, under a paused clock.
+
+use lagoonshore_protocol::relay_messages::RelayRequest;
+use lagoonshore_relay::calling::peer_links::{LinkFault, PeerLinks};
+use lagoonshore_state::units::RequestImportance;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::LocalSet,
+    time::Instant,
+};
+
+fn request() -> RelayRequest {
+    RelayRequest {
+        id: "i".into(),
+        service: "s".into(),
+        instance: "u".into(),
+        origin: "s".into(),
+        method: "GET".into(),
+        target: "/".into(),
+        fields: bytes::Bytes::new(),
+        body: bytes::Bytes::new(),
+        importance: RequestImportance(0),
+        is_idempotent: true,
+        is_nested: false,
+        kind: 1,
+        aim_ms: 1000,
+        wait_ms: 1000,
+        is_returning: false,
+        is_repeat: false,
+        crashes: 0,
+    }
+}
+
+/// An address at which connections neither succeed nor fail: its queue is full.
+async fn silent_address() -> (SocketAddr, Vec<TcpStream>, tokio::net::TcpListener) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket
+        .bind(([127, 0, 0, 1], 0).into())
+        .expect("a free port");
+    let listener = socket.listen(0).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let held = TcpStream::connect(address)
+        .await
+        .expect("the one place in the queue");
+    (address, vec![held], listener)
+}
+
+/// Ten requests at once for a node that is cut off: none waits for the tries of the others.
+#[tokio::test(start_paused = true)]
+async fn requests_do_not_queue_for_a_connection_that_fails() {
+    let (address, _held, _listener) = silent_address().await;
+    let sending = async {
+        let links = PeerLinks::new();
+        let started = Instant::now();
+        let deadline = started + Duration::from_secs(20);
+        let calls = (0..10).map(|_| links.relay(address, request(), deadline, true));
+        let ends = futures::future::join_all(calls).await;
+        (ends, started.elapsed())
+    };
+    let (ends, elapsed) = LocalSet::new().run_until(sending).await;
+    assert!(
+        ends.iter().all(|end| *end == Err(LinkFault::Connect)),
+        "{ends:?}"
+    );
+    assert!(
+        elapsed < Duration::from_millis(500),
+        "the last one waited for {elapsed:?}"
+    );
+}
+
+/// While a node is lost, only the search for it makes connections.
+#[tokio::test(start_paused = true)]
+async fn a_request_for_a_lost_node_fails_at_once() {
+    let (address, _held, _listener) = silent_address().await;
+    let sending = async {
+        let links = PeerLinks::new();
+        let deadline = Instant::now() + Duration::from_secs(20);
+        let first = links.relay(address, request(), deadline, true).await;
+        let started = Instant::now();
+        let second = links.relay(address, request(), deadline, true).await;
+        (first, second, started.elapsed())
+    };
+    let (first, second, elapsed) = LocalSet::new().run_until(sending).await;
+    assert_eq!(
+        (first, second),
+        (Err(LinkFault::Connect), Err(LinkFault::Connect))
+    );
+    assert_eq!(elapsed, Duration::ZERO);
+}
