Accept callers until the end of a stop

Ruled out: ending the process with the request still on; it breaks off work.

Change: the listener closes only just before the process ends; a fresh connection has 250 ms to send its request. The test failed first, with a refused connection, and once more with a closed one.

--- a/crates/relay/src/http1/door.rs
+++ b/crates/relay/src/http1/door.rs
@@ -28,6 +28,9 @@
 /// Time for which a connection that was closed is still read, so that the last answer is not
 /// lost to a reset.
 const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Idle time after which a door that closes idle connections closes one. A caller that has just
+/// connected is about to send a request.
+const UNWANTED_TIME: Duration = Duration::from_millis(250);
 /// Time for which a caller may leave its answer unread.
 const WRITE_TIME: Duration = Duration::from_secs(20);
 
@@ -75,13 +78,15 @@
     Closing,
     /// Idle connections are closed as well.
     ClosingIdle,
+    /// No connection is accepted any more.
+    Closed,
 }
 
 /// `OpenCount` counts the open connections of a door.
 pub type OpenCount = Rc<Cell<usize>>;
 
-/// Serves `listener` until the handler closes idle connections; connections above
-/// `connections_max` are closed at once.
+/// Serves `listener` until the door is closed; connections above `connections_max` are closed at
+/// once.
 pub async fn serve<H: CallerHandler>(
     listener: TcpListener,
     handler: Rc<H>,
@@ -95,7 +100,7 @@
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            Ok(_) = phase.wait_for(|phase| *phase == DoorPhase::ClosingIdle) => return,
+            Ok(_) = phase.wait_for(|phase| *phase == DoorPhase::Closed) => return,
         };
         let Ok((stream, _)) = accepted else {
             actix_rt::time::sleep(ACCEPT_PAUSE).await;
@@ -259,12 +264,15 @@
         if !self.pending.is_empty() {
             return Instant::now() + limits.idle_time;
         }
+        if self.closes_idle() {
+            return self.idle_since + UNWANTED_TIME;
+        }
         self.idle_since + limits.idle_time
     }
 
     /// `false` ends the connection.
     fn time_out(&mut self) -> bool {
-        if Instant::now() < self.wakes_at() {
+        if Instant::now() < self.wakes_at() || self.is_idle_and_unwanted() {
             return true;
         }
         if self.head_since.is_some() {
@@ -276,7 +284,11 @@
 
     fn is_idle_and_unwanted(&self) -> bool {
         let is_idle = self.input.is_empty() && self.partial.is_none();
-        is_idle && *self.phase.borrow() == DoorPhase::ClosingIdle
+        is_idle && self.closes_idle() && self.idle_since.elapsed() >= UNWANTED_TIME
+    }
+
+    fn closes_idle(&self) -> bool {
+        *self.phase.borrow() >= DoorPhase::ClosingIdle
     }
 
     fn is_closing(&self) -> bool {
--- a/crates/relay/src/planned_stop.rs
+++ b/crates/relay/src/planned_stop.rs
@@ -53,7 +53,9 @@
         }
         actix_rt::time::sleep(LOOK_TIME).await;
     }
-    // What comes from here on would be cut by the end of the process.
+    // What comes from here on would be cut by the end of the process. Until now callers were served:
+    // some find no other node.
+    node.callers.set_phase(DoorPhase::Closed);
     refuse_all(node);
     actix_rt::time::sleep(FLUSH_TIME).await;
     while Instant::now() < end && !is_idle(node) {
--- a/crates/relay/tests/whole_path.rs
+++ b/crates/relay/tests/whole_path.rs
@@ -298,6 +298,27 @@
     assert_eq!(ask(door, "GET", "/new/ok", "i2", "").await.status, 200);
 }
 
+/// A request that lasts keeps a stopping node alive; callers who find no other node are served
+/// meanwhile.
+#[actix_rt::test]
+async fn a_stopping_node_serves_callers_until_its_end() {
+    let fleet = fleet().await;
+    let stopping = &fleet.members[0];
+    let held = actix_rt::spawn(ask(stopping.listen.callers, "GET", "/b/never", "i0", ""));
+    until(|| fleet.members[2].upstream.ids() == vec!["i0"]).await;
+    let node = stopping.node.clone();
+    let stop = actix_rt::spawn(async move { lagoonshore_relay::planned_stop::run(&node).await });
+    for id in ["x1", "x2", "x3", "x4"] {
+        ask(stopping.listen.ready, "GET", "/ready", id, "").await;
+    }
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    assert!(!stop.is_finished(), "the request is still running");
+    let answer = ask(stopping.listen.callers, "GET", "/a/ok", "i1", "").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    stop.abort();
+    held.abort();
+}
+
 /// What is left of the process after a stop ends at any moment, with all that it has let in.
 #[actix_rt::test]
 async fn after_a_stop_nothing_more_is_let_in() {
