--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -111,7 +111,7 @@
             .filter(|at| **at >= from && **at < from + WINDOW);
         let count = in_window.count();
         assert!(
-            (count as f64) <= bound,
+            f64::from(u32::try_from(count).expect("a small number")) <= bound,
             "{count} repeats from {step}, {bound} allowed"
         );
     }
@@ -215,8 +215,8 @@
 #[test]
 fn a_part_of_the_pace_is_kept_for_callers_that_come_back() {
     let mut pacer = KindPacer::default();
-    let first = (0..).take_while(|_| pacer.enter(1, 20, false)).count();
-    let returning = (0..).take_while(|_| pacer.enter(1, 20, true)).count();
+    let first = (0..100).take_while(|_| pacer.enter(1, 20, false)).count();
+    let returning = (0..100).take_while(|_| pacer.enter(1, 20, true)).count();
     assert_eq!((first, returning), (17, 3));
 }
 
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -15,6 +15,8 @@
 data_type! {
     /// `RelayRequest` asks a node to have its upstream run a request.
     /// The deadline travels in the context of the call.
+    // The flags are independent of each other: no two of them are states of one thing.
+    #[allow(clippy::struct_excessive_bools)]
     pub struct RelayRequest {
         /// Id that the caller gave the request.
         pub id: CompactString,
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -379,8 +379,7 @@
         let probe = link.client.probe(context(Instant::now() + PROBE_TIME));
         if let Ok(Ok(news)) = actix_rt::time::timeout(PROBE_TIME, probe).await {
             lost = 0;
-            link.suspected
-                .send_if_modified(|is_suspected| std::mem::take(is_suspected));
+            link.suspected.send_if_modified(std::mem::take);
             link.heard.set(Instant::now());
             links.tell(address, LinkEvent::News(news));
             continue;
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -51,6 +51,8 @@
 }
 
 /// `AnswerHead` is the head of an answer.
+// Each flag stands for a field of its own.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Debug)]
 pub struct AnswerHead {
     /// Status.
--- a/crates/relay/src/serving/own_upstream.rs
+++ b/crates/relay/src/serving/own_upstream.rs
@@ -32,7 +32,7 @@
 /// Time between two looks at an upstream that is down.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 /// Time for the answer to a look.
-const LOOK_TIME: Duration = Duration::from_millis(1000);
+const LOOK_TIME: Duration = Duration::from_secs(1);
 /// Time for a connection that shows whether the upstream is there.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
 
