Split the caller, the server and the door into smaller modules

No change of behaviour: progress and record of a sending, replies in place of an answer, marks of running requests, and the writing of answers have files of their own.

--- /dev/null
+++ b/crates/relay/src/calling/call_progress.rs
@@ -0,0 +1,110 @@
+//! What a request has come to while it is tried at one instance after the other.
+
+use super::request_caller::{CallEnd, RoutedRequest};
+
+use crate::serving::running_table::CallSum;
+
+use compact_str::CompactString;
+use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_protocol::relay_messages::{NodeNews, RelayAnswer, RelayRefusal, RequestReach};
+use lagoonshore_state::{ids::ServiceName, instance_table::InstanceKey};
+use std::time::Duration;
+
+/// Least time to come back after a refusal.
+const RETRY_MIN: Duration = Duration::from_millis(50);
+/// Longest time to come back after a refusal.
+const RETRY_MAX: Duration = Duration::from_secs(2);
+/// Time to come back where no instance says more.
+const RETRY_DEFAULT: Duration = Duration::from_millis(300);
+
+/// `CallProgress` is what a request has come to so far.
+pub(crate) struct CallProgress {
+    pub(crate) service: ServiceName,
+    pub(crate) asked: Vec<InstanceKey>,
+    /// Upstreams that read the request.
+    pub(crate) reached: u32,
+    pub(crate) may_have_run: bool,
+    /// Whether the last upstream turned the request away itself.
+    pub(crate) is_rejected: bool,
+    /// What its runs and their calls came to.
+    pub(crate) below: CallSum,
+    /// Whether what is full lies below the instances that were asked.
+    pub(crate) is_full_below: bool,
+    pub(crate) reason: RefusalReason,
+    pub(crate) retry: Option<Duration>,
+    pub(crate) failure: Option<RelayAnswer>,
+    pub(crate) last: CompactString,
+    /// Load that the node of the last instance told.
+    pub(crate) load: NodeNews,
+}
+
+impl CallProgress {
+    pub(crate) fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            asked: Vec::new(),
+            reached: 0,
+            may_have_run: false,
+            is_rejected: false,
+            below: CallSum::default(),
+            is_full_below: false,
+            reason: RefusalReason::NoInstance,
+            retry: None,
+            failure: None,
+            last: CompactString::default(),
+            load: NodeNews::default(),
+        }
+    }
+
+    pub(crate) fn note_refusal(&mut self, refusal: RelayRefusal) {
+        self.is_full_below |= refusal.is_below;
+        self.is_rejected = refusal.reach == RequestReach::Rejected;
+        match refusal.reach {
+            RequestReach::Unsent => self.note_unsent(refusal.reason),
+            RequestReach::Rejected => {
+                self.reached += 1;
+                self.reason = refusal.reason;
+            }
+            RequestReach::Unknown => self.note_lost(refusal.reason),
+        }
+        if refusal.retry_ms > 0 {
+            let retry = Duration::from_millis(refusal.retry_ms.into());
+            self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
+        }
+    }
+
+    pub(crate) const fn note_unsent(&mut self, reason: RefusalReason) {
+        self.reason = reason;
+    }
+
+    pub(crate) const fn note_lost(&mut self, reason: RefusalReason) {
+        self.reached += 1;
+        self.may_have_run = true;
+        self.reason = reason;
+    }
+
+    pub(crate) fn may_go_on(&self, request: &RoutedRequest) -> bool {
+        let is_safe = !self.may_have_run || request.route.is_idempotent;
+        is_safe && !self.is_full_below && self.reason != RefusalReason::Quarantined
+    }
+
+    pub(crate) fn end(&self) -> CallEnd {
+        if self.may_have_run {
+            return CallEnd::Unknown(self.reason);
+        }
+        let retry = self.retry.unwrap_or(RETRY_DEFAULT);
+        let may_come_back = self.reason != RefusalReason::Quarantined;
+        CallEnd::NotRun(
+            self.reason,
+            may_come_back.then(|| retry.clamp(RETRY_MIN, RETRY_MAX)),
+        )
+    }
+
+    /// The deadline passed while an instance had the request.
+    pub(crate) fn end_late(&self) -> CallEnd {
+        if self.asked.is_empty() {
+            return CallEnd::NotRun(RefusalReason::Timeout, None);
+        }
+        CallEnd::Unknown(RefusalReason::Timeout)
+    }
+}
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -1,8 +1,10 @@
 //! Finds an upstream for a request and sends it there, and again where that is allowed.
 
 use super::{
+    call_progress::CallProgress,
     peer_book::{PeerBook, PeerTarget},
     peer_links::{LinkFault, PeerLinks},
+    send_record::SendRecord,
 };
 
 use crate::{
@@ -10,7 +12,7 @@
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     serving::{
-        running_table::{CallSum, RunningRequest},
+        running_table::RunningRequest,
         upstream_server::{self, UpstreamServer},
     },
 };
@@ -22,18 +24,12 @@
         repeat_allowance::{AllowanceRules, RepeatAllowance},
         traffic_split::TrafficSplit,
     },
-    outcome::{CallOutcome, RefusalReason},
-    request_life::CallRefusal,
+    outcome::RefusalReason,
     retries::route_latency::RouteLatency,
 };
-use lagoonshore_protocol::relay_messages::{
-    NodeNews, RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
-};
+use lagoonshore_protocol::relay_messages::{RelayAnswer, RelayReply, RelayRequest, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RepeatSettings};
-use lagoonshore_state::{
-    ids::ServiceName, instance_table::InstanceKey, route_table::RouteEntry,
-    units::RequestImportance,
-};
+use lagoonshore_state::{ids::ServiceName, route_table::RouteEntry, units::RequestImportance};
 use siphasher::sip::SipHasher13;
 use std::{
     cell::{Cell, RefCell},
@@ -49,14 +45,8 @@
 const ASKED_MAX: usize = 3;
 /// Share of the aim for which a request may wait at one instance while others are left to ask.
 const FIRST_WAIT_SHARE: f64 = 0.15;
-/// Least time to come back after a refusal.
-const RETRY_MIN: Duration = Duration::from_millis(50);
-/// Longest time to come back after a refusal.
-const RETRY_MAX: Duration = Duration::from_secs(2);
-/// Time to come back where no instance says more.
-const RETRY_DEFAULT: Duration = Duration::from_millis(300);
 /// First status of answers that tell of a failure of the upstream.
-const FAILURE_STATUS: u16 = 500;
+pub(crate) const FAILURE_STATUS: u16 = 500;
 /// Time below which a second try cannot end in time.
 const REPEAT_TIME_MIN: Duration = Duration::from_millis(20);
 
@@ -115,27 +105,6 @@
     running: Cell<u32>,
 }
 
-/// What a request has come to so far.
-struct CallProgress {
-    service: ServiceName,
-    asked: Vec<InstanceKey>,
-    /// Upstreams that read the request.
-    reached: u32,
-    may_have_run: bool,
-    /// Whether the last upstream turned the request away itself.
-    is_rejected: bool,
-    /// What its runs and their calls came to.
-    below: CallSum,
-    /// Whether what is full lies below the instances that were asked.
-    is_full_below: bool,
-    reason: RefusalReason,
-    retry: Option<Duration>,
-    failure: Option<RelayAnswer>,
-    last: CompactString,
-    /// Load that the node of the last instance told.
-    load: NodeNews,
-}
-
 impl RequestCaller {
     /// Creates the caller of a node.
     #[must_use]
@@ -449,149 +418,6 @@
     }
 }
 
-impl CallProgress {
-    fn new(service: ServiceName) -> Self {
-        Self {
-            service,
-            asked: Vec::new(),
-            reached: 0,
-            may_have_run: false,
-            is_rejected: false,
-            below: CallSum::default(),
-            is_full_below: false,
-            reason: RefusalReason::NoInstance,
-            retry: None,
-            failure: None,
-            last: CompactString::default(),
-            load: NodeNews::default(),
-        }
-    }
-
-    fn note_refusal(&mut self, refusal: RelayRefusal) {
-        self.is_full_below |= refusal.is_below;
-        self.is_rejected = refusal.reach == RequestReach::Rejected;
-        match refusal.reach {
-            RequestReach::Unsent => self.note_unsent(refusal.reason),
-            RequestReach::Rejected => {
-                self.reached += 1;
-                self.reason = refusal.reason;
-            }
-            RequestReach::Unknown => self.note_lost(refusal.reason),
-        }
-        if refusal.retry_ms > 0 {
-            let retry = Duration::from_millis(refusal.retry_ms.into());
-            self.retry = Some(self.retry.map_or(retry, |known| known.min(retry)));
-        }
-    }
-
-    const fn note_unsent(&mut self, reason: RefusalReason) {
-        self.reason = reason;
-    }
-
-    const fn note_lost(&mut self, reason: RefusalReason) {
-        self.reached += 1;
-        self.may_have_run = true;
-        self.reason = reason;
-    }
-
-    fn may_go_on(&self, request: &RoutedRequest) -> bool {
-        let is_safe = !self.may_have_run || request.route.is_idempotent;
-        is_safe && !self.is_full_below && self.reason != RefusalReason::Quarantined
-    }
-
-    fn end(&self) -> CallEnd {
-        if self.may_have_run {
-            return CallEnd::Unknown(self.reason);
-        }
-        let retry = self.retry.unwrap_or(RETRY_DEFAULT);
-        let may_come_back = self.reason != RefusalReason::Quarantined;
-        CallEnd::NotRun(
-            self.reason,
-            may_come_back.then(|| retry.clamp(RETRY_MIN, RETRY_MAX)),
-        )
-    }
-
-    /// The deadline passed while an instance had the request.
-    fn end_late(&self) -> CallEnd {
-        if self.asked.is_empty() {
-            return CallEnd::NotRun(RefusalReason::Timeout, None);
-        }
-        CallEnd::Unknown(RefusalReason::Timeout)
-    }
-}
-
-/// Tells the book how a sending went, also when its future is dropped.
-struct SendRecord<'a> {
-    book: &'a PeerBook,
-    key: InstanceKey,
-    address: SocketAddr,
-    typical: Option<Duration>,
-    started: Instant,
-    is_closed: bool,
-}
-
-impl<'a> SendRecord<'a> {
-    fn open(book: &'a PeerBook, target: &PeerTarget, typical: Option<Duration>) -> Self {
-        book.started(target.key);
-        Self {
-            book,
-            key: target.key,
-            address: target.address,
-            typical,
-            started: Instant::now(),
-            is_closed: false,
-        }
-    }
-
-    fn close(mut self, reply: &Result<RelayReply, LinkFault>) -> Duration {
-        self.is_closed = true;
-        let elapsed = self.started.elapsed();
-        let reply = match reply {
-            Ok(reply) => reply,
-            Err(LinkFault::Connect) => {
-                self.book.unreachable(self.key);
-                return elapsed;
-            }
-            Err(LinkFault::Lost | LinkFault::TimedOut) => {
-                self.book.failed(self.key);
-                return elapsed;
-            }
-        };
-        self.book.take_news(self.key, self.address, reply.news);
-        match &reply.result {
-            // Where the run made calls, one of them may be the cause.
-            RelayResult::Answered(answer)
-                if answer.status >= FAILURE_STATUS && reply.calls == 0 =>
-            {
-                self.book.answered_badly(self.key);
-            }
-            RelayResult::Answered(_) => {
-                let typical = self.typical.unwrap_or(elapsed);
-                self.book.answered(self.key, elapsed, typical);
-            }
-            RelayResult::Refused(refusal) => {
-                let outcome = match refusal.reach {
-                    RequestReach::Unknown => CallOutcome::Unknown,
-                    _ => CallOutcome::NotRun,
-                };
-                let reason = refusal.reason;
-                self.book.refused(self.key, CallRefusal { outcome, reason });
-            }
-        }
-        elapsed
-    }
-}
-
-impl Drop for SendRecord<'_> {
-    fn drop(&mut self) {
-        if !self.is_closed {
-            let elapsed = self.started.elapsed();
-            let typical = self.typical.unwrap_or(elapsed);
-            self.book.abandoned(self.key, elapsed, typical);
-        }
-    }
-}
-
 /// Counts a request while it is on its way; one whose future is dropped was left by its caller.
 struct LeavingNote<'a> {
     caller: &'a RequestCaller,
--- a/crates/relay/src/http1/door.rs
+++ b/crates/relay/src/http1/door.rs
@@ -2,6 +2,7 @@
 //! writes the answers in the order of the requests (RFC 9112, section 9.3.2).
 
 use super::{
+    answer_writer::write_answer,
     body::{BodyFault, BodyFraming, BodyReader},
     head::{self, HeadFault, RequestHead},
 };
@@ -470,45 +471,6 @@
     }
 }
 
-fn write_answer(output: &mut BytesMut, answer: &DoorAnswer, closes: bool, is_head: bool) {
-    use std::fmt::Write;
-    output.reserve(answer.fields.len() + answer.body.len() + 128);
-    let status = answer.status;
-    // Writing to a buffer in memory does not fail.
-    let _ = write!(output, "HTTP/1.1 {status} {}\r\n", reason_phrase(status));
-    output.extend_from_slice(&answer.fields);
-    if !is_head && !matches!(status, 204 | 304) {
-        let _ = write!(output, "Content-Length: {}\r\n", answer.body.len());
-    }
-    if closes {
-        output.extend_from_slice(b"Connection: close\r\n");
-    }
-    output.extend_from_slice(b"\r\n");
-    if !is_head {
-        output.extend_from_slice(&answer.body);
-    }
-}
-
-const fn reason_phrase(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        201 => "Created",
-        204 => "No Content",
-        400 => "Bad Request",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        421 => "Misdirected Request",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        500 => "Internal Server Error",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
-    }
-}
-
 /// Answers at once, for handlers that need not wait.
 #[must_use]
 pub fn ready(answer: DoorAnswer) -> LocalBoxFuture<'static, DoorAnswer> {
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 as the forwarding path needs it: heads are relayed byte for byte, pipelined requests
 //! are served at the same time, and an answer that was cut off is told from a whole one.
 
+mod answer_writer;
 pub mod body;
 pub mod door;
 pub mod exchange;
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -2,6 +2,8 @@
 
 use super::{
     own_upstream::OwnUpstream,
+    refusals::{full_below, refused, unknown},
+    run_marks::{PaceMark, RunMark},
     running_table::{CallSum, RunningRequest, RunningTable},
     slot_gate::{SlotGate, SlotPermit},
 };
@@ -23,7 +25,7 @@
     fingerprint::{self, RequestFingerprint},
     forwarding::{
         kind_pacer::KindPacer,
-        slot_queue::{KindId, SlotOffer, SlotRank},
+        slot_queue::{SlotOffer, SlotRank},
     },
     outcome::RefusalReason,
     suspects::{SuspectReport, SuspectTable},
@@ -53,8 +55,6 @@
 const CRASHES_MAX: u8 = 3;
 /// Time after which a caller may come back to an upstream that is down or leaving.
 const AWAY_RETRY: Duration = Duration::from_millis(300);
-/// Time after which a caller may come back when calls further down have to wait.
-const PACE_RETRY: Duration = Duration::from_millis(250);
 /// Requests of one kind, running and waiting, in multiples of the slots.
 const PACE_SLOTS: u32 = 3;
 /// Status by which an upstream says that another one was expected (RFC 9110, section 15.5.20).
@@ -483,36 +483,6 @@
     }
 }
 
-/// Counts a request for as long as it is being served.
-struct RunMark<'a>(&'a Cell<u32>);
-
-impl<'a> RunMark<'a> {
-    fn new(running: &'a Cell<u32>) -> Self {
-        running.set(running.get() + 1);
-        Self(running)
-    }
-}
-
-impl Drop for RunMark<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// Counts a paced request until it ends.
-struct PaceMark<'a> {
-    pacer: &'a RefCell<KindPacer>,
-    kind: Option<KindId>,
-}
-
-impl Drop for PaceMark<'_> {
-    fn drop(&mut self) {
-        if let Some(kind) = self.kind {
-            self.pacer.borrow_mut().leave(kind);
-        }
-    }
-}
-
 /// Fingerprint by which all nodes recognise a request that is sent again.
 #[must_use]
 pub fn fingerprint_of(request: &RelayRequest) -> RequestFingerprint {
@@ -530,33 +500,3 @@
 fn usable_slots(slots: u32) -> u32 {
     ((f64::from(slots) * SLOTS_SHARE) as u32).max(1)
 }
-
-fn refused(reason: RefusalReason, retry: Duration) -> RelayResult {
-    let retry_ms = u32::try_from(retry.as_millis()).unwrap_or(u32::MAX);
-    RelayResult::Refused(RelayRefusal {
-        reason,
-        reach: RequestReach::Unsent,
-        retry_ms,
-        is_below: false,
-    })
-}
-
-/// Refuses a request because calls like those that it would make find no slots.
-fn full_below() -> RelayResult {
-    let retry_ms = u32::try_from(PACE_RETRY.as_millis()).unwrap_or(u32::MAX);
-    RelayResult::Refused(RelayRefusal {
-        reason: RefusalReason::Overload,
-        reach: RequestReach::Unsent,
-        retry_ms,
-        is_below: true,
-    })
-}
-
-const fn unknown(reason: RefusalReason) -> RelayResult {
-    RelayResult::Refused(RelayRefusal {
-        reason,
-        reach: RequestReach::Unknown,
-        retry_ms: 0,
-        is_below: false,
-    })
-}
