Drop an unused field of upstreams; accept links and frame messages in one place

No change of behaviour: the time until which an upstream is cold was decoded and never used (its form is still checked), so that nodes tell each other the records as they hold them; the loop that accepts links and the codec of frames were written twice.

--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -5,12 +5,11 @@
 use lagoonshore_coordination::{outcome::RefusalReason, suspects::SuspectReport};
 use lagoonshore_state::{
     data_type,
-    ids::{DocumentVersion, InstanceName, ServiceName, ZoneName},
-    instance_table::InstanceState,
+    ids::{DocumentVersion, InstanceName, ServiceName},
     route_table::FleetDocument,
     units::RequestImportance,
+    upstream_list::UpstreamRecord,
 };
-use std::net::SocketAddr;
 
 data_type! {
     /// `RelayRequest` asks a node to have its upstream run a request.
@@ -118,26 +117,7 @@
         /// Document in force.
         pub document: FleetDocument,
         /// Listed upstreams.
-        pub upstreams: Vec<ListedUpstream>,
-    }
-
-    /// `ListedUpstream` is an entry of the list as nodes tell it.
-    #[derive(Eq)]
-    pub struct ListedUpstream {
-        /// Name of this run of the upstream.
-        pub name: InstanceName,
-        /// Service that it belongs to.
-        pub service: ServiceName,
-        /// Its availability zone.
-        pub zone: ZoneName,
-        /// Where it listens.
-        pub address: SocketAddr,
-        /// Requests that it serves at the same time.
-        pub slots: u32,
-        /// Whether it takes new work.
-        pub state: InstanceState,
-        /// Change of the store that the entry stems from.
-        pub revision: u64,
+        pub upstreams: Vec<UpstreamRecord>,
     }
 
     /// `NodeNews` is what a node tells with each of its replies.
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -10,6 +10,7 @@
     relay_service::RelayServiceClient,
 };
 use lagoonshore_state::route_table::FleetDocument;
+use lagoonshore_transport::peer_link::frame_codec;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -28,7 +29,6 @@
     task::JoinHandle,
     time::Instant,
 };
-use tokio_util::codec::LengthDelimitedCodec;
 use tracing::{info, warn};
 
 /// Largest message between nodes, in bytes.
@@ -274,7 +274,7 @@
         stream.set_nodelay(true).ok()?;
         // What a lost link still holds must not reach the node later.
         stream.set_zero_linger().ok()?;
-        let framed = frame_codec().new_framed(stream);
+        let framed = frame_codec(FRAME_BYTES_MAX).new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let mut config = Config::default();
         config.max_in_flight_requests = IN_FLIGHT_MAX;
@@ -417,11 +417,3 @@
     context.deadline = deadline.into_std();
     context
 }
-
-/// Codec of the frames between nodes.
-#[must_use]
-pub fn frame_codec() -> tokio_util::codec::length_delimited::Builder {
-    let mut builder = LengthDelimitedCodec::builder();
-    builder.max_frame_length(FRAME_BYTES_MAX);
-    builder
-}
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -3,7 +3,7 @@
 use crate::events;
 
 use compact_str::CompactString;
-use lagoonshore_protocol::relay_messages::{FleetKnowledge, ListedUpstream};
+use lagoonshore_protocol::relay_messages::FleetKnowledge;
 use lagoonshore_state::{
     ids::{DocumentVersion, RegionName},
     instance_table::{InstanceRecord, InstanceTable},
@@ -16,7 +16,7 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::{sync::watch, time::Instant};
+use tokio::sync::watch;
 use tracing::{info, warn};
 
 /// Where a document or an entry came from.
@@ -110,18 +110,9 @@
     pub fn knowledge(&self) -> Option<FleetKnowledge> {
         let document = (*self.document()?).clone();
         let upstreams = self.upstreams.borrow();
-        let listed = upstreams.iter().map(|record| ListedUpstream {
-            name: record.name.clone(),
-            service: record.service.clone(),
-            zone: record.zone.clone(),
-            address: record.address,
-            slots: record.slots,
-            state: record.state,
-            revision: record.revision,
-        });
         Some(FleetKnowledge {
             document,
-            upstreams: listed.collect(),
+            upstreams: upstreams.iter().cloned().collect(),
         })
     }
 
@@ -131,18 +122,8 @@
         if self.version() > 0 {
             return;
         }
-        let now = Instant::now();
-        for listed in knowledge.upstreams {
-            self.take_upstream(UpstreamRecord {
-                name: listed.name,
-                service: listed.service,
-                zone: listed.zone,
-                address: listed.address,
-                slots: listed.slots,
-                state: listed.state,
-                cold_until: now,
-                revision: listed.revision,
-            });
+        for record in knowledge.upstreams {
+            self.take_upstream(record);
         }
         self.take_document(knowledge.document, NewsSource::Peer);
         self.note_list_read();
--- a/crates/relay/src/peer_door.rs
+++ b/crates/relay/src/peer_door.rs
@@ -1,7 +1,7 @@
 //! The door for other nodes.
 
 use crate::{
-    calling::peer_links::frame_codec, directory::FleetDirectory,
+    calling::peer_links::FRAME_BYTES_MAX, directory::FleetDirectory,
     serving::upstream_server::UpstreamServer,
 };
 
@@ -13,7 +13,8 @@
     relay_service::RelayService,
 };
 use lagoonshore_state::route_table::FleetDocument;
-use std::{rc::Rc, time::Duration};
+use lagoonshore_transport::{peer_link::frame_codec, peer_server};
+use std::rc::Rc;
 use tarpc::{
     context::Context,
     serde_transport,
@@ -22,8 +23,6 @@
 };
 use tokio::time::Instant;
 
-/// Pause after a failed accept, so that a lack of descriptors does not spin.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Answers that wait to be written on one link.
 const ANSWER_BUFFER: usize = 1024;
 /// Links from other nodes at the same time.
@@ -45,21 +44,8 @@
 
     /// Serves other nodes until the future is dropped.
     pub async fn serve_links(self, listener: TcpListener) {
-        let open = Rc::new(());
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                actix_rt::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            };
-            // Every link holds a clone; the last count is the acceptor's own.
-            if Rc::strong_count(&open) <= LINKS_MAX {
-                let (door, mark) = (self.clone(), Rc::clone(&open));
-                actix_rt::spawn(async move {
-                    door.serve_link(stream).await;
-                    drop(mark);
-                });
-            }
-        }
+        let serve = move |stream| self.clone().serve_link(stream);
+        peer_server::accept_links(listener, LINKS_MAX, serve).await;
     }
 
     /// Serves one link; the requests of a link that ends are cancelled.
@@ -67,7 +53,7 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let framed = frame_codec().new_framed(stream);
+        let framed = frame_codec(FRAME_BYTES_MAX).new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let config = Config {
             pending_response_buffer: ANSWER_BUFFER,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -24,10 +24,7 @@
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    time::Instant,
-};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use upstream::StandInUpstream;
 
 pub(crate) const SCHEME: HeaderScheme = HeaderScheme {
@@ -107,7 +104,6 @@
             address: listed.upstream.address,
             slots: listed.upstream.slots,
             state,
-            cold_until: Instant::now(),
             revision: self.revision,
         };
         for member in &self.members {
--- a/crates/state/src/upstream_list.rs
+++ b/crates/state/src/upstream_list.rs
@@ -6,30 +6,29 @@
 };
 
 use std::{collections::BTreeMap, net::SocketAddr};
-use tokio::time::Instant;
 
 /// Names of upstreams that left which are remembered.
 const DEPARTED_MAX: usize = 1024;
 
-/// `UpstreamRecord` is what the list says of one upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub struct UpstreamRecord {
-    /// Name of this run of the upstream.
-    pub name: InstanceName,
-    /// Service that it belongs to.
-    pub service: ServiceName,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Where it listens; only the node on the same instance reaches it.
-    pub address: SocketAddr,
-    /// Requests that it serves at the same time.
-    pub slots: u32,
-    /// Whether it takes new work.
-    pub state: InstanceState,
-    /// Time until which it is slow after its start.
-    pub cold_until: Instant,
-    /// Change of the list that the record stems from.
-    pub revision: u64,
+data_type! {
+    /// `UpstreamRecord` is what the list says of one upstream.
+    #[derive(Eq)]
+    pub struct UpstreamRecord {
+        /// Name of this run of the upstream.
+        pub name: InstanceName,
+        /// Service that it belongs to.
+        pub service: ServiceName,
+        /// Its availability zone.
+        pub zone: ZoneName,
+        /// Where it listens; only the node on the same instance reaches it.
+        pub address: SocketAddr,
+        /// Requests that it serves at the same time.
+        pub slots: u32,
+        /// Whether it takes new work.
+        pub state: InstanceState,
+        /// Change of the list that the record stems from.
+        pub revision: u64,
+    }
 }
 
 /// `UpstreamList` holds the upstreams that take work and the names of those that left.
--- a/crates/state/tests/route_table.rs
+++ b/crates/state/tests/route_table.rs
@@ -7,7 +7,6 @@
     upstream_list::{UpstreamList, UpstreamRecord},
 };
 use std::time::Duration;
-use tokio::time::Instant;
 
 fn route(name: &str, host: &str, prefix: &str) -> RouteEntry {
     RouteEntry {
@@ -86,7 +85,6 @@
         address: ([127, 0, 0, 1], 80).into(),
         slots: 4,
         state,
-        cold_until: Instant::now(),
         revision,
     }
 }
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -175,7 +175,7 @@
         stream
             .set_nodelay(true)
             .map_err(|fault| error::connect(address, &fault))?;
-        let framed = frame_codec().new_framed(stream);
+        let framed = frame_codec(FRAME_BYTES_MAX).new_framed(stream);
         let transport = serde_transport::new(framed, Bincode::default());
         let mut config = Config::default();
         config.max_in_flight_requests = IN_FLIGHT_MAX;
@@ -213,10 +213,10 @@
     }
 }
 
-/// Codec of the frames between nodes.
+/// Codec of the frames between nodes, of at most `frame_bytes`.
 #[must_use]
-pub fn frame_codec() -> tokio_util::codec::length_delimited::Builder {
+pub fn frame_codec(frame_bytes: usize) -> tokio_util::codec::length_delimited::Builder {
     let mut builder = LengthDelimitedCodec::builder();
-    builder.max_frame_length(FRAME_BYTES_MAX);
+    builder.max_frame_length(frame_bytes);
     builder
 }
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! The peer door: serves calls of other nodes over tarpc.
 
-use crate::peer_link::frame_codec;
+use crate::peer_link::{FRAME_BYTES_MAX, frame_codec};
 
 use actix_rt::net::{TcpListener, TcpStream};
 use futures::StreamExt;
@@ -24,6 +24,21 @@
 pub async fn serve<S>(listener: TcpListener, server: S)
 where
     S: PeerService + Clone + 'static,
+{
+    accept_links(listener, LINKS_MAX, move |stream| {
+        serve_link(stream, server.clone())
+    })
+    .await;
+}
+
+/// Has each link of `listener` served until the future is dropped. Links above `links_max` are
+/// closed at once.
+pub async fn accept_links<F>(
+    listener: TcpListener,
+    links_max: usize,
+    serve: impl Fn(TcpStream) -> F,
+) where
+    F: Future<Output = ()> + 'static,
 {
     let open = Rc::new(());
     loop {
@@ -32,10 +47,10 @@
             continue;
         };
         // Every link holds a clone; the last count is the acceptor's own.
-        if Rc::strong_count(&open) <= LINKS_MAX {
-            let (server, guard) = (server.clone(), Rc::clone(&open));
+        if Rc::strong_count(&open) <= links_max {
+            let (link, guard) = (serve(stream), Rc::clone(&open));
             actix_rt::spawn(async move {
-                serve_link(stream, server).await;
+                link.await;
                 drop(guard);
             });
         }
@@ -49,7 +64,10 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let transport = serde_transport::new(frame_codec().new_framed(stream), Bincode::default());
+    let transport = serde_transport::new(
+        frame_codec(FRAME_BYTES_MAX).new_framed(stream),
+        Bincode::default(),
+    );
     let config = Config {
         pending_response_buffer: ANSWER_BUFFER,
     };
