Pass on a failure that an upstream answered when the deadline ends the next try

Cause: the caller keeps an upstream's 500 while it tries an idempotent request again; when the deadline passed during that try, the end was made without looking at it and the caller got a 504 in place of the answer that was ready. The end of a request now looks at it first, in both ways to end.

Found on the same path and mended with it: whether an instance is left is counted instead of running the whole choice once more; the status from which an answer is a failure, the conversion to milliseconds and the sum of calls stand once.

--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -115,6 +115,24 @@
         candidate_choice::choose(now, zone, far, random)
     }
 
+    /// Tells whether an instance of `service` may be tried that is not in `tried`.
+    #[must_use]
+    pub fn has_untried(
+        &self,
+        now: Instant,
+        table: &InstanceTable,
+        service: &str,
+        tried: &[InstanceKey],
+    ) -> bool {
+        let mut listed = table.of_service(service);
+        listed.any(|(key, record)| {
+            let view = self.views.get(key);
+            let is_leaving = view.is_some_and(|view| view.is_draining(now));
+            let is_own = record.name == self.origin.instance;
+            !tried.contains(&key) && !is_own && !is_leaving
+        })
+    }
+
     /// Notes that a call to an instance started.
     pub fn started(&mut self, key: InstanceKey) {
         if let Some(view) = self.views.get_mut(key) {
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -11,6 +11,9 @@
     upstream_list::UpstreamRecord,
 };
 
+/// First status of answers by which an upstream fails a request (RFC 9110, section 15.6).
+const FAILURE_STATUS: u16 = 500;
+
 data_type! {
     /// `RelayRequest` asks a node to have its upstream run a request.
     /// The deadline travels in the context of the call.
@@ -137,3 +140,11 @@
         pub revision: u64,
     }
 }
+
+impl RelayAnswer {
+    /// Tells whether the upstream failed the request by this answer.
+    #[must_use]
+    pub const fn is_failure(&self) -> bool {
+        self.status >= FAILURE_STATUS
+    }
+}
--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -32,6 +32,7 @@
     pub(crate) is_full_below: bool,
     pub(crate) reason: RefusalReason,
     pub(crate) retry: Option<Duration>,
+    /// Answer by which an upstream failed the request, while others are asked.
     pub(crate) failure: Option<RelayAnswer>,
     pub(crate) last: CompactString,
     /// Load that the node of the last instance told.
@@ -60,7 +61,7 @@
         self.is_full_below |= refusal.is_below;
         self.is_rejected = refusal.reach == RequestReach::Rejected;
         match refusal.reach {
-            RequestReach::Unsent => self.note_unsent(refusal.reason),
+            RequestReach::Unsent => self.reason = refusal.reason,
             RequestReach::Rejected => {
                 self.reached += 1;
                 self.reason = refusal.reason;
@@ -73,10 +74,6 @@
         }
     }
 
-    pub(crate) const fn note_unsent(&mut self, reason: RefusalReason) {
-        self.reason = reason;
-    }
-
     pub(crate) const fn note_lost(&mut self, reason: RefusalReason) {
         self.reached += 1;
         self.may_have_run = true;
@@ -88,7 +85,12 @@
         is_safe && !self.is_full_below && self.reason != RefusalReason::Quarantined
     }
 
-    pub(crate) fn end(&self) -> CallEnd {
+    /// No further instance is asked. An answer by which an upstream failed the request goes before
+    /// one of the system's own.
+    pub(crate) fn end(&mut self) -> CallEnd {
+        if let Some(failure) = self.failure.take() {
+            return CallEnd::Answered(failure);
+        }
         if self.may_have_run {
             return CallEnd::Unknown(self.reason);
         }
@@ -101,7 +103,10 @@
     }
 
     /// The deadline passed while an instance had the request.
-    pub(crate) fn end_late(&self) -> CallEnd {
+    pub(crate) fn end_late(&mut self) -> CallEnd {
+        if let Some(failure) = self.failure.take() {
+            return CallEnd::Answered(failure);
+        }
         if self.asked.is_empty() {
             return CallEnd::NotRun(RefusalReason::Timeout, None);
         }
--- a/crates/relay/src/calling/peer_book.rs
+++ b/crates/relay/src/calling/peer_book.rs
@@ -66,6 +66,13 @@
         self.choose_from(service, tried)
     }
 
+    /// Tells whether an instance of `service` is left that is not in `tried`.
+    pub fn has_untried(&self, service: &str, tried: &[InstanceKey]) -> bool {
+        let table = self.directory.instances();
+        let selector = self.selector.borrow();
+        selector.has_untried(Instant::now(), &table, service, tried)
+    }
+
     /// Instances of `service` in zones that are in doubt.
     fn in_doubt(&self, service: &str) -> Vec<InstanceKey> {
         let (now, doubt) = (Instant::now(), self.doubt.borrow());
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -12,7 +12,7 @@
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     serving::{
-        running_table::RunningRequest,
+        running_table::{CallSum, RunningRequest},
         upstream_server::{self, UpstreamServer},
     },
 };
@@ -29,7 +29,11 @@
 };
 use lagoonshore_protocol::relay_messages::{RelayAnswer, RelayReply, RelayRequest, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RepeatSettings};
-use lagoonshore_state::{ids::ServiceName, route_table::RouteEntry, units::RequestImportance};
+use lagoonshore_state::{
+    ids::ServiceName,
+    route_table::RouteEntry,
+    units::{RequestImportance, whole_millis},
+};
 use siphasher::sip::SipHasher13;
 use std::{
     cell::{Cell, RefCell},
@@ -45,8 +49,6 @@
 const ASKED_MAX: usize = 3;
 /// Share of the aim for which a request may wait at one instance while others are left to ask.
 const FIRST_WAIT_SHARE: f64 = 0.15;
-/// First status of answers that tell of a failure of the upstream.
-pub(crate) const FAILURE_STATUS: u16 = 500;
 /// Time below which a second try cannot end in time.
 const REPEAT_TIME_MIN: Duration = Duration::from_millis(20);
 
@@ -212,7 +214,7 @@
         table.note_call(&request.id, self.call_separator, below);
     }
 
-    /// Asks one instance after the other; `None` if no answer came.
+    /// Asks one instance after the other; `None` if no answer came that ends the request.
     async fn try_instances(
         &self,
         request: &RoutedRequest,
@@ -230,7 +232,8 @@
             progress.asked.push(target.key);
             progress.last.clone_from(&target.name);
             let may_ask_more = progress.asked.len() < ASKED_MAX;
-            let has_others = may_ask_more && self.has_others(progress);
+            let has_others =
+                may_ask_more && self.book.has_untried(&progress.service, &progress.asked);
             let reply = self.send(request, progress, &target, has_others).await;
             match reply {
                 Ok(reply) => {
@@ -238,7 +241,7 @@
                         return Some(answer);
                     }
                 }
-                Err(LinkFault::Connect) => progress.note_unsent(RefusalReason::UpstreamUnreachable),
+                Err(LinkFault::Connect) => progress.reason = RefusalReason::UpstreamUnreachable,
                 Err(LinkFault::Lost) => progress.note_lost(RefusalReason::ConnectionLost),
                 Err(LinkFault::TimedOut) => progress.note_lost(RefusalReason::Timeout),
             }
@@ -246,12 +249,7 @@
                 break;
             }
         }
-        progress.failure.take()
-    }
-
-    fn has_others(&self, progress: &CallProgress) -> bool {
-        let other = self.book.choose(&progress.service, &progress.asked);
-        other.is_some()
+        None
     }
 
     /// Counts the first sending, which is a repeat where the run that makes the call is one.
@@ -368,12 +366,14 @@
         reply: RelayReply,
     ) -> Option<RelayAnswer> {
         progress.load = reply.news;
-        progress.below.wait += Duration::from_millis(reply.wait_ms.into());
-        progress.below.calls += reply.calls;
-        progress.below.is_starved |= reply.is_starved;
+        progress.below.add(CallSum {
+            wait: Duration::from_millis(reply.wait_ms.into()),
+            calls: reply.calls,
+            is_starved: reply.is_starved,
+        });
         match reply.result {
             RelayResult::Answered(answer) => {
-                let may_repeat = request.route.is_idempotent && answer.status >= FAILURE_STATUS;
+                let may_repeat = request.route.is_idempotent && answer.is_failure();
                 progress.reached += 1;
                 if !may_repeat || self.control == ControlMode::PassThrough {
                     return Some(answer);
@@ -408,7 +408,7 @@
     fn note_end(&self, request: &RoutedRequest, progress: &CallProgress, end: &CallEnd) {
         let trace = trace(request, progress);
         match end {
-            CallEnd::Answered(answer) => self.log.answered(&trace, answer.status),
+            CallEnd::Answered(answer) => self.log.answered(&trace, answer),
             CallEnd::NotRun(reason, retry) => {
                 self.log
                     .refused(&trace, reason.as_str(), retry.unwrap_or_default());
@@ -488,7 +488,3 @@
     hasher.write(route.as_bytes());
     hasher.finish()
 }
-
-fn whole_millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/crates/relay/src/calling/send_record.rs
+++ b/crates/relay/src/calling/send_record.rs
@@ -3,7 +3,6 @@
 use super::{
     peer_book::{PeerBook, PeerTarget},
     peer_links::LinkFault,
-    request_caller::FAILURE_STATUS,
 };
 
 use lagoonshore_coordination::{outcome::CallOutcome, request_life::CallRefusal};
@@ -52,9 +51,7 @@
         self.book.take_news(self.key, self.address, reply.news);
         match &reply.result {
             // Where the run made calls, one of them may be the cause.
-            RelayResult::Answered(answer)
-                if answer.status >= FAILURE_STATUS && reply.calls == 0 =>
-            {
+            RelayResult::Answered(answer) if answer.is_failure() && reply.calls == 0 => {
                 self.book.answered_badly(self.key);
             }
             RelayResult::Answered(_) => {
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -5,7 +5,8 @@
 
 use crate::{events, relay_metrics};
 
-use lagoonshore_protocol::relay_messages::NodeNews;
+use lagoonshore_protocol::relay_messages::{NodeNews, RelayAnswer};
+use lagoonshore_state::units::whole_millis;
 use std::{cell::Cell, time::Duration};
 use tokio::time::Instant;
 use tracing::{info, warn};
@@ -79,8 +80,8 @@
             route = trace.route,
             version = trace.version,
             instance = trace.instance,
-            elapsed_ms = millis(trace.elapsed),
-            retry_ms = millis(retry),
+            elapsed_ms = whole_millis(trace.elapsed),
+            retry_ms = whole_millis(retry),
             in_use = trace.load.in_use,
             limit = trace.load.limit,
             queued = trace.load.queued,
@@ -102,7 +103,7 @@
             route = trace.route,
             version = trace.version,
             instance = trace.instance,
-            elapsed_ms = millis(trace.elapsed),
+            elapsed_ms = whole_millis(trace.elapsed),
             reason,
             left_out,
             "request: failed, may have run"
@@ -120,7 +121,7 @@
             request = trace.id,
             route = trace.route,
             instance = trace.instance,
-            elapsed_ms = millis(trace.elapsed),
+            elapsed_ms = whole_millis(trace.elapsed),
             reason,
             is_counted,
             left_out,
@@ -129,8 +130,8 @@
     }
 
     /// A request was answered by an upstream.
-    pub fn answered(&self, trace: &RequestTrace<'_>, status: u16) {
-        relay_metrics::record_request(trace.elapsed, status);
+    pub fn answered(&self, trace: &RequestTrace<'_>, answer: &RelayAnswer) {
+        relay_metrics::record_request(trace.elapsed, answer.is_failure());
         let Some(left_out) = self.routine.take(ROUTINE_LINES) else {
             return;
         };
@@ -140,8 +141,8 @@
             route = trace.route,
             version = trace.version,
             instance = trace.instance,
-            elapsed_ms = millis(trace.elapsed),
-            status,
+            elapsed_ms = whole_millis(trace.elapsed),
+            status = answer.status,
             left_out,
             "request: answered"
         );
@@ -157,7 +158,7 @@
             event = events::CALLER_LEFT,
             request = id,
             route,
-            elapsed_ms = millis(elapsed),
+            elapsed_ms = whole_millis(elapsed),
             left_out,
             "request: caller left"
         );
@@ -178,7 +179,3 @@
         );
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -3,9 +3,9 @@
 use metrics::{counter, histogram};
 use std::time::Duration;
 
-pub(crate) fn record_request(elapsed: Duration, status: u16) {
+pub(crate) fn record_request(elapsed: Duration, is_failure: bool) {
     histogram!("lagoonshore_relay_request_seconds").record(elapsed.as_secs_f64());
-    if status >= 500 {
+    if is_failure {
         counter!("lagoonshore_relay_upstream_failures_total").increment(1);
     }
 }
--- a/crates/relay/src/serving/own_upstream.rs
+++ b/crates/relay/src/serving/own_upstream.rs
@@ -18,7 +18,10 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use lagoonshore_settings::RelaySettings;
-use lagoonshore_state::ids::{InstanceName, ServiceName};
+use lagoonshore_state::{
+    ids::{InstanceName, ServiceName},
+    units::whole_millis,
+};
 use std::{
     cell::{Cell, RefCell},
     io::ErrorKind,
@@ -126,7 +129,7 @@
             event = events::UPSTREAM_RENAMED,
             instance = name,
             listed = listed.map_or("", |listed| listed.name.as_str()),
-            seen_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            seen_ms = whole_millis(age),
             is_trusted,
             "upstream: answers under another name"
         );
--- a/crates/relay/src/serving/running_table.rs
+++ b/crates/relay/src/serving/running_table.rs
@@ -27,6 +27,15 @@
     pub is_starved: bool,
 }
 
+impl CallSum {
+    /// Adds what other calls came to.
+    pub fn add(&mut self, other: Self) {
+        self.wait += other.wait;
+        self.calls += other.calls;
+        self.is_starved |= other.is_starved;
+    }
+}
+
 /// `RunningTable` holds the requests that the upstream is running, by their ids.
 #[derive(Debug, Default)]
 pub struct RunningTable {
@@ -58,9 +67,8 @@
             return;
         };
         if let Some(request) = self.requests.borrow_mut().get_mut(parent) {
-            request.below.wait += call.wait;
-            request.below.calls += call.calls + 1;
-            request.below.is_starved |= call.is_starved;
+            request.below.add(call);
+            request.below.calls += 1;
         }
     }
 }
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -34,7 +34,7 @@
     NodeNews, RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
 };
 use lagoonshore_settings::{ControlMode, RelaySettings};
-use lagoonshore_state::ids::ServiceName;
+use lagoonshore_state::{ids::ServiceName, units::whole_millis};
 use std::{
     cell::{Cell, RefCell},
     fmt::Write,
@@ -59,8 +59,6 @@
 const PACE_SLOTS: u32 = 3;
 /// Status by which an upstream says that another one was expected (RFC 9110, section 15.5.20).
 const MISDIRECTED: u16 = 421;
-/// First status of answers that tell of a failure of the upstream.
-const FAILURE_STATUS: u16 = 500;
 
 /// `UpstreamServer` runs requests on the upstream beside the node.
 pub struct UpstreamServer {
@@ -190,7 +188,7 @@
         RelayReply {
             result,
             news: self.news(),
-            wait_ms: u32::try_from(cost.wait.as_millis()).unwrap_or(u32::MAX),
+            wait_ms: whole_millis(cost.wait),
             calls: cost.calls,
             is_starved: cost.is_starved,
             suspect,
@@ -410,14 +408,15 @@
                 .upstream_failed(&request.id, "broken", "encoded or unsigned");
             return unknown(RefusalReason::BrokenAnswer);
         }
-        if head.status < FAILURE_STATUS {
-            self.suspects.borrow_mut().finished(fingerprint);
-        }
-        RelayResult::Answered(RelayAnswer {
+        let answer = RelayAnswer {
             status: head.status,
             fields: head.fields.clone(),
             body: answer.body,
-        })
+        };
+        if !answer.is_failure() {
+            self.suspects.borrow_mut().finished(fingerprint);
+        }
+        RelayResult::Answered(answer)
     }
 
     /// Handles an exchange that failed: the upstream may have crashed while it ran the request.
--- a/crates/relay/tests/whole_path.rs
+++ b/crates/relay/tests/whole_path.rs
@@ -106,6 +106,21 @@
     assert_eq!(fleet.members[1].upstream.ids(), vec!["i1"]);
 }
 
+/// The first upstream fails the request, and the second has no answer by the deadline.
+#[actix_rt::test]
+async fn a_failure_that_an_upstream_answered_is_passed_on_at_the_deadline() {
+    let fleet = fleet().await;
+    fleet.members[0].upstream.act.set(Some("fail"));
+    fleet.members[1].upstream.act.set(Some("never"));
+    let mut short = route("/a/", "a", true);
+    short.timeout = Duration::from_millis(300);
+    fleet.publish(2, &[short]);
+    let answer = ask(fleet.members[0].listen.callers, "GET", "/a/x", "i1", "").await;
+    assert_eq!(answer.status, 500, "{answer:?}");
+    assert!(answer.fields.contains("Signature: s"), "{answer:?}");
+    assert_eq!(fleet.members[1].upstream.ids(), vec!["i1"]);
+}
+
 #[actix_rt::test]
 async fn pipelined_requests_are_served_together_and_answered_in_order() {
     let fleet = fleet().await;
--- a/crates/state/src/units.rs
+++ b/crates/state/src/units.rs
@@ -1,5 +1,13 @@
 //! Units as named types.
 
+use std::time::Duration;
+
+/// Whole milliseconds of `time`, for messages and log lines; bounded by what the type holds.
+#[must_use]
+pub fn whole_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 id_type! {
     /// `RequestImportance` orders requests: 0 is the most important, larger is less.
     #[derive(Default)]
