Refuse new requests whose calls are not served, before they run

The work is wasted, and a request that must not run twice is lost: its caller may not send it again. Ruled out: slots and pace (no wait at the deep service, its instances were unreachable), routing (no other instance was listed).

Change: a circuit breaker for each kind of new request beside the upstream that would run it, opened by a row of runs that failed because of a call. Callers come back after about as long as the outage has lasted; those who do probe first.

Callers get a true 'not run' in place of a failure; how many are served in the end depends on their time limits.

--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -202,14 +202,15 @@
         if request.parent.is_none() {
             return;
         }
-        let is_refused = match end {
-            CallEnd::Answered(_) => false,
+        let mut below = progress.below;
+        match end {
+            CallEnd::Answered(answer) => below.has_failed = answer.is_failure(),
             CallEnd::NotRun(reason, _) | CallEnd::Unknown(reason) => {
-                *reason == RefusalReason::Overload
+                let is_overload = *reason == RefusalReason::Overload;
+                below.is_starved |= is_overload && !progress.is_rejected;
+                below.has_failed = true;
             }
-        };
-        let mut below = progress.below;
-        below.is_starved |= is_refused && !progress.is_rejected;
+        }
         let table = self.server.table();
         table.note_call(&request.id, self.call_separator, below);
     }
@@ -370,6 +371,7 @@
             wait: Duration::from_millis(reply.wait_ms.into()),
             calls: reply.calls,
             is_starved: reply.is_starved,
+            has_failed: false,
         });
         match reply.result {
             RelayResult::Answered(answer) => {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -48,5 +48,9 @@
 pub const UPSTREAM_UP: u16 = 3403;
 /// The upstream answers under another name than the list gives it.
 pub const UPSTREAM_RENAMED: u16 = 3404;
+/// New requests of a kind are refused, since the calls of such requests fail.
+pub const BREAKER_OPENED: u16 = 3405;
+/// New requests of a kind run again.
+pub const BREAKER_CLOSED: u16 = 3406;
 /// A request was in progress at a crash of the upstream.
 pub const CRASH_COUNTED: u16 = 3401;
--- a/crates/relay/src/serving/refusals.rs
+++ b/crates/relay/src/serving/refusals.rs
@@ -5,9 +5,6 @@
 use lagoonshore_state::units::whole_millis;
 use std::time::Duration;
 
-/// Time after which a caller may come back when calls further down have to wait.
-const PACE_RETRY: Duration = Duration::from_millis(250);
-
 /// Refuses a request of which no byte was sent.
 pub(crate) fn refused(reason: RefusalReason, retry: Duration) -> RelayResult {
     RelayResult::Refused(RelayRefusal {
@@ -18,12 +15,12 @@
     })
 }
 
-/// Refuses a request because calls like those that it would make find no slots.
-pub(crate) fn full_below() -> RelayResult {
+/// Refuses a request because calls like those that it would make are not served in time.
+pub(crate) fn full_below(retry: Duration) -> RelayResult {
     RelayResult::Refused(RelayRefusal {
         reason: RefusalReason::Overload,
         reach: RequestReach::Unsent,
-        retry_ms: whole_millis(PACE_RETRY),
+        retry_ms: whole_millis(retry),
         is_below: true,
     })
 }
--- a/crates/relay/src/serving/running_table.rs
+++ b/crates/relay/src/serving/running_table.rs
@@ -25,6 +25,8 @@
     pub calls: u32,
     /// Whether one of them was refused for want of slots.
     pub is_starved: bool,
+    /// Whether one of those that were made here was not served. Not told to other nodes.
+    pub has_failed: bool,
 }
 
 impl CallSum {
@@ -33,6 +35,7 @@
         self.wait += other.wait;
         self.calls += other.calls;
         self.is_starved |= other.is_starved;
+        self.has_failed |= other.has_failed;
     }
 }
 
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -1,10 +1,12 @@
 //! Has the own upstream run requests: suspects, slots, the exchange, and what it says.
 
 use super::{
+    entry_gate::{EntryGate, EntryMark, RunSummary},
     own_upstream::OwnUpstream,
     refusals::{full_below, refused, unknown},
-    run_marks::{PaceMark, RunMark},
+    run_marks::RunMark,
     running_table::{CallSum, RunningRequest, RunningTable},
+    sent_head,
     slot_gate::{SlotGate, SlotPermit},
 };
 
@@ -20,13 +22,9 @@
     relay_metrics,
 };
 
-use bytes::{BufMut, BytesMut};
 use lagoonshore_coordination::{
     fingerprint::{self, RequestFingerprint},
-    forwarding::{
-        kind_pacer::KindPacer,
-        slot_queue::{SlotOffer, SlotRank},
-    },
+    forwarding::slot_queue::{SlotOffer, SlotRank},
     outcome::RefusalReason,
     suspects::{SuspectReport, SuspectTable},
 };
@@ -37,7 +35,6 @@
 use lagoonshore_state::{ids::ServiceName, units::whole_millis};
 use std::{
     cell::{Cell, RefCell},
-    fmt::Write,
     rc::Rc,
     time::Duration,
 };
@@ -71,7 +68,7 @@
     pool: Rc<ConnectionPool>,
     own: Rc<OwnUpstream>,
     suspects: RefCell<SuspectTable>,
-    pacer: RefCell<KindPacer>,
+    entry: EntryGate,
     table: Rc<RunningTable>,
     is_leaving: Cell<bool>,
     is_closed: Cell<bool>,
@@ -99,7 +96,7 @@
             pool,
             own: Rc::new(own),
             suspects: RefCell::default(),
-            pacer: RefCell::default(),
+            entry: EntryGate::default(),
             table: Rc::default(),
             is_leaving: Cell::new(false),
             is_closed: Cell::new(false),
@@ -226,8 +223,9 @@
         if self.crashes_of(fingerprint) >= CRASHES_MAX {
             return refused(RefusalReason::Quarantined, Duration::ZERO);
         }
-        let Some(pace) = self.enter_pace(&request) else {
-            return full_below();
+        let mark = match self.enter(&request) {
+            Ok(mark) => mark,
+            Err(retry) => return full_below(retry),
         };
         let asked = Instant::now();
         let permit = match self.acquire(&request, deadline).await {
@@ -239,7 +237,7 @@
         if self.directory.has_departed(&request.instance) {
             return refused(RefusalReason::Draining, AWAY_RETRY);
         }
-        let (kind, aim) = (request.kind, Duration::from_millis(request.aim_ms.into()));
+        let summary = RunSummary::of(&request);
         let running = RunningRequest {
             importance: request.importance,
             is_repeat: request.is_repeat,
@@ -251,35 +249,18 @@
         cost.wait += below.wait;
         cost.calls = below.calls;
         cost.is_starved = below.is_starved;
-        if below.calls > 0 {
-            let wait = if below.is_starved { aim } else { below.wait };
-            let mut pacer = self.pacer.borrow_mut();
-            pacer.learn(Instant::now(), kind, wait, aim);
-        }
-        drop(pace);
+        self.entry.learn(&summary, below, &result);
+        drop(mark);
         result
     }
 
-    /// Lets a new request in, if the calls of others of its kind get through in time. A call of a
-    /// running request is always let in: its parent's work would be lost.
-    fn enter_pace(&self, request: &RelayRequest) -> Option<PaceMark<'_>> {
-        let is_paced = !request.is_nested && self.control == ControlMode::Enforce;
-        if !is_paced {
-            return Some(PaceMark {
-                pacer: &self.pacer,
-                kind: None,
-            });
+    /// Lets a new request in, if the calls of others of its kind get through in time.
+    fn enter(&self, request: &RelayRequest) -> Result<Option<EntryMark<'_>>, Duration> {
+        if request.is_nested || self.control == ControlMode::PassThrough {
+            return Ok(None);
         }
         let most = self.gate.load().limit.saturating_mul(PACE_SLOTS);
-        let kind = request.kind;
-        let may_enter = self
-            .pacer
-            .borrow_mut()
-            .enter(kind, most, request.is_returning);
-        may_enter.then_some(PaceMark {
-            pacer: &self.pacer,
-            kind: Some(kind),
-        })
+        self.entry.enter(request, most).map(Some)
     }
 
     async fn acquire(
@@ -453,32 +434,7 @@
         deadline: Instant,
     ) -> SentRequest {
         let left = deadline.saturating_duration_since(Instant::now());
-        let mut head = BytesMut::with_capacity(request.fields.len() + 256);
-        let scheme = &self.scheme;
-        let RelayRequest {
-            id,
-            origin,
-            method,
-            target,
-            ..
-        } = request;
-        // Writing to a buffer in memory does not fail.
-        let _ = write!(head, "{method} {target} HTTP/1.1\r\n");
-        head.put_slice(&request.fields);
-        let _ = write!(head, "{}: {id}\r\n", scheme.request_id);
-        let _ = write!(head, "{}: {}\r\n", scheme.time_limit, left.as_millis());
-        let _ = write!(head, "{}: {expected}\r\n", scheme.expected_instance);
-        let _ = write!(head, "{}: {origin}\r\n", scheme.origin_service);
-        if !request.body.is_empty() || !matches!(method.as_str(), "GET" | "HEAD") {
-            let _ = write!(head, "Content-Length: {}\r\n", request.body.len());
-        }
-        head.put_slice(b"\r\n");
-        SentRequest {
-            head: head.freeze(),
-            body: request.body.clone(),
-            id: Some(id.clone()),
-            is_head: method == "HEAD",
-        }
+        sent_head::sent_request(&self.scheme, request, expected, left)
     }
 }
 
