Let no request in that a stopping node could not finish

Cause: a node in a planned stop took requests until 3.6 s after the request to stop and ended at 5.1 s.

The test failed with the old schedule.

--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -5,6 +5,7 @@
 pub mod kind_pacer;
 pub mod repeat_allowance;
 pub mod slot_queue;
+pub mod stop_schedule;
 pub mod traffic_split;
 pub mod vanished_entries;
 pub mod zone_doubt;
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -3,6 +3,7 @@
 use lagoonshore_coordination::forwarding::{
     kind_pacer::KindPacer,
     repeat_allowance::{AllowanceRules, RepeatAllowance},
+    stop_schedule::StopSchedule,
     traffic_split::TrafficSplit,
     vanished_entries::{VanishedEntries, VanishedEntry},
     zone_doubt::ZoneDoubt,
@@ -293,3 +294,24 @@
     let late = end + Duration::from_millis(2300);
     assert_eq!(entries.take_believed(late), vec![vanished("u1")]);
 }
+
+/// Time between two looks at whether a step of a stop is due, with room for a late timer.
+const STEP_LAG: Duration = Duration::from_millis(150);
+
+/// A request that is sent later than 3 s after the request to stop must be finished, and the slowest
+/// one would need longer than the process has. One that came before may be cut in the last sixth of
+/// the grace time.
+#[test]
+fn a_stop_refuses_what_it_could_not_finish() {
+    for grace in [2, 4, 6, 8, 10, 20] {
+        let grace = Duration::from_secs(grace);
+        let schedule = StopSchedule::new(grace);
+        assert!(
+            schedule.refuse_at + STEP_LAG < Duration::from_secs(3),
+            "{schedule:?}"
+        );
+        assert!(schedule.end_at >= grace * 5 / 6, "{schedule:?}");
+        assert!(schedule.end_at + STEP_LAG < grace, "{schedule:?}");
+        assert!(schedule.notice_end <= schedule.end_at, "{schedule:?}");
+    }
+}
--- a/crates/relay/src/planned_stop.rs
+++ b/crates/relay/src/planned_stop.rs
@@ -2,12 +2,11 @@
 
 use crate::{events, http1::door::DoorPhase, node::RelayNode};
 
+use lagoonshore_coordination::forwarding::stop_schedule::StopSchedule;
 use std::time::Duration;
 use tokio::time::Instant;
 use tracing::info;
 
-/// Longest time in which callers learn that the node leaves.
-const NOTICE_TIME: Duration = Duration::from_millis(2300);
 /// Answers of the readiness check that take callers away.
 const NOTICES: u32 = 2;
 /// Time from the last of them until callers are gone.
@@ -15,11 +14,6 @@
 /// Time in which other nodes learn that the node leaves. Its upstream goes on serving them until
 /// then, since no other upstream is spared by sending them away sooner.
 const PEER_NOTICE_TIME: Duration = Duration::from_millis(250);
-/// Share of the grace time after which new requests are refused.
-const REFUSE_SHARE: f64 = 0.6;
-/// Share of the grace time after which the process ends whatever still runs, so that it has ended
-/// by itself before it is killed, also on a slow instance.
-const END_SHARE: f64 = 0.85;
 /// Time between two looks at what still runs.
 const LOOK_TIME: Duration = Duration::from_millis(50);
 /// Time in which last answers leave the process.
@@ -36,19 +30,17 @@
     );
     node.ready.begin_leaving();
     node.callers.set_phase(DoorPhase::Closing);
-    let grace = node.settings.grace_time;
-    let end = started + grace.mul_f64(END_SHARE);
-    let notice_end = (started + NOTICE_TIME).min(end);
-    while Instant::now() < notice_end && node.ready.refusals() < NOTICES {
+    let schedule = StopSchedule::new(node.settings.grace_time);
+    let end = started + schedule.end_at;
+    while started.elapsed() < schedule.notice_end && node.ready.refusals() < NOTICES {
         actix_rt::time::sleep(LOOK_TIME).await;
     }
     actix_rt::time::sleep(NOTICE_MARGIN).await;
     node.callers.set_phase(DoorPhase::ClosingIdle);
     node.server.begin_leaving();
     actix_rt::time::sleep(PEER_NOTICE_TIME).await;
-    let refuse_at = started + grace.mul_f64(REFUSE_SHARE);
     while Instant::now() < end && !is_idle(node) {
-        if Instant::now() >= refuse_at {
+        if started.elapsed() >= schedule.refuse_at {
             refuse_all(node);
         }
         actix_rt::time::sleep(LOOK_TIME).await;
