--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -28,14 +28,12 @@
     pub(crate) asked: Vec<InstanceKey>,
     /// Sendings that an upstream read.
     pub(crate) reached: u32,
-    /// Upstreams that read the request.
-    pub(crate) upstreams: u32,
-    /// Instances whose upstreams turned the request away.
+    /// Instances whose upstreams read the request.
+    pub(crate) readers: Vec<InstanceKey>,
+    /// Instances whose upstreams turned the request away, and which may be asked again.
     pub(crate) rejected: Vec<InstanceKey>,
-    /// Whether those may be asked again.
-    pub(crate) may_ask_again: bool,
-    /// Whether the instance that has the request was asked before.
-    is_again: bool,
+    /// Instance that has the request.
+    current: Option<InstanceKey>,
     pub(crate) may_have_run: bool,
     /// Whether the last upstream turned the request away itself.
     pub(crate) is_rejected: bool,
@@ -58,10 +56,9 @@
             service,
             asked: Vec::new(),
             reached: 0,
-            upstreams: 0,
+            readers: Vec::new(),
             rejected: Vec::new(),
-            may_ask_again: false,
-            is_again: false,
+            current: None,
             may_have_run: false,
             is_rejected: false,
             below: CallSum::default(),
@@ -76,34 +73,33 @@
 
     /// Notes that the request goes to an instance.
     pub(crate) fn begin(&mut self, target: &PeerTarget) {
-        self.is_again = self.asked.contains(&target.key);
-        if !self.is_again {
-            self.asked.push(target.key);
-        }
+        self.current = Some(target.key);
+        add_once(&mut self.asked, target.key);
         self.last.clone_from(&target.name);
     }
 
     /// Notes that the upstream of the last instance read the request.
-    pub(crate) const fn note_reached(&mut self) {
+    pub(crate) fn note_reached(&mut self) {
         self.reached += 1;
-        if !self.is_again {
-            self.upstreams += 1;
+        if let Some(key) = self.current {
+            add_once(&mut self.readers, key);
         }
     }
 
     fn note_rejection(&mut self, reason: RefusalReason) {
         self.note_reached();
-        self.may_ask_again = reason == RefusalReason::Overload;
         self.reason = reason;
-        if !self.is_again {
-            self.rejected.extend(self.asked.last());
+        if let Some(key) = self.current
+            && reason == RefusalReason::Overload
+        {
+            add_once(&mut self.rejected, key);
         }
     }
 
     pub(crate) fn note_refusal(&mut self, refusal: RelayRefusal) {
-        self.may_ask_again = false;
         if refusal.reason == RefusalReason::RetryLimit {
             // That nothing more may be repeated is not why the request failed.
+            self.rejected.clear();
             return;
         }
         self.is_full_below |= refusal.is_below;
@@ -119,9 +115,8 @@
         }
     }
 
-    pub(crate) const fn note_lost(&mut self, reason: RefusalReason) {
+    pub(crate) fn note_lost(&mut self, reason: RefusalReason) {
         self.note_reached();
-        self.may_ask_again = false;
         self.may_have_run = true;
         self.reason = reason;
     }
@@ -180,3 +175,9 @@
         CallEnd::Unknown(RefusalReason::Timeout)
     }
 }
+
+fn add_once(keys: &mut Vec<InstanceKey>, key: InstanceKey) {
+    if !keys.contains(&key) {
+        keys.push(key);
+    }
+}
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -248,13 +248,14 @@
     /// may turn away only a part.
     fn next_target(&self, request: &RoutedRequest, progress: &CallProgress) -> Option<PeerTarget> {
         let (service, asked) = (&progress.service, &progress.asked);
-        if asked.len() < ASKED_MAX && progress.upstreams < request.route.attempts {
+        let attempts = usize::try_from(request.route.attempts).unwrap_or(usize::MAX);
+        if asked.len() < ASKED_MAX && progress.readers.len() < attempts {
             let fresh = self.book.choose(service, asked);
             if fresh.is_some() {
                 return fresh;
             }
         }
-        let may_ask_again = progress.may_ask_again && progress.reached < REJECTIONS_MAX;
+        let may_ask_again = progress.is_rejected && progress.reached < REJECTIONS_MAX;
         may_ask_again
             .then(|| self.book.choose_among(service, &progress.rejected))
             .flatten()
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -398,9 +398,7 @@
         };
         let sent = self.sent_request(request, found, deadline);
         // The upstream counts both.
-        let mut budget = self.budget.borrow_mut();
-        budget.note_repeat(Instant::now());
-        drop(budget);
+        self.budget.borrow_mut().note_repeat(Instant::now());
         self.pool.send(sent, &self.scheme, idle_max).await
     }
 
