--- a/crates/daemon/src/bound_call.rs
+++ b/crates/daemon/src/bound_call.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     call_attempt::{self, AttemptTarget},
-    call_router::{self, RoutedCall},
     hedged_call,
     keyed_work::home_unreachable,
     node::SharedNode,
-    refusals, suspect_gate,
+    refusals,
+    routed_call::{self, RoutedCall},
+    suspect_gate,
 };
 
 use compact_str::CompactString;
@@ -46,13 +47,13 @@
             SendResult::Ended(result) => return result,
             SendResult::Free(latest) => refusal = latest,
         }
-        if !call_router::may_repeat(&call, refusal) {
+        if !routed_call::may_repeat(&call, refusal) {
             break;
         }
         next = candidate(node, &mut call, &key);
         // A token is spent only where an instance is left to try.
         if matches!(next, CallCandidate::Found(_)) {
-            if !call_router::spend(node, purse) {
+            if !routed_call::spend(node, purse) {
                 break;
             }
             node.counters.borrow_mut().retries += 1;
--- a/crates/daemon/src/call_attempt.rs
+++ b/crates/daemon/src/call_attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a call at one instance, and what the node learns from it.
 
-use crate::{call_router::RoutedCall, node::SharedNode, refusals, suspect_gate};
+use crate::{node::SharedNode, refusals, routed_call::RoutedCall, suspect_gate};
 
 use futures::future::{Either, select};
 use lagoonshore_coordination::{
--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/call_router.rs
@@ -1,34 +1,22 @@
 //! Sends a call to an instance of another service, and again where that is allowed.
 
-use crate::{bound_call, call_attempt, hedged_call, node::SharedNode, refusals, suspect_gate};
+use crate::{
+    bound_call, call_attempt, hedged_call,
+    node::SharedNode,
+    refusals,
+    routed_call::{self, RoutedCall},
+    suspect_gate,
+};
 
 use lagoonshore_coordination::{
-    outcome::{CallOutcome, RefusalReason},
-    request_life::CallRefusal,
+    outcome::RefusalReason,
     retries::{RouteKey, SharedPurse},
 };
 use lagoonshore_protocol::messages::{CallRequest, CallResult};
-use lagoonshore_state::{ids::ClassName, instance_table::InstanceKey};
-use tokio::time::Instant;
 
 /// Retry ratio for a service of which no policy is known.
 const DEFAULT_RETRY_RATIO: f64 = 0.1;
 
-/// `RoutedCall` is a call with what bounds its repeats.
-#[derive(Clone, Debug)]
-pub struct RoutedCall {
-    /// The call; its tokens are set for each try.
-    pub request: CallRequest,
-    /// Time after which the answer is of no use.
-    pub deadline: Instant,
-    /// Whether the call may be sent again when its outcome is unknown.
-    pub idempotent: bool,
-    /// Class of the request that the call is made for, if it is made for one.
-    pub made_for: Option<ClassName>,
-    /// Instances that were tried before.
-    pub tried: Vec<InstanceKey>,
-}
-
 /// Sends `call`; tokens of `purse` pay for repeats here and below.
 pub async fn route(node: &SharedNode, call: RoutedCall, purse: &SharedPurse) -> CallResult {
     let rules = CallRules::of(node, &call);
@@ -50,19 +38,19 @@
     let mut next = call_attempt::choose(node, &mut call);
     while let Some(target) = next {
         if let Err(reason) = suspect_gate::mark(node, fingerprint, &mut call.request) {
-            refusal = combine(refusal, refusals::on_arrival(reason));
+            refusal = routed_call::combine(refusal, refusals::on_arrival(reason));
             break;
         }
         match hedged_call::send(node, &mut call, route, target, purse).await {
             CallResult::Answered(answer) => return CallResult::Answered(answer),
-            CallResult::Refused(latest) => refusal = combine(refusal, latest),
+            CallResult::Refused(latest) => refusal = routed_call::combine(refusal, latest),
         }
-        if !may_repeat(&call, refusal) {
+        if !routed_call::may_repeat(&call, refusal) {
             break;
         }
         next = call_attempt::choose(node, &mut call);
         // A token is spent only where an instance is left to try.
-        if next.is_none() || !spend(node, purse) {
+        if next.is_none() || !routed_call::spend(node, purse) {
             break;
         }
         node.counters.borrow_mut().retries += 1;
@@ -99,24 +87,3 @@
         Self { route, ratio }
     }
 }
-
-/// Joins the refusals of several tries: a call that may have run once is never `not-run`.
-#[must_use]
-pub const fn combine(before: CallRefusal, latest: CallRefusal) -> CallRefusal {
-    match before.outcome {
-        CallOutcome::Unknown => CallRefusal {
-            outcome: CallOutcome::Unknown,
-            reason: latest.reason,
-        },
-        _ => latest,
-    }
-}
-
-pub(crate) fn may_repeat(call: &RoutedCall, refusal: CallRefusal) -> bool {
-    let is_safe = refusal.is_not_run() || call.idempotent;
-    is_safe && refusal.reason.helps_elsewhere() && Instant::now() < call.deadline
-}
-
-pub(crate) fn spend(node: &SharedNode, purse: &SharedPurse) -> bool {
-    !node.passes_through() && node.retries.borrow_mut().spend_retry(purse)
-}
--- a/crates/daemon/src/crash_response.rs
+++ b/crates/daemon/src/crash_response.rs
@@ -1,15 +1,12 @@
 //! Counts the requests that were in progress when the upstream crashed, and tells other nodes.
 
-use crate::{events, health_probe, node::SharedNode};
+use crate::{events, node::SharedNode, upstream_probe};
 
 use futures::future::join_all;
 use lagoonshore_coordination::{
-    crash_watch::UpstreamSign,
-    fingerprint::RequestFingerprint,
-    suspects::SuspectReport,
-    upstream_health::{HandOverSign, ProbeResult},
+    crash_watch::UpstreamSign, fingerprint::RequestFingerprint, suspects::SuspectReport,
+    upstream_health::ProbeResult,
 };
-use lagoonshore_transport::TransportError;
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::Instant;
 use tracing::warn;
@@ -21,69 +18,11 @@
 /// Nodes that are told at once; the others learn by digest.
 const TOLD_MAX: usize = 32;
 
-/// `HandOverMark` follows one request at the upstream. Dropped before its end was noted, it
-/// counts as given up.
-pub struct HandOverMark {
-    node: SharedNode,
-    fingerprint: RequestFingerprint,
-    is_open: bool,
-}
-
-impl HandOverMark {
-    /// Notes a hand-over.
-    #[must_use]
-    pub fn open(node: &SharedNode, fingerprint: RequestFingerprint) -> Self {
-        node.guard.crashes.borrow_mut().handed_over();
-        Self {
-            node: node.clone(),
-            fingerprint,
-            is_open: true,
-        }
-    }
-
-    /// Notes a whole answer: the upstream is alive and the request is cleared.
-    pub fn answered(mut self) {
-        self.is_open = false;
-        let guard = &self.node.guard;
-        guard.crashes.borrow_mut().answered();
-        guard.suspects.borrow_mut().finished(self.fingerprint);
-        health_probe::note_hand_over(&self.node, HandOverSign::Answered);
-    }
-
-    /// Notes that no whole answer came. Returns once a crash, if it was one, is counted and other
-    /// nodes were told; that goes on also if the caller leaves meanwhile. `held` is dropped as
-    /// soon as the crash is counted.
-    pub async fn failed<H: 'static>(mut self, fault: &TransportError, held: H) {
-        match fault {
-            TransportError::Connect { .. } => {
-                self.is_open = false;
-                self.node.guard.crashes.borrow_mut().taken_back();
-                health_probe::note_hand_over(&self.node, HandOverSign::Refused);
-            }
-            TransportError::TimedOut { .. } => {}
-            _ => {
-                self.is_open = false;
-                let (node, fingerprint) = (self.node.clone(), self.fingerprint);
-                node.guard.crashes.borrow_mut().lost(Instant::now());
-                // A task that was not cancelled ends without an error.
-                let _ = actix_rt::spawn(follow_loss(node, fingerprint, held)).await;
-            }
-        }
-    }
-}
-
-impl Drop for HandOverMark {
-    fn drop(&mut self) {
-        if self.is_open {
-            let mut crashes = self.node.guard.crashes.borrow_mut();
-            crashes.given_up(Instant::now(), self.fingerprint);
-        }
-    }
-}
-
-async fn follow_loss<H>(node: SharedNode, fingerprint: RequestFingerprint, held: H) {
+/// Finds out whether the upstream crashed as it lost a request, and tells the other nodes if so. `held`
+/// is dropped as soon as the crash is counted.
+pub(crate) async fn follow_loss<H>(node: SharedNode, fingerprint: RequestFingerprint, held: H) {
     actix_rt::time::sleep(SETTLE_TIME).await;
-    let sign = match health_probe::probe(&node).await {
+    let sign = match upstream_probe::probe(&node).await {
         ProbeResult::Refused => UpstreamSign::Refuses,
         _ => UpstreamSign::Accepts,
     };
--- a/crates/daemon/src/health_probe.rs
+++ b/crates/daemon/src/health_probe.rs
@@ -1,12 +1,11 @@
 //! Probes the health endpoint of the upstream and acts on changes.
 
-use crate::{crash_response, events, life_cycle, node::SharedNode};
+use crate::{crash_response, events, life_cycle, node::SharedNode, upstream_probe::probe};
 
 use lagoonshore_coordination::{
     drain::DrainCause,
-    upstream_health::{HandOverSign, HealthChange, ProbeResult},
+    upstream_health::{HandOverSign, HealthChange},
 };
-use lagoonshore_transport::{TransportError, upstream_client::UpstreamRequest};
 use rand::Rng;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -14,8 +13,6 @@
 
 /// Mean time between two probes; each is drawn around it.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
-/// Time for the answer to a probe.
-const PROBE_TIME: Duration = Duration::from_secs(1);
 
 /// Probes until the future is dropped.
 pub async fn run(node: SharedNode) {
@@ -32,26 +29,6 @@
     }
 }
 
-/// Makes one probe; the result changes nothing.
-pub async fn probe(node: &SharedNode) -> ProbeResult {
-    let request = UpstreamRequest {
-        method: "GET".into(),
-        path: node.settings.upstream.health.clone(),
-        headers: Vec::new(),
-        body: bytes::Bytes::new(),
-    };
-    match node.upstream.send(request, PROBE_TIME).await {
-        Ok(answer) => match answer.status {
-            503 => ProbeResult::Draining,
-            // An upstream without such an endpoint is alive all the same.
-            200..=499 => ProbeResult::Good,
-            _ => ProbeResult::Unclear,
-        },
-        Err(TransportError::Connect { .. }) => ProbeResult::Refused,
-        Err(_) => ProbeResult::Unclear,
-    }
-}
-
 /// Takes in what an own hand-over showed of the upstream.
 pub fn note_hand_over(node: &SharedNode, sign: HandOverSign) {
     let mut health = node.guard.health.borrow_mut();
--- a/crates/daemon/src/hedged_call.rs
+++ b/crates/daemon/src/hedged_call.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     call_attempt::{self, AttemptCall, AttemptReply, AttemptTarget},
-    call_router::{self, RoutedCall},
     node::SharedNode,
+    routed_call::{self, RoutedCall},
 };
 
 use futures::future::{Either, LocalBoxFuture, select};
@@ -120,7 +120,7 @@
         CallResult::Refused(refusal) => match finish(other, purse).await {
             CallResult::Answered(answer) => CallResult::Answered(answer),
             CallResult::Refused(latest) => {
-                CallResult::Refused(call_router::combine(refusal, latest))
+                CallResult::Refused(routed_call::combine(refusal, latest))
             }
         },
     }
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/inbound_door.rs
@@ -1,10 +1,7 @@
 //! The door for callers: plain HTTP to the node's own upstream.
 
 use crate::{
-    call_router::{self, RoutedCall},
-    keyed_entry,
-    node::SharedNode,
-    refusals, request_server,
+    call_router, keyed_entry, node::SharedNode, refusals, request_server, routed_call::RoutedCall,
 };
 
 use lagoonshore_coordination::{outcome::RefusalReason, retries::SharedPurse};
--- a/crates/daemon/src/keyed_server.rs
+++ b/crates/daemon/src/keyed_server.rs
@@ -1,10 +1,8 @@
 //! Serves keyed requests: each key is run at most once, and resends get its one answer.
 
 use crate::{
-    call_router::{self, RoutedCall},
-    keyed_work::RunReceiver,
-    node::SharedNode,
-    request_server, suspect_gate,
+    call_router, keyed_work::RunReceiver, node::SharedNode, request_server,
+    routed_call::RoutedCall, suspect_gate,
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod explanation;
 pub mod guard_dump;
 pub mod hand_over;
+pub mod hand_over_mark;
 pub mod health_probe;
 pub mod hedged_call;
 pub mod inbound_door;
@@ -33,7 +34,9 @@
 pub mod policy_link;
 pub mod refusals;
 pub mod request_server;
+pub mod routed_call;
 pub mod state_dump;
 pub mod suspect_gate;
+pub mod upstream_probe;
 
 pub use error::{DaemonError, Result};
--- a/crates/daemon/src/life_cycle.rs
+++ b/crates/daemon/src/life_cycle.rs
@@ -1,6 +1,6 @@
 //! Takes the node through its life cycle and tells the nodes that follow it.
 
-use crate::{events, health_probe, node::SharedNode};
+use crate::{events, node::SharedNode, upstream_probe};
 
 use lagoonshore_coordination::{
     drain::DrainCause,
@@ -95,7 +95,7 @@
     begin(node, DrainCause::ProcessPaused);
     actix_rt::time::sleep(WAKE_TIME).await;
     for _ in 0..WAKE_PROBES {
-        if health_probe::probe(node).await != ProbeResult::Unclear {
+        if upstream_probe::probe(node).await != ProbeResult::Unclear {
             break;
         }
     }
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/outbound_door.rs
@@ -1,11 +1,6 @@
 //! The door for the calls that the node's own upstream makes.
 
-use crate::{
-    call_router::{self, RoutedCall},
-    keyed_work,
-    node::SharedNode,
-    refusals,
-};
+use crate::{call_router, keyed_work, node::SharedNode, refusals, routed_call::RoutedCall};
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/request_server.rs
@@ -1,8 +1,9 @@
 //! Serves a request on the node's own upstream: admission, hand-over, whole answer.
 
 use crate::{
-    admission_gate::SlotPermit, crash_response::HandOverMark, exclusive_gate::RunPass,
-    hand_over::HandOver, life_cycle, node::SharedNode, node_metrics, refusals, suspect_gate,
+    admission_gate::SlotPermit, exclusive_gate::RunPass, hand_over::HandOver,
+    hand_over_mark::HandOverMark, life_cycle, node::SharedNode, node_metrics, refusals,
+    suspect_gate,
 };
 
 use lagoonshore_coordination::{
--- /dev/null
+++ b/crates/daemon/src/upstream_probe.rs
@@ -0,0 +1,30 @@
+//! One question to the upstream's health endpoint.
+
+use crate::node::SharedNode;
+
+use lagoonshore_coordination::upstream_health::ProbeResult;
+use lagoonshore_transport::{TransportError, upstream_client::UpstreamRequest};
+use std::time::Duration;
+
+/// Time for the answer to a probe.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// Makes one probe; the result changes nothing.
+pub async fn probe(node: &SharedNode) -> ProbeResult {
+    let request = UpstreamRequest {
+        method: "GET".into(),
+        path: node.settings.upstream.health.clone(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+    };
+    match node.upstream.send(request, PROBE_TIME).await {
+        Ok(answer) => match answer.status {
+            503 => ProbeResult::Draining,
+            // An upstream without such an endpoint is alive all the same.
+            200..=499 => ProbeResult::Good,
+            _ => ProbeResult::Unclear,
+        },
+        Err(TransportError::Connect { .. }) => ProbeResult::Refused,
+        Err(_) => ProbeResult::Unclear,
+    }
+}
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -12,10 +12,7 @@
     retries::SharedPurse,
     suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
 };
-use lagoonshore_daemon::{
-    call_router::{self, RoutedCall},
-    crash_response,
-};
+use lagoonshore_daemon::{call_router, crash_response, routed_call::RoutedCall};
 use lagoonshore_protocol::messages::{CallRequest, CallResult, MessageStamp};
 use lagoonshore_state::units::{RequestImportance, TokenCount};
 use std::time::Duration;
