Give the daemon folders along the way of a request

doors, serving, calling, guards, distribution, observation and life, in place of 39 files side by side. Only paths changed.

--- a/crates/daemon/src/bound_call.rs
+++ b/crates/daemon/src/calling/bound_call.rs
@@ -1,13 +1,14 @@
 //! Sends a non-idempotent call to one executor; it goes elsewhere only on proof of not having run.
 
 use crate::{
-    call_attempt::{self, AttemptTarget},
-    hedged_call,
-    keyed_work::home_unreachable,
+    calling::{
+        call_attempt::{self, AttemptTarget},
+        hedged_call, refusals,
+        routed_call::{self, RoutedCall},
+    },
+    guards::suspect_gate,
     node::SharedNode,
-    refusals,
-    routed_call::{self, RoutedCall},
-    suspect_gate,
+    serving::keyed_work::home_unreachable,
 };
 
 use compact_str::CompactString;
--- a/crates/daemon/src/call_attempt.rs
+++ b/crates/daemon/src/calling/call_attempt.rs
@@ -1,6 +1,10 @@
 //! One attempt of a call at one instance, and what the node learns from it.
 
-use crate::{node::SharedNode, refusals, routed_call::RoutedCall, suspect_gate};
+use crate::{
+    calling::{refusals, routed_call::RoutedCall},
+    guards::suspect_gate,
+    node::SharedNode,
+};
 
 use futures::future::{Either, select};
 use lagoonshore_coordination::{
--- a/crates/daemon/src/call_router.rs
+++ b/crates/daemon/src/calling/call_router.rs
@@ -1,11 +1,12 @@
 //! Sends a call to an instance of another service, and again where that is allowed.
 
 use crate::{
-    bound_call, call_attempt, hedged_call,
+    calling::{
+        bound_call, call_attempt, hedged_call, refusals,
+        routed_call::{self, RoutedCall},
+    },
+    guards::suspect_gate,
     node::SharedNode,
-    refusals,
-    routed_call::{self, RoutedCall},
-    suspect_gate,
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/src/hedged_call.rs
+++ b/crates/daemon/src/calling/hedged_call.rs
@@ -3,9 +3,11 @@
 //! Barroso, "The Tail at Scale", Communications of the ACM 56(2), 2013).
 
 use crate::{
-    call_attempt::{self, AttemptCall, AttemptReply, AttemptTarget},
+    calling::{
+        call_attempt::{self, AttemptCall, AttemptReply, AttemptTarget},
+        routed_call::{self, RoutedCall},
+    },
     node::SharedNode,
-    routed_call::{self, RoutedCall},
 };
 
 use futures::future::{Either, LocalBoxFuture, select};
--- a/crates/daemon/src/digest_exchange.rs
+++ b/crates/daemon/src/distribution/digest_exchange.rs
@@ -1,6 +1,8 @@
 //! Exchanges digests with peers and pulls what they are ahead in.
 
-use crate::{crash_response, events, node::SharedNode, policy_keeper};
+use crate::{
+    distribution::policy_keeper, guards::crash_response, node::SharedNode, observation::events,
+};
 
 use lagoonshore_coordination::policy_digest::RecordVersion;
 use lagoonshore_protocol::messages::{
--- a/crates/daemon/src/platform_watch.rs
+++ b/crates/daemon/src/distribution/platform_watch.rs
@@ -1,7 +1,7 @@
 //! Reads the platform. Where the node is chosen to watch, it does so with long blocking queries;
 //! elsewhere it reads once at its start, seldom after that, and when no peer delivers a change.
 
-use crate::{events, life_cycle, node::SharedNode, policy_keeper};
+use crate::{distribution::policy_keeper, life::life_cycle, node::SharedNode, observation::events};
 
 use lagoonshore_coordination::{platform_watchers, policy_digest::ListVersion};
 use lagoonshore_state::{
--- a/crates/daemon/src/policy_keeper.rs
+++ b/crates/daemon/src/distribution/policy_keeper.rs
@@ -1,7 +1,7 @@
 //! Takes offers of policy records from wherever they come, puts newer ones in force and reports
 //! those that are refused.
 
-use crate::{events, node::SharedNode};
+use crate::{node::SharedNode, observation::events};
 
 use lagoonshore_coordination::policy_digest::RecordVersion;
 use lagoonshore_protocol::{ProtocolError, record};
--- a/crates/daemon/src/admin_door.rs
+++ b/crates/daemon/src/doors/admin_door.rs
@@ -1,6 +1,9 @@
 //! The door for operators. It shows; it changes nothing.
 
-use crate::{explanation, node::SharedNode, node_metrics, state_dump};
+use crate::{
+    node::SharedNode,
+    observation::{explanation, node_metrics, state_dump},
+};
 
 use bytes::Bytes;
 use lagoonshore_protocol::headers::HeaderField;
--- a/crates/daemon/src/inbound_door.rs
+++ b/crates/daemon/src/doors/inbound_door.rs
@@ -1,7 +1,9 @@
 //! The door for callers: plain HTTP to the node's own upstream.
 
 use crate::{
-    call_router, keyed_entry, node::SharedNode, refusals, request_server, routed_call::RoutedCall,
+    calling::{call_router, refusals, routed_call::RoutedCall},
+    node::SharedNode,
+    serving::{keyed_entry, request_server},
 };
 
 use lagoonshore_coordination::{outcome::RefusalReason, retries::SharedPurse};
--- a/crates/daemon/src/outbound_door.rs
+++ b/crates/daemon/src/doors/outbound_door.rs
@@ -1,6 +1,10 @@
 //! The door for the calls that the node's own upstream makes.
 
-use crate::{call_router, keyed_work, node::SharedNode, refusals, routed_call::RoutedCall};
+use crate::{
+    calling::{call_router, refusals, routed_call::RoutedCall},
+    node::SharedNode,
+    serving::keyed_work,
+};
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
--- a/crates/daemon/src/peer_door.rs
+++ b/crates/daemon/src/doors/peer_door.rs
@@ -1,6 +1,9 @@
 //! The door for other nodes.
 
-use crate::{crash_response, digest_exchange, keyed_server, node::SharedNode, refusals};
+use crate::{
+    calling::refusals, distribution::digest_exchange, guards::crash_response, node::SharedNode,
+    serving::keyed_server,
+};
 
 use lagoonshore_coordination::outcome::RefusalReason;
 use lagoonshore_protocol::{
--- a/crates/daemon/src/crash_response.rs
+++ b/crates/daemon/src/guards/crash_response.rs
@@ -1,6 +1,6 @@
 //! Counts the requests that were in progress when the upstream crashed, and tells other nodes.
 
-use crate::{events, node::SharedNode, upstream_probe};
+use crate::{guards::upstream_probe, node::SharedNode, observation::events};
 
 use futures::future::join_all;
 use lagoonshore_coordination::{
--- a/crates/daemon/src/health_probe.rs
+++ b/crates/daemon/src/guards/health_probe.rs
@@ -1,6 +1,11 @@
 //! Probes the health endpoint of the upstream and acts on changes.
 
-use crate::{crash_response, events, life_cycle, node::SharedNode, upstream_probe::probe};
+use crate::{
+    guards::{crash_response, upstream_probe::probe},
+    life::life_cycle,
+    node::SharedNode,
+    observation::events,
+};
 
 use lagoonshore_coordination::{
     drain::DrainCause,
--- /dev/null
+++ b/crates/daemon/src/guards/mod.rs
@@ -0,0 +1,8 @@
+//! What protects the upstream: health, crash suspects, exclusive runs.
+
+pub mod crash_response;
+pub mod exclusive_gate;
+pub mod health_probe;
+pub mod node_guard;
+pub mod suspect_gate;
+pub mod upstream_probe;
--- a/crates/daemon/src/node_guard.rs
+++ b/crates/daemon/src/guards/node_guard.rs
@@ -1,6 +1,6 @@
 //! What protects the upstream of a node, and what lets the node leave without harm.
 
-use crate::exclusive_gate::ExclusiveGate;
+use crate::guards::exclusive_gate::ExclusiveGate;
 
 use lagoonshore_coordination::{
     crash_watch::CrashWatch, pause_watch::PauseWatch, suspects::SuspectTable,
--- a/crates/daemon/src/suspect_gate.rs
+++ b/crates/daemon/src/guards/suspect_gate.rs
@@ -1,6 +1,6 @@
 //! Decides how a request may run by what is held against it.
 
-use crate::{exclusive_gate::RunPass, node::SharedNode};
+use crate::{guards::exclusive_gate::RunPass, node::SharedNode};
 
 use lagoonshore_coordination::{
     fingerprint::{self, RequestFingerprint},
--- a/crates/daemon/src/life_cycle.rs
+++ b/crates/daemon/src/life/life_cycle.rs
@@ -1,6 +1,6 @@
 //! Takes the node through its life cycle and tells the nodes that follow it.
 
-use crate::{events, node::SharedNode, upstream_probe};
+use crate::{guards::upstream_probe, node::SharedNode, observation::events};
 
 use lagoonshore_coordination::{
     drain::DrainCause,
--- a/crates/daemon/src/planned_stop.rs
+++ b/crates/daemon/src/life/planned_stop.rs
@@ -1,6 +1,6 @@
 //! The planned stop of a node.
 
-use crate::{events, life_cycle, node::SharedNode};
+use crate::{life::life_cycle, node::SharedNode, observation::events};
 
 use lagoonshore_coordination::drain::DrainCause;
 use std::time::Duration;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,6 @@
 //! `lagoonshored` is the node that stands beside one upstream instance.
 
-use lagoonshore_daemon::{logging, node_process};
+use lagoonshore_daemon::{node_process, observation::logging};
 use lagoonshore_settings::{NodeSettings, SettingsError};
 use pico_args::Arguments;
 use std::{
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,12 +1,10 @@
 //! What the doors of one node share.
 
 use crate::{
-    admission_gate::AdmissionGate,
+    distribution::{policy_keeper::RecordFault, policy_link::PolicyLink},
     error::{DaemonError, Result},
-    keyed_work::KeyedWork,
-    node_guard::NodeGuard,
-    policy_keeper::RecordFault,
-    policy_link::PolicyLink,
+    guards::node_guard::NodeGuard,
+    serving::{admission_gate::AdmissionGate, keyed_work::KeyedWork},
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/src/node_process.rs
+++ b/crates/daemon/src/node_process.rs
@@ -1,13 +1,13 @@
 //! Runs one node from its start to the end of a planned stop.
 
 use crate::{
-    admin_door, digest_exchange,
+    distribution::{digest_exchange, platform_watch},
+    doors::{admin_door, inbound_door, outbound_door, peer_door::PeerDoor},
     error::{Result, SignalsSnafu},
-    events, health_probe, inbound_door, life_cycle,
+    guards::health_probe,
+    life::{life_cycle, planned_stop},
     node::{Node, SharedNode},
-    outbound_door,
-    peer_door::PeerDoor,
-    planned_stop, platform_watch,
+    observation::events,
 };
 
 use lagoonshore_settings::NodeSettings;
--- a/crates/daemon/src/state_dump.rs
+++ b/crates/daemon/src/observation/state_dump.rs
@@ -1,11 +1,10 @@
 //! The dump of a node's state: stable order, no bodies, no keys.
 
 use crate::{
-    guard_dump::{self, SuspectsPart, UpstreamPart},
-    keyed_work::LedgerPart,
+    distribution::{policy_keeper::RecordFault, policy_link::DistributionCounters},
     node::{Node, PlatformState},
-    policy_keeper::RecordFault,
-    policy_link::DistributionCounters,
+    observation::guard_dump::{self, SuspectsPart, UpstreamPart},
+    serving::keyed_work::LedgerPart,
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/src/hand_over.rs
+++ b/crates/daemon/src/serving/hand_over.rs
@@ -1,6 +1,6 @@
 //! Follows one request from its hand-over to its end, however that comes.
 
-use crate::{admission_gate::SlotPermit, node::SharedNode, node_metrics};
+use crate::{node::SharedNode, observation::node_metrics, serving::admission_gate::SlotPermit};
 
 use lagoonshore_coordination::{
     call_table::ServedCall,
--- a/crates/daemon/src/hand_over_mark.rs
+++ b/crates/daemon/src/serving/hand_over_mark.rs
@@ -1,6 +1,9 @@
 //! A request at the upstream, from its hand-over to its end.
 
-use crate::{crash_response, health_probe, node::SharedNode};
+use crate::{
+    guards::{crash_response, health_probe},
+    node::SharedNode,
+};
 
 use lagoonshore_coordination::{fingerprint::RequestFingerprint, upstream_health::HandOverSign};
 use lagoonshore_transport::TransportError;
--- a/crates/daemon/src/keyed_entry.rs
+++ b/crates/daemon/src/serving/keyed_entry.rs
@@ -1,10 +1,12 @@
 //! The entry of non-idempotent requests: offers keys, and passes each keyed request to its home.
 
 use crate::{
-    keyed_server,
-    keyed_work::{self, home_unreachable},
+    calling::refusals,
     node::SharedNode,
-    refusals,
+    serving::{
+        keyed_server,
+        keyed_work::{self, home_unreachable},
+    },
 };
 
 use bytes::Bytes;
--- a/crates/daemon/src/keyed_server.rs
+++ b/crates/daemon/src/serving/keyed_server.rs
@@ -1,8 +1,10 @@
 //! Serves keyed requests: each key is run at most once, and resends get its one answer.
 
 use crate::{
-    call_router, keyed_work::RunReceiver, node::SharedNode, request_server,
-    routed_call::RoutedCall, suspect_gate,
+    calling::{call_router, routed_call::RoutedCall},
+    guards::suspect_gate,
+    node::SharedNode,
+    serving::{keyed_work::RunReceiver, request_server},
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/src/keyed_work.rs
+++ b/crates/daemon/src/serving/keyed_work.rs
@@ -231,5 +231,5 @@
 }
 
 const fn not_run(reason: RefusalReason) -> CallRefusal {
-    crate::refusals::on_arrival(reason)
+    crate::calling::refusals::on_arrival(reason)
 }
--- a/crates/daemon/src/request_server.rs
+++ b/crates/daemon/src/serving/request_server.rs
@@ -1,9 +1,12 @@
 //! Serves a request on the node's own upstream: admission, hand-over, whole answer.
 
 use crate::{
-    admission_gate::SlotPermit, exclusive_gate::RunPass, hand_over::HandOver,
-    hand_over_mark::HandOverMark, life_cycle, node::SharedNode, node_metrics, refusals,
-    suspect_gate,
+    calling::refusals,
+    guards::{exclusive_gate::RunPass, suspect_gate},
+    life::life_cycle,
+    node::SharedNode,
+    observation::node_metrics,
+    serving::{admission_gate::SlotPermit, hand_over::HandOver, hand_over_mark::HandOverMark},
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -12,7 +12,10 @@
     retries::SharedPurse,
     suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
 };
-use lagoonshore_daemon::{call_router, crash_response, routed_call::RoutedCall};
+use lagoonshore_daemon::{
+    calling::{call_router, routed_call::RoutedCall},
+    guards::crash_response,
+};
 use lagoonshore_protocol::messages::{CallRequest, CallResult, MessageStamp};
 use lagoonshore_state::units::{RequestImportance, TokenCount};
 use std::time::Duration;
@@ -225,7 +228,9 @@
     let answer = support::send(node.doors.inbound, "GET", "/day/held", &headers, "").await;
     assert_eq!(answer.reason, "timeout");
     upstream.kill();
-    actix_rt::spawn(lagoonshore_daemon::health_probe::run(node.node.clone()));
+    actix_rt::spawn(lagoonshore_daemon::guards::health_probe::run(
+        node.node.clone(),
+    ));
     support::until(|| counts(&fleet[2].0).alone == 1).await;
 }
 
@@ -237,7 +242,9 @@
     let seen = std::rc::Rc::clone(&starts);
     let hook = move |_| seen.set(seen.get() + 1);
     node.node.guard.on_cold_start(std::rc::Rc::new(hook));
-    let probing = actix_rt::spawn(lagoonshore_daemon::health_probe::run(node.node.clone()));
+    let probing = actix_rt::spawn(lagoonshore_daemon::guards::health_probe::run(
+        node.node.clone(),
+    ));
     let answer = poison(node).await;
     assert_eq!(answer.reason, "connection-lost");
     let answer = support::send(node.doors.inbound, "GET", "/day/8", &[], "").await;
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -9,7 +9,11 @@
 use lagoonshore_coordination::{
     drain::DrainState, outcome::RefusalReason, policy_digest::ListVersion,
 };
-use lagoonshore_daemon::{health_probe, life_cycle, planned_stop, platform_watch};
+use lagoonshore_daemon::{
+    distribution::platform_watch,
+    guards::health_probe,
+    life::{life_cycle, planned_stop},
+};
 use lagoonshore_state::instance_table::InstanceState;
 use std::{net::SocketAddr, time::Duration};
 use support::{TestAnswer, TestNode};
--- a/crates/daemon/tests/policy_between_nodes.rs
+++ b/crates/daemon/tests/policy_between_nodes.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use futures::future::LocalBoxFuture;
-use lagoonshore_daemon::{digest_exchange, platform_watch, policy_keeper::RefusalVerdict};
+use lagoonshore_daemon::distribution::{
+    digest_exchange, platform_watch, policy_keeper::RefusalVerdict,
+};
 use lagoonshore_state::instance_table::InstanceRecord;
 use lagoonshore_transport::{
     Result, TransportError,
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -6,9 +6,9 @@
 use awc::Client;
 use bytes::Bytes;
 use lagoonshore_daemon::{
+    distribution::platform_watch,
     node::{Node, SharedNode},
     node_process::{self, BoundDoors},
-    platform_watch,
 };
 use lagoonshore_settings::NodeSettings;
 use lagoonshore_state::instance_table::{InstanceRecord, InstanceState};
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lagoonshore_daemon::platform_watch;
+use lagoonshore_daemon::distribution::platform_watch;
 use lagoonshore_transport::http_door::DoorRequest;
 use support::{TestAnswer, TestNode};
 
