--- a/crates/coordination/src/admission.rs
+++ b/crates/coordination/src/admitting/admission.rs
@@ -4,7 +4,7 @@
 //! queued: slots go to the head of a queue ordered by importance, a full queue evicts its least
 //! important entry, and a level that falls turns out what no longer passes.
 
-use crate::{level_control::LevelControl, outcome::RefusalReason};
+use crate::{admitting::level_control::LevelControl, request::outcome::RefusalReason};
 
 use lagoonshore_state::{
     adaptive_limit::AdaptiveLimit,
--- a/crates/coordination/src/refusal_counters.rs
+++ b/crates/coordination/src/admitting/refusal_counters.rs
@@ -1,6 +1,6 @@
 //! Counts refusals by their reason.
 
-use crate::outcome::RefusalReason;
+use crate::request::outcome::RefusalReason;
 
 use std::collections::BTreeMap;
 
--- a/crates/coordination/src/execution_ledger.rs
+++ b/crates/coordination/src/at_most_once/execution_ledger.rs
@@ -4,9 +4,11 @@
 //! early. So a key without a record has either never run or is refused.
 
 use crate::{
-    idempotency_key::{KeyDigest, RequestDigest},
-    outcome::{CallOutcome, RefusalReason},
-    request_life::CallRefusal,
+    at_most_once::idempotency_key::{KeyDigest, RequestDigest},
+    request::{
+        outcome::{CallOutcome, RefusalReason},
+        request_life::CallRefusal,
+    },
 };
 
 use lagoonshore_state::data_type;
--- a/crates/coordination/src/executor_binding.rs
+++ b/crates/coordination/src/at_most_once/executor_binding.rs
@@ -1,6 +1,6 @@
 //! Which instance a non-idempotent call was first sent to; it goes nowhere else in doubt.
 
-use crate::execution_ledger::KEY_RECORD_TIME;
+use crate::at_most_once::execution_ledger::KEY_RECORD_TIME;
 
 use lagoonshore_state::{ids::IncarnationId, instance_table::InstanceKey};
 
--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the coordination layer.
 
-use crate::drain::DrainState;
+use crate::leaving::drain::DrainState;
 
 use lagoonshore_state::StateError;
 use snafu::Snafu;
--- a/crates/coordination/src/membership.rs
+++ b/crates/coordination/src/knowledge/membership.rs
@@ -2,7 +2,7 @@
 //! goes before it, and an instance is forgotten only if it is gone from the list and has not
 //! answered for a while.
 
-use crate::policy_digest::ListVersion;
+use crate::knowledge::policy_digest::ListVersion;
 
 use lagoonshore_state::{
     ids::{InstanceName, ServiceName},
--- a/crates/coordination/src/platform_watchers.rs
+++ b/crates/coordination/src/knowledge/platform_watchers.rs
@@ -3,7 +3,7 @@
 //! Scheme for Rendezvous", 1996) among those that answer and can read the platform. Everyone else learns from digests. Views that differ cost a
 //! watcher more or leave a zone to its neighbours, never a wrong policy.
 
-use crate::membership::MemberTable;
+use crate::knowledge::membership::MemberTable;
 
 use lagoonshore_state::{ids::InstanceName, instance_table::InstanceTable};
 use rand::{Rng, RngCore};
--- a/crates/coordination/src/policy_distribution.rs
+++ b/crates/coordination/src/knowledge/policy_distribution.rs
@@ -2,7 +2,7 @@
 //! from the peer that offered it, and reads the platform after a random delay only if no peer
 //! delivered. Nothing here puts a policy in force; the policy set does, and it never goes back.
 
-use crate::policy_digest::{PolicyDigest, RecordVersion};
+use crate::knowledge::policy_digest::{PolicyDigest, RecordVersion};
 
 use lagoonshore_state::{
     ids::{ContentHash, ServiceName},
--- a/crates/coordination/src/drain.rs
+++ b/crates/coordination/src/leaving/drain.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     error::{CoordinationError, Result},
-    outcome::RefusalReason,
+    request::outcome::RefusalReason,
 };
 
 use lagoonshore_state::{data_type, id_type};
--- a/crates/coordination/src/crash_watch.rs
+++ b/crates/coordination/src/protection/crash_watch.rs
@@ -1,6 +1,6 @@
 //! Tells the crashes of an upstream apart, so that one crash counts once for each request.
 
-use crate::fingerprint::RequestFingerprint;
+use crate::protection::fingerprint::RequestFingerprint;
 
 use std::{
     collections::{BTreeSet, VecDeque},
--- a/crates/coordination/src/suspects.rs
+++ b/crates/coordination/src/protection/suspects.rs
@@ -5,7 +5,7 @@
 //! is cleared. When its quarantine ends it is on probation: it runs alone, and another crash
 //! quarantines it at once for twice the time.
 
-use crate::fingerprint::RequestFingerprint;
+use crate::protection::fingerprint::RequestFingerprint;
 
 use lagoonshore_state::data_type;
 use std::{collections::BTreeMap, time::Duration};
--- a/crates/coordination/src/call_table.rs
+++ b/crates/coordination/src/request/call_table.rs
@@ -1,7 +1,7 @@
 //! The requests that the upstream is serving, by the id that it echoes on the calls it makes.
 
 use crate::{
-    child_clock::ChildClock,
+    at_most_once::child_clock::ChildClock,
     retries::{SharedPurse, repeat_table::RepeatTable},
 };
 
--- a/crates/coordination/src/request_life.rs
+++ b/crates/coordination/src/request/request_life.rs
@@ -1,7 +1,7 @@
 //! The life cycle of a request at one node, as a typestate. Only a request that was not handed
 //! over can be refused as not run, so a false `not-run` does not compile.
 
-use crate::outcome::{CallOutcome, RefusalReason};
+use crate::request::outcome::{CallOutcome, RefusalReason};
 
 use lagoonshore_state::data_type;
 use std::marker::PhantomData;
--- a/crates/coordination/src/retries/retry_after.rs
+++ b/crates/coordination/src/retries/retry_after.rs
@@ -1,6 +1,6 @@
 //! The time after which a refused caller may try again.
 
-use crate::outcome::RefusalReason;
+use crate::request::outcome::RefusalReason;
 
 use rand::{Rng, RngCore};
 use std::time::Duration;
--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -9,7 +9,7 @@
 use ejection::{OUTLIER_ANSWERS_MIN, PeerCondition};
 use peer_view::{PeerView, ReportedLoad};
 
-use crate::{outcome::RefusalReason, request_life::CallRefusal};
+use crate::request::{outcome::RefusalReason, request_life::CallRefusal};
 
 use lagoonshore_state::{
     data_type,
--- a/crates/coordination/tests/admission.rs
+++ b/crates/coordination/tests/admission.rs
@@ -1,7 +1,7 @@
 //! Scenarios of admission, in goldenscript. `at MS` sets the clock of the scenario.
 
 use goldenscript::{Command, Context, Runner};
-use lagoonshore_coordination::admission::{
+use lagoonshore_coordination::admitting::admission::{
     AdmissionControl, AdmissionOffer, AdmissionVerdict, QueueChange,
 };
 use lagoonshore_state::{
--- a/crates/coordination/tests/admission_invariant.rs
+++ b/crates/coordination/tests/admission_invariant.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lagoonshore_coordination::admission::{
+use lagoonshore_coordination::admitting::admission::{
     AdmissionControl, AdmissionOffer, AdmissionVerdict, QueueChange,
 };
 use lagoonshore_state::{
--- a/crates/coordination/tests/execution_ledger.rs
+++ b/crates/coordination/tests/execution_ledger.rs
@@ -1,12 +1,14 @@
 //! Whatever the order of events, a key runs at most once and no `not-run` is false.
 
 use lagoonshore_coordination::{
-    execution_ledger::{
-        ExecutionLedger, KEY_RECORD_TIME, KEY_START_TIME, KeyClaim, LedgerBounds, LedgerVerdict,
-        RunEnd, RunTicket,
+    at_most_once::{
+        execution_ledger::{
+            ExecutionLedger, KEY_RECORD_TIME, KEY_START_TIME, KeyClaim, LedgerBounds,
+            LedgerVerdict, RunEnd, RunTicket,
+        },
+        idempotency_key::{HomeClaim, KeyIssuer, OfferedKey},
     },
-    idempotency_key::{HomeClaim, KeyIssuer, OfferedKey},
-    outcome::{CallOutcome, RefusalReason},
+    request::outcome::{CallOutcome, RefusalReason},
 };
 use proptest::{
     prelude::*,
--- a/crates/coordination/tests/idempotency_key.rs
+++ b/crates/coordination/tests/idempotency_key.rs
@@ -1,6 +1,6 @@
 //! Keys, their homes, and the bindings of calls.
 
-use lagoonshore_coordination::{
+use lagoonshore_coordination::at_most_once::{
     child_key,
     executor_binding::{CallExecutor, ExecutorBindings, SendEnd},
     idempotency_key::{HomeClaim, IdempotencyKey, KeyIssuer, OfferedKey},
--- a/crates/coordination/tests/leaving.rs
+++ b/crates/coordination/tests/leaving.rs
@@ -3,10 +3,12 @@
 
 use goldenscript::{Command, Context, Runner};
 use lagoonshore_coordination::{
-    drain::{DrainCause, DrainControl},
-    outcome::RefusalReason,
-    pause_watch::PauseWatch,
-    upstream_health::{HandOverSign, HealthControl, ProbeResult},
+    leaving::{
+        drain::{DrainCause, DrainControl},
+        pause_watch::PauseWatch,
+    },
+    protection::upstream_health::{HandOverSign, HealthControl, ProbeResult},
+    request::outcome::RefusalReason,
 };
 use std::{error::Error, time::Duration};
 use tokio::time::Instant;
--- a/crates/coordination/tests/levels.rs
+++ b/crates/coordination/tests/levels.rs
@@ -1,6 +1,6 @@
 //! Admission levels: order, relaxing with age, the strictest along a call graph.
 
-use lagoonshore_coordination::level_table::LevelTable;
+use lagoonshore_coordination::admitting::level_table::LevelTable;
 use lagoonshore_state::{
     admission_level::{self, AdmissionLevel},
     units::RequestImportance,
--- a/crates/coordination/tests/message_age.rs
+++ b/crates/coordination/tests/message_age.rs
@@ -1,6 +1,6 @@
 //! Age of messages between processes whose clocks are not synchronised and which may pause.
 
-use lagoonshore_coordination::message_age::MessageAges;
+use lagoonshore_coordination::at_most_once::message_age::MessageAges;
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/coordination/tests/overload.rs
+++ b/crates/coordination/tests/overload.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use goldenscript::{Command, Context, Runner};
-use lagoonshore_coordination::admission::AdmissionRules;
+use lagoonshore_coordination::admitting::admission::AdmissionRules;
 use lagoonshore_state::queue::QueueOrder;
 use std::{error::Error, fmt::Write, time::Duration};
 use support::chain_model::{ChainModel, ModelClass, ModelCount};
--- a/crates/coordination/tests/readiness.rs
+++ b/crates/coordination/tests/readiness.rs
@@ -1,6 +1,6 @@
 //! When a new process may serve.
 
-use lagoonshore_coordination::readiness::{
+use lagoonshore_coordination::leaving::readiness::{
     CALLEES_WAIT_MAX, KnownFleet, READINESS_WAIT_MAX, ReadinessControl, ReadinessState,
 };
 use lagoonshore_state::{
--- a/crates/coordination/tests/support/chain_model.rs
+++ b/crates/coordination/tests/support/chain_model.rs
@@ -3,7 +3,7 @@
 
 use super::overload_checker::OverloadChecker;
 
-use lagoonshore_coordination::{
+use lagoonshore_coordination::admitting::{
     admission::{AdmissionControl, AdmissionOffer, AdmissionRules, AdmissionVerdict, QueueChange},
     level_table::LevelTable,
 };
--- a/crates/coordination/tests/support/fleet.rs
+++ b/crates/coordination/tests/support/fleet.rs
@@ -5,12 +5,14 @@
 #![allow(dead_code, unreachable_pub)]
 
 use lagoonshore_coordination::{
-    digest_schedule::DigestSchedule,
-    membership::MemberTable,
-    platform_watchers,
-    policy_digest::{ListVersion, PolicyDigest},
-    policy_distribution::PolicyDistribution,
-    readiness::{KnownFleet, ReadinessControl, ReadinessState},
+    knowledge::{
+        digest_schedule::DigestSchedule,
+        membership::MemberTable,
+        platform_watchers,
+        policy_digest::{ListVersion, PolicyDigest},
+        policy_distribution::PolicyDistribution,
+    },
+    leaving::readiness::{KnownFleet, ReadinessControl, ReadinessState},
     routing::RoutingOrigin,
 };
 use lagoonshore_protocol::messages::NodeDigest;
--- a/crates/coordination/tests/support/overload_checker.rs
+++ b/crates/coordination/tests/support/overload_checker.rs
@@ -2,8 +2,8 @@
 //! or stays queued. Requests of a lane at its bound contend with their lane only.
 
 use lagoonshore_coordination::{
-    admission::{AdmissionOffer, AdmissionVerdict, QueueChange},
-    outcome::RefusalReason,
+    admitting::admission::{AdmissionOffer, AdmissionVerdict, QueueChange},
+    request::outcome::RefusalReason,
 };
 use lagoonshore_state::{ids::LaneName, queue::EntryKey, units::RequestImportance};
 use std::collections::BTreeMap;
--- a/crates/coordination/tests/suspects.rs
+++ b/crates/coordination/tests/suspects.rs
@@ -1,7 +1,7 @@
 //! Scenarios of crash suspects in goldenscript, and their invariants over random histories.
 
 use goldenscript::{Command, Context, Runner};
-use lagoonshore_coordination::{
+use lagoonshore_coordination::protection::{
     crash_watch::{CrashWatch, LINGERING_MAX, UpstreamSign},
     fingerprint::{self, RequestFingerprint},
     suspects::{REPORTS_MAX, SUSPECTS_MAX, SuspectReport, SuspectTable, SuspectVerdict},
--- a/crates/daemon/src/calling/bound_call.rs
+++ b/crates/daemon/src/calling/bound_call.rs
@@ -13,9 +13,8 @@
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    executor_binding::{CallExecutor, SendEnd},
-    outcome::RefusalReason,
-    request_life::CallRefusal,
+    at_most_once::executor_binding::{CallExecutor, SendEnd},
+    request::{outcome::RefusalReason, request_life::CallRefusal},
     retries::{RouteKey, SharedPurse},
 };
 use lagoonshore_protocol::messages::{CallResult, WorkKey};
--- a/crates/daemon/src/calling/call_attempt.rs
+++ b/crates/daemon/src/calling/call_attempt.rs
@@ -8,8 +8,10 @@
 
 use futures::future::{Either, select};
 use lagoonshore_coordination::{
-    outcome::{CallOutcome, RefusalReason},
-    request_life::CallRefusal,
+    request::{
+        outcome::{CallOutcome, RefusalReason},
+        request_life::CallRefusal,
+    },
     retries::RouteKey,
     routing::peer_view::{ReportedLoad, STRAGGLER_SLOWNESS},
 };
--- a/crates/daemon/src/calling/call_router.rs
+++ b/crates/daemon/src/calling/call_router.rs
@@ -10,7 +10,7 @@
 };
 
 use lagoonshore_coordination::{
-    outcome::RefusalReason,
+    request::outcome::RefusalReason,
     retries::{RouteKey, SharedPurse},
 };
 use lagoonshore_protocol::messages::{CallRequest, CallResult};
--- a/crates/daemon/src/calling/refusals.rs
+++ b/crates/daemon/src/calling/refusals.rs
@@ -1,8 +1,10 @@
 //! Turns results into answers at the HTTP doors.
 
 use lagoonshore_coordination::{
-    outcome::{CallOutcome, RefusalReason},
-    request_life::{CallRefusal, RequestLife},
+    request::{
+        outcome::{CallOutcome, RefusalReason},
+        request_life::{CallRefusal, RequestLife},
+    },
     retries::retry_after,
 };
 use lagoonshore_protocol::{
--- a/crates/daemon/src/calling/routed_call.rs
+++ b/crates/daemon/src/calling/routed_call.rs
@@ -3,7 +3,8 @@
 use crate::node::SharedNode;
 
 use lagoonshore_coordination::{
-    outcome::CallOutcome, request_life::CallRefusal, retries::SharedPurse,
+    request::{outcome::CallOutcome, request_life::CallRefusal},
+    retries::SharedPurse,
 };
 use lagoonshore_protocol::messages::CallRequest;
 use lagoonshore_state::{ids::ClassName, instance_table::InstanceKey};
--- a/crates/daemon/src/distribution/digest_exchange.rs
+++ b/crates/daemon/src/distribution/digest_exchange.rs
@@ -4,7 +4,7 @@
     distribution::policy_keeper, guards::crash_response, node::SharedNode, observation::events,
 };
 
-use lagoonshore_coordination::policy_digest::RecordVersion;
+use lagoonshore_coordination::knowledge::policy_digest::RecordVersion;
 use lagoonshore_protocol::messages::{
     InstanceList, NodeDigest, PullReply, PullRequest, RecordBytes,
 };
--- a/crates/daemon/src/distribution/platform_watch.rs
+++ b/crates/daemon/src/distribution/platform_watch.rs
@@ -3,7 +3,7 @@
 
 use crate::{distribution::policy_keeper, life::life_cycle, node::SharedNode, observation::events};
 
-use lagoonshore_coordination::{platform_watchers, policy_digest::ListVersion};
+use lagoonshore_coordination::knowledge::{platform_watchers, policy_digest::ListVersion};
 use lagoonshore_state::{
     ids::ServiceName, instance_table::InstanceRecord, policy_set::PolicySource,
 };
--- a/crates/daemon/src/distribution/policy_keeper.rs
+++ b/crates/daemon/src/distribution/policy_keeper.rs
@@ -3,7 +3,7 @@
 
 use crate::{node::SharedNode, observation::events};
 
-use lagoonshore_coordination::policy_digest::RecordVersion;
+use lagoonshore_coordination::knowledge::policy_digest::RecordVersion;
 use lagoonshore_protocol::{ProtocolError, record};
 use lagoonshore_state::{
     StateError, id_type,
--- a/crates/daemon/src/distribution/policy_link.rs
+++ b/crates/daemon/src/distribution/policy_link.rs
@@ -1,11 +1,11 @@
 //! What a node knows about the distribution of policies and about other nodes.
 
 use lagoonshore_coordination::{
-    digest_schedule::DigestSchedule,
-    membership::MemberTable,
-    policy_digest::PolicyDigest,
-    policy_distribution::PolicyDistribution,
-    readiness::{KnownFleet, ReadinessControl, ReadinessState},
+    knowledge::{
+        digest_schedule::DigestSchedule, membership::MemberTable, policy_digest::PolicyDigest,
+        policy_distribution::PolicyDistribution,
+    },
+    leaving::readiness::{KnownFleet, ReadinessControl, ReadinessState},
     routing::RoutingOrigin,
 };
 use lagoonshore_settings::NodeSettings;
--- a/crates/daemon/src/doors/inbound_door.rs
+++ b/crates/daemon/src/doors/inbound_door.rs
@@ -6,7 +6,7 @@
     serving::{keyed_entry, request_server},
 };
 
-use lagoonshore_coordination::{outcome::RefusalReason, retries::SharedPurse};
+use lagoonshore_coordination::{request::outcome::RefusalReason, retries::SharedPurse};
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
     messages::{CallReply, CallRequest, CallResult, MessageStamp},
--- a/crates/daemon/src/doors/outbound_door.rs
+++ b/crates/daemon/src/doors/outbound_door.rs
@@ -8,8 +8,8 @@
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    child_key,
-    outcome::RefusalReason,
+    at_most_once::child_key,
+    request::outcome::RefusalReason,
     retries::{
         SharedPurse,
         repeat_table::{self, CallDigest},
--- a/crates/daemon/src/doors/peer_door.rs
+++ b/crates/daemon/src/doors/peer_door.rs
@@ -5,7 +5,7 @@
     serving::keyed_server,
 };
 
-use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_protocol::{
     messages::{
         CallReply, CallRequest, CallResult, MessageStamp, NodeDigest, PullReply, PullRequest,
--- a/crates/daemon/src/guards/crash_response.rs
+++ b/crates/daemon/src/guards/crash_response.rs
@@ -3,7 +3,7 @@
 use crate::{guards::upstream_probe, node::SharedNode, observation::events};
 
 use futures::future::join_all;
-use lagoonshore_coordination::{
+use lagoonshore_coordination::protection::{
     crash_watch::UpstreamSign, fingerprint::RequestFingerprint, suspects::SuspectReport,
     upstream_health::ProbeResult,
 };
--- a/crates/daemon/src/guards/exclusive_gate.rs
+++ b/crates/daemon/src/guards/exclusive_gate.rs
@@ -3,7 +3,7 @@
 //! Requests pass here after their admission, so the order of the queue is kept: everybody else
 //! holds a shared pass, a suspect the only one.
 
-use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_coordination::request::outcome::RefusalReason;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::{
     sync::{Mutex, OwnedRwLockReadGuard, OwnedRwLockWriteGuard, RwLock},
--- a/crates/daemon/src/guards/health_probe.rs
+++ b/crates/daemon/src/guards/health_probe.rs
@@ -8,8 +8,8 @@
 };
 
 use lagoonshore_coordination::{
-    drain::DrainCause,
-    upstream_health::{HandOverSign, HealthChange},
+    leaving::drain::DrainCause,
+    protection::upstream_health::{HandOverSign, HealthChange},
 };
 use rand::Rng;
 use std::time::Duration;
--- a/crates/daemon/src/guards/node_guard.rs
+++ b/crates/daemon/src/guards/node_guard.rs
@@ -3,8 +3,8 @@
 use crate::guards::exclusive_gate::ExclusiveGate;
 
 use lagoonshore_coordination::{
-    crash_watch::CrashWatch, pause_watch::PauseWatch, suspects::SuspectTable,
-    upstream_health::HealthControl,
+    leaving::pause_watch::PauseWatch,
+    protection::{crash_watch::CrashWatch, suspects::SuspectTable, upstream_health::HealthControl},
 };
 use lagoonshore_transport::closing_switch::ClosingSwitch;
 use std::{
--- a/crates/daemon/src/guards/suspect_gate.rs
+++ b/crates/daemon/src/guards/suspect_gate.rs
@@ -3,10 +3,11 @@
 use crate::{guards::exclusive_gate::RunPass, node::SharedNode};
 
 use lagoonshore_coordination::{
-    fingerprint::{self, RequestFingerprint},
-    outcome::RefusalReason,
-    request_life::CallRefusal,
-    suspects::{SuspectReport, SuspectVerdict},
+    protection::{
+        fingerprint::{self, RequestFingerprint},
+        suspects::{SuspectReport, SuspectVerdict},
+    },
+    request::{outcome::RefusalReason, request_life::CallRefusal},
 };
 use lagoonshore_protocol::{
     headers,
--- a/crates/daemon/src/guards/upstream_probe.rs
+++ b/crates/daemon/src/guards/upstream_probe.rs
@@ -2,7 +2,7 @@
 
 use crate::node::SharedNode;
 
-use lagoonshore_coordination::upstream_health::ProbeResult;
+use lagoonshore_coordination::protection::upstream_health::ProbeResult;
 use lagoonshore_transport::{TransportError, upstream_client::UpstreamRequest};
 use std::time::Duration;
 
--- a/crates/daemon/src/life/life_cycle.rs
+++ b/crates/daemon/src/life/life_cycle.rs
@@ -3,10 +3,12 @@
 use crate::{guards::upstream_probe, node::SharedNode, observation::events};
 
 use lagoonshore_coordination::{
-    drain::DrainCause,
-    outcome::RefusalReason,
-    pause_watch::{PauseWatch, TICK_TIME},
-    upstream_health::ProbeResult,
+    leaving::{
+        drain::DrainCause,
+        pause_watch::{PauseWatch, TICK_TIME},
+    },
+    protection::upstream_health::ProbeResult,
+    request::outcome::RefusalReason,
 };
 use lagoonshore_state::instance_table::{InstanceRecord, InstanceState};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
--- a/crates/daemon/src/life/planned_stop.rs
+++ b/crates/daemon/src/life/planned_stop.rs
@@ -2,7 +2,7 @@
 
 use crate::{life::life_cycle, node::SharedNode, observation::events};
 
-use lagoonshore_coordination::drain::DrainCause;
+use lagoonshore_coordination::leaving::drain::DrainCause;
 use std::time::Duration;
 use tracing::{info, warn};
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -8,11 +8,9 @@
 };
 
 use lagoonshore_coordination::{
-    call_table::CallTable,
-    drain::DrainControl,
-    level_table::LevelTable,
-    readiness::ReadinessState,
-    refusal_counters::RefusalCounters,
+    admitting::{level_table::LevelTable, refusal_counters::RefusalCounters},
+    leaving::{drain::DrainControl, readiness::ReadinessState},
+    request::call_table::CallTable,
     retries::RetryControl,
     routing::{PeerSelector, RoutingOrigin},
 };
--- a/crates/daemon/src/observation/guard_dump.rs
+++ b/crates/daemon/src/observation/guard_dump.rs
@@ -2,7 +2,7 @@
 
 use crate::node::Node;
 
-use lagoonshore_coordination::{
+use lagoonshore_coordination::protection::{
     suspects::{SuspectCounts, SuspectVerdict},
     upstream_health::UpstreamState,
 };
--- a/crates/daemon/src/observation/node_metrics.rs
+++ b/crates/daemon/src/observation/node_metrics.rs
@@ -6,8 +6,8 @@
 use crate::node::Node;
 
 use lagoonshore_coordination::{
-    drain::DrainState, outcome::CallOutcome, routing::ejection::PeerCondition,
-    upstream_health::UpstreamState,
+    leaving::drain::DrainState, protection::upstream_health::UpstreamState,
+    request::outcome::CallOutcome, routing::ejection::PeerCondition,
 };
 use lagoonshore_protocol::messages::CallResult;
 use metrics::{counter, gauge, histogram};
--- a/crates/daemon/src/observation/state_dump.rs
+++ b/crates/daemon/src/observation/state_dump.rs
@@ -8,8 +8,10 @@
 };
 
 use lagoonshore_coordination::{
-    drain::DrainReport, policy_digest::ListVersion, readiness::ReadinessState,
-    retries::retry_control::RetrySummary, routing::PeerSummary,
+    knowledge::policy_digest::ListVersion,
+    leaving::{drain::DrainReport, readiness::ReadinessState},
+    retries::retry_control::RetrySummary,
+    routing::PeerSummary,
 };
 use lagoonshore_state::{
     admission_level::AdmissionLevel,
--- a/crates/daemon/src/serving/admission_gate.rs
+++ b/crates/daemon/src/serving/admission_gate.rs
@@ -1,8 +1,10 @@
 //! Lets requests wait for their admission.
 
 use lagoonshore_coordination::{
-    admission::{AdmissionControl, AdmissionOffer, AdmissionVerdict, AdmittedEntry, QueueChange},
-    outcome::RefusalReason,
+    admitting::admission::{
+        AdmissionControl, AdmissionOffer, AdmissionVerdict, AdmittedEntry, QueueChange,
+    },
+    request::outcome::RefusalReason,
 };
 use lagoonshore_state::{
     admission_level::AdmissionLevel,
--- a/crates/daemon/src/serving/hand_over.rs
+++ b/crates/daemon/src/serving/hand_over.rs
@@ -3,8 +3,8 @@
 use crate::{node::SharedNode, observation::node_metrics, serving::admission_gate::SlotPermit};
 
 use lagoonshore_coordination::{
-    call_table::ServedCall,
-    child_clock::ChildClock,
+    at_most_once::child_clock::ChildClock,
+    request::call_table::ServedCall,
     retries::{SharedPurse, repeat_table::RepeatTable},
 };
 use lagoonshore_protocol::{headers, messages::CallRequest};
--- a/crates/daemon/src/serving/hand_over_mark.rs
+++ b/crates/daemon/src/serving/hand_over_mark.rs
@@ -5,7 +5,9 @@
     node::SharedNode,
 };
 
-use lagoonshore_coordination::{fingerprint::RequestFingerprint, upstream_health::HandOverSign};
+use lagoonshore_coordination::protection::{
+    fingerprint::RequestFingerprint, upstream_health::HandOverSign,
+};
 use lagoonshore_transport::TransportError;
 use tokio::time::Instant;
 
--- a/crates/daemon/src/serving/keyed_entry.rs
+++ b/crates/daemon/src/serving/keyed_entry.rs
@@ -11,10 +11,11 @@
 
 use bytes::Bytes;
 use lagoonshore_coordination::{
-    idempotency_key::IdempotencyKey,
-    key_home,
-    outcome::{CallOutcome, RefusalReason},
-    request_life::CallRefusal,
+    at_most_once::{idempotency_key::IdempotencyKey, key_home},
+    request::{
+        outcome::{CallOutcome, RefusalReason},
+        request_life::CallRefusal,
+    },
 };
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
--- a/crates/daemon/src/serving/keyed_server.rs
+++ b/crates/daemon/src/serving/keyed_server.rs
@@ -8,10 +8,14 @@
 };
 
 use lagoonshore_coordination::{
-    execution_ledger::{KeyClaim, LedgerVerdict, RunEnd, RunTicket},
-    idempotency_key::KeyDigest,
-    outcome::{CallOutcome, RefusalReason},
-    request_life::CallRefusal,
+    at_most_once::{
+        execution_ledger::{KeyClaim, LedgerVerdict, RunEnd, RunTicket},
+        idempotency_key::KeyDigest,
+    },
+    request::{
+        outcome::{CallOutcome, RefusalReason},
+        request_life::CallRefusal,
+    },
     retries::SharedPurse,
 };
 use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult, LoadReport, WorkKey};
--- a/crates/daemon/src/serving/keyed_work.rs
+++ b/crates/daemon/src/serving/keyed_work.rs
@@ -4,13 +4,17 @@
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    execution_ledger::{ExecutionLedger, KeyClaim, LedgerBounds, LedgerCounts},
-    executor_binding::ExecutorBindings,
-    idempotency_key::{HomeClaim, IdempotencyKey, KeyDigest, KeyIssuer, OfferedKey},
-    key_home::{self, KeyHold},
-    message_age::MessageAges,
-    outcome::{CallOutcome, RefusalReason},
-    request_life::CallRefusal,
+    at_most_once::{
+        execution_ledger::{ExecutionLedger, KeyClaim, LedgerBounds, LedgerCounts},
+        executor_binding::ExecutorBindings,
+        idempotency_key::{HomeClaim, IdempotencyKey, KeyDigest, KeyIssuer, OfferedKey},
+        key_home::{self, KeyHold},
+        message_age::MessageAges,
+    },
+    request::{
+        outcome::{CallOutcome, RefusalReason},
+        request_life::CallRefusal,
+    },
 };
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
--- a/crates/daemon/src/serving/request_server.rs
+++ b/crates/daemon/src/serving/request_server.rs
@@ -10,10 +10,12 @@
 };
 
 use lagoonshore_coordination::{
-    admission::AdmissionOffer,
-    fingerprint::RequestFingerprint,
-    outcome::RefusalReason,
-    request_life::{AdmittedState, CallRefusal, RequestLife},
+    admitting::admission::AdmissionOffer,
+    protection::fingerprint::RequestFingerprint,
+    request::{
+        outcome::RefusalReason,
+        request_life::{AdmittedState, CallRefusal, RequestLife},
+    },
 };
 use lagoonshore_protocol::{
     headers::{self, HeaderField},
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use keyed_support::{RECORD, ZonePair, offer, post};
-use lagoonshore_coordination::drain::DrainCause;
+use lagoonshore_coordination::leaving::drain::DrainCause;
 use lagoonshore_protocol::messages::{CallResult, MessageStamp};
 use lagoonshore_transport::peer_link::PeerLinks;
 use std::{cell::Cell, rc::Rc, time::Duration};
--- a/crates/daemon/tests/bound_calls.rs
+++ b/crates/daemon/tests/bound_calls.rs
@@ -129,7 +129,11 @@
     let parent = parent_with_tokens(&chain);
     let answer = call_as(&chain, &parent).await;
     answer.assert_verdict(200, "ran");
-    let expected = lagoonshore_coordination::child_key::derive("parent-key", "medication-log", 1);
+    let expected = lagoonshore_coordination::at_most_once::child_key::derive(
+        "parent-key",
+        "medication-log",
+        1,
+    );
     let runs = chain.upstream.runs();
     assert_eq!(runs.keys().collect::<Vec<_>>(), [expected.as_str()]);
 }
@@ -153,8 +157,8 @@
 /// Opens a request being served at the portal, with a key and retry tokens.
 fn parent_with_tokens(chain: &CallChain) -> String {
     use lagoonshore_coordination::{
-        call_table::ServedCall,
-        child_clock::ChildClock,
+        at_most_once::child_clock::ChildClock,
+        request::call_table::ServedCall,
         retries::{SharedPurse, repeat_table::RepeatTable},
     };
     use lagoonshore_state::units::{RequestImportance, TokenCount};
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -9,8 +9,8 @@
 use crashing_upstream::{CrashingUpstream, POISON};
 use keyed_support::CutRelay;
 use lagoonshore_coordination::{
+    protection::suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
     retries::SharedPurse,
-    suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
 };
 use lagoonshore_daemon::{
     calling::{call_router, routed_call::RoutedCall},
--- a/crates/daemon/tests/exclusive_gate.rs
+++ b/crates/daemon/tests/exclusive_gate.rs
@@ -1,6 +1,6 @@
 //! Exclusive passes hold others back for a bounded share of the time.
 
-use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_daemon::guards::exclusive_gate::{ExclusiveGate, RunPass};
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/daemon/tests/leaving.rs
+++ b/crates/daemon/tests/leaving.rs
@@ -7,7 +7,8 @@
 
 use crashing_upstream::CrashingUpstream;
 use lagoonshore_coordination::{
-    drain::DrainState, outcome::RefusalReason, policy_digest::ListVersion,
+    knowledge::policy_digest::ListVersion, leaving::drain::DrainState,
+    request::outcome::RefusalReason,
 };
 use lagoonshore_daemon::{
     distribution::platform_watch,
--- a/crates/daemon/tests/metrics_page.rs
+++ b/crates/daemon/tests/metrics_page.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lagoonshore_coordination::drain::DrainCause;
+use lagoonshore_coordination::leaving::drain::DrainCause;
 use lagoonshore_transport::http_door::DoorRequest;
 use std::collections::BTreeMap;
 
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-pub use lagoonshore_coordination::suspects::SuspectReport;
+pub use lagoonshore_coordination::protection::suspects::SuspectReport;
 use lagoonshore_coordination::{
-    message_age::ClockStamp,
-    policy_digest::{ListVersion, PolicyDigest},
-    request_life::CallRefusal,
+    at_most_once::message_age::ClockStamp,
+    knowledge::policy_digest::{ListVersion, PolicyDigest},
+    request::request_life::CallRefusal,
 };
 use lagoonshore_state::{
     admission_level::AdmissionLevel,
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use lagoonshore_coordination::{outcome::RefusalReason, suspects::SuspectReport};
+use lagoonshore_coordination::{
+    protection::suspects::SuspectReport, request::outcome::RefusalReason,
+};
 use lagoonshore_state::{
     data_type,
     ids::{DocumentVersion, InstanceName, ServiceName},
--- a/crates/protocol/src/relay_service.rs
+++ b/crates/protocol/src/relay_service.rs
@@ -7,7 +7,7 @@
 
 use lagoonshore_state::route_table::FleetDocument;
 
-use lagoonshore_coordination::suspects::SuspectReport;
+use lagoonshore_coordination::protection::suspects::SuspectReport;
 
 /// `RelayService` is what a node does for other nodes.
 #[tarpc::service]
--- a/crates/relay/src/caller_door.rs
+++ b/crates/relay/src/caller_door.rs
@@ -14,7 +14,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
-use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_state::route_table::{CallerLimits, RouteEntry};
 use std::{
     cell::{Cell, RefCell},
--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -8,7 +8,7 @@
 use crate::serving::running_table::CallSum;
 
 use compact_str::CompactString;
-use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_protocol::relay_messages::{
     CallTrouble, NodeNews, RelayAnswer, RelayRefusal, RequestReach,
 };
--- a/crates/relay/src/calling/peer_book.rs
+++ b/crates/relay/src/calling/peer_book.rs
@@ -6,7 +6,7 @@
 
 use lagoonshore_coordination::{
     forwarding::zone_doubt::ZoneDoubt,
-    request_life::CallRefusal,
+    request::request_life::CallRefusal,
     routing::{PeerSelector, PeerSummary, RoutingOrigin, peer_view::ReportedLoad},
 };
 use lagoonshore_protocol::relay_messages::NodeNews;
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -4,7 +4,7 @@
 use crate::events;
 
 use actix_rt::net::TcpStream;
-use lagoonshore_coordination::suspects::SuspectReport;
+use lagoonshore_coordination::protection::suspects::SuspectReport;
 use lagoonshore_protocol::{
     relay_messages::{FleetKnowledge, NodeNews, RelayReply, RelayRequest},
     relay_service::RelayServiceClient,
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -24,7 +24,7 @@
         repeat_allowance::{AllowanceRules, RepeatAllowance},
         traffic_split::TrafficSplit,
     },
-    outcome::RefusalReason,
+    request::outcome::RefusalReason,
     retries::route_latency::RouteLatency,
 };
 use lagoonshore_protocol::relay_messages::{RelayAnswer, RelayReply, RelayRequest, RelayResult};
--- a/crates/relay/src/peer_door.rs
+++ b/crates/relay/src/peer_door.rs
@@ -7,7 +7,7 @@
 
 use actix_rt::net::{TcpListener, TcpStream};
 use futures::StreamExt;
-use lagoonshore_coordination::suspects::SuspectReport;
+use lagoonshore_coordination::protection::suspects::SuspectReport;
 use lagoonshore_protocol::{
     relay_messages::{FleetKnowledge, NodeNews, RelayReply, RelayRequest},
     relay_service::RelayService,
--- a/crates/relay/src/serving/refusals.rs
+++ b/crates/relay/src/serving/refusals.rs
@@ -1,6 +1,6 @@
 //! Replies that stand in place of an answer.
 
-use lagoonshore_coordination::outcome::RefusalReason;
+use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_protocol::relay_messages::{RelayRefusal, RelayResult, RequestReach};
 use lagoonshore_state::units::whole_millis;
 use std::time::Duration;
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -23,13 +23,15 @@
 };
 
 use lagoonshore_coordination::{
-    fingerprint::{self, RequestFingerprint},
     forwarding::{
         arrival_budget::{ArrivalBudget, BudgetRules, RepeatClaim},
         slot_queue::{SlotOffer, SlotRank},
     },
-    outcome::RefusalReason,
-    suspects::{SuspectReport, SuspectTable},
+    protection::{
+        fingerprint::{self, RequestFingerprint},
+        suspects::{SuspectReport, SuspectTable},
+    },
+    request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{
     NodeNews, RelayAnswer, RelayRefusal, RelayReply, RelayRequest, RelayResult, RequestReach,
