--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -5,6 +5,7 @@
 
 use crate::{events, relay_metrics};
 
+use lagoonshore_coordination::forwarding::arrival_budget::RepeatClaim;
 use lagoonshore_protocol::relay_messages::{NodeNews, RelayAnswer};
 use lagoonshore_state::units::whole_millis;
 use std::{cell::Cell, time::Duration};
@@ -129,6 +130,22 @@
         );
     }
 
+    /// A repeat was refused beside the upstream, whose budget of repeats is used up.
+    pub fn repeat_refused(&self, id: &str, claim: RepeatClaim) {
+        relay_metrics::count_repeat_refused();
+        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+            return;
+        };
+        info!(
+            event = events::REPEAT_REFUSED,
+            request = id,
+            importance = claim.importance.0,
+            calls_before = claim.calls_before,
+            left_out,
+            "request: not repeated, the budget is used up"
+        );
+    }
+
     /// A request was answered by an upstream.
     pub fn answered(&self, trace: &RequestTrace<'_>, answer: &RelayAnswer) {
         relay_metrics::record_request(trace.elapsed, answer.is_failure());
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -38,6 +38,8 @@
 pub const CALLER_LEFT: u16 = 3205;
 /// The upstream gave no whole answer to a request.
 pub const UPSTREAM_FAILED: u16 = 3206;
+/// A repeat was refused beside the upstream, whose budget of repeats is used up.
+pub const REPEAT_REFUSED: u16 = 3207;
 /// A link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// A link to another node was made again.
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -33,6 +33,10 @@
     counter!("lagoonshore_relay_repeats_total", "kind" => kind).increment(1);
 }
 
+pub(crate) fn count_repeat_refused() {
+    counter!("lagoonshore_relay_repeats_refused_total").increment(1);
+}
+
 pub(crate) fn count_left() {
     counter!("lagoonshore_relay_callers_left_total").increment(1);
 }
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -284,7 +284,11 @@
                 importance: request.importance,
                 calls_before: request.calls_before,
             };
-            return budget.take(now, claim);
+            let is_taken = budget.take(now, claim);
+            if !is_taken {
+                self.log.repeat_refused(&request.id, claim);
+            }
+            return is_taken;
         }
         if request.is_repeat {
             budget.note_repeat(now);
