--- a/crates/relay/tests/support/upstream.rs
+++ b/crates/relay/tests/support/upstream.rs
@@ -27,7 +27,7 @@
 type SharedAct = Rc<Cell<Option<&'static str>>>;
 
 /// An upstream on loopback. What it does follows from the path of a request:
-/// `ok` answers, `slow` answers after 300 ms, `never` does not answer, `cut` breaks off in the
+/// `ok` answers, `slow` answers after 300 ms, `slow-fail` answers 500 then, `never` does not answer, `cut` breaks off in the
 /// body, `late` first sends an answer to another request, `surplus` sends bytes behind its answer,
 /// `unframed` gives no length, `fail` answers 500, `shed` says that it did not run, `unsigned`
 /// leaves the signature out, `drop` closes without an answer.
@@ -155,6 +155,10 @@
             actix_rt::time::sleep(Duration::from_millis(300)).await;
             (ok, true)
         }
+        "slow-fail" => {
+            actix_rt::time::sleep(Duration::from_millis(300)).await;
+            (ok.replace("200 OK", "500 Internal Server Error"), true)
+        }
         "never" => {
             let mut waste = [0; 1];
             while stream.read(&mut waste).await.is_ok_and(|read| read > 0) {}
--- a/crates/relay/tests/whole_path.rs
+++ b/crates/relay/tests/whole_path.rs
@@ -202,6 +202,65 @@
     assert_eq!(fleet.members[2].upstream.seen.borrow()[0].body, "abcde");
 }
 
+/// Runs fail because a service that they call has no instance. Further ones of their kind are refused
+/// before they run, and others are not.
+#[actix_rt::test]
+async fn requests_whose_calls_reach_nobody_are_refused_before_they_run() {
+    const RUNS: usize = 15;
+    const SLOTS: u32 = 100;
+    let mut fleet = TestFleet::start(&[("a", "z1"), ("b", "z1")]).await;
+    // The node follows its directory only once its tasks have begun.
+    actix_rt::time::sleep(Duration::from_millis(10)).await;
+    fleet.members[0].upstream.slots = SLOTS;
+    fleet.list(0, InstanceState::Live);
+    until(|| fleet.members[0].node.server.news().limit > SLOTS / 2).await;
+    let routes = [
+        route("/once/", "a", false),
+        route("/other/", "a", false),
+        route("/gone/", "gone", true),
+    ];
+    fleet.publish(2, &routes);
+    let door = fleet.members[0].listen.callers;
+    let run = |index: usize| async move {
+        let id = format!("p{index}");
+        let running = ask(door, "POST", "/once/slow-fail", &id, "");
+        let call = async {
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+            ask(door, "GET", "/gone/x", &format!("{id}.c"), "").await
+        };
+        futures::join!(running, call)
+    };
+    for (parent, call) in futures::future::join_all((0..RUNS).map(run)).await {
+        assert_eq!(
+            (parent.status, call.status),
+            (500, 503),
+            "{parent:?}, {call:?}"
+        );
+    }
+    let refused = ask(door, "POST", "/once/ok", "p-next", "").await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.fields.contains("Retry-After: "), "{refused:?}");
+    assert_eq!(fleet.members[0].upstream.ids().len(), RUNS);
+    let other = ask(door, "POST", "/other/ok", "p-other", "").await;
+    assert_eq!(other.status, 200, "{other:?}");
+}
+
+/// The failed run made a call, and what failed there was tried again there.
+#[actix_rt::test]
+async fn a_run_that_failed_for_a_call_is_not_repeated() {
+    let fleet = fleet().await;
+    let door = fleet.members[0].listen.callers;
+    let running = ask(door, "GET", "/a/slow-fail", "p", "");
+    let call = async {
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        ask(door, "GET", "/b/fail", "p.c", "").await
+    };
+    let (parent, call) = futures::join!(running, call);
+    assert_eq!((parent.status, call.status), (500, 500));
+    assert_eq!(fleet.members[0].upstream.ids(), vec!["p"]);
+    assert_eq!(fleet.members[1].upstream.ids().len(), 0, "no repeat");
+}
+
 #[actix_rt::test]
 async fn a_caller_that_leaves_ends_the_work_on_both_sides() {
     let fleet = fleet().await;
