Count a request for the budget of repeats as it goes to the upstream

Cause, found in reading the diff: a request was counted as it came to the node, also if it found no slot and was asked for elsewhere, so that one request made room for repeats at up to three upstreams. In an overload with much to repeat the fleet could have passed its bound.

The task that follows the directory also takes in what changed before it began; a test met that.

--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -248,6 +248,8 @@
 /// Hands changes of the directory to those that work by it.
 async fn follow_directory(node: Rc<RelayNode>) {
     let mut changes = node.directory.changes();
+    // What changed before this task began is news to it as well.
+    changes.mark_changed();
     while changes.changed().await.is_ok() {
         node.server.follow_list();
         node.callers.caller().follow_directory();
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -241,7 +241,7 @@
         if self.crashes_of(fingerprint) >= CRASHES_MAX {
             return refused(RefusalReason::Quarantined, Duration::ZERO);
         }
-        if !self.may_arrive(&request) {
+        if !self.may_repeat(&request) {
             return refused(RefusalReason::RetryLimit, Duration::ZERO);
         }
         let mark = match self.enter(&request) {
@@ -258,6 +258,7 @@
         if self.directory.has_departed(&request.instance) {
             return refused(RefusalReason::Draining, AWAY_RETRY);
         }
+        self.note_arrival(&request);
         let summary = RunSummary::of(&request);
         let running = RunningRequest {
             importance: request.importance,
@@ -275,27 +276,32 @@
         result
     }
 
-    /// Tells whether the budget for repeats lets a request through; counts it if so.
-    fn may_arrive(&self, request: &RelayRequest) -> bool {
+    /// Tells whether the budget lets a request through that an upstream may have read before.
+    fn may_repeat(&self, request: &RelayRequest) -> bool {
+        if !request.is_resent || self.control == ControlMode::PassThrough {
+            return true;
+        }
+        let claim = RepeatClaim {
+            importance: request.importance,
+            calls_before: request.calls_before,
+        };
+        let is_taken = self.budget.borrow_mut().take(Instant::now(), claim);
+        if !is_taken {
+            self.log.repeat_refused(&request.id, claim);
+        }
+        is_taken
+    }
+
+    /// Counts a request that goes to the upstream; repeats were counted as they were let through. One
+    /// that was refused here may be counted beside another upstream.
+    fn note_arrival(&self, request: &RelayRequest) {
         let now = Instant::now();
         let mut budget = self.budget.borrow_mut();
-        if request.is_resent && self.control == ControlMode::Enforce {
-            let claim = RepeatClaim {
-                importance: request.importance,
-                calls_before: request.calls_before,
-            };
-            let is_taken = budget.take(now, claim);
-            if !is_taken {
-                self.log.repeat_refused(&request.id, claim);
-            }
-            return is_taken;
-        }
-        if request.is_repeat {
-            budget.note_repeat(now);
-        } else {
-            budget.note_request(now);
+        match (request.is_resent, request.is_repeat) {
+            (true, _) => {}
+            (false, true) => budget.note_repeat(now),
+            (false, false) => budget.note_request(now),
         }
-        true
     }
 
     /// Lets a new request in, if the calls of others of its kind get through in time.
--- /dev/null
+++ b/crates/relay/tests/repeat_budget.rs
@@ -0,0 +1,81 @@
+//! What the node beside an upstream counts for its budget of repeats.
+
+mod support;
+
+use lagoonshore_coordination::request::outcome::RefusalReason;
+use lagoonshore_protocol::relay_messages::{RelayRequest, RelayResult};
+use lagoonshore_state::units::RequestImportance;
+use std::time::Duration;
+use support::{TestFleet, route, until};
+use tokio::time::Instant;
+
+fn request(path: &str, id: &str, is_resent: bool) -> RelayRequest {
+    RelayRequest {
+        id: id.into(),
+        service: "b".into(),
+        instance: "u0".into(),
+        origin: "b".into(),
+        method: "POST".into(),
+        target: path.into(),
+        fields: bytes::Bytes::new(),
+        body: bytes::Bytes::new(),
+        importance: RequestImportance(0),
+        is_idempotent: false,
+        calls_before: None,
+        kind: 1,
+        aim_ms: 1000,
+        wait_ms: 0,
+        is_returning: false,
+        is_repeat: is_resent,
+        is_resent,
+        crashes: 0,
+    }
+}
+
+fn reason(result: &RelayResult) -> Option<RefusalReason> {
+    match result {
+        RelayResult::Refused(refusal) => Some(refusal.reason),
+        RelayResult::Answered(_) => None,
+    }
+}
+
+/// Requests that wait for no slot are asked for elsewhere and counted there.
+#[actix_rt::test]
+async fn only_requests_that_reach_the_upstream_make_room_for_repeats() {
+    const REFUSED: usize = 400;
+    let fleet = TestFleet::start(&[("b", "z1")]).await;
+    fleet.publish(1, &[route("/b/", "b", false)]);
+    let server = &fleet.members[0].node.server;
+    let deadline = Instant::now() + Duration::from_secs(30);
+    // The slots that are used of the ten that the list gives.
+    until(|| server.news().limit == 9).await;
+    let slots = server.news().limit;
+    let holding: Vec<_> = (0..slots)
+        .map(|index| {
+            let server = std::rc::Rc::clone(server);
+            let held = request("/b/never", &format!("held{index}"), false);
+            actix_rt::spawn(async move { server.serve(held, deadline).await })
+        })
+        .collect();
+    until(|| fleet.members[0].upstream.ids().len() == holding.len()).await;
+    for index in 0..REFUSED {
+        let refused = request("/b/ok", &format!("r{index}"), false);
+        let reply = server.serve(refused, deadline).await;
+        assert_eq!(reason(&reply.result), Some(RefusalReason::Overload));
+    }
+    for task in &holding {
+        task.abort();
+    }
+    until(|| server.news().in_use == 0).await;
+    let mut repeats = 0;
+    while repeats < REFUSED {
+        let repeat = request("/b/ok", &format!("s{repeats}"), true);
+        let reply = server.serve(repeat, deadline).await;
+        if reason(&reply.result) == Some(RefusalReason::RetryLimit) {
+            break;
+        }
+        repeats += 1;
+    }
+    // A fifth of the slack at the start, and a fifth of the requests that were held; 0.8 of that.
+    assert!((1..=10).contains(&repeats), "{repeats} repeats");
+}
--- a/crates/relay/tests/whole_path.rs
+++ b/crates/relay/tests/whole_path.rs
@@ -209,8 +209,6 @@
     const RUNS: usize = 15;
     const SLOTS: u32 = 100;
     let mut fleet = TestFleet::start(&[("a", "z1"), ("b", "z1")]).await;
-    // The node follows its directory only once its tasks have begun.
-    actix_rt::time::sleep(Duration::from_millis(10)).await;
     fleet.members[0].upstream.slots = SLOTS;
     fleet.list(0, InstanceState::Live);
     until(|| fleet.members[0].node.server.news().limit > SLOTS / 2).await;
