Say once how nodes speak tarpc, what a GET is, and which fields concern a connection

The forwarding path had written again what transport and protocol had: the frames, bounds and contexts of tarpc links and the loop that serves one (peer_server, peer_link, leaving_watch and the relay's two sides share tarpc_link now), and the header fields of one connection (protocol::headers holds the common ones; each side adds its own). Behaviour is as it was.

--- a/crates/protocol/src/headers.rs
+++ b/crates/protocol/src/headers.rs
@@ -27,10 +27,9 @@
 /// Prefix of the header fields that belong to the system.
 const SYSTEM_PREFIX: &str = "lagoonshore-";
 /// Header fields that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [&str; 9] = [
+pub const CONNECTION_FIELDS: [&str; 8] = [
     "connection",
     "content-length",
-    "host",
     "keep-alive",
     "proxy-connection",
     "te",
@@ -68,12 +67,14 @@
     std::str::from_utf8(&field.value).ok()
 }
 
-/// Keeps the fields that are relayed: neither hop-by-hop nor the system's own.
+/// Keeps the fields that are relayed: neither those of one connection nor the system's own. The host is
+/// named anew.
 #[must_use]
 pub fn relayed(fields: Vec<HeaderField>) -> Vec<HeaderField> {
     let keeps = |field: &HeaderField| {
         let name = field.name.as_str();
-        !name.starts_with(SYSTEM_PREFIX) && !HOP_BY_HOP.contains(&name)
+        let is_left_out = name == "host" || CONNECTION_FIELDS.contains(&name);
+        !name.starts_with(SYSTEM_PREFIX) && !is_left_out
     };
     fields.into_iter().filter(keeps).collect()
 }
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -10,7 +10,7 @@
     relay_service::RelayServiceClient,
 };
 use lagoonshore_state::route_table::FleetDocument;
-use lagoonshore_transport::peer_link::frame_codec;
+use lagoonshore_transport::tarpc_link::{self, context};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -18,12 +18,7 @@
     rc::{Rc, Weak},
     time::Duration,
 };
-use tarpc::{
-    client::{Config, NewClient, RpcError},
-    context::Context,
-    serde_transport,
-    tokio_serde::formats::Bincode,
-};
+use tarpc::client::{NewClient, RpcError};
 use tokio::{
     sync::{Mutex, watch},
     task::JoinHandle,
@@ -35,8 +30,6 @@
 pub const FRAME_BYTES_MAX: usize = 72 * 1024 * 1024;
 /// Time for a connection to another node.
 const CONNECT_TIME: Duration = Duration::from_millis(350);
-/// Calls in flight on one link.
-const IN_FLIGHT_MAX: usize = 4096;
 /// Silence on a link with calls in flight after which the node is asked whether it lives.
 const SILENCE_TIME: Duration = Duration::from_millis(200);
 /// Time for the answer, after which the node is suspected and requests that may run twice go
@@ -274,11 +267,8 @@
         stream.set_nodelay(true).ok()?;
         // What a lost link still holds must not reach the node later.
         stream.set_zero_linger().ok()?;
-        let framed = frame_codec(FRAME_BYTES_MAX).new_framed(stream);
-        let transport = serde_transport::new(framed, Bincode::default());
-        let mut config = Config::default();
-        config.max_in_flight_requests = IN_FLIGHT_MAX;
-        config.pending_request_buffer = IN_FLIGHT_MAX;
+        let transport = tarpc_link::transport(stream, FRAME_BYTES_MAX);
+        let config = tarpc_link::client_config();
         let NewClient { client, dispatch } = RelayServiceClient::new(config, transport);
         let dispatch = actix_rt::spawn(async move {
             // The calls in flight learn of the fault.
@@ -411,9 +401,3 @@
         links.tell(address, LinkEvent::Lost);
     }
 }
-
-fn context(deadline: Instant) -> Context {
-    let mut context = Context::current();
-    context.deadline = deadline.into_std();
-    context
-}
--- a/crates/relay/src/http1/exchange.rs
+++ b/crates/relay/src/http1/exchange.rs
@@ -9,7 +9,7 @@
 
 use actix_rt::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
-use std::{io::ErrorKind, time::Duration};
+use std::{fmt::Display, io::ErrorKind, time::Duration};
 
 /// Largest head of an answer, in bytes.
 const HEAD_BYTES_MAX: usize = 64 * 1024;
@@ -31,6 +31,20 @@
     pub is_head: bool,
 }
 
+impl SentRequest {
+    /// A request without a body for `target` at `host`.
+    #[must_use]
+    pub fn get(host: impl Display, target: &str) -> Self {
+        let head = format!("GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+        Self {
+            head: Bytes::from(head),
+            body: Bytes::new(),
+            id: None,
+            is_head: false,
+        }
+    }
+}
+
 /// `WholeAnswer` is an answer that came to its proper end.
 #[derive(Clone, Debug)]
 pub struct WholeAnswer {
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -8,22 +8,13 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use httparse::{Header, Status};
+use lagoonshore_protocol::headers::CONNECTION_FIELDS;
 use std::time::Duration;
 
 /// Header fields that one head may have.
 const FIELDS_MAX: usize = 100;
-/// Fields that concern one connection only.
-const CONNECTION_FIELDS: [&str; 9] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
+/// Field that is answered on the connection of its request, and not relayed.
+const EXPECT_FIELD: &str = "expect";
 /// First status of a final answer.
 const FINAL_STATUS: u16 = 200;
 
@@ -125,7 +116,7 @@
         }),
         framing: summary.framing.unwrap_or(BodyFraming::Length(0)),
         closes: summary.closes || is_old,
-        expects_continue: text(parsed.headers, "expect").is_some(),
+        expects_continue: text(parsed.headers, EXPECT_FIELD).is_some(),
     };
     let _ = buffer.split_to(used);
     Ok(Some(head))
@@ -243,7 +234,8 @@
 
     fn concerns_connection(&self, name: &str) -> bool {
         let is_own = |other: &&str| name.eq_ignore_ascii_case(other);
-        CONNECTION_FIELDS.iter().any(is_own) || self.named.iter().any(is_own)
+        let is_fixed = CONNECTION_FIELDS.iter().any(is_own) || is_own(&EXPECT_FIELD);
+        is_fixed || self.named.iter().any(is_own)
     }
 }
 
--- a/crates/relay/src/peer_door.rs
+++ b/crates/relay/src/peer_door.rs
@@ -5,26 +5,18 @@
     serving::upstream_server::UpstreamServer,
 };
 
-use actix_rt::net::{TcpListener, TcpStream};
-use futures::StreamExt;
+use actix_rt::net::TcpListener;
 use lagoonshore_coordination::protection::suspects::SuspectReport;
 use lagoonshore_protocol::{
     relay_messages::{FleetKnowledge, NodeNews, RelayReply, RelayRequest},
     relay_service::RelayService,
 };
 use lagoonshore_state::route_table::FleetDocument;
-use lagoonshore_transport::{peer_link::frame_codec, peer_server};
+use lagoonshore_transport::{peer_server, tarpc_link};
 use std::rc::Rc;
-use tarpc::{
-    context::Context,
-    serde_transport,
-    server::{BaseChannel, Channel, Config},
-    tokio_serde::formats::Bincode,
-};
+use tarpc::context::Context;
 use tokio::time::Instant;
 
-/// Answers that wait to be written on one link.
-const ANSWER_BUFFER: usize = 1024;
 /// Links from other nodes at the same time.
 const LINKS_MAX: usize = 1200;
 
@@ -44,27 +36,9 @@
 
     /// Serves other nodes until the future is dropped.
     pub async fn serve_links(self, listener: TcpListener) {
-        let serve = move |stream| self.clone().serve_link(stream);
+        let serve = move |stream| tarpc_link::serve(stream, FRAME_BYTES_MAX, self.clone().serve());
         peer_server::accept_links(listener, LINKS_MAX, serve).await;
     }
-
-    /// Serves one link; the requests of a link that ends are cancelled.
-    async fn serve_link(self, stream: TcpStream) {
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
-        let framed = frame_codec(FRAME_BYTES_MAX).new_framed(stream);
-        let transport = serde_transport::new(framed, Bincode::default());
-        let config = Config {
-            pending_response_buffer: ANSWER_BUFFER,
-        };
-        let requests = BaseChannel::new(config, transport).execute(self.serve());
-        requests
-            .for_each(|request| async move {
-                actix_rt::spawn(request);
-            })
-            .await;
-    }
 }
 
 impl RelayService for PeerDoor {
--- a/crates/relay/src/serving/own_upstream.rs
+++ b/crates/relay/src/serving/own_upstream.rs
@@ -15,7 +15,6 @@
 };
 
 use actix_rt::net::TcpStream;
-use bytes::Bytes;
 use compact_str::CompactString;
 use lagoonshore_settings::RelaySettings;
 use lagoonshore_state::{
@@ -196,14 +195,7 @@
         let Some(service) = routes.service(&self.service) else {
             return Err(SendFault::Connect(ErrorKind::NotFound));
         };
-        let (path, address) = (&service.health_path, self.address);
-        let head = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        let request = SentRequest {
-            head: Bytes::from(head),
-            body: Bytes::new(),
-            id: None,
-            is_head: false,
-        };
+        let request = SentRequest::get(self.address, &service.health_path);
         let asking = self.pool.send(request, &self.scheme, IDLE_ANY);
         let answer = actix_rt::time::timeout(LOOK_TIME, asking).await;
         let answer = answer.map_err(|_| SendFault::Connect(ErrorKind::TimedOut))??;
--- a/crates/transport/src/leaving_watch.rs
+++ b/crates/transport/src/leaving_watch.rs
@@ -1,8 +1,10 @@
 //! Learns at once when a node at the other end of a link begins to leave.
 
+use crate::tarpc_link;
+
 use lagoonshore_protocol::peer_service::PeerServiceClient;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tarpc::{client::RpcError, context::Context};
+use tarpc::client::RpcError;
 use tokio::time::Instant;
 
 /// Time for which one call waits for a change before it is made again.
@@ -17,8 +19,7 @@
 pub(crate) async fn follow(client: PeerServiceClient, address: SocketAddr, hook: LeavingHook) {
     let mut seen = false;
     loop {
-        let mut context = Context::current();
-        context.deadline = (Instant::now() + WATCH_TIME).into_std();
+        let context = tarpc_link::context(Instant::now() + WATCH_TIME);
         match client.leaving(context, seen).await {
             Ok(is_leaving) => {
                 seen = is_leaving;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod peer_server;
 pub mod platform_reader;
 pub mod signals;
+pub mod tarpc_link;
 pub mod upstream_client;
 mod upstream_pool;
 
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -3,6 +3,7 @@
 use crate::{
     error::{self, Result, TransportError},
     leaving_watch::{self, LeavingHook},
+    tarpc_link::{self, context},
 };
 
 use actix_rt::net::TcpStream;
@@ -20,14 +21,8 @@
     rc::Rc,
     time::Duration,
 };
-use tarpc::{
-    client::{Config, NewClient, RpcError},
-    context::Context,
-    serde_transport,
-    tokio_serde::formats::Bincode,
-};
+use tarpc::client::{NewClient, RpcError};
 use tokio::time::Instant;
-use tokio_util::codec::LengthDelimitedCodec;
 
 /// Largest message between nodes, in bytes.
 pub const FRAME_BYTES_MAX: usize = 8 * 1024 * 1024;
@@ -35,8 +30,6 @@
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 /// Time for another node to tell its incarnation.
 const IDENTIFY_TIME: Duration = Duration::from_millis(500);
-/// Calls in flight on one link.
-const IN_FLIGHT_MAX: usize = 4096;
 
 #[derive(Clone)]
 struct PeerLink {
@@ -133,9 +126,7 @@
         deadline: Instant,
     ) -> Result<Vec<SuspectReport>> {
         let link = self.link(address).await?;
-        let mut context = Context::current();
-        context.deadline = deadline.into_std();
-        let told = link.client.suspects(context, reports).await;
+        let told = link.client.suspects(context(deadline), reports).await;
         told.map_err(|fault| error::exchange(address, &fault))
     }
 
@@ -175,11 +166,8 @@
         stream
             .set_nodelay(true)
             .map_err(|fault| error::connect(address, &fault))?;
-        let framed = frame_codec(FRAME_BYTES_MAX).new_framed(stream);
-        let transport = serde_transport::new(framed, Bincode::default());
-        let mut config = Config::default();
-        config.max_in_flight_requests = IN_FLIGHT_MAX;
-        config.pending_request_buffer = IN_FLIGHT_MAX;
+        let transport = tarpc_link::transport(stream, FRAME_BYTES_MAX);
+        let config = tarpc_link::client_config();
         let NewClient { client, dispatch } = PeerServiceClient::new(config, transport);
         let alive = Rc::new(Cell::new(true));
         let flag = Rc::clone(&alive);
@@ -188,9 +176,8 @@
             let _ = dispatch.await;
             flag.set(false);
         });
-        let mut context = Context::current();
-        context.deadline = (Instant::now() + IDENTIFY_TIME).into_std();
-        let identity = client.identify(context, (self.stamp)()).await;
+        let deadline = Instant::now() + IDENTIFY_TIME;
+        let identity = client.identify(context(deadline), (self.stamp)()).await;
         let incarnation = identity.map_err(|fault| error::connect(address, &fault))?;
         Ok(PeerLink {
             client,
@@ -200,23 +187,9 @@
     }
 }
 
-fn context(deadline: Instant) -> Context {
-    let mut context = Context::current();
-    context.deadline = deadline.into_std();
-    context
-}
-
 fn link_fault(address: SocketAddr, fault: RpcError) -> TransportError {
     match fault {
         RpcError::DeadlineExceeded => TransportError::TimedOut { address },
         fault => error::exchange(address, &fault),
     }
 }
-
-/// Codec of the frames between nodes, of at most `frame_bytes`.
-#[must_use]
-pub fn frame_codec(frame_bytes: usize) -> tokio_util::codec::length_delimited::Builder {
-    let mut builder = LengthDelimitedCodec::builder();
-    builder.max_frame_length(frame_bytes);
-    builder
-}
