Give the forwarding path smaller modules, and both budgets of repeats one window

What was more than one job: - upstream_server decides what runs and when; upstream_exchange sends it and judges the answer, repeat_gate and suspect_book hold what they share. - request_caller chooses and repeats; sent_message, latency_book and leaving_note are modules of their own. RoutedRequest and CallEnd moved out, which ends the circle of request_caller and call_progress. - door accepts, door_connection serves one connection.

What could be derived: repeats that higher ranks asked for are never fewer than those that they got, so that only the former are summed up. Routes are looked up in a set as the directory changes, not in a list for each route.

Behaviour and assertions are as they were.

--- a/crates/coordination/src/forwarding/arrival_budget.rs
+++ b/crates/coordination/src/forwarding/arrival_budget.rs
@@ -5,8 +5,9 @@
 //! keeps to the ratio over its own arrivals and to an equal part of the slack, so does the service,
 //! and no node needs to know what the others do.
 
-use lagoonshore_state::units::RequestImportance;
+use super::{repeat_bound::RepeatBound, window_parts::WindowParts};
 
+use lagoonshore_state::units::RequestImportance;
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
@@ -22,17 +23,6 @@
 /// Ranks of calls of one importance: the first, second and third one of a run, and later ones.
 const CALL_RANKS: usize = 4;
 
-/// `BudgetRules` says how much the fleet may repeat at one service.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct BudgetRules {
-    /// Repeats for each request.
-    pub ratio: f64,
-    /// Repeats beyond that in one window, at all upstreams of the service together.
-    pub slack: f64,
-    /// Length of the window.
-    pub window: Duration,
-}
-
 /// `RepeatClaim` says what speaks for a repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RepeatClaim {
@@ -45,20 +35,14 @@
 /// `ArrivalBudget` decides which repeats reach one upstream.
 #[derive(Debug)]
 pub struct ArrivalBudget {
-    rules: BudgetRules,
+    bound: RepeatBound,
     started: Instant,
     /// Upstreams of the service that were listed, with the time of each change.
     upstreams: VecDeque<(Instant, u32)>,
-    parts: VecDeque<ArrivalPart>,
-}
-
-/// What arrived in a part of a window.
-#[derive(Clone, Copy, Debug)]
-struct ArrivalPart {
-    since: Instant,
-    sum: ArrivalSum,
+    parts: WindowParts<ArrivalSum>,
 }
 
+/// What arrived in a part of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct ArrivalSum {
     requests: u32,
@@ -73,18 +57,18 @@
 impl ArrivalBudget {
     /// Creates the budget of a node that has just started.
     #[must_use]
-    pub const fn new(now: Instant, rules: BudgetRules) -> Self {
+    pub fn new(now: Instant, bound: RepeatBound) -> Self {
         Self {
-            rules,
+            bound,
             started: now,
             upstreams: VecDeque::new(),
-            parts: VecDeque::new(),
+            parts: WindowParts::default(),
         }
     }
 
-    /// Changes the rules.
-    pub const fn set_rules(&mut self, rules: BudgetRules) {
-        self.rules = rules;
+    /// Changes the bound.
+    pub const fn set_bound(&mut self, bound: RepeatBound) {
+        self.bound = bound;
     }
 
     /// Sets the number of upstreams that share the slack.
@@ -96,6 +80,14 @@
         {
             self.upstreams.push_back((now, count));
         }
+        let window = self.bound.window;
+        while self
+            .upstreams
+            .get(1)
+            .is_some_and(|(at, _)| *at + window <= now)
+        {
+            self.upstreams.pop_front();
+        }
     }
 
     /// Counts the first arrival of a request.
@@ -114,13 +106,8 @@
         let rank = claim.rank();
         self.part(now).wanted[rank] += 1;
         let sum = self.repeats(now);
-        let (lower, higher) = sum.taken.split_at(rank + 1);
-        let wanted = &sum.wanted[rank + 1..];
-        let reserved = higher
-            .iter()
-            .zip(wanted)
-            .map(|(taken, wanted)| *taken.max(wanted));
-        let used = sum.forced + lower.iter().sum::<u32>() + reserved.sum::<u32>();
+        let (lower, higher) = (&sum.taken[..=rank], &sum.wanted[rank + 1..]);
+        let used = sum.forced + lower.iter().sum::<u32>() + higher.iter().sum::<u32>();
         if f64::from(used + 1) > self.allowed(now) {
             return false;
         }
@@ -130,35 +117,32 @@
 
     /// Repeats that may be made in the window that ends now.
     fn allowed(&self, now: Instant) -> f64 {
-        let window = self.rules.window;
-        let whole = self
-            .parts
-            .iter()
-            .filter(|part| part.since + window >= now)
-            .map(|part| part.sum.requests);
-        let requests: u32 = whole.sum();
+        let RepeatBound {
+            ratio,
+            slack,
+            window,
+        } = self.bound;
+        let requests = self.parts.within(now, window).map(|sum| sum.requests);
+        let requests: u32 = requests.sum();
         let uptime = now.saturating_duration_since(self.started);
         let warmth = (uptime.as_secs_f64() / window.as_secs_f64()).clamp(START_SHARE, 1.0);
-        let slack = self.rules.slack / f64::from(self.sharers(now)) * warmth;
-        USED_SHARE * (self.rules.ratio * f64::from(requests) + slack)
+        let slack = slack / f64::from(self.sharers(now)) * warmth;
+        USED_SHARE * (ratio * f64::from(requests) + slack)
     }
 
-    /// What was counted in all parts that reach into the window that ends now.
+    /// Repeats in the window that ends now.
     fn repeats(&self, now: Instant) -> ArrivalSum {
-        let window = self.rules.window;
-        let parts = self.parts.iter();
-        let reaching = parts.filter(|part| part.since + PART_TIME + window > now);
         let mut sum = ArrivalSum::default();
-        for part in reaching {
-            sum.add(part.sum);
+        for part in self.parts.reaching(now, self.bound.window) {
+            sum.add(*part);
         }
         sum
     }
 
-    /// The least number of upstreams that shared the slack within the window would free parts that
-    /// others still use, so that the largest one counts.
+    /// Upstreams that share the slack. A smaller number than others still count with would free parts
+    /// that they use, so that the largest one within the window counts.
     fn sharers(&self, now: Instant) -> u32 {
-        let window = self.rules.window;
+        let window = self.bound.window;
         let current = self.upstreams.back().map_or(1, |(_, count)| *count);
         let ends = self.upstreams.iter().skip(1).map(|(at, _)| *at);
         let former = self.upstreams.iter().zip(ends);
@@ -169,32 +153,7 @@
     }
 
     fn part(&mut self, now: Instant) -> &mut ArrivalSum {
-        let is_current = self
-            .parts
-            .back()
-            .is_some_and(|part| now < part.since + PART_TIME);
-        if !is_current {
-            self.forget(now);
-            self.parts.push_back(ArrivalPart {
-                since: now,
-                sum: ArrivalSum::default(),
-            });
-        }
-        let last = self.parts.len() - 1;
-        &mut self.parts[last].sum
-    }
-
-    fn forget(&mut self, now: Instant) {
-        let window = self.rules.window;
-        self.parts
-            .retain(|part| part.since + PART_TIME + window > now);
-        while self
-            .upstreams
-            .get(1)
-            .is_some_and(|(at, _)| *at + window <= now)
-        {
-            self.upstreams.pop_front();
-        }
+        self.parts.current(now, PART_TIME, self.bound.window)
     }
 }
 
--- a/crates/coordination/src/forwarding/repeat_allowance.rs
+++ b/crates/coordination/src/forwarding/repeat_allowance.rs
@@ -5,9 +5,11 @@
 //! only. A repeat of a request whose run makes calls repeats these as well, so that a part of the
 //! allowance is kept for what follows below.
 
+use super::{repeat_bound::RepeatBound, window_parts::WindowParts};
+
 use lagoonshore_state::{ids::ServiceName, units::RequestImportance};
 
-use std::{collections::HashMap, time::Duration};
+use std::collections::HashMap;
 use tokio::time::Instant;
 
 /// Parts that a window is counted in.
@@ -16,12 +18,8 @@
 /// `AllowanceRules` says how much the fleet may repeat.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AllowanceRules {
-    /// Repeats for each request.
-    pub ratio: f64,
-    /// Repeats beyond that in one window, of all nodes together.
-    pub slack: f64,
-    /// Length of the window.
-    pub window: Duration,
+    /// Bound of the fleet.
+    pub bound: RepeatBound,
     /// Share of the allowance that is spent; the rest is left for what nodes cannot see.
     pub own_share: f64,
     /// Share of that which requests of less than the highest importance may use up.
@@ -31,9 +29,7 @@
 impl Default for AllowanceRules {
     fn default() -> Self {
         Self {
-            ratio: 0.1,
-            slack: 0.0,
-            window: Duration::from_secs(10),
+            bound: RepeatBound::default(),
             own_share: 0.65,
             common_share: 0.55,
         }
@@ -45,21 +41,15 @@
 pub struct RepeatAllowance {
     rules: AllowanceRules,
     nodes: u32,
-    services: HashMap<ServiceName, ServiceWindow>,
+    services: HashMap<ServiceName, WindowParts<RepeatCount>>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct WindowPart {
-    until: Instant,
+#[derive(Debug, Default)]
+struct RepeatCount {
     requests: u32,
     repeats: u32,
 }
 
-#[derive(Debug, Default)]
-struct ServiceWindow {
-    parts: Vec<WindowPart>,
-}
-
 impl RepeatAllowance {
     /// Creates an allowance for a fleet of `nodes` nodes.
     #[must_use]
@@ -102,15 +92,24 @@
         cost: u32,
     ) -> bool {
         let rules = self.rules;
-        let slack = rules.slack / f64::from(self.nodes);
+        let RepeatBound {
+            ratio,
+            slack,
+            window,
+        } = rules.bound;
+        let slack = slack / f64::from(self.nodes);
+        // A service without requests has its part of the slack.
         self.part(now, service);
-        let Some(window) = self.services.get_mut(service) else {
+        let Some(parts) = self.services.get(service) else {
             return false;
         };
-        let (requests, repeats) = window.totals(now, rules.window);
+        let recent = parts.reaching(now, window);
+        let (requests, repeats) = recent.fold((0, 0), |(requests, repeats), count| {
+            (requests + count.requests, repeats + count.repeats)
+        });
         let is_common = importance > RequestImportance(0);
         let share = if is_common { rules.common_share } else { 1.0 };
-        let allowed = rules.own_share * share * (rules.ratio * f64::from(requests) + slack);
+        let allowed = rules.own_share * share * (ratio * f64::from(requests) + slack);
         if f64::from(repeats) + f64::from(cost) > allowed {
             return false;
         }
@@ -118,32 +117,9 @@
         true
     }
 
-    fn part(&mut self, now: Instant, service: &ServiceName) -> &mut WindowPart {
-        let length = self.rules.window / WINDOW_PARTS;
-        let window = self.services.entry(service.clone()).or_default();
-        window.advance(now, length, self.rules.window)
-    }
-}
-
-impl ServiceWindow {
-    fn advance(&mut self, now: Instant, length: Duration, window: Duration) -> &mut WindowPart {
-        let is_current = self.parts.last().is_some_and(|part| now < part.until);
-        if !is_current {
-            self.parts.retain(|part| part.until + window > now);
-            self.parts.push(WindowPart {
-                until: now + length,
-                requests: 0,
-                repeats: 0,
-            });
-        }
-        let last = self.parts.len() - 1;
-        &mut self.parts[last]
-    }
-
-    fn totals(&self, now: Instant, window: Duration) -> (u32, u32) {
-        let recent = self.parts.iter().filter(|part| part.until + window > now);
-        recent.fold((0, 0), |(requests, repeats), part| {
-            (requests + part.requests, repeats + part.repeats)
-        })
+    fn part(&mut self, now: Instant, service: &ServiceName) -> &mut RepeatCount {
+        let window = self.rules.bound.window;
+        let parts = self.services.entry(service.clone()).or_default();
+        parts.current(now, window / WINDOW_PARTS, window)
     }
 }
--- a/crates/coordination/tests/arrival_budget.rs
+++ b/crates/coordination/tests/arrival_budget.rs
@@ -1,7 +1,8 @@
 //! The budget of repeats at one upstream, and the bound of the fleet that follows from it.
 
-use lagoonshore_coordination::forwarding::arrival_budget::{
-    ArrivalBudget, BudgetRules, RepeatClaim,
+use lagoonshore_coordination::forwarding::{
+    arrival_budget::{ArrivalBudget, RepeatClaim},
+    repeat_bound::RepeatBound,
 };
 use lagoonshore_state::units::RequestImportance;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -15,8 +16,8 @@
 const WINDOW: Duration = Duration::from_secs(10);
 const TICK: Duration = Duration::from_millis(20);
 
-const fn rules() -> BudgetRules {
-    BudgetRules {
+const fn bound() -> RepeatBound {
+    RepeatBound {
         ratio: 0.2,
         slack: 48.0,
         window: WINDOW,
@@ -25,7 +26,7 @@
 
 /// A budget that has been up for a window, of the only upstream of its service.
 fn settled(now: Instant) -> ArrivalBudget {
-    let mut budget = ArrivalBudget::new(now - WINDOW, rules());
+    let mut budget = ArrivalBudget::new(now - WINDOW, bound());
     budget.set_upstreams(now - WINDOW, 1);
     budget
 }
@@ -68,7 +69,7 @@
 #[test]
 fn a_process_that_starts_has_little_slack() {
     let now = Instant::now();
-    let mut budget = ArrivalBudget::new(now, rules());
+    let mut budget = ArrivalBudget::new(now, bound());
     assert_eq!(taken(&mut budget, now, URGENT), 7);
     assert_eq!(taken(&mut budget, now + WINDOW / 2, URGENT), 12);
 }
@@ -166,7 +167,7 @@
         let start = Instant::now();
         let mut nodes: Vec<PlayedNode> = (0..4)
             .map(|_| {
-                let mut budget = ArrivalBudget::new(start, rules());
+                let mut budget = ArrivalBudget::new(start, bound());
                 budget.set_upstreams(start, 4);
                 PlayedNode { budget, rate: 0 }
             })
@@ -183,7 +184,7 @@
             let one = random.random_bool(0.002).then(|| random.random_range(0..4));
             for (index, node) in nodes.iter_mut().enumerate() {
                 if is_herd || one == Some(index) {
-                    node.budget = ArrivalBudget::new(now, rules());
+                    node.budget = ArrivalBudget::new(now, bound());
                     node.budget.set_upstreams(now, 4);
                 }
             }
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -3,6 +3,7 @@
 use lagoonshore_coordination::forwarding::{
     kind_pacer::KindPacer,
     repeat_allowance::{AllowanceRules, RepeatAllowance},
+    repeat_bound::RepeatBound,
     stop_schedule::StopSchedule,
     traffic_split::TrafficSplit,
     vanished_entries::{VanishedEntries, VanishedEntry},
@@ -77,9 +78,11 @@
 
 fn rules() -> AllowanceRules {
     AllowanceRules {
-        ratio: 0.2,
-        slack: 48.0,
-        window: WINDOW,
+        bound: RepeatBound {
+            ratio: 0.2,
+            slack: 48.0,
+            window: WINDOW,
+        },
         own_share: 1.0,
         common_share: 0.5,
     }
--- a/crates/relay/src/caller_door.rs
+++ b/crates/relay/src/caller_door.rs
@@ -1,7 +1,10 @@
 //! The door for the callers on the instance and for the calls of its upstream.
 
 use crate::{
-    calling::request_caller::{CallEnd, RequestCaller, RoutedRequest},
+    calling::{
+        request_caller::RequestCaller,
+        routed_request::{CallEnd, RoutedRequest},
+    },
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     http1::{
--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -2,7 +2,7 @@
 
 use super::{
     peer_book::PeerTarget,
-    request_caller::{CallEnd, RoutedRequest},
+    routed_request::{CallEnd, RoutedRequest},
 };
 
 use crate::serving::running_table::CallSum;
--- a/crates/relay/src/calling/request_caller.rs
+++ b/crates/relay/src/calling/request_caller.rs
@@ -2,43 +2,39 @@
 
 use super::{
     call_progress::CallProgress,
+    latency_book::LatencyBook,
+    leaving_note::LeavingNote,
     peer_book::{PeerBook, PeerTarget},
     peer_links::{LinkFault, PeerLinks},
+    routed_request::{CallEnd, RoutedRequest},
     send_record::SendRecord,
+    sent_message,
 };
 
 use crate::{
     decision_log::{DecisionLog, RequestTrace},
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
+    run_count::RunCount,
     serving::{
-        running_table::{CallSum, RunningRequest},
-        upstream_server::{self, UpstreamServer},
+        repeat_gate::repeat_bound, running_table::CallSum, suspect_book,
+        upstream_server::UpstreamServer,
     },
 };
 
-use bytes::Bytes;
-use compact_str::CompactString;
 use lagoonshore_coordination::{
     forwarding::{
         repeat_allowance::{AllowanceRules, RepeatAllowance},
         traffic_split::TrafficSplit,
     },
     request::outcome::RefusalReason,
-    retries::route_latency::RouteLatency,
 };
-use lagoonshore_protocol::relay_messages::{RelayAnswer, RelayReply, RelayRequest, RelayResult};
+use lagoonshore_protocol::relay_messages::{RelayAnswer, RelayReply, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RepeatSettings};
-use lagoonshore_state::{
-    ids::ServiceName,
-    route_table::RouteEntry,
-    units::{RequestImportance, whole_millis},
-};
-use siphasher::sip::SipHasher13;
+use lagoonshore_state::ids::ServiceName;
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
-    hash::Hasher,
+    collections::HashSet,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -49,49 +45,9 @@
 const ASKED_MAX: usize = 3;
 /// Upstreams that may turn a request away before it is refused, some of them more than once.
 const REJECTIONS_MAX: u32 = 7;
-/// Share of the aim for which a request may wait at one instance while others are left to ask.
-const FIRST_WAIT_SHARE: f64 = 0.15;
 /// Time below which a second try cannot end in time.
 const REPEAT_TIME_MIN: Duration = Duration::from_millis(20);
 
-/// `RoutedRequest` is a request whose route is known.
-#[derive(Clone, Debug)]
-pub struct RoutedRequest {
-    /// Id that the caller gave it.
-    pub id: CompactString,
-    /// Its route.
-    pub route: Rc<RouteEntry>,
-    /// Version of the document that the route stems from.
-    pub version: u64,
-    /// HTTP method.
-    pub method: CompactString,
-    /// Path with query.
-    pub target: CompactString,
-    /// Header fields to pass on.
-    pub fields: Bytes,
-    /// Body.
-    pub body: Bytes,
-    /// The request that it is made for, if the upstream on the own instance makes it.
-    pub parent: Option<RunningRequest>,
-    /// Time that its caller had spent on it before: earlier tries, and waits between them.
-    pub spent: Duration,
-    /// Time at which it was received.
-    pub received: Instant,
-    /// Time after which an answer is of no use.
-    pub deadline: Instant,
-}
-
-/// `CallEnd` is what became of a request.
-#[derive(Clone, Debug)]
-pub enum CallEnd {
-    /// An upstream answered.
-    Answered(RelayAnswer),
-    /// It did not run and will not; the caller may come back after a time.
-    NotRun(RefusalReason, Option<Duration>),
-    /// It may have run.
-    Unknown(RefusalReason),
-}
-
 /// `RequestCaller` sends the requests that begin on the own instance.
 pub struct RequestCaller {
     origin: ServiceName,
@@ -105,8 +61,8 @@
     server: Rc<UpstreamServer>,
     allowance: RefCell<RepeatAllowance>,
     split: RefCell<TrafficSplit>,
-    latencies: RefCell<HashMap<CompactString, RouteLatency>>,
-    running: Cell<u32>,
+    latencies: LatencyBook,
+    running: RunCount,
 }
 
 impl RequestCaller {
@@ -134,8 +90,8 @@
             server,
             allowance: RefCell::new(RepeatAllowance::new(rules, 1)),
             split: RefCell::default(),
-            latencies: RefCell::default(),
-            running: Cell::new(0),
+            latencies: LatencyBook::default(),
+            running: RunCount::default(),
         }
     }
 
@@ -162,25 +118,21 @@
         let nodes = self.directory.node_count();
         self.allowance.borrow_mut().set_nodes(nodes);
         let routes = self.directory.routes();
-        let names: Vec<&str> = routes
-            .routes()
-            .iter()
-            .map(|route| route.name.as_str())
-            .collect();
-        self.split.borrow_mut().retain(|name| names.contains(&name));
-        let mut latencies = self.latencies.borrow_mut();
-        latencies.retain(|name, _| names.contains(&name.as_str()));
+        let routes = routes.routes();
+        let names: HashSet<&str> = routes.iter().map(|route| route.name.as_str()).collect();
+        self.split.borrow_mut().retain(|name| names.contains(name));
+        self.latencies.retain(|name| names.contains(name));
     }
 
     /// Requests that are on their way.
     #[must_use]
-    pub const fn running(&self) -> u32 {
+    pub fn running(&self) -> u32 {
         self.running.get()
     }
 
     /// Sends a request to an upstream and returns what became of it.
     pub async fn call(&self, request: RoutedRequest) -> CallEnd {
-        let mut leaving = LeavingNote::new(self, &request);
+        let mut leaving = LeavingNote::new(&self.log, &self.running, &request);
         let Some(service) = self.split.borrow_mut().choose(&request.route) else {
             leaving.done();
             return CallEnd::NotRun(RefusalReason::NoInstance, None);
@@ -302,7 +254,7 @@
         }
         let (now, service) = (Instant::now(), &progress.service);
         let mut allowance = self.allowance.borrow_mut();
-        allowance.take(now, service, importance(request), 1 + calls)
+        allowance.take(now, service, request.importance(), 1 + calls)
     }
 
     async fn send(
@@ -312,8 +264,13 @@
         target: &PeerTarget,
         has_others: bool,
     ) -> Result<RelayReply, LinkFault> {
-        let message = self.message(request, progress, target, has_others);
-        let typical = self.typical(&request.route.name);
+        let mut message =
+            sent_message::relay_request(request, progress, target, &self.origin, has_others);
+        if message.is_resent || message.is_idempotent {
+            let fingerprint = suspect_book::fingerprint_of(&message);
+            message.crashes = self.server.suspects().crashes_of(fingerprint);
+        }
+        let typical = self.latencies.typical(&request.route.name);
         let record = SendRecord::open(&self.book, target, typical);
         let may_run_twice = request.route.is_idempotent;
         let reply = if target.address == self.own_peer.get() {
@@ -326,57 +283,15 @@
         let elapsed = record.close(&reply);
         if let Ok(reply) = &reply {
             if let Some(report) = reply.suspect {
-                self.server.learn_suspects(&[report]);
+                self.server.suspects().learn(&[report]);
             }
             if matches!(reply.result, RelayResult::Answered(_)) {
-                self.learn(&request.route.name, elapsed);
+                self.latencies.learn(&request.route.name, elapsed);
             }
         }
         reply
     }
 
-    fn message(
-        &self,
-        request: &RoutedRequest,
-        progress: &CallProgress,
-        target: &PeerTarget,
-        has_others: bool,
-    ) -> RelayRequest {
-        let gone = request.spent + request.received.elapsed();
-        let aim_left = request.route.aim.saturating_sub(gone);
-        let is_repeat = request.parent.is_some_and(|parent| parent.is_repeat);
-        let wait = if has_others {
-            request.route.aim.mul_f64(FIRST_WAIT_SHARE)
-        } else {
-            request.deadline.saturating_duration_since(Instant::now())
-        };
-        let mut message = RelayRequest {
-            id: request.id.clone(),
-            service: progress.service.clone(),
-            instance: target.name.clone(),
-            origin: self.origin.clone(),
-            method: request.method.clone(),
-            target: request.target.clone(),
-            fields: request.fields.clone(),
-            body: request.body.clone(),
-            importance: importance(request),
-            is_idempotent: request.route.is_idempotent,
-            calls_before: request.parent.map(|parent| parent.below.calls),
-            kind: kind_of(&request.route.name),
-            aim_ms: whole_millis(aim_left),
-            wait_ms: whole_millis(wait),
-            is_returning: !request.spent.is_zero(),
-            is_repeat: is_repeat || progress.reached > 0,
-            is_resent: progress.reached > 0,
-            crashes: 0,
-        };
-        if progress.reached > 0 || request.route.is_idempotent {
-            let fingerprint = upstream_server::fingerprint_of(&message);
-            message.crashes = self.server.crashes_of(fingerprint);
-        }
-        message
-    }
-
     /// Takes in a reply; returns the answer that is passed on at once.
     fn take_reply(
         &self,
@@ -410,21 +325,6 @@
         }
     }
 
-    fn typical(&self, route: &str) -> Option<Duration> {
-        self.latencies.borrow().get(route)?.median()
-    }
-
-    fn learn(&self, route: &CompactString, elapsed: Duration) {
-        let mut latencies = self.latencies.borrow_mut();
-        if let Some(known) = latencies.get_mut(route) {
-            known.record(elapsed);
-            return;
-        }
-        let mut latency = RouteLatency::default();
-        latency.record(elapsed);
-        latencies.insert(route.clone(), latency);
-    }
-
     fn note_end(&self, request: &RoutedRequest, progress: &CallProgress, end: &CallEnd) {
         let trace = trace(request, progress);
         match end {
@@ -438,55 +338,9 @@
     }
 }
 
-/// Counts a request while it is on its way; one whose future is dropped was left by its caller.
-struct LeavingNote<'a> {
-    caller: &'a RequestCaller,
-    id: CompactString,
-    route: Rc<RouteEntry>,
-    received: Instant,
-    is_done: bool,
-}
-
-impl<'a> LeavingNote<'a> {
-    fn new(caller: &'a RequestCaller, request: &RoutedRequest) -> Self {
-        caller.running.set(caller.running.get() + 1);
-        Self {
-            caller,
-            id: request.id.clone(),
-            route: Rc::clone(&request.route),
-            received: request.received,
-            is_done: false,
-        }
-    }
-
-    const fn done(&mut self) {
-        self.is_done = true;
-    }
-}
-
-impl Drop for LeavingNote<'_> {
-    fn drop(&mut self) {
-        self.caller.running.set(self.caller.running.get() - 1);
-        if !self.is_done {
-            let elapsed = self.received.elapsed();
-            self.caller
-                .log
-                .caller_left(&self.id, &self.route.name, elapsed);
-        }
-    }
-}
-
-/// Importance of the first request of the chain.
-fn importance(request: &RoutedRequest) -> RequestImportance {
-    let inherited = request.parent.map(|parent| parent.importance);
-    inherited.unwrap_or(request.route.importance)
-}
-
 fn allowance_rules(repeats: RepeatSettings) -> AllowanceRules {
     AllowanceRules {
-        ratio: repeats.ratio,
-        slack: repeats.slack,
-        window: repeats.window,
+        bound: repeat_bound(repeats),
         ..AllowanceRules::default()
     }
 }
@@ -501,10 +355,3 @@
         load: progress.load,
     }
 }
-
-/// Kind of the requests of a route, the same at all nodes.
-fn kind_of(route: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(route.as_bytes());
-    hasher.finish()
-}
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -37,29 +37,49 @@
 }
 
 /// `DecisionLog` writes lines on requests.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DecisionLog {
     faults: LineBudget,
     routine: LineBudget,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct LineBudget {
+    /// Lines in one second.
+    lines: u32,
     since: Cell<Option<Instant>>,
     written: Cell<u32>,
     left_out: Cell<u64>,
 }
 
+impl Default for DecisionLog {
+    fn default() -> Self {
+        Self {
+            faults: LineBudget::new(FAULT_LINES),
+            routine: LineBudget::new(ROUTINE_LINES),
+        }
+    }
+}
+
 impl LineBudget {
+    const fn new(lines: u32) -> Self {
+        Self {
+            lines,
+            since: Cell::new(None),
+            written: Cell::new(0),
+            left_out: Cell::new(0),
+        }
+    }
+
     /// Lines left out before this one, or `None` if this one is left out as well.
-    fn take(&self, lines: u32) -> Option<u64> {
+    fn take(&self) -> Option<u64> {
         let now = Instant::now();
         let since = self.since.get();
         if since.is_none_or(|since| now - since >= LINE_TIME) {
             self.since.set(Some(now));
             self.written.set(0);
         }
-        if self.written.get() >= lines {
+        if self.written.get() >= self.lines {
             self.left_out.set(self.left_out.get() + 1);
             return None;
         }
@@ -72,7 +92,7 @@
     /// A request was refused before it ran.
     pub fn refused(&self, trace: &RequestTrace<'_>, reason: &str, retry: Duration) {
         relay_metrics::count_refused(reason);
-        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+        let Some(left_out) = self.faults.take() else {
             return;
         };
         info!(
@@ -95,7 +115,7 @@
     /// A request got no whole answer and may have run.
     pub fn failed(&self, trace: &RequestTrace<'_>, reason: &str) {
         relay_metrics::count_failed(reason);
-        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+        let Some(left_out) = self.faults.take() else {
             return;
         };
         warn!(
@@ -114,7 +134,7 @@
     /// A request is sent again.
     pub fn repeated(&self, trace: &RequestTrace<'_>, reason: &str, is_counted: bool) {
         relay_metrics::count_repeated(is_counted);
-        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+        let Some(left_out) = self.faults.take() else {
             return;
         };
         info!(
@@ -133,7 +153,7 @@
     /// A repeat was refused beside the upstream, whose budget of repeats is used up.
     pub fn repeat_refused(&self, id: &str, claim: RepeatClaim) {
         relay_metrics::count_repeat_refused();
-        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+        let Some(left_out) = self.faults.take() else {
             return;
         };
         info!(
@@ -149,7 +169,7 @@
     /// A request was answered by an upstream.
     pub fn answered(&self, trace: &RequestTrace<'_>, answer: &RelayAnswer) {
         relay_metrics::record_request(trace.elapsed, answer.is_failure());
-        let Some(left_out) = self.routine.take(ROUTINE_LINES) else {
+        let Some(left_out) = self.routine.take() else {
             return;
         };
         info!(
@@ -168,7 +188,7 @@
     /// The caller of a request left before its answer.
     pub fn caller_left(&self, id: &str, route: &str, elapsed: Duration) {
         relay_metrics::count_left();
-        let Some(left_out) = self.routine.take(ROUTINE_LINES) else {
+        let Some(left_out) = self.routine.take() else {
             return;
         };
         info!(
@@ -183,7 +203,7 @@
 
     /// The upstream gave no whole answer.
     pub fn upstream_failed(&self, id: &str, stage: &str, cause: &str) {
-        let Some(left_out) = self.faults.take(FAULT_LINES) else {
+        let Some(left_out) = self.faults.take() else {
             return;
         };
         warn!(
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -4,6 +4,7 @@
 mod answer_writer;
 pub mod body;
 pub mod door;
+mod door_connection;
 pub mod exchange;
 pub mod head;
 pub mod pool;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod planned_stop;
 pub mod ready_door;
 pub mod relay_metrics;
+pub mod run_count;
 pub mod serving;
 pub mod state_dump;
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -13,10 +13,11 @@
     error::{RelayError, Result, SignalsSnafu},
     events,
     header_scheme::HeaderScheme,
-    http1::door::{self, OpenCount},
+    http1::door,
     peer_door::PeerDoor,
     planned_stop,
     ready_door::ReadyDoor,
+    run_count::RunCount,
     serving::upstream_server::UpstreamServer,
     state_dump::{self, StateDump},
 };
@@ -31,9 +32,9 @@
 use tracing::{info, warn};
 
 /// Connections of callers at the same time.
-const CALLERS_MAX: usize = 2500;
+const CALLERS_MAX: u32 = 2500;
 /// Connections of operators and of readiness checks at the same time.
-const ADMIN_MAX: usize = 32;
+const ADMIN_MAX: u32 = 32;
 /// Time in which another node hands over a document.
 const DOCUMENT_TIME: Duration = Duration::from_secs(1);
 /// Time in which the store tells of a document that another node has already.
@@ -56,7 +57,7 @@
     /// Door for readiness checks.
     pub ready: Rc<ReadyDoor>,
     /// Open connections of callers.
-    pub caller_connections: OpenCount,
+    pub caller_connections: RunCount,
     links: Rc<PeerLinks>,
     book: Rc<PeerBook>,
     scheme: HeaderScheme,
@@ -107,7 +108,7 @@
             server,
             callers: Rc::new(callers),
             ready,
-            caller_connections: OpenCount::default(),
+            caller_connections: RunCount::default(),
             links,
             book,
             scheme,
@@ -140,7 +141,7 @@
             CALLERS_MAX,
         );
         actix_rt::spawn(serving);
-        let (count, scheme) = (OpenCount::default(), self.scheme);
+        let (count, scheme) = (RunCount::default(), self.scheme);
         let serving = door::serve(ready, Rc::clone(&self.ready), scheme, count, ADMIN_MAX);
         actix_rt::spawn(serving);
         let door = PeerDoor::new(Rc::clone(&self.server), Rc::clone(&self.directory));
@@ -149,7 +150,7 @@
         let node = Rc::clone(self);
         let state = Box::new(move || node.dump());
         let door = Rc::new(AdminDoor::new(metrics.clone(), state));
-        let serving = door::serve(admin, door, scheme, OpenCount::default(), ADMIN_MAX);
+        let serving = door::serve(admin, door, scheme, RunCount::default(), ADMIN_MAX);
         actix_rt::spawn(serving);
         actix_rt::spawn(metrics_recorder::keep(metrics));
         actix_rt::spawn(follow_directory(Rc::clone(self)));
@@ -297,7 +298,7 @@
 async fn spread_suspects(node: Rc<RelayNode>) {
     loop {
         actix_rt::time::sleep(SUSPECT_PAUSE).await;
-        let news = node.server.suspect_news();
+        let news = node.server.suspects().news();
         if news.is_empty() {
             continue;
         }
--- a/crates/relay/src/peer_door.rs
+++ b/crates/relay/src/peer_door.rs
@@ -62,6 +62,6 @@
     }
 
     async fn suspects(self, _: Context, reports: Vec<SuspectReport>) {
-        self.server.learn_suspects(&reports);
+        self.server.suspects().learn(&reports);
     }
 }
--- a/crates/relay/src/serving/mod.rs
+++ b/crates/relay/src/serving/mod.rs
@@ -3,8 +3,10 @@
 mod entry_gate;
 pub mod own_upstream;
 mod refusals;
-mod run_marks;
+pub(crate) mod repeat_gate;
 pub mod running_table;
 mod sent_head;
 pub mod slot_gate;
+pub mod suspect_book;
+mod upstream_exchange;
 pub mod upstream_server;
--- a/crates/relay/src/serving/refusals.rs
+++ b/crates/relay/src/serving/refusals.rs
@@ -5,6 +5,9 @@
 use lagoonshore_state::units::whole_millis;
 use std::time::Duration;
 
+/// Time after which a caller may come back to an upstream that is down or leaving.
+pub(crate) const AWAY_RETRY: Duration = Duration::from_millis(300);
+
 /// Refuses a request of which no byte was sent.
 pub(crate) fn refused(reason: RefusalReason, retry: Duration) -> RelayResult {
     RelayResult::Refused(RelayRefusal {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Sends a request to the node of the first member.
+    pub(crate) async fn ask(&self, method: &str, path: &str, id: &str) -> CallerAnswer {
+        ask(self.members[0].listen.callers, method, path, id, "").await
+    }
+
     /// Puts a document in force at all nodes.
     pub(crate) fn publish(&self, version: u64, routes: &[RouteEntry]) {
         for member in &self.members {
--- a/crates/relay/tests/whole_path.rs
+++ b/crates/relay/tests/whole_path.rs
@@ -48,7 +48,7 @@
 async fn the_own_zone_is_used_first() {
     for _ in 0..10 {
         let fleet = fleet().await;
-        ask(fleet.members[0].listen.callers, "GET", "/a/ok", "i", "").await;
+        fleet.ask("GET", "/a/ok", "i").await;
         assert_eq!(fleet.members[0].upstream.ids(), vec!["i"]);
     }
 }
@@ -67,7 +67,7 @@
 async fn an_answer_is_whole_and_true(#[case] path: &str, #[case] status: u16) {
     let fleet = fleet().await;
     for id in ["i1", "i2"] {
-        let answer = ask(fleet.members[0].listen.callers, "POST", path, id, "").await;
+        let answer = fleet.ask("POST", path, id).await;
         assert_eq!(answer.status, status, "{answer:?}");
         let is_own = answer.fields.contains("Lagoonshore-Reason");
         assert_eq!(is_own, status >= 404 && status != 500, "{answer:?}");
@@ -88,7 +88,7 @@
 async fn a_request_that_may_run_once_is_sent_once() {
     let fleet = fleet().await;
     for path in ["/once/drop", "/once/cut", "/once/fail", "/once/unsigned"] {
-        ask(fleet.members[0].listen.callers, "POST", path, path, "").await;
+        fleet.ask("POST", path, path).await;
     }
     let members = fleet.members.iter();
     let ids: Vec<String> = members.flat_map(|member| member.upstream.ids()).collect();
@@ -101,7 +101,7 @@
 #[actix_rt::test]
 async fn an_idempotent_request_goes_to_another_upstream_after_a_lost_answer() {
     let fleet = fleet().await;
-    let answer = ask(fleet.members[0].listen.callers, "GET", "/a/drop", "i1", "").await;
+    let answer = fleet.ask("GET", "/a/drop", "i1").await;
     assert_eq!(answer.status, 502);
     assert_eq!(fleet.members[0].upstream.ids(), vec!["i1"]);
     assert_eq!(fleet.members[1].upstream.ids(), vec!["i1"]);
@@ -116,7 +116,7 @@
     let mut short = route("/a/", "a", true);
     short.timeout = Duration::from_millis(300);
     fleet.publish(2, &[short]);
-    let answer = ask(fleet.members[0].listen.callers, "GET", "/a/x", "i1", "").await;
+    let answer = fleet.ask("GET", "/a/x", "i1").await;
     assert_eq!(answer.status, 500, "{answer:?}");
     assert!(answer.fields.contains("Signature: s"), "{answer:?}");
     assert_eq!(fleet.members[1].upstream.ids(), vec!["i1"]);
@@ -280,7 +280,7 @@
     let mut fleet = fleet().await;
     fleet.list(0, InstanceState::Leaving);
     for id in ["i1", "i2", "i3"] {
-        let answer = ask(fleet.members[0].listen.callers, "POST", "/once/ok", id, "").await;
+        let answer = fleet.ask("POST", "/once/ok", id).await;
         assert_eq!(answer.status, 200);
     }
     assert_eq!(fleet.members[0].upstream.ids().len(), 0);
@@ -292,14 +292,7 @@
     let fleet = fleet().await;
     let knows = &fleet.members[2].node.directory;
     knows.remove_upstream("u2", 1000);
-    let answer = ask(
-        fleet.members[0].listen.callers,
-        "POST",
-        "/b-once/ok",
-        "i1",
-        "",
-    )
-    .await;
+    let answer = fleet.ask("POST", "/b-once/ok", "i1").await;
     assert_eq!(answer.status, 503, "{answer:?}");
     assert!(
         answer.fields.contains("Lagoonshore-Reason: draining"),
@@ -312,14 +305,7 @@
 async fn an_upstream_that_took_the_place_of_another_is_used_at_once() {
     let fleet = fleet().await;
     *fleet.members[2].upstream.name.borrow_mut() = "u2-again".to_owned();
-    let answer = ask(
-        fleet.members[0].listen.callers,
-        "POST",
-        "/b-once/ok",
-        "i1",
-        "",
-    )
-    .await;
+    let answer = fleet.ask("POST", "/b-once/ok", "i1").await;
     assert_eq!(answer.status, 200, "{answer:?}");
     let seen = fleet.members[2].upstream.seen.borrow()[0].clone();
     assert!(
@@ -337,14 +323,7 @@
     fleet.members[1].name = "old-b".into();
     fleet.list(1, InstanceState::Live);
     fleet.list(2, InstanceState::Leaving);
-    let answer = ask(
-        fleet.members[0].listen.callers,
-        "POST",
-        "/b-once/ok",
-        "i1",
-        "",
-    )
-    .await;
+    let answer = fleet.ask("POST", "/b-once/ok", "i1").await;
     assert_eq!(answer.status, 503, "{answer:?}");
     assert_eq!(fleet.members[1].upstream.ids().len(), 0);
 }
@@ -355,21 +334,14 @@
     fleet.members[2].upstream.stop();
     until(|| true).await;
     actix_rt::time::sleep(Duration::from_millis(20)).await;
-    let answer = ask(
-        fleet.members[0].listen.callers,
-        "POST",
-        "/b-once/ok",
-        "i1",
-        "",
-    )
-    .await;
+    let answer = fleet.ask("POST", "/b-once/ok", "i1").await;
     assert_eq!(answer.status, 503, "{answer:?}");
 }
 
 #[actix_rt::test]
 async fn a_node_that_knows_no_routes_answers_503() {
     let fleet = TestFleet::start(&[("a", "z1")]).await;
-    let answer = ask(fleet.members[0].listen.callers, "GET", "/a/ok", "i1", "").await;
+    let answer = fleet.ask("GET", "/a/ok", "i1").await;
     assert_eq!(answer.status, 503);
     let ready = ask(fleet.members[0].listen.ready, "GET", "/ready", "x", "").await;
     assert_eq!(ready.status, 503);
@@ -424,14 +396,7 @@
     });
     lagoonshore_relay::planned_stop::run(&watched).await;
     checks.abort();
-    let answer = ask(
-        fleet.members[0].listen.callers,
-        "POST",
-        "/b-once/ok",
-        "i1",
-        "",
-    )
-    .await;
+    let answer = fleet.ask("POST", "/b-once/ok", "i1").await;
     assert_eq!(answer.status, 503, "{answer:?}");
     assert_eq!(stopping.upstream.ids().len(), 0);
     let connected = actix_rt::net::TcpStream::connect(stopping.listen.callers).await;
@@ -471,7 +436,7 @@
 async fn operators_read_state_and_metrics() {
     let fleet = fleet().await;
     let admin = fleet.members[0].listen.admin;
-    ask(fleet.members[0].listen.callers, "GET", "/b/ok", "i1", "").await;
+    fleet.ask("GET", "/b/ok", "i1").await;
     let state = ask(admin, "GET", "/state", "x", "").await;
     assert!(state.body.contains("\"version\": 1"), "{}", state.body);
     assert!(state.body.contains("\"name\": \"u2\""), "{}", state.body);
