--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -164,6 +164,21 @@
     }
 }
 
+/// Two zones; service `a` has an upstream in each, service `b` one in the second.
+pub(crate) async fn two_zones() -> TestFleet {
+    let fleet = TestFleet::start(&[("a", "z1"), ("a", "z2"), ("b", "z2")]).await;
+    fleet.publish(
+        1,
+        &[
+            route("/a/", "a", true),
+            route("/once/", "a", false),
+            route("/b/", "b", true),
+            route("/b-once/", "b", false),
+        ],
+    );
+    fleet
+}
+
 /// Port at which nodes listen for each other; below the ports that the system gives out.
 const PEER_PORT: u16 = 7600;
 
