--- a/crates/coordination/tests/support/fleet.rs
+++ b/crates/coordination/tests/support/fleet.rs
@@ -4,18 +4,19 @@
 // Each test file and example uses its own part of the fake.
 #![allow(dead_code, unreachable_pub)]
 
+#[path = "fleet_digests.rs"]
+mod digests;
+#[path = "fleet_reads.rs"]
+mod reads;
+
 use lagoonshore_coordination::{
     knowledge::{
-        digest_schedule::DigestSchedule,
-        membership::MemberTable,
-        platform_watchers,
-        policy_digest::{ListVersion, PolicyDigest},
-        policy_distribution::PolicyDistribution,
+        digest_schedule::DigestSchedule, membership::MemberTable, platform_watchers,
+        policy_digest::PolicyDigest, policy_distribution::PolicyDistribution,
     },
     leaving::readiness::{KnownFleet, ReadinessControl, ReadinessState},
     routing::RoutingOrigin,
 };
-use lagoonshore_protocol::messages::NodeDigest;
 use lagoonshore_state::{
     ids::{PolicyRevision, ServiceName, ZoneName},
     instance_table::{InstanceRecord, InstanceState, InstanceTable},
@@ -27,20 +28,12 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    pin::Pin,
     time::Duration,
 };
-use tarpc::tokio_serde::{Serializer, formats::Bincode};
 use tokio::time::Instant;
 
 /// Step of the clock.
 pub const TICK: Duration = Duration::from_millis(50);
-/// Longest wait of one query at the platform.
-const WATCH_TIME: Duration = Duration::from_secs(30);
-/// Bytes around one message: frame, call context, and TCP/IP headers with an acknowledgement.
-const MESSAGE_OVERHEAD_BYTES: u64 = 150;
-/// Bytes of a policy record.
-const RECORD_BYTES: u64 = 1500;
 
 /// What is published: revision and some text that stands for the rest.
 #[derive(Clone, Debug, PartialEq)]
@@ -308,221 +301,6 @@
         }
     }
 
-    fn read_platform(&mut self, node: usize) {
-        for service in self.nodes[node].distribution.due_reads(self.now) {
-            if self.count_read(node) {
-                self.take_record(node, &service);
-            }
-        }
-        for place in 0..self.nodes[node].follows.len() {
-            self.follow(node, place);
-        }
-    }
-
-    fn follow(&mut self, node: usize, place: usize) {
-        let now = self.now;
-        let answers = self.platform_answers(node);
-        let follow = &self.nodes[node].follows[place];
-        let (service, is_list) = (follow.service.clone(), follow.is_list);
-        let watches = self.everyone_watches || self.nodes[node].is_watcher(&service);
-        let index = self.index_of(&service, is_list);
-        if let Some(until) = follow.waiting {
-            if answers && index == follow.index && now < until {
-                return;
-            }
-            self.nodes[node].reads_platform = answers;
-        } else if now < follow.due && !(watches && now + WATCH_TIME < follow.due) {
-            return;
-        } else {
-            let waits = watches && index == follow.index && index > 0;
-            if self.count_read(node) && waits {
-                self.nodes[node].follows[place].waiting = Some(now + WATCH_TIME);
-                return;
-            }
-        }
-        let follow = &mut self.nodes[node].follows[place];
-        follow.waiting = None;
-        follow.index = if answers { index } else { 0 };
-        let found = answers && index > 0;
-        follow.due = now + platform_watchers::pause_after(watches, found, &mut self.random);
-        if answers && is_list {
-            self.take_list(node, &service);
-        } else if answers {
-            self.take_record(node, &service);
-        }
-        let node = &mut self.nodes[node];
-        if !is_list && service == node.record.service {
-            node.readiness.platform_asked();
-        }
-    }
-
-    /// Counts a read of a node; tells whether the platform answers it.
-    fn count_read(&mut self, node: usize) -> bool {
-        let answers = self.platform_answers(node);
-        self.platform.reads += 1;
-        self.nodes[node].reads_platform = answers;
-        answers
-    }
-
-    fn platform_answers(&self, node: usize) -> bool {
-        let record = &self.nodes[node].record;
-        let reader = self.platform.only_reader.as_deref();
-        let is_reader = reader.is_none_or(|reader| record.name == reader);
-        self.platform.up && is_reader && !self.platform.cut_zones.contains(&record.zone)
-    }
-
-    fn platform_copy(&self) -> &FakePlatform {
-        let older = self.platform.older.as_deref();
-        older
-            .filter(|_| self.platform.is_stale)
-            .unwrap_or(&self.platform)
-    }
-
-    fn index_of(&self, service: &str, is_list: bool) -> u64 {
-        let copy = self.platform_copy();
-        if is_list {
-            copy.lists.get(service).map_or(0, |(index, _)| *index)
-        } else {
-            copy.records.get(service).map_or(0, |(index, _)| *index)
-        }
-    }
-
-    fn take_record(&mut self, node: usize, service: &ServiceName) {
-        let stored = self.platform_copy().records.get(service).cloned();
-        if let Some((_, record)) = stored {
-            let calls = self.calls.get(service).cloned().unwrap_or_default();
-            self.nodes[node].offer(
-                self.now,
-                service,
-                &record,
-                &calls,
-                PolicySource::Platform,
-                &mut self.random,
-            );
-        }
-    }
-
-    fn take_list(&mut self, node: usize, service: &ServiceName) {
-        let Some((index, listed)) = self.platform_copy().lists.get(service).cloned() else {
-            return;
-        };
-        let version = ListVersion {
-            service: service.clone(),
-            index,
-        };
-        let FakeNode { members, table, .. } = &mut self.nodes[node];
-        members.apply_list(self.now, table, &version, listed);
-    }
-
-    fn exchange_digests(&mut self, node: usize) {
-        let FakeNode {
-            schedule,
-            table,
-            members,
-            ..
-        } = &mut self.nodes[node];
-        let doubtful = members.doubtful(table);
-        let due = schedule.due(self.now, table, &doubtful, &mut self.random);
-        let addresses: Vec<_> = due
-            .into_iter()
-            .filter_map(|key| {
-                table
-                    .get(key)
-                    .map(|record| (record.name.clone(), record.peer))
-            })
-            .collect();
-        for (name, address) in addresses {
-            let peer = usize::from(address.port()) - 1;
-            if self.reaches(node, peer) {
-                self.exchange(node, peer);
-                self.nodes[node].members.answered(self.now, &name);
-            } else {
-                self.nodes[node].members.failed(self.now, &name);
-            }
-            self.nodes[node].readiness.peer_asked(&name);
-        }
-    }
-
-    /// Exchanges the digests of two nodes that reach each other.
-    pub fn exchange(&mut self, node: usize, peer: usize) {
-        let record = self.nodes[node].record.clone();
-        let (sent, received) = (self.nodes[node].digest(), self.nodes[peer].digest());
-        let size = digest_bytes(&record, &sent) + digest_bytes(&record, &received);
-        self.nodes[node].bytes += size;
-        self.nodes[peer].bytes += size;
-        let other = self.nodes[peer].record.name.clone();
-        let (sent_reads, received_reads) = (
-            self.nodes[node].reads_platform,
-            self.nodes[peer].reads_platform,
-        );
-        let members = &mut self.nodes[node].members;
-        members.note_reading(self.now, &other, received_reads);
-        let FakeNode { members, table, .. } = &mut self.nodes[peer];
-        members.note_reading(self.now, &record.name, sent_reads);
-        members.meet(self.now, table, record);
-        self.compare(peer, node, &sent);
-        self.compare(node, peer, &received);
-    }
-
-    fn compare(&mut self, node: usize, peer: usize, digest: &PolicyDigest) {
-        let FakeNode {
-            distribution,
-            policies,
-            members,
-            readiness,
-            faults,
-            ..
-        } = &mut self.nodes[node];
-        let comparison = distribution.compare(self.now, policies, digest);
-        let lists = members.newer_lists(distribution.wanted(), &digest.lists);
-        for version in &digest.records {
-            if distribution.wanted().contains(&version.service) {
-                readiness.note_offer(&version.service, version.revision);
-            }
-        }
-        for version in comparison.conflicts {
-            let fault = format!("a peer has other content of revision {}", version.revision);
-            faults.insert(version.service, fault);
-        }
-        for service in comparison.pulls {
-            self.pull(node, peer, &service);
-        }
-        for service in lists {
-            let FakeNode { members, table, .. } = &self.nodes[peer];
-            if let Some((version, listed)) = members.list(table, &service) {
-                let FakeNode { members, table, .. } = &mut self.nodes[node];
-                members.apply_list(self.now, table, &version, listed);
-            }
-        }
-    }
-
-    fn pull(&mut self, node: usize, peer: usize, service: &ServiceName) {
-        let Some(entry) = self.nodes[peer].policies.get(service) else {
-            let node = &mut self.nodes[node];
-            node.distribution
-                .pull_failed(self.now, service, &mut self.random);
-            return;
-        };
-        let text = String::from_utf8_lossy(&entry.bytes).into_owned();
-        let (revision, text) = text.split_once(' ').expect("a revision and a text");
-        let record = FakeRecord {
-            revision: revision.parse().expect("a revision"),
-            text: text.to_owned(),
-        };
-        for side in [node, peer] {
-            self.nodes[side].bytes += RECORD_BYTES + 2 * MESSAGE_OVERHEAD_BYTES;
-        }
-        let calls = self.calls.get(service).cloned().unwrap_or_default();
-        self.nodes[node].offer(
-            self.now,
-            service,
-            &record,
-            &calls,
-            PolicySource::Peer,
-            &mut self.random,
-        );
-    }
-
     pub fn reaches(&self, from: usize, to: usize) -> bool {
         let (left, right) = (&self.nodes[from], &self.nodes[to]);
         let zones = (left.record.zone.clone(), right.record.zone.clone());
@@ -551,16 +329,3 @@
         classes: Vec::new(),
     }
 }
-
-/// Size of a digest as links between nodes write it, with what stands around it.
-fn digest_bytes(sender: &InstanceRecord, digest: &PolicyDigest) -> u64 {
-    let message = NodeDigest {
-        sender: sender.clone(),
-        reads_platform: true,
-        policy: digest.clone(),
-        suspects: Vec::new(),
-    };
-    let mut codec: Bincode<NodeDigest, NodeDigest> = Bincode::default();
-    let bytes = Pin::new(&mut codec).serialize(&message);
-    bytes.expect("a digest can be written").len() as u64 + MESSAGE_OVERHEAD_BYTES
-}
