Decide in the product when the store is read

The adapter held the pauses after failed reads, the wait of a watch and the time after which one is given up. They are decisions, stand in read_pace and have tests without a network.

--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 pub mod arrival_budget;
 pub mod call_breaker;
 pub mod kind_pacer;
+pub mod read_pace;
 pub mod repeat_allowance;
 pub mod repeat_bound;
 pub mod slot_queue;
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -2,6 +2,7 @@
 
 use lagoonshore_coordination::forwarding::{
     kind_pacer::KindPacer,
+    read_pace::{self, ReadPace},
     repeat_allowance::{AllowanceRules, RepeatAllowance},
     repeat_bound::RepeatBound,
     stop_schedule::StopSchedule,
@@ -14,6 +15,7 @@
     route_table::{RouteEntry, RouteTarget},
     units::RequestImportance,
 };
+use rand::{SeedableRng, rngs::SmallRng};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -318,3 +320,32 @@
         assert!(schedule.notice_end <= schedule.end_at, "{schedule:?}");
     }
 }
+
+#[test]
+fn pauses_between_failed_reads_grow_to_a_bound_and_start_anew() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let mut pace = ReadPace::default();
+    for mean in [60, 120, 240, 480, 800, 800] {
+        let mean = Duration::from_millis(mean);
+        let pause = pace.failed(&mut random);
+        assert!(
+            pause >= mean.mul_f64(0.7) && pause < mean.mul_f64(1.3),
+            "{pause:?}"
+        );
+    }
+    pace.succeeded();
+    assert!(pace.failed(&mut random) < Duration::from_millis(78));
+}
+
+#[test]
+fn a_watch_ends_for_what_is_due() {
+    let now = Instant::now();
+    assert_eq!(read_pace::watch_wait(now, None), Duration::from_secs(12));
+    let due = now + Duration::from_secs(2);
+    assert_eq!(
+        read_pace::watch_wait(now, Some(due)),
+        Duration::from_secs(2)
+    );
+    let passed = read_pace::watch_wait(due, Some(now));
+    assert_eq!(passed, Duration::from_millis(1));
+}
