Log each failed read of the store

Operators saw when the store was first unreachable and when it could be read again, not when a read began, how long it was waited for and whether another node knew more. The three hypotheses on requests to leaving upstreams could not be told apart by that.

Event 3108 gives the cause, the duration, the time since the last success, the newest revision applied and the newest that other nodes reported.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,6 +8,7 @@
     ids::{DocumentVersion, RegionName},
     instance_table::{InstanceRecord, InstanceTable},
     route_table::{FleetDocument, RouteTable},
+    units::whole_millis,
     upstream_list::{UpstreamList, UpstreamRecord},
 };
 use std::{
@@ -39,6 +40,17 @@
     pub revision: u64,
 }
 
+/// `FailedRead` describes a read of the store that failed.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedRead<'a> {
+    /// Error of the read.
+    pub cause: &'a str,
+    /// Time from the start of the read to its failure.
+    pub took: Duration,
+    /// Time since the last read that succeeded, or since the start of the node.
+    pub success_age: Duration,
+}
+
 /// `FleetDirectory` holds the routes and upstreams that the node knows.
 #[derive(Debug)]
 pub struct FleetDirectory {
@@ -247,22 +259,32 @@
         }
     }
 
-    /// Records whether the store can be read; `cause` is the error of a failed read.
-    pub fn record_store_state(&self, cause: Option<&str>) {
-        let was_unreachable = self.is_store_unreachable.replace(cause.is_some());
-        match cause {
-            Some(cause) if !was_unreachable => {
-                warn!(
-                    event = events::STORE_UNREACHABLE,
-                    cause,
-                    version = self.version(),
-                    "store: unreachable"
-                );
-            }
-            None if was_unreachable => {
-                info!(event = events::STORE_RECOVERED, "store: reachable again");
-            }
-            _ => {}
+    /// Records that a read of the store succeeded.
+    pub fn record_store_read(&self) {
+        if self.is_store_unreachable.replace(false) {
+            info!(event = events::STORE_RECOVERED, "store: reachable again");
+        }
+    }
+
+    /// Records that a read of the store failed.
+    pub fn record_failed_read(&self, read: &FailedRead<'_>) {
+        let FailedRead { cause, .. } = *read;
+        info!(
+            event = events::STORE_READ_FAILED,
+            cause,
+            took_ms = whole_millis(read.took),
+            success_age_ms = whole_millis(read.success_age),
+            revision = self.revision(),
+            known_revision = self.peers.borrow().revision,
+            "store: read failed"
+        );
+        if !self.is_store_unreachable.replace(true) {
+            warn!(
+                event = events::STORE_UNREACHABLE,
+                cause,
+                version = self.version(),
+                "store: unreachable"
+            );
         }
     }
 
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -26,6 +26,8 @@
 pub const STORE_UNREACHABLE: u16 = 3106;
 /// The store can be read again.
 pub const STORE_RECOVERED: u16 = 3107;
+/// A read of the store failed.
+pub const STORE_READ_FAILED: u16 = 3108;
 /// A request was refused; it did not run.
 pub const REQUEST_REFUSED: u16 = 3201;
 /// A request got no complete response; it may have run.
