Notice the return of the store within its settle time

What callers saw: nothing. Upstreams that had announced their departure got requests later than the bound allows (DRAIN), for seconds after an outage of the store.

Cause: a watch that begins while the store is silent is lost, and it was waited for 12.7 s, also long after the store was back. Other nodes were expected to know more by then, but the same change had ended all watches, so that all began together and were lost together. Class of fault: a failure detector that relies on peers which share its failure. The pause that holds removals back after an outage had the same flaw: it counted from the end of the failed read.

Change: after a failed read the node makes short reads until one succeeds. Two nodes of each availability zone use short watches, so that a dead one is noticed within the settle time, a new setting. Every call tells the newest known revision in both directions, also one that the node has only heard of, so that all others abandon a watch that is behind. A removal is held back no longer than it may be if the store returned when the failed read began.

--- a/crates/coordination/src/forwarding/pending_removals.rs
+++ b/crates/coordination/src/forwarding/pending_removals.rs
@@ -3,6 +3,9 @@
 //! While the store is unreachable, entries of live upstreams may expire, and they are registered
 //! again soon after the store is back. A removal that is seen shortly after an outage is therefore
 //! confirmed only when that recovery time is over; any other removal is confirmed immediately.
+//!
+//! The end of an outage is known only to lie within the last failed read. A removal is therefore
+//! never held back longer than it may be if the store returned right after the start of that read.
 
 use lagoonshore_state::ids::InstanceName;
 
@@ -22,16 +25,28 @@
 }
 
 /// `PendingRemovals` holds removals until they are confirmed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PendingRemovals {
     entries: Vec<(RemovedEntry, Instant)>,
-    outage_end: Option<Instant>,
+    hold_max: Duration,
+    recovered_at: Option<Instant>,
 }
 
 impl PendingRemovals {
-    /// Records that the store was unreachable until `now`.
-    pub const fn record_outage(&mut self, now: Instant) {
-        self.outage_end = Some(now);
+    /// Creates an empty set. A removal has to be applied within `hold_max` of the return of the store.
+    #[must_use]
+    pub const fn new(hold_max: Duration) -> Self {
+        Self {
+            entries: Vec::new(),
+            hold_max,
+            recovered_at: None,
+        }
+    }
+
+    /// Records a failed read of the store that began at `started`; the next read begins at `now`.
+    pub fn record_outage(&mut self, started: Instant, now: Instant) {
+        let recovered_at = (now + RECOVERY_TIME).min(started + self.hold_max);
+        self.recovered_at = Some(recovered_at);
     }
 
     /// Records that the list no longer contains an entry. A removal that is already pending keeps
@@ -44,8 +59,9 @@
         {
             return;
         }
-        let recovered = self.outage_end.map(|end| end + RECOVERY_TIME);
-        let confirmed_at = recovered.map_or(now, |recovered| recovered.max(now));
+        let confirmed_at = self
+            .recovered_at
+            .map_or(now, |recovered| recovered.max(now));
         self.entries.push((entry, confirmed_at));
     }
 
--- /dev/null
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -0,0 +1,95 @@
+//! Schedule of the reads of the store: how long a watch (a long poll) waits, when it is abandoned,
+//! and the pauses between reads.
+//!
+//! The request of a watch that begins in an outage is lost, and its silence looks like a store without
+//! changes. Three rules bound the time until such a watch is noticed. After a failed read the node
+//! makes short reads until one succeeds. Some nodes of each availability zone use short watches. All
+//! others are told the newest revision by the nodes that they talk to and abandon a watch that does
+//! not deliver it.
+
+use rand::{Rng, RngCore};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time after which a watch is abandoned if other nodes know of newer changes.
+pub const BEHIND_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time between the response to a watch and the next watch, so that changes arrive in batches.
+pub const BATCH_TIME: Duration = Duration::from_millis(700);
+/// Time that a watch may take beyond the wait that it asks the store for.
+pub const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
+/// Nodes of each availability zone that use short watches.
+pub const SHORT_WATCHES_PER_ZONE: usize = 2;
+/// Wait of a long watch.
+const LONG_WAIT: Duration = Duration::from_secs(12);
+/// Shortest wait of one watch, and that of the first watch after a failed read.
+const WAIT_MIN: Duration = Duration::from_millis(1);
+/// Part of the settle time that remains for the read after a dead watch.
+const REREAD_TIME: Duration = Duration::from_millis(300);
+/// Pause after the first of consecutive failures.
+const PAUSE_MIN: Duration = Duration::from_millis(60);
+/// Longest pause after consecutive failures.
+const PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// `WatchLength` says how long the watches of a node wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchLength {
+    /// A dead watch is noticed within the settle time of the store.
+    Short,
+    /// A dead watch is noticed by the reports of other nodes, or after many seconds.
+    Long,
+}
+
+/// `ReadSchedule` computes the wait of each watch and the pause after a failed read.
+#[derive(Debug)]
+pub struct ReadSchedule {
+    short_wait: Duration,
+    pause: Duration,
+    is_failing: bool,
+}
+
+impl ReadSchedule {
+    /// Creates a schedule. `settle_time` is the time after an outage of the store in which a node has
+    /// to be up to date again.
+    #[must_use]
+    pub fn new(settle_time: Duration) -> Self {
+        let reserve = WATCH_TIMEOUT_MARGIN + REREAD_TIME;
+        Self {
+            short_wait: settle_time
+                .saturating_sub(reserve)
+                .clamp(BATCH_TIME, LONG_WAIT),
+            pause: PAUSE_MIN,
+            is_failing: false,
+        }
+    }
+
+    /// Records a read that succeeded.
+    pub const fn record_success(&mut self) {
+        self.pause = PAUSE_MIN;
+        self.is_failing = false;
+    }
+
+    /// Records a read that failed. Returns the pause before the next one, with jitter around its
+    /// mean so that nodes do not read in step.
+    pub fn record_failure(&mut self, random: &mut dyn RngCore) -> Duration {
+        let pause = self.pause;
+        self.pause = (pause * 2).min(PAUSE_MAX);
+        self.is_failing = true;
+        pause.mul_f64(random.random_range(0.7..1.3))
+    }
+
+    /// Wait of the next watch, which must return by `next` if the node has something to do then.
+    /// After a failed read the watch returns at once, so that its response shows that the store is
+    /// back.
+    #[must_use]
+    pub fn watch_wait(&self, now: Instant, length: WatchLength, next: Option<Instant>) -> Duration {
+        if self.is_failing {
+            return WAIT_MIN;
+        }
+        let longest = match length {
+            WatchLength::Short => self.short_wait,
+            WatchLength::Long => LONG_WAIT,
+        };
+        let wait = next.map_or(longest, |next| next.saturating_duration_since(now));
+        wait.clamp(WAIT_MIN, longest)
+    }
+}
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -3,7 +3,7 @@
 
 use lagoonshore_coordination::forwarding::{
     pending_removals::{PendingRemovals, RemovedEntry},
-    read_backoff::{self, ReadBackoff},
+    read_schedule::{ReadSchedule, WATCH_TIMEOUT_MARGIN, WatchLength},
     retry_allowance::{AllowanceRules, RetryAllowance},
     retry_quota::RetryQuota,
     route_limiter::RouteLimiter,
@@ -271,10 +271,15 @@
     }
 }
 
+/// Longest time for which a removal may be held back after the return of the store.
+const HOLD_MAX: Duration = Duration::from_millis(4800);
+/// Time after an outage in which nodes have to be up to date again.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 #[test]
 fn a_removal_is_confirmed_immediately_without_an_outage() {
     let now = Instant::now();
-    let mut entries = PendingRemovals::default();
+    let mut entries = PendingRemovals::new(HOLD_MAX);
     entries.record_removal(now, removed("u1"));
     assert_eq!(entries.take_confirmed(now), vec![removed("u1")]);
     assert_eq!(entries.next_confirmation(), None);
@@ -283,8 +288,8 @@
 #[test]
 fn an_entry_that_expired_in_an_outage_may_return() {
     let end = Instant::now();
-    let mut entries = PendingRemovals::default();
-    entries.record_outage(end);
+    let mut entries = PendingRemovals::new(HOLD_MAX);
+    entries.record_outage(end, end);
     entries.record_removal(end + Duration::from_millis(100), removed("u1"));
     entries.record_removal(end + Duration::from_millis(200), removed("u2"));
     let early = end + Duration::from_secs(2);
@@ -302,10 +307,11 @@
 #[test]
 fn a_removal_seen_again_keeps_its_confirmation_time() {
     let end = Instant::now();
-    let mut entries = PendingRemovals::default();
-    entries.record_outage(end);
+    let mut entries = PendingRemovals::new(HOLD_MAX);
+    entries.record_outage(end, end);
     entries.record_removal(end, removed("u1"));
-    entries.record_outage(end + Duration::from_secs(2));
+    let again = end + Duration::from_secs(2);
+    entries.record_outage(again, again);
     entries.record_removal(end + Duration::from_secs(2), removed("u1"));
     let late = end + Duration::from_millis(2300);
     assert_eq!(entries.take_confirmed(late), vec![removed("u1")]);
@@ -336,7 +342,7 @@
 #[test]
 fn pauses_after_failed_reads_grow_to_a_maximum_and_reset() {
     let mut random = SmallRng::seed_from_u64(1);
-    let mut backoff = ReadBackoff::default();
+    let mut backoff = ReadSchedule::new(SETTLE_TIME);
     for mean in [60, 120, 240, 480, 800, 800] {
         let mean = Duration::from_millis(mean);
         let pause = backoff.record_failure(&mut random);
@@ -352,12 +358,44 @@
 #[test]
 fn a_watch_ends_when_the_next_step_is_due() {
     let now = Instant::now();
-    assert_eq!(read_backoff::watch_wait(now, None), Duration::from_secs(12));
+    let schedule = ReadSchedule::new(SETTLE_TIME);
+    let wait = |now, next| schedule.watch_wait(now, WatchLength::Long, next);
+    assert_eq!(wait(now, None), Duration::from_secs(12));
     let due = now + Duration::from_secs(2);
-    assert_eq!(
-        read_backoff::watch_wait(now, Some(due)),
-        Duration::from_secs(2)
-    );
-    let passed = read_backoff::watch_wait(due, Some(now));
-    assert_eq!(passed, Duration::from_millis(1));
+    assert_eq!(wait(now, Some(due)), Duration::from_secs(2));
+    assert_eq!(wait(due, Some(now)), Duration::from_millis(1));
+}
+
+#[test]
+fn a_short_watch_that_died_is_followed_by_a_read_within_the_settle_time() {
+    let mut random = SmallRng::seed_from_u64(1);
+    for settle_time in [2, 3, 5, 8] {
+        let settle_time = Duration::from_secs(settle_time);
+        let mut schedule = ReadSchedule::new(settle_time);
+        let wait = schedule.watch_wait(Instant::now(), WatchLength::Short, None);
+        let pause = schedule.record_failure(&mut random);
+        assert!(wait + WATCH_TIMEOUT_MARGIN + pause < settle_time);
+    }
+}
+
+#[test]
+fn watches_after_a_failed_read_return_at_once_until_one_succeeds() {
+    let now = Instant::now();
+    let mut schedule = ReadSchedule::new(SETTLE_TIME);
+    schedule.record_failure(&mut SmallRng::seed_from_u64(1));
+    let first = schedule.watch_wait(now, WatchLength::Long, None);
+    assert_eq!(first, Duration::from_millis(1));
+    schedule.record_success();
+    let next = schedule.watch_wait(now, WatchLength::Long, None);
+    assert_eq!(next, Duration::from_secs(12));
+}
+
+#[test]
+fn a_removal_is_not_held_back_because_a_failed_read_took_long() {
+    let started = Instant::now();
+    let failed = started + Duration::from_millis(12_700);
+    let mut entries = PendingRemovals::new(HOLD_MAX);
+    entries.record_outage(started, failed);
+    entries.record_removal(failed, removed("u1"));
+    assert_eq!(entries.take_confirmed(failed), vec![removed("u1")]);
 }
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -60,6 +60,8 @@
         pub is_resent: bool,
         /// Upstream crashes that the sender attributes to the request.
         pub crashes: u8,
+        /// Latest store revision that the sender has applied or heard of.
+        pub revision: u64,
     }
 
     /// `RelayResponse` is a complete response of an upstream.
@@ -158,7 +160,7 @@
         pub is_leaving: bool,
         /// Version of the document in force; 0 if there is none.
         pub version: DocumentVersion,
-        /// Latest store revision that the node has seen.
+        /// Latest store revision that the node has applied or heard of.
         pub revision: u64,
     }
 }
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -3,10 +3,11 @@
 use crate::events;
 
 use compact_str::CompactString;
+use lagoonshore_coordination::forwarding::read_schedule::{SHORT_WATCHES_PER_ZONE, WatchLength};
 use lagoonshore_protocol::relay_messages::FleetSnapshot;
 use lagoonshore_state::{
     ids::{DocumentVersion, RegionName},
-    instance_table::{InstanceRecord, InstanceTable},
+    instance_table::{InstanceRecord, InstanceState, InstanceTable},
     route_table::{FleetDocument, RouteTable},
     units::whole_millis,
     upstream_list::{UpstreamList, UpstreamRecord},
@@ -221,6 +222,21 @@
         self.revision.get()
     }
 
+    /// Newest revision of the store that was applied here or that another node has reported.
+    #[must_use]
+    pub fn known_revision(&self) -> u64 {
+        self.revision().max(self.peers.borrow().revision)
+    }
+
+    /// Records the store revision that another node knows.
+    pub fn record_known_revision(&self, revision: u64) {
+        self.peers.send_if_modified(|known| {
+            let is_newer = revision > known.revision;
+            known.revision = known.revision.max(revision);
+            is_newer
+        });
+    }
+
     /// Records the document version and the store revision that another node reported.
     pub fn record_peer_version(&self, peer: SocketAddr, version: DocumentVersion, revision: u64) {
         self.peers.send_if_modified(|known| {
@@ -275,7 +291,7 @@
             took_ms = whole_millis(read.took),
             success_age_ms = whole_millis(read.success_age),
             revision = self.revision(),
-            known_revision = self.peers.borrow().revision,
+            known_revision = self.known_revision(),
             "store: read failed"
         );
         if !self.is_store_unreachable.replace(true) {
@@ -318,6 +334,24 @@
         self.upstreams.borrow()
     }
 
+    /// Returns how long the node watches the store: the first live upstreams of each availability
+    /// zone, by name, have short watches, and so has a node whose upstream is not listed.
+    #[must_use]
+    pub fn watch_length(&self) -> WatchLength {
+        let upstreams = self.upstreams.borrow();
+        let Some(own) = upstreams.find_by_address(self.upstream_address) else {
+            return WatchLength::Short;
+        };
+        let is_before = |other: &&UpstreamRecord| {
+            other.zone == own.zone && other.state == InstanceState::Live && other.name < own.name
+        };
+        if upstreams.iter().filter(is_before).count() < SHORT_WATCHES_PER_ZONE {
+            WatchLength::Short
+        } else {
+            WatchLength::Long
+        }
+    }
+
     /// Number of listed upstreams, each with a node beside it.
     #[must_use]
     pub fn node_count(&self) -> u32 {
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -154,7 +154,7 @@
             queued: usage.queued,
             is_leaving: self.is_draining.get(),
             version: self.directory.version(),
-            revision: self.directory.revision(),
+            revision: self.directory.known_revision(),
         }
     }
 
@@ -167,6 +167,7 @@
     /// Runs a request, whose response is of use only before `deadline`.
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
         let active = ActiveGuard::new(&self.running);
+        self.directory.record_known_revision(request.revision);
         let fingerprint = suspect_tracker::fingerprint_of(&request);
         let mut totals = CallTotals::default();
         let result = self.run(request, deadline, fingerprint, &mut totals).await;
--- a/crates/relay/tests/fleet_changes.rs
+++ b/crates/relay/tests/fleet_changes.rs
@@ -164,3 +164,16 @@
         "a node that has a document does not take over another one"
     );
 }
+
+#[actix_rt::test]
+async fn both_ends_of_a_call_report_the_newest_revision_to_each_other() {
+    let fleet = two_zones().await;
+    let sender = &fleet.members[0].node.directory;
+    let receiver = &fleet.members[2].node.directory;
+    sender.record_known_revision(7000);
+    fleet.ask("POST", "/b-once/ok", "i1").await;
+    assert_eq!(receiver.known_revision(), 7000);
+    receiver.record_known_revision(9000);
+    fleet.ask("POST", "/b-once/ok", "i2").await;
+    assert_eq!(sender.known_revision(), 9000);
+}
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -30,6 +30,7 @@
         is_repeat: false,
         is_resent: false,
         crashes: 0,
+        revision: 0,
     }
 }
 
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -29,6 +29,7 @@
         is_repeat: is_resent,
         is_resent,
         crashes: 0,
+        revision: 0,
     }
 }
 
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -28,8 +28,8 @@
     pub listen: RelayListenSettings,
     /// Address of the upstream.
     pub upstream: SocketAddr,
-    /// Address of the store from which documents and upstream lists are read.
-    pub store: SocketAddr,
+    /// The store from which documents and upstream lists are read.
+    pub store: StoreSettings,
     /// Retry limits of the whole fleet.
     pub retries: RetrySettings,
     /// Time between the request to stop and the forced kill of the process.
@@ -58,6 +58,29 @@
     pub admin: SocketAddr,
 }
 
+/// `StoreSettings` holds the address of the store, and the time bounds for what is read from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// Address of the store.
+    pub address: SocketAddr,
+    /// Time after an outage of the store in which a node has to be up to date again.
+    pub settle_time: Duration,
+    /// Time after which an upstream that announced its departure gets no more requests.
+    pub drain_time: Duration,
+}
+
+impl StoreSettings {
+    /// Creates the settings of the store at `address`, with the default time bounds.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            settle_time: SETTLE_TIME_DEFAULT,
+            drain_time: DRAIN_TIME_DEFAULT,
+        }
+    }
+}
+
 /// `RetrySettings` limits the retries that all nodes together send to a service.
 #[derive(Clone, Copy, Debug)]
 pub struct RetrySettings {
@@ -79,6 +102,8 @@
     listen: ListenText,
     upstream: SpannedText,
     store: SpannedText,
+    settle_seconds: Option<Spanned<f64>>,
+    drain_seconds: Option<Spanned<f64>>,
     repeats: RetryText,
     grace_seconds: Spanned<f64>,
     address_reuse_seconds: Spanned<f64>,
@@ -104,6 +129,10 @@
     window_seconds: Spanned<f64>,
 }
 
+/// Settle time of the store if the settings give none.
+const SETTLE_TIME_DEFAULT: Duration = Duration::from_secs(3);
+/// Drain time of upstreams if the settings give none.
+const DRAIN_TIME_DEFAULT: Duration = Duration::from_secs(2);
 /// Largest duration accepted for a setting, in seconds.
 const SECONDS_MAX: f64 = 3600.0;
 /// Largest number accepted for a setting.
@@ -140,7 +169,7 @@
                 admin: checker.read_address("listen.admin", &listen.admin),
             },
             upstream: checker.read_address("upstream", &text.upstream),
-            store: checker.read_address("store", &text.store),
+            store: read_store(&mut checker, &text),
             retries: read_retries(&mut checker, &text.repeats),
             grace_time: read_seconds(&mut checker, "grace_seconds", &text.grace_seconds),
             address_reuse_time: read_seconds(
@@ -166,6 +195,17 @@
     }
 }
 
+fn read_store(checker: &mut ValueChecker, text: &RelayText) -> StoreSettings {
+    let mut settings = StoreSettings::new(checker.read_address("store", &text.store));
+    if let Some(seconds) = &text.settle_seconds {
+        settings.settle_time = read_seconds(checker, "settle_seconds", seconds);
+    }
+    if let Some(seconds) = &text.drain_seconds {
+        settings.drain_time = read_seconds(checker, "drain_seconds", seconds);
+    }
+    settings
+}
+
 fn read_retries(checker: &mut ValueChecker, text: &RetryText) -> RetrySettings {
     RetrySettings {
         ratio: read_number(checker, "repeats.ratio", &text.ratio),
