--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -211,7 +211,7 @@
         self.notify_change();
     }
 
-    /// Records that the change of the store at `revision` was applied.
+    /// Records that the changes of the store up to `revision` were applied.
     pub fn record_revision(&self, revision: u64) {
         self.revision.set(self.revision.get().max(revision));
     }
