Check the departure of the upstream that gets the request

What callers saw: nothing. An upstream that had announced its departure got requests that named the run before it (DRAIN).

Cause: the node beside an upstream checked the departure of the name that the sender chose, but sends under the name that the upstream reported last, or reports in a 421. A restarted upstream that leaves again while the entry of its earlier run is still listed got the requests of that entry. Same class as an identity that is checked before it is resolved.

Change: both names are checked, before the queue and after it, and a reported name that is leaving is not accepted.

Both new tests failed before (200 instead of 503) and pass.

--- a/crates/relay/src/serving/local_upstream.rs
+++ b/crates/relay/src/serving/local_upstream.rs
@@ -107,14 +107,25 @@
         known.name
     }
 
+    /// Returns whether the upstream `requested`, or the one that gets the request in its place, is
+    /// leaving or has left.
+    #[must_use]
+    pub fn has_departed(&self, requested: &InstanceName) -> bool {
+        let target = self.target_name(requested);
+        self.directory.has_departed(requested) || self.directory.has_departed(&target)
+    }
+
     /// Records a signed response, which confirms the service at the address.
     pub fn record_signed_response(&self) {
         self.confirmed_at.set(Instant::now());
     }
 
     /// Accepts the name that the upstream reports; returns `false` if the upstream may belong to
-    /// another service.
+    /// another service, or is leaving.
     pub fn accept_name(&self, name: &str) -> bool {
+        if self.directory.has_departed(name) {
+            return false;
+        }
         let mut reported = self.reported.borrow_mut();
         if reported.as_ref().is_some_and(|known| known.name == name) {
             return true;
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -205,7 +205,7 @@
         if request.service != self.service {
             return refusal(RefusalReason::NoInstance, Duration::ZERO);
         }
-        if self.is_refusing.get() || self.directory.has_departed(&request.instance) {
+        if self.is_refusing.get() || self.upstream.has_departed(&request.instance) {
             return refusal(RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
         }
         if self.upstream.is_down() {
@@ -228,7 +228,7 @@
         };
         totals.wait = queued_at.elapsed();
         // The upstream may have left during the wait.
-        if self.directory.has_departed(&request.instance) {
+        if self.upstream.has_departed(&request.instance) {
             return refusal(RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
         }
         self.retry_gate.record_arrival(&request);
--- a/crates/relay/tests/fleet_changes.rs
+++ b/crates/relay/tests/fleet_changes.rs
@@ -47,6 +47,29 @@
     );
 }
 
+#[actix_rt::test]
+async fn an_upstream_that_leaves_gets_no_requests_for_the_one_it_replaced() {
+    let mut fleet = two_zones().await;
+    *fleet.members[2].upstream.name.borrow_mut() = "u2-again".to_owned();
+    fleet.members[2].name = "u2-again".into();
+    fleet.list(2, InstanceState::Leaving);
+    let response = fleet.ask("POST", "/b-once/ok", "i1").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(fleet.members[2].upstream.ids().len(), 0);
+}
+
+#[actix_rt::test]
+async fn a_replacement_that_leaves_before_it_is_listed_as_live_gets_no_requests() {
+    let mut fleet = two_zones().await;
+    *fleet.members[2].upstream.name.borrow_mut() = "u2-again".to_owned();
+    assert_eq!(fleet.ask("POST", "/b-once/ok", "i1").await.status, 200);
+    fleet.members[2].name = "u2-again".into();
+    fleet.list(2, InstanceState::Leaving);
+    let response = fleet.ask("POST", "/b-once/ok", "i2").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(fleet.members[2].upstream.ids(), vec!["i1"]);
+}
+
 /// The sender's upstream list is stale: it names an upstream of `b` at an address that `a` uses
 /// now. The node at that address must refuse the request, or it would run at the wrong service.
 #[actix_rt::test]
