Take a departure from the responses of an upstream

New rule of the platform: an upstream that leaves says so in all its responses, and a node that passed such a response on sends it no request after the drain time, in touch with the store or not.

The field was relayed and not read; what the store said was the only source, so that an upstream whose departure could not be read there went on getting requests.

Change: the node beside the upstream takes the departure from each response, rejections and health checks included, for the name under which the request was sent. It tells senders in every reply. Both keep it for the run of the upstream (its name and start), whatever the list says of that run later. A sender tells it back with its requests, since the node may have restarted in the meantime.

--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -10,7 +10,7 @@
     ids::{DocumentVersion, InstanceName, ServiceName},
     route_table::FleetDocument,
     units::RequestImportance,
-    upstream_list::UpstreamRecord,
+    upstream_list::{UpstreamRecord, UpstreamRun},
 };
 
 /// Lowest status of the server error class (RFC 9110, section 15.6).
@@ -62,6 +62,9 @@
         pub crashes: u8,
         /// Latest store revision that the sender has applied or heard of.
         pub revision: u64,
+        /// Run of the upstream beside the receiver that announced its departure in a response to the sender. A
+        /// receiver that has restarted since then does not know it.
+        pub departed: Option<UpstreamRun>,
     }
 
     /// `RelayResponse` is a complete response of an upstream.
@@ -121,6 +124,8 @@
         pub trouble: CallFailure,
         /// Crashes of the request that the replying node knows of.
         pub suspect: Option<SuspectReport>,
+        /// Run of the upstream beside the replying node that announced its departure in a response.
+        pub departed: Option<UpstreamRun>,
     }
 
     /// `CallFailure` is the worst failure among the calls of a request; variants are in order of
--- a/crates/relay/src/calling/attempt_record.rs
+++ b/crates/relay/src/calling/attempt_record.rs
@@ -54,6 +54,9 @@
             }
         };
         self.peers.record_status(self.key, self.address, reply.news);
+        if let Some(run) = &reply.departed {
+            self.peers.record_departure(self.address, run);
+        }
         match &reply.result {
             // If the run made calls, one of them may have caused the failure.
             RelayResult::Answered(response) if response.is_failure() && reply.calls == 0 => {
--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -11,9 +11,11 @@
 };
 use lagoonshore_protocol::relay_messages::NodeStatus;
 use lagoonshore_settings::RelaySettings;
-use lagoonshore_state::{ids::InstanceName, instance_table::InstanceKey};
+use lagoonshore_state::{
+    ids::InstanceName, instance_table::InstanceKey, upstream_list::UpstreamRun,
+};
 use rand::rngs::SmallRng;
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// `PeerTarget` is the instance selected for an attempt.
@@ -33,6 +35,8 @@
     selector: RefCell<PeerSelector>,
     zone_health: RefCell<ZoneHealth>,
     random: RefCell<SmallRng>,
+    /// Upstreams that announced their departure in a response, by the peer address of their node.
+    departed: RefCell<HashMap<SocketAddr, InstanceName>>,
 }
 
 impl PeerTable {
@@ -50,6 +54,7 @@
             selector: RefCell::new(PeerSelector::new(origin)),
             zone_health: RefCell::default(),
             random: RefCell::new(random),
+            departed: RefCell::default(),
         }
     }
 
@@ -120,6 +125,26 @@
         selector.record_load(key, Instant::now(), report);
     }
 
+    /// Records that a run of the upstream beside the node at `address` announced its departure.
+    pub fn record_departure(&self, address: SocketAddr, run: &UpstreamRun) {
+        self.directory.announce_departure(run);
+        let mut departed = self.departed.borrow_mut();
+        if departed.get(&address) == Some(&run.name) {
+            return;
+        }
+        let table = self.directory.instances();
+        departed.retain(|peer, _| table.iter().any(|(_, record)| record.peer == *peer));
+        departed.insert(address, run.name.clone());
+    }
+
+    /// Latest run of the upstream beside the node at `address` that announced its departure.
+    #[must_use]
+    pub fn departed_run(&self, address: SocketAddr) -> Option<UpstreamRun> {
+        let departed = self.departed.borrow();
+        let name = departed.get(&address)?;
+        self.directory.upstreams().announced_run(name)
+    }
+
     /// Records a response of the upstream; `typical` is the median latency of its route, or
     /// `elapsed` while that is unknown.
     pub fn record_response(&self, key: InstanceKey, elapsed: Duration, typical: Duration) {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -10,7 +10,7 @@
     instance_table::{InstanceRecord, InstanceState, InstanceTable},
     route_table::{FleetDocument, RouteTable},
     units::whole_millis,
-    upstream_list::{UpstreamList, UpstreamRecord},
+    upstream_list::{UpstreamList, UpstreamRecord, UpstreamRun},
 };
 use std::{
     cell::{Cell, Ref, RefCell},
@@ -159,11 +159,14 @@
     /// Adds or updates an upstream, unless a newer revision of it is known.
     pub fn upsert_upstream(&self, record: UpstreamRecord) {
         let name = record.name.clone();
-        let (state, revision) = (record.state, record.revision);
-        let entry = self.instance_record(&record);
+        let revision = record.revision;
         if !self.upstreams.borrow_mut().upsert(record) {
             return;
         }
+        let Some(entry) = self.instance_record(&name) else {
+            return;
+        };
+        let state = entry.state;
         info!(
             event = events::UPSTREAM_LISTED,
             instance = %name, service = %entry.service, ?state, revision, "upstream: listed"
@@ -172,6 +175,23 @@
         self.notify_change();
     }
 
+    /// Records that a run announced its departure in a response.
+    pub fn announce_departure(&self, run: &UpstreamRun) {
+        if !self.upstreams.borrow_mut().announce_departure(run) {
+            return;
+        }
+        let name = &run.name;
+        info!(
+            event = events::DEPARTURE_ANNOUNCED,
+            instance = %name,
+            "upstream: announced its departure in a response"
+        );
+        if let Some(entry) = self.instance_record(name) {
+            self.instances.borrow_mut().upsert(entry);
+        }
+        self.notify_change();
+    }
+
     /// Removes an upstream that is no longer listed at `revision` of the store.
     pub fn remove_upstream(&self, name: &str, revision: u64) {
         if self.upstreams.borrow_mut().remove(name, revision).is_none() {
@@ -398,15 +418,17 @@
         upstreams.iter().map(|record| record.name.clone()).collect()
     }
 
-    fn instance_record(&self, record: &UpstreamRecord) -> InstanceRecord {
-        InstanceRecord {
+    fn instance_record(&self, name: &str) -> Option<InstanceRecord> {
+        let upstreams = self.upstreams.borrow();
+        let record = upstreams.get(name)?;
+        Some(InstanceRecord {
             name: record.name.clone(),
             service: record.service.clone(),
             zone: record.zone.clone(),
             region: self.region.clone(),
             peer: SocketAddr::new(record.address.ip(), self.peer_port.get()),
             state: record.state,
-        }
+        })
     }
 
     fn notify_change(&self) {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -28,6 +28,8 @@
 pub const STORE_RECOVERED: u16 = 3107;
 /// A read of the store failed.
 pub const STORE_READ_FAILED: u16 = 3108;
+/// An upstream announced its departure in a response.
+pub const DEPARTURE_ANNOUNCED: u16 = 3109;
 /// A request was refused; it did not run.
 pub const REQUEST_REFUSED: u16 = 3201;
 /// A request got no complete response; it may have run.
--- a/crates/relay/src/header_scheme.rs
+++ b/crates/relay/src/header_scheme.rs
@@ -15,6 +15,8 @@
     pub expected_instance: &'static str,
     /// Name of the answering upstream, in its responses to health checks and misdirected requests.
     pub own_instance: &'static str,
+    /// Present with the value `1` in all responses of an upstream that is leaving.
+    pub departure: &'static str,
     /// Service of the instance on which the request originated.
     pub origin_service: &'static str,
     /// Character that separates the id of the parent request from the suffix in the id of a call.
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -15,6 +15,8 @@
 const FIELDS_MAX: usize = 100;
 /// Field that is handled on the connection of the caller and not relayed.
 const EXPECT_FIELD: &str = "expect";
+/// Value of the field by which an upstream announces its departure.
+const DEPARTURE_VALUE: &str = "1";
 /// Lowest status of a final response; lower ones are interim.
 const FINAL_STATUS_MIN: u16 = 200;
 
@@ -54,6 +56,8 @@
     pub instance: Option<CompactString>,
     /// Whether the upstream reports that it did not run the request.
     pub is_not_run: bool,
+    /// Whether the upstream announces that it is leaving.
+    pub is_leaving: bool,
     /// Whether the upstream signed the response.
     pub is_signed: bool,
     /// Whether the body has a content encoding.
@@ -177,6 +181,7 @@
         id: field_text(fields, scheme.request_id).map(Into::into),
         instance: field_text(fields, scheme.own_instance).map(Into::into),
         is_not_run: field_text(fields, scheme.not_run).is_some(),
+        is_leaving: field_text(fields, scheme.departure) == Some(DEPARTURE_VALUE),
         is_signed: field_text(fields, scheme.signature).is_some(),
         is_encoded: field_text(fields, "content-encoding").is_some(),
         fields: relayed_fields(fields, &summary, |_| false),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -24,6 +24,7 @@
 
 use actix_rt::net::TcpListener;
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
+use lagoonshore_state::upstream_list::UpstreamRun;
 use lagoonshore_transport::{http_listener, metrics_recorder, signals};
 use rand::{SeedableRng, rngs::SmallRng};
 use snafu::ResultExt;
@@ -209,6 +210,11 @@
         }
     }
 
+    /// Records that a run of the upstream beside the node at `peer` announced its departure.
+    pub fn record_departure(&self, peer: SocketAddr, run: &UpstreamRun) {
+        self.peer_table.record_departure(peer, run);
+    }
+
     /// Fetches the document of the node at `peer`, which reported a newer version than the one in
     /// force here.
     async fn pull_document(&self, peer: SocketAddr) {
--- a/crates/relay/src/serving/local_upstream.rs
+++ b/crates/relay/src/serving/local_upstream.rs
@@ -21,6 +21,7 @@
 use lagoonshore_state::{
     ids::{InstanceName, ServiceName},
     units::whole_millis,
+    upstream_list::UpstreamRun,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -51,6 +52,8 @@
     /// Last time at which the address was confirmed to serve the service.
     confirmed_at: Cell<Instant>,
     is_down: Cell<bool>,
+    /// Latest upstream at the address that announced its departure in a response.
+    departed: RefCell<Option<InstanceName>>,
 }
 
 /// A name that the upstream reported while the list had another one.
@@ -81,6 +84,7 @@
             reported: RefCell::default(),
             confirmed_at: Cell::new(Instant::now()),
             is_down: Cell::new(false),
+            departed: RefCell::default(),
         }
     }
 
@@ -107,6 +111,32 @@
         known.name
     }
 
+    /// Records that the upstream `name` announced its departure in a response.
+    pub fn record_departure(&self, name: &InstanceName) {
+        let started_ms = self
+            .directory
+            .upstreams()
+            .get(name)
+            .and_then(|record| record.started_ms);
+        self.record_departed_run(&UpstreamRun {
+            name: name.clone(),
+            started_ms,
+        });
+    }
+
+    /// Records a run of the upstream that announced its departure in a response to another node.
+    pub fn record_departed_run(&self, run: &UpstreamRun) {
+        self.directory.announce_departure(run);
+        self.departed.replace(Some(run.name.clone()));
+    }
+
+    /// Latest run at the address that announced its departure in a response.
+    #[must_use]
+    pub fn departed_run(&self) -> Option<UpstreamRun> {
+        let departed = self.departed.borrow();
+        self.directory.upstreams().announced_run(departed.as_ref()?)
+    }
+
     /// Returns whether the upstream `requested`, or the one that gets the request in its place, is
     /// leaving or has left.
     #[must_use]
@@ -213,6 +243,11 @@
         let check = self.pool.send(request, &self.scheme, ANY_IDLE_TIME);
         let response = actix_rt::time::timeout(HEALTH_CHECK_TIMEOUT, check).await;
         let response = response.map_err(|_| SendError::Connect(ErrorKind::TimedOut))??;
+        if let Some(name) = &response.head.instance
+            && response.head.is_leaving
+        {
+            self.record_departure(name);
+        }
         Ok(response.head.instance)
     }
 }
--- a/crates/relay/src/serving/upstream_exchange.rs
+++ b/crates/relay/src/serving/upstream_exchange.rs
@@ -15,6 +15,7 @@
     header_scheme::HeaderScheme,
     http1::{
         exchange::{ExchangeError, ReceivedResponse, SentRequest},
+        head::ResponseHead,
         pool::{ANY_IDLE_TIME, ConnectionPool, SendError},
     },
     relay_metrics,
@@ -26,6 +27,7 @@
 use lagoonshore_protocol::relay_messages::{
     DeliveryStatus, RelayRefusal, RelayRequest, RelayResponse, RelayResult,
 };
+use lagoonshore_state::ids::InstanceName;
 use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
@@ -106,6 +108,7 @@
         };
         let sent = self.render_request(request, &expected, deadline);
         let response = self.pool.send(sent, &self.scheme, idle_max).await?;
+        self.record_announcements(&response.head, &expected);
         if response.head.status != MISDIRECTED {
             if response.head.is_signed {
                 self.upstream.record_signed_response();
@@ -119,7 +122,23 @@
         let sent = self.render_request(request, found, deadline);
         // The upstream counts both attempts as arrivals.
         self.retry_gate.record_second_attempt();
-        self.pool.send(sent, &self.scheme, idle_max).await
+        let response = self.pool.send(sent, &self.scheme, idle_max).await?;
+        self.record_announcements(&response.head, found);
+        Ok(response)
+    }
+
+    /// Records what the upstream `expected` says of itself in a response. A misdirected request was
+    /// answered by another upstream, which may name itself.
+    fn record_announcements(&self, head: &ResponseHead, expected: &InstanceName) {
+        let name = match head.status {
+            MISDIRECTED => head.instance.as_ref(),
+            _ => Some(expected),
+        };
+        if let Some(name) = name
+            && head.is_leaving
+        {
+            self.upstream.record_departure(name);
+        }
     }
 
     /// Checks a response and turns it into the result to relay.
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -168,6 +168,9 @@
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
         let active = ActiveGuard::new(&self.running);
         self.directory.record_known_revision(request.revision);
+        if let Some(run) = &request.departed {
+            self.upstream.record_departed_run(run);
+        }
         let fingerprint = suspect_tracker::fingerprint_of(&request);
         let mut totals = CallTotals::default();
         let result = self.run(request, deadline, fingerprint, &mut totals).await;
@@ -180,6 +183,7 @@
             calls: totals.calls,
             trouble: totals.worst_failure,
             suspect,
+            departed: self.upstream.departed_run(),
         }
     }
 
--- a/crates/relay/tests/fleet_changes.rs
+++ b/crates/relay/tests/fleet_changes.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use lagoonshore_state::instance_table::InstanceState;
+use lagoonshore_state::{instance_table::InstanceState, upstream_list::UpstreamRun};
 use std::time::Duration;
 use support::{TestFleet, ask, route, two_zones, until};
 
@@ -200,3 +200,44 @@
     fleet.ask("POST", "/b-once/ok", "i2").await;
     assert_eq!(sender.known_revision(), 9000);
 }
+
+#[actix_rt::test]
+async fn an_upstream_that_announces_its_departure_in_a_response_gets_no_more_requests() {
+    let mut fleet = two_zones().await;
+    fleet.members[2].upstream.is_leaving.set(true);
+    assert_eq!(fleet.ask("POST", "/b-once/ok", "i1").await.status, 200);
+    let response = fleet.ask("POST", "/b-once/ok", "i2").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    fleet.list(2, InstanceState::Live);
+    let response = fleet.ask("POST", "/b-once/ok", "i3").await;
+    assert_eq!(response.status, 503, "listed again: {response:?}");
+    assert_eq!(fleet.members[2].upstream.ids(), vec!["i1"]);
+}
+
+#[actix_rt::test]
+async fn a_restarted_node_learns_from_the_sender_that_its_upstream_is_leaving() {
+    let fleet = two_zones().await;
+    let sender = &fleet.members[0].node;
+    let restarted = &fleet.members[2];
+    let run = UpstreamRun {
+        name: "u2-again".into(),
+        started_ms: None,
+    };
+    sender.record_departure(restarted.listen.peers, &run);
+    *restarted.upstream.name.borrow_mut() = "u2-again".to_owned();
+    let response = fleet.ask("POST", "/b-once/ok", "i1").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    assert_eq!(restarted.upstream.ids().len(), 0);
+}
+
+#[actix_rt::test]
+async fn a_new_run_under_the_name_of_one_that_left_gets_requests() {
+    let mut fleet = two_zones().await;
+    fleet.members[2].upstream.is_leaving.set(true);
+    assert_eq!(fleet.ask("POST", "/b-once/ok", "i1").await.status, 200);
+    fleet.members[2].upstream.is_leaving.set(false);
+    fleet.members[2].started_ms = Some(2);
+    fleet.list(2, InstanceState::Live);
+    let response = fleet.ask("POST", "/b-once/ok", "i2").await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -31,6 +31,7 @@
         is_resent: false,
         crashes: 0,
         revision: 0,
+        departed: None,
     }
 }
 
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -30,6 +30,7 @@
         is_resent,
         crashes: 0,
         revision: 0,
+        departed: None,
     }
 }
 
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -34,6 +34,7 @@
     not_run: "not-run",
     expected_instance: "expected-instance",
     own_instance: "own-instance",
+    departure: "departure",
     origin_service: "origin-service",
     call_separator: '.',
 };
@@ -46,6 +47,7 @@
     pub name: CompactString,
     pub zone: CompactString,
     pub service: CompactString,
+    pub started_ms: Option<u64>,
 }
 
 /// Nodes that list each other's upstreams.
@@ -73,6 +75,7 @@
                 name: format!("u{index}").into(),
                 zone: (*zone).into(),
                 service: (*service).into(),
+                started_ms: Some(1),
             });
         }
         let mut fleet = Self {
@@ -103,6 +106,7 @@
             zone: listed.zone.clone(),
             address: listed.upstream.address,
             slots: listed.upstream.slots,
+            started_ms: listed.started_ms,
             state,
             revision: self.revision,
         };
--- a/crates/relay/tests/support/upstream.rs
+++ b/crates/relay/tests/support/upstream.rs
@@ -42,6 +42,8 @@
     pub behaviour: SharedBehaviour,
     /// Number of the next requests that are shed, whatever else is set.
     pub sheds: Rc<Cell<u32>>,
+    /// Whether all responses announce the departure of the upstream.
+    pub is_leaving: Rc<Cell<bool>>,
     accepting: actix_rt::task::JoinHandle<()>,
 }
 
@@ -56,12 +58,14 @@
         let dropped = Rc::new(Cell::new(0));
         let behaviour = SharedBehaviour::default();
         let sheds = Rc::new(Cell::new(0));
+        let is_leaving = Rc::new(Cell::new(false));
         let shared = UpstreamState {
             seen: Rc::clone(&seen),
             name: Rc::clone(&name),
             dropped: Rc::clone(&dropped),
             behaviour: Rc::clone(&behaviour),
             sheds: Rc::clone(&sheds),
+            is_leaving: Rc::clone(&is_leaving),
         };
         let accepting = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -76,6 +80,7 @@
             dropped,
             behaviour,
             sheds,
+            is_leaving,
             accepting,
         }
     }
@@ -103,6 +108,7 @@
     dropped: Rc<Cell<u32>>,
     behaviour: SharedBehaviour,
     sheds: Rc<Cell<u32>>,
+    is_leaving: Rc<Cell<bool>>,
 }
 
 async fn serve(mut stream: TcpStream, shared: UpstreamState) {
@@ -141,7 +147,7 @@
         } else {
             shared.behaviour.get().unwrap_or(segment)
         };
-        if !respond(&mut stream, behaviour, &id, &shared.dropped).await {
+        if !respond(&mut stream, behaviour, &id, &shared).await {
             return;
         }
     }
@@ -152,9 +158,14 @@
     stream: &mut TcpStream,
     behaviour: &str,
     id: &str,
-    dropped: &Rc<Cell<u32>>,
+    shared: &UpstreamState,
 ) -> bool {
-    let signed = format!("Request-Id: {id}\r\nSignature: s\r\n");
+    let departure = if shared.is_leaving.get() {
+        "Departure: 1\r\n"
+    } else {
+        ""
+    };
+    let signed = format!("Request-Id: {id}\r\nSignature: s\r\n{departure}");
     let ok = format!("HTTP/1.1 200 OK\r\n{signed}Content-Length: 4\r\n\r\nbody");
     let (text, is_reusable) = match behaviour {
         "slow" => {
@@ -168,7 +179,7 @@
         "never" => {
             let mut discarded = [0; 1];
             while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {}
-            dropped.set(dropped.get() + 1);
+            shared.dropped.set(shared.dropped.get() + 1);
             return false;
         }
         "cut" => (ok.replace("Content-Length: 4", "Content-Length: 40"), false),
--- a/crates/state/tests/route_table.rs
+++ b/crates/state/tests/route_table.rs
@@ -4,7 +4,7 @@
     instance_table::InstanceState,
     route_table::{CallerLimits, FleetDocument, RouteEntry, RouteTable, RouteTarget},
     units::RequestImportance,
-    upstream_list::{UpstreamList, UpstreamRecord},
+    upstream_list::{UpstreamList, UpstreamRecord, UpstreamRun},
 };
 use std::time::Duration;
 
@@ -84,6 +84,7 @@
         zone: "z".into(),
         address: ([127, 0, 0, 1], 80).into(),
         slots: 4,
+        started_ms: Some(1),
         state,
         revision,
     }
@@ -118,3 +119,45 @@
     let at = list.find_by_address(([127, 0, 0, 1], 80).into());
     assert_eq!(at.map(|record| record.name.as_str()), Some("new"));
 }
+
+fn run_of(name: &str, started_ms: u64) -> UpstreamRun {
+    UpstreamRun {
+        name: name.into(),
+        started_ms: Some(started_ms),
+    }
+}
+
+#[test]
+fn a_run_that_announced_its_departure_is_not_live_again() {
+    let mut list = UpstreamList::default();
+    list.upsert(upstream("u", 5, InstanceState::Live));
+    assert!(list.announce_departure(&run_of("u", 1)));
+    list.upsert(upstream("u", 9, InstanceState::Live));
+    assert!(list.has_departed("u"));
+    let state = list.get("u").map(|record| record.state);
+    assert_eq!(state, Some(InstanceState::Leaving));
+}
+
+#[test]
+fn a_departure_announced_by_an_earlier_run_does_not_hold_for_the_listed_one() {
+    let mut list = UpstreamList::default();
+    list.upsert(upstream("u", 5, InstanceState::Live));
+    assert!(!list.announce_departure(&run_of("u", 0)));
+    assert!(!list.has_departed("u"));
+}
+
+#[test]
+fn an_unlisted_run_that_announced_its_departure_is_identified_by_its_first_record() {
+    let mut list = UpstreamList::default();
+    let run = UpstreamRun {
+        name: "u".into(),
+        started_ms: None,
+    };
+    list.announce_departure(&run);
+    list.upsert(upstream("u", 5, InstanceState::Live));
+    assert_eq!(list.announced_run(&run.name), Some(run_of("u", 1)));
+    let mut restarted = upstream("u", 6, InstanceState::Live);
+    restarted.started_ms = Some(2);
+    list.upsert(restarted);
+    assert!(!list.has_departed("u"));
+}
