Limit the rate of requests as upstreams name it

What callers saw: nothing. Upstreams that named the requests a second that they take got their whole share of the traffic (LIMIT).

Cause: nothing read the field. The only bounds on the traffic of an upstream were its slots and queue. Class of fault: a signal of the back end that is passed on to callers and not acted upon.

Change: the node beside an upstream sees all of its requests, so that it alone applies the limit, as a token bucket of 0.25 s in front of the slots. Requests pass it by importance, calls of running ones first, and are refused on arrival if they cannot be sent in time. The latest response of the run decides whether there is a limit and which; an invalid value changes nothing. Senders remember the limit and send it back with their requests, for a node that has restarted; its bucket starts empty. A limit that lets nothing pass is checked by the health check while requests ask for it. A node whose limit is used up counts as full for senders.

--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -4,6 +4,7 @@
 pub mod arrival_budget;
 pub mod circuit_breaker;
 pub mod pending_removals;
+pub mod rate_limiter;
 pub mod read_schedule;
 pub mod retry_allowance;
 pub mod retry_quota;
--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -1,10 +1,15 @@
 //! Slots of one upstream and the queue for them.
 //!
+//! A request needs a slot and, while the upstream names a limit on its rate, a permission of the
+//! [`RateLimiter`].
+//!
 //! A request is refused on arrival if its expected wait is longer than it may wait, so that its
 //! caller learns at once when to retry. Waiting requests are ordered by rank, then by the time by
 //! which they must start. Among requests of the same importance, calls made by requests that
 //! already run precede new ones: refusing such a call would waste the work of its parent.
 
+use super::rate_limiter::RateLimiter;
+
 use lagoonshore_state::units::RequestImportance;
 
 use std::{
@@ -74,6 +79,7 @@
 pub struct SlotQueue {
     limit: u32,
     in_use: u32,
+    rate: RateLimiter,
     waiting: BTreeMap<QueueKey, RouteId>,
     queue_keys: HashMap<TicketId, QueueKey>,
     next_ticket: TicketId,
@@ -82,12 +88,13 @@
 }
 
 impl SlotQueue {
-    /// Creates a queue for `limit` slots.
+    /// Creates a queue for `limit` slots, without a limit on the rate.
     #[must_use]
-    pub fn new(limit: u32) -> Self {
+    pub fn new(now: Instant, limit: u32) -> Self {
         Self {
             limit: limit.max(1),
             in_use: 0,
+            rate: RateLimiter::new(now),
             waiting: BTreeMap::new(),
             queue_keys: HashMap::new(),
             next_ticket: 0,
@@ -119,14 +126,36 @@
         self.waiting.len()
     }
 
+    /// Limit on the rate of requests.
+    #[must_use]
+    pub const fn rate(&self) -> &RateLimiter {
+        &self.rate
+    }
+
+    /// Limit on the rate of requests, to change it; a refill is due afterwards.
+    pub const fn rate_mut(&mut self) -> &mut RateLimiter {
+        &mut self.rate
+    }
+
     /// Expected wait of a new request of `rank`.
     #[must_use]
-    pub fn expected_wait(&self, rank: SlotRank) -> Duration {
-        if self.in_use < self.limit && self.waiting.is_empty() {
-            return Duration::ZERO;
-        }
+    pub fn expected_wait(&self, now: Instant, rank: SlotRank) -> Duration {
         let ahead = self.waiting.keys().filter(|(other, ..)| *other <= rank);
-        self.wait_behind(ahead.count())
+        let ahead = ahead.count();
+        let slot_wait = if self.in_use < self.limit && self.waiting.is_empty() {
+            Duration::ZERO
+        } else {
+            self.wait_behind(ahead)
+        };
+        slot_wait.max(self.rate.expected_wait(now, ahead))
+    }
+
+    /// Time at which the next waiting request may be admitted by the limit on the rate; `None` if
+    /// none waits or a slot has to be released first.
+    #[must_use]
+    pub fn next_admission(&self, now: Instant) -> Option<Instant> {
+        let is_waiting = !self.waiting.is_empty() && self.in_use < self.limit;
+        is_waiting.then(|| now + self.rate.expected_wait(now, 0))
     }
 
     /// Mean time for which a request of `route` holds its slot.
@@ -140,14 +169,15 @@
 
     /// Admits, queues or refuses a request that has just arrived.
     pub fn offer(&mut self, now: Instant, request: SlotRequest) -> SlotDecision {
-        if self.in_use < self.limit && self.waiting.is_empty() {
+        let is_free = self.in_use < self.limit && self.waiting.is_empty();
+        if is_free && self.rate.try_take(now) {
             self.in_use += 1;
             return SlotDecision::Admitted;
         }
         let hold_time = self.hold_time(request.route);
         let start_by = request.finish_by.checked_sub(hold_time).unwrap_or(now);
         let start_by = start_by.min(now + request.wait_max);
-        let expected_wait = self.expected_wait(request.rank);
+        let expected_wait = self.expected_wait(now, request.rank);
         if now + expected_wait > start_by {
             return SlotDecision::Refused(expected_wait);
         }
@@ -189,7 +219,7 @@
     pub fn refill(&mut self, now: Instant) -> SlotChange {
         let mut change = SlotChange::default();
         self.refuse_expired(now, &mut change);
-        while self.in_use < self.limit {
+        while self.in_use < self.limit && !self.waiting.is_empty() && self.rate.try_take(now) {
             let Some(((_, _, ticket), _)) = self.waiting.pop_first() else {
                 break;
             };
@@ -210,7 +240,7 @@
             let (rank, _, ticket) = key;
             self.waiting.remove(&key);
             self.queue_keys.remove(&ticket);
-            change.refused.push((ticket, self.expected_wait(rank)));
+            change.refused.push((ticket, self.expected_wait(now, rank)));
         }
     }
 
--- a/crates/coordination/tests/slot_queue.rs
+++ b/crates/coordination/tests/slot_queue.rs
@@ -29,7 +29,7 @@
 
 /// A queue for `limit` slots, all in use, whose mean hold time is [`HOLD_TIME`].
 fn full_queue(now: Instant, limit: u32) -> SlotQueue {
-    let mut queue = SlotQueue::new(limit);
+    let mut queue = SlotQueue::new(now, limit);
     for _ in 0..200 {
         queue.record_hold_time(1, HOLD_TIME);
     }
@@ -85,8 +85,8 @@
     for _ in 0..10 {
         ticket(queue.offer(now, request(rank(2, true), deadline)));
     }
-    assert!(queue.expected_wait(rank(0, true)) < HOLD_TIME.mul_f64(1.2));
-    assert!(queue.expected_wait(rank(2, true)) > HOLD_TIME.mul_f64(10.0));
+    assert!(queue.expected_wait(now, rank(0, true)) < HOLD_TIME.mul_f64(1.2));
+    assert!(queue.expected_wait(now, rank(2, true)) > HOLD_TIME.mul_f64(10.0));
 }
 
 #[test]
@@ -139,7 +139,7 @@
 #[test]
 fn requests_served_in_a_surge_are_served_in_time() {
     let start = Instant::now();
-    let mut queue = SlotQueue::new(10);
+    let mut queue = SlotQueue::new(Instant::now(), 10);
     let mut running: Vec<(Instant, Instant)> = Vec::new();
     let mut waiting: Vec<(TicketId, Instant)> = Vec::new();
     let (mut in_time, mut late, mut refused, mut refusal_waits) = (0, 0, 0, Duration::ZERO);
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -10,7 +10,7 @@
     ids::{DocumentVersion, InstanceName, ServiceName},
     route_table::FleetDocument,
     units::RequestImportance,
-    upstream_list::{UpstreamRecord, UpstreamRun},
+    upstream_list::{UpstreamLimit, UpstreamRecord, UpstreamRun},
 };
 
 /// Lowest status of the server error class (RFC 9110, section 15.6).
@@ -65,6 +65,9 @@
         /// Run of the upstream beside the receiver that announced its departure in a response to the sender. A
         /// receiver that has restarted since then does not know it.
         pub departed: Option<UpstreamRun>,
+        /// Limit on its rate that the upstream beside the receiver named in the latest response to the
+        /// sender. A receiver that has restarted since then does not know it.
+        pub limit: Option<UpstreamLimit>,
     }
 
     /// `RelayResponse` is a complete response of an upstream.
@@ -126,6 +129,8 @@
         pub suspect: Option<SuspectReport>,
         /// Run of the upstream beside the replying node that announced its departure in a response.
         pub departed: Option<UpstreamRun>,
+        /// Limit on its rate that the upstream beside the replying node named.
+        pub limit: Option<UpstreamLimit>,
     }
 
     /// `CallFailure` is the worst failure among the calls of a request; variants are in order of
@@ -161,6 +166,8 @@
         pub limit: u32,
         /// Requests that wait for a slot.
         pub queued: u32,
+        /// Milliseconds until the limit on the rate of the upstream allows another request.
+        pub rate_wait_ms: u32,
         /// Whether the node is draining.
         pub is_leaving: bool,
         /// Version of the document in force; 0 if there is none.
--- a/crates/relay/src/calling/attempt_record.rs
+++ b/crates/relay/src/calling/attempt_record.rs
@@ -57,6 +57,7 @@
         if let Some(run) = &reply.departed {
             self.peers.record_departure(self.address, run);
         }
+        self.peers.record_limit(self.address, reply.limit.as_ref());
         match &reply.result {
             // If the run made calls, one of them may have caused the failure.
             RelayResult::Answered(response) if response.is_failure() && reply.calls == 0 => {
--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -12,7 +12,9 @@
 use lagoonshore_protocol::relay_messages::NodeStatus;
 use lagoonshore_settings::RelaySettings;
 use lagoonshore_state::{
-    ids::InstanceName, instance_table::InstanceKey, upstream_list::UpstreamRun,
+    ids::InstanceName,
+    instance_table::InstanceKey,
+    upstream_list::{UpstreamLimit, UpstreamRun},
 };
 use rand::rngs::SmallRng;
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
@@ -37,6 +39,8 @@
     random: RefCell<SmallRng>,
     /// Upstreams that announced their departure in a response, by the peer address of their node.
     departed: RefCell<HashMap<SocketAddr, InstanceName>>,
+    /// Limits that upstreams named, by the peer address of their node.
+    limits: RefCell<HashMap<SocketAddr, UpstreamLimit>>,
 }
 
 impl PeerTable {
@@ -55,6 +59,7 @@
             zone_health: RefCell::default(),
             random: RefCell::new(random),
             departed: RefCell::default(),
+            limits: RefCell::default(),
         }
     }
 
@@ -145,6 +150,27 @@
         self.directory.upstreams().announced_run(name)
     }
 
+    /// Records the limit on its rate that the upstream beside the node at `address` names; `None` if it
+    /// names none.
+    pub fn record_limit(&self, address: SocketAddr, limit: Option<&UpstreamLimit>) {
+        let mut limits = self.limits.borrow_mut();
+        let Some(limit) = limit else {
+            limits.remove(&address);
+            return;
+        };
+        if !limits.contains_key(&address) {
+            let table = self.directory.instances();
+            limits.retain(|peer, _| table.iter().any(|(_, record)| record.peer == *peer));
+        }
+        limits.insert(address, limit.clone());
+    }
+
+    /// Limit that the upstream beside the node at `address` named last.
+    #[must_use]
+    pub fn limit(&self, address: SocketAddr) -> Option<UpstreamLimit> {
+        self.limits.borrow().get(&address).cloned()
+    }
+
     /// Records a response of the upstream; `typical` is the median latency of its route, or
     /// `elapsed` while that is unknown.
     pub fn record_response(&self, key: InstanceKey, elapsed: Duration, typical: Duration) {
@@ -218,10 +244,16 @@
     }
 }
 
-const fn reported_load(status: NodeStatus) -> ReportedLoad {
+/// Load that a node reported. An upstream whose limit on the rate allows no request now counts as full.
+fn reported_load(status: NodeStatus) -> ReportedLoad {
+    let limit = if status.rate_wait_ms > 0 {
+        status.in_use.max(1)
+    } else {
+        status.limit
+    };
     ReportedLoad {
-        in_progress: status.in_use,
-        limit: status.limit,
+        in_progress: status.in_use.max(u32::from(status.rate_wait_ms > 0)),
+        limit,
         queued: status.queued,
         draining: status.is_leaving,
     }
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -279,6 +279,7 @@
             request_message::build_request(request, progress, target, &self.origin, has_others);
         message.revision = self.directory.known_revision();
         message.departed = self.peers.departed_run(target.address);
+        message.limit = self.peers.limit(target.address);
         if message.is_resent || message.is_idempotent {
             let fingerprint = suspect_tracker::fingerprint_of(&message);
             message.crashes = self.server.suspects().crash_count(fingerprint);
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -12,8 +12,8 @@
 /// are untried.
 const FIRST_WAIT_SHARE: f64 = 0.15;
 
-/// Builds the message for the node beside `target`. The crash count, the revision and the
-/// departed upstream stay empty; the caller of the function fills them in.
+/// Builds the message for the node beside `target`. The crash count, the revision and
+/// what earlier replies said of the upstream stay empty; the caller of the function fills them in.
 pub(crate) fn build_request(
     request: &RoutedRequest,
     progress: &CallProgress,
@@ -51,6 +51,7 @@
         crashes: 0,
         revision: 0,
         departed: None,
+        limit: None,
     }
 }
 
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -107,6 +107,7 @@
             in_use = trace.load.in_use,
             limit = trace.load.limit,
             queued = trace.load.queued,
+            rate_wait_ms = trace.load.rate_wait_ms,
             reason,
             left_out,
             "request: refused, did not run"
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -30,6 +30,12 @@
 pub const STORE_READ_FAILED: u16 = 3108;
 /// An upstream announced its departure in a response.
 pub const DEPARTURE_ANNOUNCED: u16 = 3109;
+/// An upstream named a limit on the rate of its requests, or another one than before.
+pub const LIMIT_CHANGED: u16 = 3110;
+/// An upstream named no limit any more.
+pub const LIMIT_ENDED: u16 = 3111;
+/// An upstream named a limit that is not a valid number.
+pub const LIMIT_INVALID: u16 = 3112;
 /// A request was refused; it did not run.
 pub const REQUEST_REFUSED: u16 = 3201;
 /// A request got no complete response; it may have run.
--- a/crates/relay/src/header_scheme.rs
+++ b/crates/relay/src/header_scheme.rs
@@ -1,7 +1,9 @@
 //! Names of the header fields that carry request metadata between callers, nodes and upstreams.
 
+use lagoonshore_coordination::forwarding::rate_limiter::LimitNotice;
+
 /// `HeaderScheme` holds the field names, all in lower case.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 pub struct HeaderScheme {
     /// Id of a request, set by its caller and echoed in the response.
     pub request_id: &'static str,
@@ -17,6 +19,10 @@
     pub own_instance: &'static str,
     /// Present with the value `1` in all responses of an upstream that is leaving.
     pub departure: &'static str,
+    /// Limit on the requests a second that an upstream takes, in its responses.
+    pub rate_limit: &'static str,
+    /// Decodes the values of all fields named [`Self::rate_limit`] in one response.
+    pub decode_rate_limit: fn(&[&[u8]]) -> LimitNotice,
     /// Service of the instance on which the request originated.
     pub origin_service: &'static str,
     /// Character that separates the id of the parent request from the suffix in the id of a call.
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -8,8 +8,10 @@
 use bytes::{Bytes, BytesMut};
 use compact_str::CompactString;
 use httparse::{Header, Status};
+use lagoonshore_coordination::forwarding::rate_limiter::LimitNotice;
 use lagoonshore_protocol::headers::CONNECTION_FIELDS;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Most header fields in one head.
 const FIELDS_MAX: usize = 100;
@@ -58,6 +60,10 @@
     pub is_not_run: bool,
     /// Whether the upstream announces that it is leaving.
     pub is_leaving: bool,
+    /// What the response says about the limit on the rate of requests.
+    pub limit: LimitNotice,
+    /// Time at which the head was complete.
+    pub received: Instant,
     /// Whether the upstream signed the response.
     pub is_signed: bool,
     /// Whether the body has a content encoding.
@@ -182,6 +188,8 @@
         instance: field_text(fields, scheme.own_instance).map(Into::into),
         is_not_run: field_text(fields, scheme.not_run).is_some(),
         is_leaving: field_text(fields, scheme.departure) == Some(DEPARTURE_VALUE),
+        limit: (scheme.decode_rate_limit)(&field_values(fields, scheme.rate_limit)),
+        received: Instant::now(),
         is_signed: field_text(fields, scheme.signature).is_some(),
         is_encoded: field_text(fields, "content-encoding").is_some(),
         fields: relayed_fields(fields, &summary, |_| false),
@@ -273,6 +281,13 @@
     std::str::from_utf8(field.value).ok().map(str::trim)
 }
 
+fn field_values<'a>(fields: &[Header<'a>], name: &str) -> Vec<&'a [u8]> {
+    let named = fields
+        .iter()
+        .filter(|field| field.name.eq_ignore_ascii_case(name));
+    named.map(|field| field.value).collect()
+}
+
 fn trimmed_text(value: &[u8]) -> Result<&str, HeadError> {
     let value = std::str::from_utf8(value).map_err(|_| HeadError::Malformed)?;
     Ok(value.trim())
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -24,7 +24,7 @@
 
 use actix_rt::net::TcpListener;
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
-use lagoonshore_state::upstream_list::UpstreamRun;
+use lagoonshore_state::upstream_list::{UpstreamLimit, UpstreamRun};
 use lagoonshore_transport::{http_listener, metrics_recorder, signals};
 use rand::{SeedableRng, rngs::SmallRng};
 use snafu::ResultExt;
@@ -215,6 +215,11 @@
         self.peer_table.record_departure(peer, run);
     }
 
+    /// Records the limit on its rate that the upstream beside the node at `peer` names.
+    pub fn record_limit(&self, peer: SocketAddr, limit: Option<&UpstreamLimit>) {
+        self.peer_table.record_limit(peer, limit);
+    }
+
     /// Fetches the document of the node at `peer`, which reported a newer version than the one in
     /// force here.
     async fn pull_document(&self, peer: SocketAddr) {
--- a/crates/relay/src/serving/local_upstream.rs
+++ b/crates/relay/src/serving/local_upstream.rs
@@ -5,6 +5,8 @@
 //! without a list entry if the address was confirmed to serve the service more recently than an
 //! address can be reused by another service.
 
+use super::announcements::UpstreamAnnouncements;
+
 use crate::{
     directory::FleetDirectory,
     events,
@@ -21,7 +23,6 @@
 use lagoonshore_state::{
     ids::{InstanceName, ServiceName},
     units::whole_millis,
-    upstream_list::UpstreamRun,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -52,8 +53,7 @@
     /// Last time at which the address was confirmed to serve the service.
     confirmed_at: Cell<Instant>,
     is_down: Cell<bool>,
-    /// Latest upstream at the address that announced its departure in a response.
-    departed: RefCell<Option<InstanceName>>,
+    announcements: Rc<UpstreamAnnouncements>,
 }
 
 /// A name that the upstream reported while the list had another one.
@@ -68,11 +68,12 @@
 impl LocalUpstream {
     /// Creates the state of an upstream that is expected to be up.
     #[must_use]
-    pub fn new(
+    pub(crate) fn new(
         settings: &RelaySettings,
         scheme: HeaderScheme,
         directory: Rc<FleetDirectory>,
         pool: Rc<ConnectionPool>,
+        announcements: Rc<UpstreamAnnouncements>,
     ) -> Self {
         Self {
             address: settings.upstream,
@@ -84,7 +85,7 @@
             reported: RefCell::default(),
             confirmed_at: Cell::new(Instant::now()),
             is_down: Cell::new(false),
-            departed: RefCell::default(),
+            announcements,
         }
     }
 
@@ -111,32 +112,6 @@
         known.name
     }
 
-    /// Records that the upstream `name` announced its departure in a response.
-    pub fn record_departure(&self, name: &InstanceName) {
-        let started_ms = self
-            .directory
-            .upstreams()
-            .get(name)
-            .and_then(|record| record.started_ms);
-        self.record_departed_run(&UpstreamRun {
-            name: name.clone(),
-            started_ms,
-        });
-    }
-
-    /// Records a run of the upstream that announced its departure in a response to another node.
-    pub fn record_departed_run(&self, run: &UpstreamRun) {
-        self.directory.announce_departure(run);
-        self.departed.replace(Some(run.name.clone()));
-    }
-
-    /// Latest run at the address that announced its departure in a response.
-    #[must_use]
-    pub fn departed_run(&self) -> Option<UpstreamRun> {
-        let departed = self.departed.borrow();
-        self.directory.upstreams().announced_run(departed.as_ref()?)
-    }
-
     /// Returns whether the upstream `requested`, or the one that gets the request in its place, is
     /// leaving or has left.
     #[must_use]
@@ -233,6 +208,12 @@
         info!(event = events::UPSTREAM_UP, address = %self.address, "upstream: up");
     }
 
+    /// Checks the health of the upstream once, for what it says of itself in the response.
+    pub(crate) async fn check_announcements(self: Rc<Self>) {
+        // If there is no response, another check follows while requests wait.
+        let _ = self.check_health().await;
+    }
+
     /// Sends a health check; returns the name that the upstream reports.
     async fn check_health(&self) -> Result<Option<CompactString>, SendError> {
         let routes = self.directory.routes();
@@ -243,10 +224,8 @@
         let check = self.pool.send(request, &self.scheme, ANY_IDLE_TIME);
         let response = actix_rt::time::timeout(HEALTH_CHECK_TIMEOUT, check).await;
         let response = response.map_err(|_| SendError::Connect(ErrorKind::TimedOut))??;
-        if let Some(name) = &response.head.instance
-            && response.head.is_leaving
-        {
-            self.record_departure(name);
+        if let Some(name) = &response.head.instance {
+            self.announcements.record_response(&response.head, name);
         }
         Ok(response.head.instance)
     }
--- a/crates/relay/src/serving/mod.rs
+++ b/crates/relay/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Execution of requests on the local upstream, the one beside the node.
 
+mod announcements;
 pub mod local_upstream;
 mod refusals;
 pub(crate) mod retry_gate;
--- a/crates/relay/src/serving/slot_limiter.rs
+++ b/crates/relay/src/serving/slot_limiter.rs
@@ -1,11 +1,16 @@
 //! Limits the requests that the upstream runs at the same time.
 
-use lagoonshore_coordination::forwarding::slot_queue::{
-    RouteId, SlotChange, SlotDecision, SlotQueue, SlotRequest, TicketId,
+use lagoonshore_coordination::forwarding::{
+    rate_limiter::{LimitNotice, RateUsage},
+    slot_queue::{RouteId, SlotChange, SlotDecision, SlotQueue, SlotRequest, TicketId},
 };
+use lagoonshore_state::{ids::InstanceName, upstream_list::UpstreamLimit};
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 use tokio::{sync::oneshot, time::Instant};
 
+/// Longest time between two refills while requests wait for the limit on the rate, which may change.
+const REFILL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A permit in an unread result frees its slot when it is dropped, also if the waiter has left.
 type PermitResult = Result<SlotPermit, Duration>;
 type PendingResult = (oneshot::Sender<PermitResult>, PermitResult);
@@ -20,6 +25,8 @@
 struct LimiterState {
     queue: SlotQueue,
     waiters: HashMap<TicketId, (oneshot::Sender<PermitResult>, RouteId)>,
+    /// Whether a task waits for the next admission by the limit on the rate.
+    is_refill_scheduled: bool,
 }
 
 /// `SlotUsage` is the load of a limiter.
@@ -38,8 +45,9 @@
     #[must_use]
     pub fn new(limit: u32) -> Self {
         let state = LimiterState {
-            queue: SlotQueue::new(limit),
+            queue: SlotQueue::new(Instant::now(), limit),
             waiters: HashMap::new(),
+            is_refill_scheduled: false,
         };
         Self {
             inner: Rc::new(RefCell::new(state)),
@@ -68,6 +76,65 @@
         }
     }
 
+    /// Applies what a response of the upstream `run` says about its limit on the rate; `received` is
+    /// the time of its head. Returns whether the limit changed.
+    #[must_use]
+    pub fn observe_limit(
+        &self,
+        received: Instant,
+        run: &InstanceName,
+        notice: LimitNotice,
+    ) -> bool {
+        let is_changed = {
+            let mut state = self.inner.borrow_mut();
+            state.queue.rate_mut().observe(received, run, notice)
+        };
+        if is_changed {
+            self.refill();
+        }
+        is_changed
+    }
+
+    /// Takes the limit on the rate that a sender remembers; returns whether the limit changed.
+    #[must_use]
+    pub fn adopt_limit(&self, limit: &UpstreamLimit) -> bool {
+        let mut state = self.inner.borrow_mut();
+        state.queue.rate_mut().adopt(Instant::now(), limit)
+    }
+
+    /// Limit on the rate that the upstream named.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<UpstreamLimit> {
+        self.inner.borrow().queue.rate().limit()
+    }
+
+    /// What the upstream got since it first named a limit on the rate.
+    #[must_use]
+    pub fn rate_usage(&self) -> RateUsage {
+        self.inner.borrow().queue.rate().usage()
+    }
+
+    /// Time until the limit on the rate allows another request.
+    #[must_use]
+    pub fn rate_wait(&self) -> Duration {
+        let state = self.inner.borrow();
+        let queued = state.queue.queued();
+        state.queue.rate().expected_wait(Instant::now(), queued)
+    }
+
+    /// Counts a request that is sent in addition to the one that holds the slot.
+    pub fn record_second_attempt(&self) {
+        let mut state = self.inner.borrow_mut();
+        state.queue.rate_mut().take_unconditionally(Instant::now());
+    }
+
+    /// Returns whether the health of the upstream should be checked to learn its limit on the rate.
+    #[must_use]
+    pub fn start_check(&self) -> bool {
+        let mut state = self.inner.borrow_mut();
+        state.queue.rate_mut().start_check(Instant::now())
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
@@ -91,6 +158,8 @@
         };
         let (sender, receiver) = oneshot::channel();
         state.waiters.insert(ticket, (sender, request.route));
+        drop(state);
+        self.schedule_refill();
         AcquireDecision::Waiting(QueuedRequest {
             limiter: self.clone(),
             ticket,
@@ -111,6 +180,26 @@
         self.apply(SlotQueue::refill);
     }
 
+    /// Starts the task that admits the next waiting request when the limit on the rate allows it. No
+    /// task is needed without such a limit: requests are admitted as slots are released.
+    fn schedule_refill(&self) {
+        let mut state = self.inner.borrow_mut();
+        if state.is_refill_scheduled || state.queue.rate().limit().is_none() {
+            return;
+        }
+        let Some(at) = state.queue.next_admission(Instant::now()) else {
+            return;
+        };
+        let latest = Instant::now() + REFILL_INTERVAL;
+        state.is_refill_scheduled = true;
+        let limiter = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep_until(at.min(latest)).await;
+            limiter.inner.borrow_mut().is_refill_scheduled = false;
+            limiter.refill();
+        });
+    }
+
     fn apply(&self, operation: impl FnOnce(&mut SlotQueue, Instant) -> SlotChange) {
         let mut state = self.inner.borrow_mut();
         let change = operation(&mut state.queue, Instant::now());
@@ -120,6 +209,7 @@
             // If the waiter has left, the result and its permit are dropped here.
             let _ = sender.send(result);
         }
+        self.schedule_refill();
     }
 
     fn results(&self, state: &mut LimiterState, change: SlotChange) -> Vec<PendingResult> {
--- a/crates/relay/src/serving/upstream_exchange.rs
+++ b/crates/relay/src/serving/upstream_exchange.rs
@@ -1,10 +1,11 @@
 //! Exchange of one request and its response with the local upstream.
 
 use super::{
+    announcements::UpstreamAnnouncements,
     local_upstream::LocalUpstream,
     refusals::{UNAVAILABLE_RETRY_AFTER, refusal, unknown_outcome},
     retry_gate::RetryGate,
-    slot_limiter::SlotPermit,
+    slot_limiter::{SlotLimiter, SlotPermit},
     suspect_tracker::SuspectTracker,
     upstream_request,
 };
@@ -46,6 +47,8 @@
     pub(crate) upstream: Rc<LocalUpstream>,
     pub(crate) suspects: Rc<SuspectTracker>,
     pub(crate) retry_gate: Rc<RetryGate>,
+    pub(crate) limiter: SlotLimiter,
+    pub(crate) announcements: Rc<UpstreamAnnouncements>,
     pub(crate) log: Rc<DecisionLog>,
 }
 
@@ -122,6 +125,7 @@
         let sent = self.render_request(request, found, deadline);
         // The upstream counts both attempts as arrivals.
         self.retry_gate.record_second_attempt();
+        self.limiter.record_second_attempt();
         let response = self.pool.send(sent, &self.scheme, idle_max).await?;
         self.record_announcements(&response.head, found);
         Ok(response)
@@ -134,10 +138,8 @@
             MISDIRECTED => head.instance.as_ref(),
             _ => Some(expected),
         };
-        if let Some(name) = name
-            && head.is_leaving
-        {
-            self.upstream.record_departure(name);
+        if let Some(name) = name {
+            self.announcements.record_response(head, name);
         }
     }
 
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -1,6 +1,7 @@
 //! Admission and execution of requests on the local upstream.
 
 use super::{
+    announcements::UpstreamAnnouncements,
     local_upstream::LocalUpstream,
     refusals::{UNAVAILABLE_RETRY_AFTER, nested_overload, refusal},
     retry_gate::RetryGate,
@@ -46,6 +47,7 @@
     control: ControlMode,
     service: ServiceName,
     limiter: SlotLimiter,
+    announcements: Rc<UpstreamAnnouncements>,
     pool: Rc<ConnectionPool>,
     upstream: Rc<LocalUpstream>,
     suspects: Rc<SuspectTracker>,
@@ -68,8 +70,16 @@
         log: Rc<DecisionLog>,
     ) -> Self {
         let pool = Rc::new(ConnectionPool::new(settings.upstream));
-        let upstream =
-            LocalUpstream::new(settings, scheme, Rc::clone(&directory), Rc::clone(&pool));
+        let limiter = SlotLimiter::new(SLOTS_DEFAULT);
+        let announcements = UpstreamAnnouncements::new(Rc::clone(&directory), limiter.clone());
+        let announcements = Rc::new(announcements);
+        let upstream = LocalUpstream::new(
+            settings,
+            scheme,
+            Rc::clone(&directory),
+            Rc::clone(&pool),
+            Rc::clone(&announcements),
+        );
         let upstream = Rc::new(upstream);
         let suspects = Rc::<SuspectTracker>::default();
         let retry_gate = Rc::new(RetryGate::new(settings, Rc::clone(&log)));
@@ -79,13 +89,16 @@
             upstream: Rc::clone(&upstream),
             suspects: Rc::clone(&suspects),
             retry_gate: Rc::clone(&retry_gate),
+            limiter: limiter.clone(),
+            announcements: Rc::clone(&announcements),
             log,
         };
         Self {
             directory,
             control: settings.control,
             service: settings.service.clone(),
-            limiter: SlotLimiter::new(SLOTS_DEFAULT),
+            limiter,
+            announcements,
             pool,
             upstream,
             suspects,
@@ -152,6 +165,7 @@
             in_use: usage.in_use,
             limit: usage.limit,
             queued: usage.queued,
+            rate_wait_ms: whole_millis(self.limiter.rate_wait()),
             is_leaving: self.is_draining.get(),
             version: self.directory.version(),
             revision: self.directory.known_revision(),
@@ -168,9 +182,7 @@
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
         let active = ActiveGuard::new(&self.running);
         self.directory.record_known_revision(request.revision);
-        if let Some(run) = &request.departed {
-            self.upstream.record_departed_run(run);
-        }
+        self.announcements.record_request(&request);
         let fingerprint = suspect_tracker::fingerprint_of(&request);
         let mut totals = CallTotals::default();
         let result = self.run(request, deadline, fingerprint, &mut totals).await;
@@ -183,7 +195,8 @@
             calls: totals.calls,
             trouble: totals.worst_failure,
             suspect,
-            departed: self.upstream.departed_run(),
+            departed: self.announcements.departed_run(),
+            limit: self.announcements.limit(),
         }
     }
 
@@ -277,6 +290,9 @@
         if self.control == ControlMode::PassThrough {
             return Ok(None);
         }
+        if self.limiter.start_check() {
+            actix_rt::spawn(Rc::clone(&self.upstream).check_announcements());
+        }
         let now = Instant::now();
         let aim = now + Duration::from_millis(request.aim_ms.into());
         let slot_request = SlotRequest {
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -32,6 +32,7 @@
         crashes: 0,
         revision: 0,
         departed: None,
+        limit: None,
     }
 }
 
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -31,6 +31,7 @@
         crashes: 0,
         revision: 0,
         departed: None,
+        limit: None,
     }
 }
 
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -7,6 +7,7 @@
 
 use actix_rt::net::TcpStream;
 use compact_str::CompactString;
+use lagoonshore_coordination::forwarding::rate_limiter::LimitNotice;
 use lagoonshore_relay::{
     directory::DocumentSource, header_scheme::HeaderScheme, http1::exchange::SentRequest,
     node::RelayNode,
@@ -35,10 +36,22 @@
     expected_instance: "expected-instance",
     own_instance: "own-instance",
     departure: "departure",
+    rate_limit: "rate-limit",
+    decode_rate_limit,
     origin_service: "origin-service",
     call_separator: '.',
 };
 
+fn decode_rate_limit(values: &[&[u8]]) -> LimitNotice {
+    let Some(value) = values.first() else {
+        return LimitNotice::Absent;
+    };
+    let text = String::from_utf8_lossy(value);
+    text.trim()
+        .parse()
+        .map_or(LimitNotice::Invalid, LimitNotice::Named)
+}
+
 /// A node with its upstream.
 pub(crate) struct FleetMember {
     pub node: Rc<RelayNode>,
--- a/crates/relay/tests/support/upstream.rs
+++ b/crates/relay/tests/support/upstream.rs
@@ -44,6 +44,8 @@
     pub sheds: Rc<Cell<u32>>,
     /// Whether all responses announce the departure of the upstream.
     pub is_leaving: Rc<Cell<bool>>,
+    /// Limit on the rate of requests that all responses name.
+    pub limit: Rc<Cell<Option<&'static str>>>,
     accepting: actix_rt::task::JoinHandle<()>,
 }
 
@@ -59,6 +61,7 @@
         let behaviour = SharedBehaviour::default();
         let sheds = Rc::new(Cell::new(0));
         let is_leaving = Rc::new(Cell::new(false));
+        let limit = Rc::new(Cell::new(None));
         let shared = UpstreamState {
             seen: Rc::clone(&seen),
             name: Rc::clone(&name),
@@ -66,6 +69,7 @@
             behaviour: Rc::clone(&behaviour),
             sheds: Rc::clone(&sheds),
             is_leaving: Rc::clone(&is_leaving),
+            limit: Rc::clone(&limit),
         };
         let accepting = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -81,6 +85,7 @@
             behaviour,
             sheds,
             is_leaving,
+            limit,
             accepting,
         }
     }
@@ -109,6 +114,7 @@
     behaviour: SharedBehaviour,
     sheds: Rc<Cell<u32>>,
     is_leaving: Rc<Cell<bool>>,
+    limit: Rc<Cell<Option<&'static str>>>,
 }
 
 async fn serve(mut stream: TcpStream, shared: UpstreamState) {
@@ -165,7 +171,10 @@
     } else {
         ""
     };
-    let signed = format!("Request-Id: {id}\r\nSignature: s\r\n{departure}");
+    let limit = shared.limit.get();
+    let limit = limit.map_or(String::new(), |limit| format!("Rate-Limit: {limit}\r\n"));
+    let own_name = format!("{}: {}\r\n", SCHEME.own_instance, shared.name.borrow());
+    let signed = format!("Request-Id: {id}\r\nSignature: s\r\n{departure}{limit}{own_name}");
     let ok = format!("HTTP/1.1 200 OK\r\n{signed}Content-Length: 4\r\n\r\nbody");
     let (text, is_reusable) = match behaviour {
         "slow" => {
--- a/crates/state/src/upstream_list.rs
+++ b/crates/state/src/upstream_list.rs
@@ -46,6 +46,16 @@
     }
 }
 
+data_type! {
+    /// `UpstreamLimit` is the limit on requests that an upstream named in its responses.
+    pub struct UpstreamLimit {
+        /// Name of the upstream.
+        pub name: InstanceName,
+        /// Requests a second from all nodes together.
+        pub rate: f64,
+    }
+}
+
 /// `UpstreamList` holds the records of the listed upstreams, and the names of those that are
 /// leaving or have left.
 #[derive(Debug, Default)]
