Give up responses without end

What callers would have seen: no response from the whole node, beyond all deadlines, if one upstream sent interim responses, responses to other requests or trailers without end. Many endless bodies at once could hold 32 MiB each, more than the memory of the process.

Cause: the reader of a response read on as long as input was available, without a turn for other tasks, so that no timeout fired; what it skipped was not counted, and bodies were bounded one by one only.

Change: other tasks run after 256 KiB; interim and skipped responses, trailers and the bytes of an exchange have bounds; the unfinished responses of an upstream share a quarter of the memory of the process.

Measured: hostile_responses. Without the bounds, the cases of interim and of other responses did not end within 10 s, and that of trailers ran into the deadline; all pass now.

--- a/crates/relay/src/http1/body.rs
+++ b/crates/relay/src/http1/body.rs
@@ -5,6 +5,8 @@
 
 /// Longest chunk-size line or trailer line, in bytes.
 const CHUNK_LINE_BYTES_MAX: usize = 4096;
+/// Most bytes of all trailer lines of a body.
+const TRAILER_BYTES_MAX: usize = 16 * 1024;
 /// Length of CRLF.
 const LINE_END_BYTES: usize = 2;
 
@@ -42,6 +44,7 @@
     framing: BodyFraming,
     chunk: ChunkState,
     body: BytesMut,
+    trailer_bytes: usize,
     bytes_max: usize,
 }
 
@@ -58,6 +61,7 @@
             framing,
             chunk: ChunkState::Size,
             body: BytesMut::new(),
+            trailer_bytes: 0,
             bytes_max,
         })
     }
@@ -165,6 +169,10 @@
                     if line.len() == LINE_END_BYTES {
                         return Ok(true);
                     }
+                    self.trailer_bytes += line.len();
+                    if self.trailer_bytes > TRAILER_BYTES_MAX {
+                        return Err(BodyError::TooLarge);
+                    }
                 }
             }
         }
--- a/crates/relay/src/http1/exchange.rs
+++ b/crates/relay/src/http1/exchange.rs
@@ -3,6 +3,7 @@
 use super::{
     body::{BodyError, BodyFraming, BodyReader},
     head::{self, HeadError, ResponseHead},
+    memory_budget::MemoryShare,
 };
 
 use crate::header_scheme::HeaderScheme;
@@ -15,8 +16,16 @@
 const RESPONSE_HEAD_BYTES_MAX: usize = 64 * 1024;
 /// Largest body of a response, in bytes.
 const RESPONSE_BODY_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// Most bytes that are received in one exchange, skipped responses included.
+const RECEIVED_BYTES_MAX: usize = 2 * RESPONSE_BODY_BYTES_MAX;
+/// Most interim responses before a response.
+const INTERIM_RESPONSES_MAX: u32 = 64;
+/// Most responses to earlier requests that are skipped in one exchange.
+const SKIPPED_RESPONSES_MAX: u32 = 64;
 /// Bytes reserved for one read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Reads after which other tasks get their turn.
+const READS_PER_TURN: u32 = 16;
 
 /// `SentRequest` is a serialized request to an HTTP server.
 #[derive(Clone, Debug)]
@@ -73,7 +82,8 @@
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(5);
 
 /// Sends `request` on `stream` and reads its response. Writing continues while an early response
-/// is read. Responses that echo another id belong to an earlier request and are skipped.
+/// is read. Responses that echo another id belong to an earlier request and are skipped. `memory` is
+/// the share of the response in the memory for unfinished ones.
 ///
 /// # Errors
 /// [`ExchangeError`] if there is no complete response; the connection must not be reused then.
@@ -81,9 +91,10 @@
     stream: &TcpStream,
     request: SentRequest,
     scheme: &HeaderScheme,
+    memory: MemoryShare,
 ) -> Result<ReceivedResponse, ExchangeError> {
     let mut unsent = request.head.clone().chain(request.body.clone());
-    let mut reader = ResponseReader::new(&request, scheme);
+    let mut reader = ResponseReader::new(&request, scheme, memory);
     loop {
         if unsent.has_remaining() {
             write_some(stream, &mut unsent)?;
@@ -100,9 +111,13 @@
         if is_writable {
             continue;
         }
-        if reader.read(stream)? {
-            let is_whole_request = !unsent.has_remaining();
-            return Ok(reader.finish(is_whole_request));
+        match reader.read(stream)? {
+            ReadProgress::Complete => {
+                let is_whole_request = !unsent.has_remaining();
+                return Ok(reader.finish(is_whole_request));
+            }
+            ReadProgress::Blocked => {}
+            ReadProgress::Interrupted => tokio::task::yield_now().await,
         }
     }
 }
@@ -125,43 +140,76 @@
     ExchangeError::Broken(error.kind())
 }
 
+/// How far a read of available input got.
+enum ReadProgress {
+    /// The response is complete.
+    Complete,
+    /// More input has to arrive.
+    Blocked,
+    /// There is more input, and other tasks should run first.
+    Interrupted,
+}
+
 /// Reads the response to one request.
 struct ResponseReader<'a> {
     request: &'a SentRequest,
     scheme: &'a HeaderScheme,
     buffer: BytesMut,
     current: Option<(ResponseHead, BodyReader)>,
-    has_skipped: bool,
+    skipped: u32,
+    interim_left: u32,
+    received_bytes: usize,
+    memory: MemoryShare,
 }
 
 impl<'a> ResponseReader<'a> {
-    fn new(request: &'a SentRequest, scheme: &'a HeaderScheme) -> Self {
+    fn new(request: &'a SentRequest, scheme: &'a HeaderScheme, memory: MemoryShare) -> Self {
         Self {
             request,
             scheme,
             buffer: BytesMut::new(),
             current: None,
-            has_skipped: false,
+            skipped: 0,
+            interim_left: INTERIM_RESPONSES_MAX,
+            received_bytes: 0,
+            memory,
         }
     }
 
-    /// Reads available input; `true` once the response is complete.
-    fn read(&mut self, stream: &TcpStream) -> Result<bool, ExchangeError> {
-        loop {
+    /// Reads available input.
+    fn read(&mut self, stream: &TcpStream) -> Result<ReadProgress, ExchangeError> {
+        for _ in 0..READS_PER_TURN {
             self.buffer.reserve(READ_CHUNK_BYTES);
             match stream.try_read_buf(&mut self.buffer) {
                 Ok(0) => return self.handle_eof(),
-                Ok(_) if self.parse()? => return Ok(true),
-                Ok(_) => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Ok(read) => self.count_received(read)?,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    return Ok(ReadProgress::Blocked);
+                }
                 Err(error) => return Err(broken_error(error)),
             }
+            if self.parse()? {
+                return Ok(ReadProgress::Complete);
+            }
+            let body_bytes = self.current.as_ref().map_or(0, |(_, body)| body.len());
+            if !self.memory.extend_to(body_bytes) {
+                return Err(ExchangeError::NoAnswer);
+            }
         }
+        Ok(ReadProgress::Interrupted)
     }
 
-    fn handle_eof(&self) -> Result<bool, ExchangeError> {
+    fn count_received(&mut self, read: usize) -> Result<(), ExchangeError> {
+        self.received_bytes += read;
+        if self.received_bytes > RECEIVED_BYTES_MAX {
+            return Err(ExchangeError::NoAnswer);
+        }
+        Ok(())
+    }
+
+    fn handle_eof(&self) -> Result<ReadProgress, ExchangeError> {
         match &self.current {
-            Some((_, body)) if body.ends_with_connection() => Ok(true),
+            Some((_, body)) if body.ends_with_connection() => Ok(ReadProgress::Complete),
             None if self.buffer.is_empty() => Err(ExchangeError::ClosedEarly),
             _ => Err(ExchangeError::CutOff),
         }
@@ -185,7 +233,10 @@
                 return Ok(true);
             }
             self.current = None;
-            self.has_skipped = true;
+            self.skipped += 1;
+            if self.skipped > SKIPPED_RESPONSES_MAX {
+                return Err(ExchangeError::NoAnswer);
+            }
         }
     }
 
@@ -195,6 +246,7 @@
             &mut self.buffer,
             RESPONSE_HEAD_BYTES_MAX,
             is_head,
+            &mut self.interim_left,
             self.scheme,
         );
         let Some(head) = parsed.map_err(|_: HeadError| ExchangeError::NoAnswer)? else {
@@ -210,7 +262,7 @@
     }
 
     fn finish(self, is_whole_request: bool) -> ReceivedResponse {
-        let is_clean = self.buffer.is_empty() && is_whole_request && !self.has_skipped;
+        let is_clean = self.buffer.is_empty() && is_whole_request && self.skipped == 0;
         let (head, body) = self.current.map_or_else(
             || unreachable!("a response is finished only after its head was read"),
             |(head, body)| (head, body.finish()),
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -136,8 +136,8 @@
 }
 
 /// Parses the head of a final response of at most `bytes_max` bytes and removes it from `buffer`;
-/// `None` while it is incomplete. Interim responses are skipped. `is_bodiless` is set for the
-/// response to a `HEAD` request.
+/// `None` while it is incomplete. Interim responses are skipped and taken off `interim_left`.
+/// `is_bodiless` is set for the response to a `HEAD` request.
 ///
 /// # Errors
 /// [`HeadError`] if the head is too large or malformed.
@@ -145,6 +145,7 @@
     buffer: &mut BytesMut,
     bytes_max: usize,
     is_bodiless: bool,
+    interim_left: &mut u32,
     scheme: &HeaderScheme,
 ) -> Result<Option<ResponseHead>, HeadError> {
     loop {
@@ -158,6 +159,7 @@
         };
         let status = parsed.code.unwrap_or_default();
         if status < FINAL_STATUS_MIN {
+            *interim_left = interim_left.checked_sub(1).ok_or(HeadError::TooLarge)?;
             let _ = buffer.split_to(used);
             continue;
         }
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod exchange;
 pub mod head;
+pub mod memory_budget;
 pub mod pool;
 mod response_writer;
 pub mod server;
--- a/crates/relay/src/http1/pool.rs
+++ b/crates/relay/src/http1/pool.rs
@@ -1,6 +1,9 @@
 //! Client connections to one HTTP server, kept for reuse while they are idle.
 
-use super::exchange::{self, ExchangeError, ReceivedResponse, SentRequest};
+use super::{
+    exchange::{self, ExchangeError, ReceivedResponse, SentRequest},
+    memory_budget::MemoryBudget,
+};
 
 use crate::header_scheme::HeaderScheme;
 
@@ -42,6 +45,7 @@
     address: SocketAddr,
     idle: RefCell<Vec<IdleConnection>>,
     opened: Cell<u64>,
+    budget: MemoryBudget,
 }
 
 impl std::fmt::Debug for IdleConnection {
@@ -53,13 +57,15 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool for the server at `address`.
+    /// Creates an empty pool for the server at `address`. Its unfinished responses share the memory of
+    /// `budget`.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
+    pub const fn new(address: SocketAddr, budget: MemoryBudget) -> Self {
         Self {
             address,
             idle: RefCell::new(Vec::new()),
             opened: Cell::new(0),
+            budget,
         }
     }
 
@@ -91,7 +97,7 @@
             Some(stream) => stream,
             None => self.connect().await?,
         };
-        let response = exchange::run(&stream, request, scheme)
+        let response = exchange::run(&stream, request, scheme, self.budget.share())
             .await
             .map_err(SendError::Exchange)?;
         if let Some(keep_alive) = response.keep_alive {
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -17,7 +17,7 @@
     decision_log::DecisionLog,
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
-    http1::pool::ConnectionPool,
+    http1::{memory_budget::MemoryBudget, pool::ConnectionPool},
     relay_metrics,
 };
 
@@ -41,6 +41,11 @@
 /// Most requests of one route, running and waiting, in multiples of the slots.
 const ROUTE_REQUESTS_PER_SLOT: u32 = 3;
 
+/// Bytes in one MiB.
+const BYTES_PER_MIB: usize = 1024 * 1024;
+/// Part of the memory of the process that unfinished responses may hold together.
+const RESPONSE_MEMORY_DIVISOR: usize = 4;
+
 /// `UpstreamServer` runs requests on the local upstream.
 pub struct UpstreamServer {
     directory: Rc<FleetDirectory>,
@@ -69,7 +74,8 @@
         directory: Rc<FleetDirectory>,
         log: Rc<DecisionLog>,
     ) -> Self {
-        let pool = Rc::new(ConnectionPool::new(settings.upstream));
+        let budget = MemoryBudget::new(response_bytes(settings.memory_mib));
+        let pool = Rc::new(ConnectionPool::new(settings.upstream, budget));
         let limiter = SlotLimiter::new(SLOTS_DEFAULT);
         let announcements = UpstreamAnnouncements::new(Rc::clone(&directory), limiter.clone());
         let announcements = Rc::new(announcements);
@@ -314,6 +320,12 @@
     }
 }
 
+/// Memory for unfinished responses of the upstream, in bytes.
+fn response_bytes(memory_mib: u32) -> usize {
+    let memory = usize::try_from(memory_mib).unwrap_or(usize::MAX);
+    memory.saturating_mul(BYTES_PER_MIB) / RESPONSE_MEMORY_DIVISOR
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn usable_slots(slots: u32) -> u32 {
     ((f64::from(slots) * USABLE_SLOTS_SHARE) as u32).max(1)
--- /dev/null
+++ b/crates/relay/tests/hostile_responses.rs
@@ -0,0 +1,96 @@
+//! Servers that send bytes without end in place of a response.
+
+use lagoonshore_relay::{
+    header_scheme::HeaderScheme,
+    http1::{
+        exchange::{ExchangeError, SentRequest},
+        memory_budget::MemoryBudget,
+        pool::{ANY_IDLE_TIME, ConnectionPool, SendError},
+    },
+};
+use rstest::rstest;
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+mod support;
+
+const SCHEME: HeaderScheme = support::SCHEME;
+/// Deadline of each request.
+const TIME_LIMIT: Duration = Duration::from_millis(700);
+
+/// Starts a server on its own thread that answers each request with `first` and then repeats `rest`
+/// until the client closes the connection.
+fn start_server(first: &'static str, rest: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || send_without_end(stream, first, rest));
+        }
+    });
+    address
+}
+
+fn send_without_end(mut stream: TcpStream, first: &str, rest: &str) {
+    let mut request = [0; 1024];
+    let is_sent = stream.read(&mut request).is_ok() && stream.write_all(first.as_bytes()).is_ok();
+    let block = rest.repeat((16 * 1024 / rest.len()).max(1));
+    while is_sent && stream.write_all(block.as_bytes()).is_ok() {}
+}
+
+fn request() -> SentRequest {
+    SentRequest {
+        id: Some("i1".into()),
+        ..SentRequest::get("h", "/a/ok")
+    }
+}
+
+/// Sends a request; `None` if there is no result by the deadline.
+async fn send(pool: &ConnectionPool) -> Option<ExchangeError> {
+    let sending = pool.send(request(), &SCHEME, ANY_IDLE_TIME);
+    match tokio::time::timeout(TIME_LIMIT, sending).await {
+        Ok(Ok(response)) => panic!("no response is expected: {response:?}"),
+        Ok(Err(SendError::Exchange(error))) => Some(error),
+        Ok(Err(error)) => panic!("the server accepts connections: {error:?}"),
+        Err(_) => None,
+    }
+}
+
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\n", "x: y\r\n")]
+#[case::field("HTTP/1.1 200 OK\r\nx: ", "y")]
+#[case::interim_responses("", "HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::other_responses("", "HTTP/1.1 200 OK\r\nRequest-Id: i0\r\nContent-Length: 0\r\n\r\n")]
+#[case::body_until_close("HTTP/1.1 200 OK\r\nRequest-Id: i1\r\n\r\n", "body")]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "1\r\nx\r\n"
+)]
+#[case::trailers(
+    "HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "x: y\r\n"
+)]
+#[case::no_http("", "no answer at all ")]
+#[actix_rt::test]
+async fn a_response_without_end_is_given_up_before_the_deadline(
+    #[case] first: &'static str,
+    #[case] rest: &'static str,
+) {
+    let pool = ConnectionPool::new(start_server(first, rest), MemoryBudget::new(1 << 20));
+    let error = send(&pool).await;
+    assert_eq!(error, Some(ExchangeError::NoAnswer));
+}
+
+#[actix_rt::test]
+async fn many_bodies_without_end_stay_within_the_memory_budget() {
+    let address = start_server("HTTP/1.1 200 OK\r\nRequest-Id: i1\r\n\r\n", "body");
+    let budget = MemoryBudget::new(4 << 20);
+    let pool = ConnectionPool::new(address, budget.clone());
+    let errors = futures::future::join_all((0..40).map(|_| send(&pool))).await;
+    assert!(errors.iter().all(Option::is_some), "{errors:?}");
+    assert_eq!(budget.free(), 4 << 20, "all memory is free again");
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -9,7 +9,9 @@
 use compact_str::CompactString;
 use lagoonshore_coordination::forwarding::rate_limiter::LimitNotice;
 use lagoonshore_relay::{
-    directory::DocumentSource, header_scheme::HeaderScheme, http1::exchange::SentRequest,
+    directory::DocumentSource,
+    header_scheme::HeaderScheme,
+    http1::{exchange::SentRequest, memory_budget::MemoryBudget},
     node::RelayNode,
 };
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
@@ -242,9 +244,14 @@
         id: None,
         is_head: false,
     };
-    let response = lagoonshore_relay::http1::exchange::run(&stream, request, &SCHEME)
-        .await
-        .expect("a complete response");
+    let response = lagoonshore_relay::http1::exchange::run(
+        &stream,
+        request,
+        &SCHEME,
+        MemoryBudget::new(0).share(),
+    )
+    .await
+    .expect("a complete response");
     CallerResponse {
         status: response.head.status,
         fields: String::from_utf8_lossy(&response.head.fields).into_owned(),
