Send no request twice on one connection

What callers saw, by the report of other operators: 'not run, try again' for requests that the upstream had run, or that ran a second time (REFUSED, TWICE). Both happen here.

Cause: a response is bound to its request by the id that it echoes. A request that was rejected, or sent to another upstream than meant, is sent again under the same id, mostly on the same kept connection. If the upstream writes the first refusal once more, it stands for the second attempt, which then runs unseen. Class of fault: a correlation id that names the request and not the attempt.

Change: a connection keeps the ids of the requests that were refused on it, and none of them is sent on it again; after 64 it is closed. Refusals of other requests were told apart by their ids before.

Measured: a_rejection_that_is_sent_once_more_does_not_make_a_request_run_twice (the request ran twice before) and a_misdirection_that_is_sent_once_more_does_not_hide_a_run (503 for a request that had run).

--- a/crates/relay/src/http1/pool.rs
+++ b/crates/relay/src/http1/pool.rs
@@ -8,6 +8,7 @@
 use crate::header_scheme::HeaderScheme;
 
 use actix_rt::net::TcpStream;
+use compact_str::CompactString;
 use std::{
     cell::{Cell, RefCell},
     io::ErrorKind,
@@ -24,8 +25,21 @@
 /// that no request is sent while the server closes the connection.
 const KEEP_ALIVE_SHARE: f64 = 0.7;
 
-struct IdleConnection {
+/// Most ids of refused requests that are kept for a connection; it is closed if there are more.
+const REFUSED_IDS_MAX: usize = 64;
+/// Lowest status of a response that may lead to another attempt.
+const REFUSAL_STATUS_MIN: u16 = 400;
+
+/// A connection with the ids of the requests that were refused on it. None of them is sent on it
+/// again, because a response that the server sends twice would be taken for that of the second
+/// attempt.
+struct PooledConnection {
     stream: TcpStream,
+    refused_ids: Vec<CompactString>,
+}
+
+struct IdleConnection {
+    connection: PooledConnection,
     since: Instant,
     expires: Instant,
 }
@@ -93,18 +107,27 @@
         scheme: &HeaderScheme,
         idle_max: Duration,
     ) -> Result<ReceivedResponse, SendError> {
-        let stream = match self.take_idle(idle_max) {
-            Some(stream) => stream,
+        let id = request.id.clone();
+        let mut connection = match self.take_idle(idle_max, id.as_ref()) {
+            Some(connection) => connection,
             None => self.connect().await?,
         };
-        let response = exchange::run(&stream, request, scheme, self.budget.share())
+        let stream = &connection.stream;
+        let response = exchange::run(stream, request, scheme, self.budget.share())
             .await
             .map_err(SendError::Exchange)?;
-        if let Some(keep_alive) = response.keep_alive {
+        if let Some(id) = id
+            && response.head.status >= REFUSAL_STATUS_MIN
+        {
+            connection.refused_ids.push(id);
+        }
+        if let Some(keep_alive) = response.keep_alive
+            && connection.refused_ids.len() <= REFUSED_IDS_MAX
+        {
             let since = Instant::now();
             let expires = since + keep_alive.mul_f64(KEEP_ALIVE_SHARE);
             let kept = IdleConnection {
-                stream,
+                connection,
                 since,
                 expires,
             };
@@ -113,26 +136,32 @@
         Ok(response)
     }
 
-    /// Takes the most recently used connection on which nothing has been received since.
-    fn take_idle(&self, idle_max: Duration) -> Option<TcpStream> {
+    /// Takes the most recently used connection on which nothing has been received since, and on which
+    /// `id` was not refused.
+    fn take_idle(
+        &self,
+        idle_max: Duration,
+        id: Option<&CompactString>,
+    ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let now = Instant::now();
-        idle.retain(|connection| connection.expires > now);
+        idle.retain(|kept| kept.expires > now);
+        let is_usable = |kept: &IdleConnection| {
+            let refused_ids = &kept.connection.refused_ids;
+            now - kept.since <= idle_max && id.is_none_or(|id| !refused_ids.contains(id))
+        };
         // Connections are pushed after use, so the last one was used most recently.
-        while idle
-            .last()
-            .is_some_and(|connection| now - connection.since <= idle_max)
-        {
-            let IdleConnection { stream, .. } = idle.pop()?;
-            let read = stream.try_read(&mut [0]);
+        while let Some(index) = idle.iter().rposition(is_usable) {
+            let IdleConnection { connection, .. } = idle.remove(index);
+            let read = connection.stream.try_read(&mut [0]);
             if read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock) {
-                return Some(stream);
+                return Some(connection);
             }
         }
         None
     }
 
-    async fn connect(&self) -> Result<TcpStream, SendError> {
+    async fn connect(&self) -> Result<PooledConnection, SendError> {
         self.opened.set(self.opened.get() + 1);
         let connecting = TcpStream::connect(self.address);
         let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await;
@@ -141,6 +170,9 @@
         stream
             .set_nodelay(true)
             .map_err(|error| SendError::Connect(error.kind()))?;
-        Ok(stream)
+        Ok(PooledConnection {
+            stream,
+            refused_ids: Vec::new(),
+        })
     }
 }
--- a/crates/relay/tests/retries.rs
+++ b/crates/relay/tests/retries.rs
@@ -121,3 +121,25 @@
     assert_eq!(fleet.members[0].upstream.ids(), vec!["p"]);
     assert_eq!(fleet.members[1].upstream.ids().len(), 0, "no retry");
 }
+
+#[actix_rt::test]
+async fn a_rejection_that_is_sent_once_more_does_not_make_a_request_run_twice() {
+    let fleet = two_zones().await;
+    let upstream = &fleet.members[2].upstream;
+    upstream.repeats_refusals.set(true);
+    upstream.sheds.set(1);
+    let response = fleet.ask("POST", "/b-once/ok", "i1").await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(upstream.ids(), ["i1", "i1"], "one rejection and one run");
+}
+
+#[actix_rt::test]
+async fn a_misdirection_that_is_sent_once_more_does_not_hide_a_run() {
+    let fleet = two_zones().await;
+    let upstream = &fleet.members[2].upstream;
+    upstream.repeats_refusals.set(true);
+    *upstream.name.borrow_mut() = "u2-again".to_owned();
+    let response = fleet.ask("POST", "/b-once/ok", "i1").await;
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(upstream.ids(), ["i1"]);
+}
--- a/crates/relay/tests/support/upstream.rs
+++ b/crates/relay/tests/support/upstream.rs
@@ -42,6 +42,8 @@
     pub behaviour: SharedBehaviour,
     /// Number of the next requests that are shed, whatever else is set.
     pub sheds: Rc<Cell<u32>>,
+    /// Whether a refusal is sent once more before the next response on its connection.
+    pub repeats_refusals: Rc<Cell<bool>>,
     /// Whether all responses announce the departure of the upstream.
     pub is_leaving: Rc<Cell<bool>>,
     /// Limit on the rate of requests that all responses name.
@@ -60,6 +62,7 @@
         let dropped = Rc::new(Cell::new(0));
         let behaviour = SharedBehaviour::default();
         let sheds = Rc::new(Cell::new(0));
+        let repeats_refusals = Rc::new(Cell::new(false));
         let is_leaving = Rc::new(Cell::new(false));
         let limit = Rc::new(Cell::new(None));
         let shared = UpstreamState {
@@ -68,6 +71,7 @@
             dropped: Rc::clone(&dropped),
             behaviour: Rc::clone(&behaviour),
             sheds: Rc::clone(&sheds),
+            repeats_refusals: Rc::clone(&repeats_refusals),
             is_leaving: Rc::clone(&is_leaving),
             limit: Rc::clone(&limit),
         };
@@ -84,6 +88,7 @@
             dropped,
             behaviour,
             sheds,
+            repeats_refusals,
             is_leaving,
             limit,
             accepting,
@@ -113,17 +118,22 @@
     dropped: Rc<Cell<u32>>,
     behaviour: SharedBehaviour,
     sheds: Rc<Cell<u32>>,
+    repeats_refusals: Rc<Cell<bool>>,
     is_leaving: Rc<Cell<bool>>,
     limit: Rc<Cell<Option<&'static str>>>,
 }
 
 async fn serve(mut stream: TcpStream, shared: UpstreamState) {
     let mut buffer = BytesMut::new();
+    let mut refusal = String::new();
     loop {
         let Some(request) = read_request(&mut stream, &mut buffer).await else {
             return;
         };
         let (head, body) = request;
+        if shared.repeats_refusals.get() {
+            let _ = stream.write_all(refusal.as_bytes()).await;
+        }
         let fields = String::from_utf8_lossy(&head.fields).into_owned();
         let id = head.id.clone().unwrap_or_default().to_string();
         let own_name = shared.name.borrow().clone();
@@ -135,6 +145,7 @@
             );
             let text = text.replace("\r\n\r\n", &format!("\r\nRequest-Id: {id}\r\n\r\n"));
             let _ = stream.write_all(text.as_bytes()).await;
+            refusal = text;
             continue;
         }
         shared.seen.borrow_mut().push(SeenRequest {
@@ -153,6 +164,9 @@
         } else {
             shared.behaviour.get().unwrap_or(segment)
         };
+        if behaviour == "shed" {
+            refusal = shed_response(&id);
+        }
         if !respond(&mut stream, behaviour, &id, &shared).await {
             return;
         }
@@ -196,12 +210,7 @@
         "surplus" => (ok.clone() + &ok.replace(id, "another"), true),
         "unframed" => (ok.replace("Content-Length: 4\r\n", ""), false),
         "fail" => (ok.replace("200 OK", "500 Internal Server Error"), true),
-        "shed" => (
-            format!(
-                "HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-            ),
-            true,
-        ),
+        "shed" => (shed_response(id), true),
         "unsigned" => (ok.replace("Signature: s\r\n", ""), true),
         "drop" => return false,
         _ => (ok, true),
@@ -209,6 +218,10 @@
     stream.write_all(text.as_bytes()).await.is_ok() && is_reusable
 }
 
+fn shed_response(id: &str) -> String {
+    format!("HTTP/1.1 503 Busy\r\nRequest-Id: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
 struct ReadHead {
     inner: head::RequestHead,
     raw: String,
