--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -122,8 +122,7 @@
 
     /// Records the status that a node sent with a reply.
     pub fn record_status(&self, key: InstanceKey, address: SocketAddr, status: NodeStatus) {
-        self.directory
-            .record_peer_version(address, status.version, status.revision);
+        self.record_versions(address, status);
         self.zone_health.borrow_mut().record_reply(address);
         let report = reported_load(status);
         let mut selector = self.selector.borrow_mut();
@@ -229,14 +228,19 @@
                 }
                 LinkEvent::Reconnected => selector.set_leaving(key, false),
                 LinkEvent::Status(status) => {
-                    self.directory
-                        .record_peer_version(address, status.version, status.revision);
+                    self.record_versions(address, status);
                     selector.record_load(key, Instant::now(), reported_load(status));
                 }
             }
         }
     }
 
+    fn record_versions(&self, address: SocketAddr, status: NodeStatus) {
+        let versions = self.directory.versions();
+        versions.record_document(address, status.version);
+        versions.record_known(status.revision);
+    }
+
     /// Statistics of an instance; `None` if it is unknown.
     #[must_use]
     pub fn summary(&self, key: InstanceKey) -> Option<PeerSummary> {
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -277,7 +277,7 @@
     ) -> Result<RelayReply, LinkError> {
         let mut message =
             request_message::build_request(request, progress, target, &self.origin, has_others);
-        message.revision = self.directory.known_revision();
+        message.revision = self.directory.versions().known_revision();
         message.departed = self.peers.departed_run(target.address);
         message.limit = self.peers.limit(target.address);
         if message.is_resent || message.is_idempotent {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -1,6 +1,6 @@
 //! A node's view of the fleet: the document in force and the upstream list.
 
-use crate::events;
+use crate::{events, known_versions::KnownVersions};
 
 use compact_str::CompactString;
 use lagoonshore_coordination::forwarding::read_schedule::{SHORT_WATCHES_PER_ZONE, WatchLength};
@@ -30,17 +30,6 @@
     Peer,
 }
 
-/// `PeerVersions` holds the newest versions that other nodes have reported.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PeerVersions {
-    /// Newest version of the document; 0 before the first report.
-    pub version: DocumentVersion,
-    /// Address of a node that has this version in force.
-    pub peer: Option<SocketAddr>,
-    /// Newest revision of the store.
-    pub revision: u64,
-}
-
 /// `FailedRead` describes a read of the store that failed.
 #[derive(Clone, Copy, Debug)]
 pub struct FailedRead<'a> {
@@ -65,8 +54,7 @@
     is_list_read: Cell<bool>,
     is_store_unreachable: Cell<bool>,
     refused_count: Cell<u64>,
-    revision: Cell<u64>,
-    peers: watch::Sender<PeerVersions>,
+    versions: KnownVersions,
     changes: watch::Sender<u64>,
 }
 
@@ -85,8 +73,7 @@
             is_list_read: Cell::new(false),
             is_store_unreachable: Cell::new(false),
             refused_count: Cell::new(0),
-            revision: Cell::new(0),
-            peers: watch::channel(PeerVersions::default()).0,
+            versions: KnownVersions::default(),
             changes: watch::channel(0).0,
         }
     }
@@ -231,68 +218,10 @@
         self.notify_change();
     }
 
-    /// Records that the changes of the store up to `revision` were applied.
-    pub fn record_revision(&self, revision: u64) {
-        self.revision.set(self.revision.get().max(revision));
-    }
-
-    /// Newest revision of the store that was applied.
+    /// Versions and revisions that this node and others know of.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
-        self.revision.get()
-    }
-
-    /// Newest revision of the store that was applied here or that another node has reported.
-    #[must_use]
-    pub fn known_revision(&self) -> u64 {
-        self.revision().max(self.peers.borrow().revision)
-    }
-
-    /// Records the store revision that another node knows.
-    pub fn record_known_revision(&self, revision: u64) {
-        self.peers.send_if_modified(|known| {
-            let is_newer = revision > known.revision;
-            known.revision = known.revision.max(revision);
-            is_newer
-        });
-    }
-
-    /// Records the document version and the store revision that another node reported.
-    pub fn record_peer_version(&self, peer: SocketAddr, version: DocumentVersion, revision: u64) {
-        self.peers.send_if_modified(|known| {
-            let is_newer = version > known.version || revision > known.revision;
-            if version > known.version {
-                known.version = version;
-                known.peer = Some(peer);
-            }
-            known.revision = known.revision.max(revision);
-            is_newer
-        });
-    }
-
-    /// Returns a receiver of the newest versions that other nodes have reported.
-    #[must_use]
-    pub fn peers(&self) -> watch::Receiver<PeerVersions> {
-        self.peers.subscribe()
-    }
-
-    /// Waits until another node has reported a newer revision of the store and this node has not
-    /// caught up with it within `time`.
-    pub async fn wait_until_behind_peers(&self, time: Duration) {
-        let mut peers = self.peers();
-        loop {
-            let newest = peers.borrow_and_update().revision;
-            if newest > self.revision() {
-                actix_rt::time::sleep(time).await;
-                if newest > self.revision() {
-                    return;
-                }
-            }
-            // The directory holds the sender, so the channel stays open.
-            if peers.changed().await.is_err() {
-                return;
-            }
-        }
+    pub const fn versions(&self) -> &KnownVersions {
+        &self.versions
     }
 
     /// Records that a read of the store succeeded.
@@ -310,8 +239,8 @@
             cause,
             took_ms = whole_millis(read.took),
             success_age_ms = whole_millis(read.success_age),
-            revision = self.revision(),
-            known_revision = self.known_revision(),
+            revision = self.versions.revision(),
+            known_revision = self.versions.known_revision(),
             "store: read failed"
         );
         if !self.is_store_unreachable.replace(true) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod header_scheme;
 pub mod http1;
+pub mod known_versions;
 pub mod logging;
 pub mod node;
 pub mod peer_listener;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -317,7 +317,7 @@
 
 /// Fetches a newer document from another node if the store has not delivered it.
 async fn pull_newer_documents(node: Rc<RelayNode>) {
-    let mut peers = node.directory.peers();
+    let mut peers = node.directory.versions().peers();
     while peers.changed().await.is_ok() {
         let known = *peers.borrow_and_update();
         if known.version <= node.directory.version() {
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -174,7 +174,7 @@
             rate_wait_ms: whole_millis(self.limiter.rate_wait()),
             is_leaving: self.is_draining.get(),
             version: self.directory.version(),
-            revision: self.directory.known_revision(),
+            revision: self.directory.versions().known_revision(),
         }
     }
 
@@ -187,7 +187,7 @@
     /// Runs a request, whose response is of use only before `deadline`.
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
         let active = ActiveGuard::new(&self.running);
-        self.directory.record_known_revision(request.revision);
+        self.directory.versions().record_known(request.revision);
         self.announcements.record_request(&request);
         let fingerprint = suspect_tracker::fingerprint_of(&request);
         let mut totals = CallTotals::default();
--- a/crates/relay/tests/fleet_changes.rs
+++ b/crates/relay/tests/fleet_changes.rs
@@ -193,12 +193,12 @@
     let fleet = two_zones().await;
     let sender = &fleet.members[0].node.directory;
     let receiver = &fleet.members[2].node.directory;
-    sender.record_known_revision(7000);
+    sender.versions().record_known(7000);
     fleet.ask("POST", "/b-once/ok", "i1").await;
-    assert_eq!(receiver.known_revision(), 7000);
-    receiver.record_known_revision(9000);
+    assert_eq!(receiver.versions().known_revision(), 7000);
+    receiver.versions().record_known(9000);
     fleet.ask("POST", "/b-once/ok", "i2").await;
-    assert_eq!(sender.known_revision(), 9000);
+    assert_eq!(sender.versions().known_revision(), 9000);
 }
 
 #[actix_rt::test]
