Apply remembered limits to the service they were named by only

What callers would have seen: refusals by a node that has just started, for a limit that another service's upstream had named at the same address before.

Cause: a sender remembers limits and departures by the address of a node. With an old list it sends them to a node that stands beside another service by now; the request itself was refused, but what came with it was kept.

Change: a node takes them from requests for its own service only.

Found by reading the change. a_limit_of_the_service_that_had_the_address_before_is_not_applied fails without the check (503 instead of 200).

--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -188,7 +188,10 @@
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
         let active = ActiveGuard::new(&self.running);
         self.directory.versions().record_known(request.revision);
-        self.announcements.record_request(&request);
+        // A sender with an old list means the upstream that had this address before.
+        if request.service == self.service {
+            self.announcements.record_request(&request);
+        }
         let fingerprint = suspect_tracker::fingerprint_of(&request);
         let mut totals = CallTotals::default();
         let result = self.run(request, deadline, fingerprint, &mut totals).await;
--- a/crates/relay/tests/rate_limits.rs
+++ b/crates/relay/tests/rate_limits.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use futures::future::join_all;
-use lagoonshore_state::upstream_list::UpstreamLimit;
+use lagoonshore_state::{instance_table::InstanceState, upstream_list::UpstreamLimit};
 use support::two_zones;
 
 #[actix_rt::test]
@@ -75,3 +75,25 @@
     assert_eq!(response.status, 503, "{response:?}");
     assert!(!restarted.upstream.ids().contains(&"i1".to_owned()));
 }
+
+#[actix_rt::test]
+async fn a_limit_of_the_service_that_had_the_address_before_is_not_applied() {
+    let mut fleet = two_zones().await;
+    let limit = UpstreamLimit {
+        name: "old-b".into(),
+        rate: 0.0,
+    };
+    let peer = fleet.members[1].listen.peers;
+    fleet.members[0].node.record_limit(peer, Some(&limit));
+    fleet.members[1].service = "b".into();
+    fleet.members[1].name = "old-b".into();
+    fleet.list(1, InstanceState::Live);
+    fleet.list(2, InstanceState::Leaving);
+    let response = fleet.ask("POST", "/b-once/ok", "i1").await;
+    assert_eq!(response.status, 503, "{response:?}");
+    fleet.members[0].node.record_limit(peer, None);
+    fleet.members[0].name = "u0".into();
+    fleet.list(0, InstanceState::Leaving);
+    let response = fleet.ask("POST", "/once/ok", "i2").await;
+    assert_eq!(response.status, 200, "{response:?}");
+}
