--- a/crates/relay/tests/hostile_responses.rs
+++ b/crates/relay/tests/hostile_responses.rs
@@ -94,3 +94,17 @@
     assert!(errors.iter().all(Option::is_some), "{errors:?}");
     assert_eq!(budget.free(), 4 << 20, "all memory is free again");
 }
+
+#[rstest]
+#[case::it_fits(4 << 20, true)]
+#[case::it_does_not_fit(1 << 20, false)]
+#[actix_rt::test]
+async fn a_long_response_is_given_up_if_the_memory_budget_is_used_up(
+    #[case] bytes: usize,
+    #[case] is_received: bool,
+) {
+    let head = "HTTP/1.1 200 OK\r\nRequest-Id: i1\r\nContent-Length: 3145728\r\n\r\n";
+    let pool = ConnectionPool::new(start_server(head, "body"), MemoryBudget::new(bytes));
+    let response = pool.send(request(), &SCHEME, ANY_IDLE_TIME).await;
+    assert_eq!(response.is_ok(), is_received);
+}
