Answer every request before a stopping node ends

Cause: the stop waited for the requests in progress until the end of the grace time and then ended the process, with nothing in between. The links are not at fault: whatever a link does, the node knows that it is about to end. Ruled out: a longer wait, since the time limit of a request may lie beyond the grace time.

Change: at 0.85 of the grace time, when the process ended before, the upstream's side and then the forwarding side end what is still in progress. A request that was sent is answered 502; one that waits for a slot is refused as not run, also when a request that is cut off frees its slot. The process has until 0.9 of the grace time to write the answers. The stop is a typestate of its own (lifecycle::planned_stop) that no longer knows the node, and the types of the HTTP handlers moved out of the server, which undoes two cycles between files.

--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -276,8 +276,9 @@
             schedule.refuse_at + STEP_LAG < Duration::from_secs(3),
             "{schedule:?}"
         );
-        assert!(schedule.end_at >= grace * 5 / 6, "{schedule:?}");
+        assert!(schedule.answer_at >= grace * 5 / 6, "{schedule:?}");
+        assert!(schedule.answer_at < schedule.end_at, "{schedule:?}");
         assert!(schedule.end_at + STEP_LAG < grace, "{schedule:?}");
-        assert!(schedule.notice_end <= schedule.end_at, "{schedule:?}");
+        assert!(schedule.notice_end <= schedule.answer_at, "{schedule:?}");
     }
 }
--- a/crates/relay/src/admin_listener.rs
+++ b/crates/relay/src/admin_listener.rs
@@ -1,7 +1,7 @@
 //! The listener for operators: metrics and the state of the node.
 
 use crate::{
-    http1::server::{self, RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+    http1::request_handler::{self, RequestHandler, ServerPhase, ServerRequest, ServerResponse},
     state_dump::StateDump,
 };
 
@@ -48,7 +48,7 @@
 impl RequestHandler for AdminListener {
     fn respond(self: Rc<Self>, request: ServerRequest) -> LocalBoxFuture<'static, ServerResponse> {
         let path = request.head.target.split('?').next().unwrap_or_default();
-        server::ready_response(self.page(path))
+        request_handler::ready_response(self.page(path))
     }
 
     fn reject(&self, status: u16) -> ServerResponse {
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -9,7 +9,7 @@
     header_scheme::HeaderScheme,
     http1::{
         head::RequestHead,
-        server::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+        request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
     },
     serving::running_table::RunningTable,
 };
--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -173,15 +173,16 @@
         )
     }
 
-    /// Result if the deadline passed during an attempt.
-    pub(crate) fn finish_timed_out(&mut self) -> ForwardOutcome {
+    /// Result if an attempt was ended for `reason` before its reply: the deadline passed, or the
+    /// process is about to exit.
+    pub(crate) fn finish_interrupted(&mut self, reason: RefusalReason) -> ForwardOutcome {
         if let Some(failure) = self.failure.take() {
             return ForwardOutcome::Answered(failure);
         }
         if self.tried.is_empty() {
-            return ForwardOutcome::NotRun(RefusalReason::Timeout, None);
+            return ForwardOutcome::NotRun(reason, None);
         }
-        ForwardOutcome::Unknown(RefusalReason::Timeout)
+        ForwardOutcome::Unknown(reason)
     }
 }
 
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -17,6 +17,7 @@
     decision_log::{DecisionLog, RequestTrace},
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
+    lifecycle::request_cutoff::RequestCutoff,
     serving::{
         retry_gate::retry_quota, running_table::CallTotals, suspect_tracker,
         upstream_server::UpstreamServer,
@@ -65,6 +66,7 @@
     split: RefCell<TrafficSplit>,
     latencies: LatencyTable,
     running: ActiveCount,
+    cutoff: RequestCutoff,
 }
 
 impl RequestForwarder {
@@ -94,6 +96,7 @@
             split: RefCell::default(),
             latencies: LatencyTable::default(),
             running: ActiveCount::default(),
+            cutoff: RequestCutoff::default(),
         }
     }
 
@@ -132,6 +135,11 @@
         self.running.get()
     }
 
+    /// Ends the requests in flight, so that each is answered before the process exits.
+    pub fn cut_off(&self) {
+        self.cutoff.trigger();
+    }
+
     /// Forwards a request and returns its outcome.
     pub async fn forward(&self, request: RoutedRequest) -> ForwardOutcome {
         let mut guard = CancellationGuard::new(&self.log, &self.running, &request);
@@ -141,12 +149,17 @@
         };
         let mut progress = CallProgress::new(service);
         let attempts = self.try_instances(&request, &mut progress);
-        let result = tokio::time::timeout_at(request.deadline, attempts).await;
+        let attempts = tokio::time::timeout_at(request.deadline, attempts);
+        let result = tokio::select! {
+            biased;
+            result = attempts => result.map_err(|_| RefusalReason::Timeout),
+            () = self.cutoff.reached() => Err(RefusalReason::Draining),
+        };
         guard.mark_finished();
         let outcome = match result {
             Ok(Some(response)) => ForwardOutcome::Answered(response),
             Ok(None) => progress.finish(),
-            Err(_) => progress.finish_timed_out(),
+            Err(reason) => progress.finish_interrupted(reason),
         };
         self.log_outcome(&request, &progress, &outcome);
         self.record_nested_call(&request, &progress, &outcome);
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -6,6 +6,7 @@
 pub mod head;
 pub mod memory_budget;
 pub mod pool;
+pub mod request_handler;
 mod response_writer;
 pub mod server;
 mod server_connection;
--- a/crates/relay/src/http1/response_writer.rs
+++ b/crates/relay/src/http1/response_writer.rs
@@ -1,6 +1,6 @@
 //! Serialization of responses to callers.
 
-use super::server::ServerResponse;
+use super::request_handler::ServerResponse;
 
 use bytes::BytesMut;
 
--- a/crates/relay/src/http1/server_connection.rs
+++ b/crates/relay/src/http1/server_connection.rs
@@ -4,8 +4,8 @@
 use super::{
     body::{BodyError, BodyFraming, BodyReader},
     head::{self, HeadError, RequestHead},
+    request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
     response_writer::write_response,
-    server::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
 };
 
 use crate::header_scheme::HeaderScheme;
--- a/crates/relay/src/ready_listener.rs
+++ b/crates/relay/src/lifecycle/ready_listener.rs
@@ -3,7 +3,7 @@
 use crate::{
     directory::FleetDirectory,
     events,
-    http1::server::{self, RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+    http1::request_handler::{self, RequestHandler, ServerPhase, ServerRequest, ServerResponse},
 };
 
 use bytes::Bytes;
@@ -69,7 +69,7 @@
                 "readiness: changed"
             );
         }
-        server::ready_response(self.reject(if is_ready { 200 } else { 503 }))
+        request_handler::ready_response(self.reject(if is_ready { 200 } else { 503 }))
     }
 
     fn reject(&self, status: u16) -> ServerResponse {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -15,9 +15,11 @@
     events,
     header_scheme::HeaderScheme,
     http1::server,
+    lifecycle::{
+        planned_stop::{self, StopParts},
+        ready_listener::ReadyListener,
+    },
     peer_listener::PeerListener,
-    planned_stop,
-    ready_listener::ReadyListener,
     serving::upstream_server::UpstreamServer,
     state_dump::{self, StateDump},
 };
@@ -269,9 +271,20 @@
     /// [`RelayError::Signals`] if no handler can be installed.
     pub async fn run_until_stopped(&self) -> Result<()> {
         signals::wait_for_stop().await.context(SignalsSnafu)?;
-        planned_stop::run(self).await;
+        self.stop().await;
         Ok(())
     }
+
+    /// Drains the node; returns when the process may exit.
+    pub async fn stop(&self) {
+        let parts = StopParts {
+            callers: Rc::clone(&self.callers),
+            caller_connections: Rc::clone(&self.caller_connections),
+            server: Rc::clone(&self.server),
+            ready: Rc::clone(&self.ready),
+        };
+        planned_stop::run(parts, self.settings.grace_time).await;
+    }
 }
 
 fn bound_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -3,7 +3,7 @@
 use super::{
     announcements::UpstreamAnnouncements,
     local_upstream::LocalUpstream,
-    refusals::{UNAVAILABLE_RETRY_AFTER, nested_overload, refusal},
+    refusals::{UNAVAILABLE_RETRY_AFTER, nested_overload, refusal, unknown_outcome},
     retry_gate::RetryGate,
     route_gate::{RouteGate, RoutePermit, RunSummary},
     running_table::{CallTotals, RunningRequest, RunningTable},
@@ -18,6 +18,7 @@
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     http1::{memory_budget::MemoryBudget, pool::ConnectionPool},
+    lifecycle::request_cutoff::RequestCutoff,
     relay_metrics,
 };
 
@@ -63,6 +64,7 @@
     is_draining: Cell<bool>,
     is_refusing: Cell<bool>,
     running: ActiveCount,
+    cutoff: RequestCutoff,
 }
 
 impl UpstreamServer {
@@ -115,6 +117,7 @@
             is_draining: Cell::new(false),
             is_refusing: Cell::new(false),
             running: ActiveCount::default(),
+            cutoff: RequestCutoff::default(),
         }
     }
 
@@ -145,6 +148,12 @@
         self.is_refusing.set(true);
     }
 
+    /// Ends the requests that are being served, so that each sender gets a reply before the process
+    /// exits.
+    pub fn cut_off(&self) {
+        self.cutoff.trigger();
+    }
+
     /// Number of requests that are being served.
     #[must_use]
     pub fn running(&self) -> u32 {
@@ -248,13 +257,21 @@
             Err(retry_after) => return nested_overload(retry_after),
         };
         let queued_at = Instant::now();
-        let permit = match self.acquire_slot(&request, deadline).await {
+        let acquired = tokio::select! {
+            biased;
+            acquired = self.acquire_slot(&request, deadline) => acquired,
+            () = self.cutoff.reached() => {
+                return refusal(RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
+            }
+        };
+        let permit = match acquired {
             Ok(permit) => permit,
             Err(wait) => return refusal(RefusalReason::Overload, wait),
         };
         totals.wait = queued_at.elapsed();
-        // The upstream may have left during the wait.
-        if self.upstream.has_departed(&request.instance) {
+        // The upstream may have left during the wait, and requests that are cut off free their slots
+        // for those that wait.
+        if self.cutoff.is_reached() || self.upstream.has_departed(&request.instance) {
             return refusal(RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER);
         }
         self.retry_gate.record_arrival(&request);
@@ -265,10 +282,11 @@
             ..RunningRequest::default()
         };
         let entry = self.running_table.insert(&request.id, running);
-        let result = self
-            .exchange
-            .send(request, deadline, permit, fingerprint)
-            .await;
+        let result = tokio::select! {
+            biased;
+            result = self.exchange.send(request, deadline, permit, fingerprint) => result,
+            () = self.cutoff.reached() => unknown_outcome(RefusalReason::Draining),
+        };
         let nested_calls = entry.finish();
         totals.wait += nested_calls.wait;
         totals.calls = nested_calls.calls;
--- a/crates/relay/tests/fleet_changes.rs
+++ b/crates/relay/tests/fleet_changes.rs
@@ -125,7 +125,7 @@
     let held = actix_rt::spawn(ask(stopping.listen.callers, "GET", "/b/never", "i0", ""));
     until(|| fleet.members[2].upstream.ids() == vec!["i0"]).await;
     let node = stopping.node.clone();
-    let stop = actix_rt::spawn(async move { lagoonshore_relay::planned_stop::run(&node).await });
+    let stop = actix_rt::spawn(async move { node.stop().await });
     for id in ["x1", "x2", "x3", "x4"] {
         ask(stopping.listen.ready, "GET", "/ready", id, "").await;
     }
@@ -150,7 +150,7 @@
             actix_rt::time::sleep(Duration::from_millis(50)).await;
         }
     });
-    lagoonshore_relay::planned_stop::run(&watched).await;
+    watched.stop().await;
     checks.abort();
     let response = fleet.ask("POST", "/b-once/ok", "i1").await;
     assert_eq!(response.status, 503, "{response:?}");
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -75,12 +75,18 @@
     /// Starts a node for each pair of service and zone. Each fleet has its own addresses, because
     /// all nodes listen for peers at the same port.
     pub(crate) async fn start(places: &[(&str, &str)]) -> Self {
+        Self::start_with_grace(places, Duration::from_secs(6)).await
+    }
+
+    /// Starts a fleet whose nodes stop within `grace`.
+    pub(crate) async fn start_with_grace(places: &[(&str, &str)], grace: Duration) -> Self {
         let mut members: Vec<FleetMember> = Vec::new();
         let prefix = fleet_prefix();
         for (index, (service, zone)) in places.iter().enumerate() {
             let ip = format!("{prefix}.{}", index + 1);
             let upstream = StandInUpstream::start(&ip).await;
-            let settings = settings(&ip, service, zone, upstream.address);
+            let mut settings = settings(&ip, service, zone, upstream.address);
+            settings.grace_time = grace;
             let node = RelayNode::new(settings, SCHEME).expect("random numbers");
             let listen = node.open().await.expect("free addresses");
             members.push(FleetMember {
