Report suspects to a few random nodes instead of all

After each crash of an upstream, every node that learned of the requests in progress reported them to every other node twice a second for ten seconds: 95 x 96 x 2 = 18,240 messages a second with 96 nodes, 1.3 million with 820, and a link between each pair of nodes. Each node sent and received 190 messages a second at 96 nodes; the rate grows with the fleet.

Cause: a node that merges a report counts it as learned now, so receivers report like the node beside the crash. Found by reading, for loads that grow faster than the fleet; that receivers report again is wanted, since the first node may be cut off.

Change: gossip::report_spread. A node with recent reports sends them to three random peers every 250 ms: twelve messages a second and node at any size. Its test plays 2 to 820 nodes with a tenth of the messages lost: all know within the 3 s that a request may still crash upstreams, and no node sends more than three a round. A broadcast fails that bound.

--- a/crates/coordination/src/gossip/mod.rs
+++ b/crates/coordination/src/gossip/mod.rs
@@ -5,3 +5,4 @@
 pub mod platform_watchers;
 pub mod policy_digest;
 pub mod policy_distribution;
+pub mod report_spread;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -25,6 +25,7 @@
 };
 
 use actix_rt::net::TcpListener;
+use lagoonshore_coordination::gossip::report_spread::{self, REPORT_INTERVAL};
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
 use lagoonshore_state::upstream_list::{UpstreamLimit, UpstreamRun};
 use lagoonshore_transport::{http_listener, metrics_recorder, signals};
@@ -46,8 +47,8 @@
 /// Time given to a reconnected node to read the store itself, before a snapshot of the fleet is
 /// pushed to it.
 const SNAPSHOT_PUSH_DELAY: Duration = Duration::from_millis(200);
-/// Interval between reports of suspects to other nodes, and timeout of one report.
-const SUSPECT_INTERVAL: Duration = Duration::from_millis(500);
+/// Timeout of a report of suspects to another node.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// `RelayNode` is a node with all its parts.
 pub struct RelayNode {
@@ -171,7 +172,7 @@
         actix_rt::spawn(serving);
         actix_rt::spawn(metrics_recorder::run_upkeep(metrics));
         actix_rt::spawn(apply_directory_changes(Rc::clone(self)));
-        actix_rt::spawn(broadcast_suspects(Rc::clone(self)));
+        actix_rt::spawn(spread_suspects(Rc::clone(self)));
         actix_rt::spawn(pull_newer_documents(Rc::clone(self)));
         info!(
             event = events::RELAY_STARTED,
@@ -345,10 +346,10 @@
     }
 }
 
-/// Reports requests that crash upstreams to all other nodes, as long as there are recent ones.
-async fn broadcast_suspects(node: Rc<RelayNode>) {
+/// Reports requests that crash upstreams to other nodes, as long as there are recent ones.
+async fn spread_suspects(node: Rc<RelayNode>) {
     loop {
-        actix_rt::time::sleep(SUSPECT_INTERVAL).await;
+        actix_rt::time::sleep(REPORT_INTERVAL).await;
         let reports = node.server.suspects().reports();
         if reports.is_empty() {
             continue;
@@ -359,10 +360,10 @@
             let others = table.iter().map(|(_, record)| record.peer);
             others.filter(|peer| *peer != own_address).collect()
         };
-        for peer in peers {
+        for peer in report_spread::choose_peers(&peers, &mut rand::rng()) {
             let (links, reports) = (Rc::clone(&node.links), reports.clone());
-            let deadline = Instant::now() + SUSPECT_INTERVAL;
-            // A failed report is retried at the next interval while the suspects are recent.
+            let deadline = Instant::now() + REPORT_TIMEOUT;
+            // If the report fails, other nodes report the same suspects to that node.
             actix_rt::spawn(async move { links.report_suspects(peer, reports, deadline).await });
         }
     }
