Check a link before a request that may run once is sent on it

Cause: a lost node is noticed by silence on a link with calls in flight, after 0.4 s. In a small fleet the first lost calls warn the next ones. With 96 nodes a link is idle for seconds between two such requests, so every sender pays for the discovery itself, and the number of senders grows with the fleet. Ruled out: processor time (0.05 of a core at the busiest node) and the queue of new connections.

Change: a request that may run once is sent on a link only if the node at its other end replied within 250 ms; otherwise a probe has to be answered first, within 150 ms. If it is not, nothing was sent: another instance is tried, or the request is refused as not run with a Retry-After. What was sent is recorded for the attempt in progress, so that a deadline that passes while a node connects is a true not-run, too. Calls that end without a reply, by a timeout or a caller that left, no longer count as a sign of life of the node. PeerLink has its own file.

Evidence: both tests of unresponsive_nodes.rs fail without the check (502 in place of 200 and 503) and pass with it.

--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod arrival_budget;
 pub mod circuit_breaker;
+pub mod link_check;
 pub mod pending_removals;
 pub mod rate_limiter;
 pub mod read_schedule;
--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -35,6 +35,8 @@
     /// Instance of the attempt in progress.
     current: Option<InstanceKey>,
     pub(crate) may_have_run: bool,
+    /// Whether the request of the attempt in progress was sent.
+    pub(crate) is_sent: bool,
     /// Whether the last attempt ended with a rejection by the upstream itself.
     pub(crate) is_rejected: bool,
     /// Totals of the nested calls that all attempts made.
@@ -61,6 +63,7 @@
             rejected: Vec::new(),
             current: None,
             may_have_run: false,
+            is_sent: false,
             is_rejected: false,
             nested_calls: CallTotals::default(),
             is_nested_overload: false,
@@ -75,6 +78,7 @@
     /// Records the start of an attempt at `target`.
     pub(crate) fn start_attempt(&mut self, target: &PeerTarget) {
         self.current = Some(target.key);
+        self.is_sent = false;
         push_unique(&mut self.tried, target.key);
         self.last_instance.clone_from(&target.name);
     }
@@ -179,10 +183,10 @@
         if let Some(failure) = self.failure.take() {
             return ForwardOutcome::Answered(failure);
         }
-        if self.tried.is_empty() {
-            return ForwardOutcome::NotRun(reason, None);
+        if self.is_sent || self.may_have_run {
+            return ForwardOutcome::Unknown(reason);
         }
-        ForwardOutcome::Unknown(reason)
+        ForwardOutcome::NotRun(reason, None)
     }
 }
 
--- a/crates/relay/src/calling/mod.rs
+++ b/crates/relay/src/calling/mod.rs
@@ -4,6 +4,7 @@
 mod call_progress;
 mod cancellation_guard;
 mod latency_table;
+pub mod peer_link;
 pub mod peer_links;
 pub mod peer_table;
 pub mod request_forwarder;
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -1,16 +1,17 @@
 //! tarpc links to other nodes. A link that stays silent while calls are in flight is closed and
 //! reopened: some networks drop all packets of existing connections but pass new ones.
 
+use super::peer_link::{InFlightGuard, PeerLink};
+
 use crate::events;
 
-use actix_rt::net::TcpStream;
-use lagoonshore_coordination::protection::suspects::SuspectReport;
-use lagoonshore_protocol::{
-    relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest},
-    relay_service::RelayServiceClient,
+use lagoonshore_coordination::{
+    forwarding::link_check::{self, CHECK_TIMEOUT},
+    protection::suspects::SuspectReport,
 };
+use lagoonshore_protocol::relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest};
 use lagoonshore_state::route_table::FleetDocument;
-use lagoonshore_transport::tarpc_link::{self, context};
+use lagoonshore_transport::tarpc_link::context;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -18,18 +19,10 @@
     rc::{Rc, Weak},
     time::Duration,
 };
-use tarpc::client::{NewClient, RpcError};
-use tokio::{
-    sync::{Mutex, watch},
-    task::JoinHandle,
-    time::Instant,
-};
+use tarpc::client::RpcError;
+use tokio::{sync::Mutex, time::Instant};
 use tracing::{info, warn};
 
-/// Largest message between nodes, in bytes.
-pub const FRAME_BYTES_MAX: usize = 72 * 1024 * 1024;
-/// Timeout for connecting to another node.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Silence on a link with calls in flight after which the node is probed.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout of a probe. After one missed probe the node is suspected, and idempotent requests in
@@ -65,21 +58,6 @@
     TimedOut,
 }
 
-struct PeerLink {
-    client: RelayServiceClient,
-    dispatch: JoinHandle<()>,
-    is_alive: Cell<bool>,
-    in_flight: Cell<u32>,
-    last_heard: Cell<Instant>,
-    suspected: watch::Sender<bool>,
-}
-
-impl Drop for PeerLink {
-    fn drop(&mut self) {
-        self.dispatch.abort();
-    }
-}
-
 #[derive(Default)]
 struct PeerEntry {
     link: RefCell<Option<Rc<PeerLink>>>,
@@ -87,6 +65,12 @@
     is_lost: Cell<bool>,
 }
 
+/// `RequestLink` is an open link on which a request can be sent.
+pub struct RequestLink {
+    address: SocketAddr,
+    link: Rc<PeerLink>,
+}
+
 /// `PeerLinks` keeps one connection to each node that requests are sent to.
 pub struct PeerLinks {
     entries: RefCell<HashMap<SocketAddr, Rc<PeerEntry>>>,
@@ -108,20 +92,52 @@
         self.event_handler.replace(Some(handler));
     }
 
-    /// Has the node at `address` run `request`. Dropping the future cancels the request there. With
-    /// `may_run_twice` the call fails with [`LinkError::Lost`] as soon as the node is suspected.
+    /// Returns a link to the node at `address` on which a request can be sent. Unless the request
+    /// `may_run_twice`, the node has answered on it a moment ago. Nothing of the request is sent.
+    ///
+    /// # Errors
+    /// [`LinkError::Connect`] if the node cannot be reached.
+    pub async fn usable_link(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        may_run_twice: bool,
+    ) -> Result<RequestLink, LinkError> {
+        let link = self.open_link(address).await?;
+        if link_check::is_needed(link.reply_age(), may_run_twice) {
+            self.check(address, &link).await?;
+        }
+        Ok(RequestLink { address, link })
+    }
+
+    /// Checks with a probe that the node at `address` answers on `link`.
+    async fn check(self: &Rc<Self>, address: SocketAddr, link: &PeerLink) -> Result<(), LinkError> {
+        let in_flight = InFlightGuard::new(link);
+        let status = link.probe(CHECK_TIMEOUT).await;
+        drop(in_flight);
+        if let Some(status) = status {
+            self.notify(address, LinkEvent::Status(status));
+            return Ok(());
+        }
+        link.suspected.send_replace(true);
+        self.notify(address, LinkEvent::Lost);
+        Err(LinkError::Connect)
+    }
+
+    /// Has the node at the other end of `link` run `request`. Dropping the future cancels the request
+    /// there. With `may_run_twice` the call fails with [`LinkError::Lost`] as soon as the node is
+    /// suspected.
     ///
     /// # Errors
     /// [`LinkError`] if no reply arrives.
     pub async fn relay(
         self: &Rc<Self>,
-        address: SocketAddr,
+        link: &RequestLink,
         request: RelayRequest,
         deadline: Instant,
         may_run_twice: bool,
     ) -> Result<RelayReply, LinkError> {
-        let link = self.open_link(address).await?;
-        let in_flight = InFlightGuard::new(&link);
+        let RequestLink { address, link } = link;
+        let in_flight = InFlightGuard::new(link);
         let mut suspected = link.suspected.subscribe();
         let reply = tokio::select! {
             reply = link.client.relay(context(deadline), request) => reply,
@@ -130,7 +146,10 @@
             }
         };
         drop(in_flight);
-        reply.map_err(|error| self.call_error(address, &link, &error))
+        if reply.is_ok() {
+            link.record_reply();
+        }
+        reply.map_err(|error| self.call_error(*address, link, &error))
     }
 
     /// Fetches the document that the node at `address` has in force.
@@ -243,8 +262,8 @@
         address: SocketAddr,
         entry: &PeerEntry,
     ) -> Result<Rc<PeerLink>, LinkError> {
-        let connected = self.connect(address).await;
-        let Some(link) = connected else {
+        let connected = PeerLink::connect(address).await;
+        let Some(link) = connected.map(Rc::new) else {
             self.mark_lost(address, "no connection");
             return Err(LinkError::Connect);
         };
@@ -261,30 +280,6 @@
         Ok(link)
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Rc<PeerLink>> {
-        let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = connecting.await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        // Closing a broken link resets the connection, so that data still buffered is not delivered
-        // late.
-        stream.set_zero_linger().ok()?;
-        let transport = tarpc_link::transport(stream, FRAME_BYTES_MAX);
-        let config = tarpc_link::client_config();
-        let NewClient { client, dispatch } = RelayServiceClient::new(config, transport);
-        let dispatch = actix_rt::spawn(async move {
-            // The calls in flight get the error.
-            let _ = dispatch.await;
-        });
-        Some(Rc::new(PeerLink {
-            client,
-            dispatch,
-            is_alive: Cell::new(true),
-            in_flight: Cell::new(0),
-            last_heard: Cell::new(Instant::now()),
-            suspected: watch::channel(false).0,
-        }))
-    }
-
     fn call_error(
         self: &Rc<Self>,
         address: SocketAddr,
@@ -327,26 +322,6 @@
     }
 }
 
-/// Counts a call in flight, and records its end as evidence that the node is alive.
-struct InFlightGuard<'a>(&'a PeerLink);
-
-impl<'a> InFlightGuard<'a> {
-    fn new(link: &'a PeerLink) -> Self {
-        if link.in_flight.get() == 0 {
-            link.last_heard.set(Instant::now());
-        }
-        link.in_flight.set(link.in_flight.get() + 1);
-        Self(link)
-    }
-}
-
-impl Drop for InFlightGuard<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-        self.0.last_heard.set(Instant::now());
-    }
-}
-
 /// Probes a node that is silent while calls are in flight.
 async fn monitor_link(links: Weak<PeerLinks>, link: Weak<PeerLink>, address: SocketAddr) {
     let mut missed = 0;
@@ -363,15 +338,12 @@
             links.mark_lost(address, "link closed");
             return;
         }
-        let is_silent = link.last_heard.get().elapsed() >= SILENCE_TIMEOUT;
-        if missed == 0 && (link.in_flight.get() == 0 || !is_silent) {
+        if !link.is_suspected() && !link.is_silent(SILENCE_TIMEOUT) {
             continue;
         }
-        let probe = link.client.probe(context(Instant::now() + PROBE_TIMEOUT));
-        if let Ok(Ok(status)) = actix_rt::time::timeout(PROBE_TIMEOUT, probe).await {
+        if let Some(status) = link.probe(PROBE_TIMEOUT).await {
             missed = 0;
             link.suspected.send_if_modified(std::mem::take);
-            link.last_heard.set(Instant::now());
             links.notify(address, LinkEvent::Status(status));
             continue;
         }
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -31,7 +31,7 @@
     },
     request::outcome::RefusalReason,
 };
-use lagoonshore_protocol::relay_messages::{RelayReply, RelayResponse, RelayResult};
+use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest, RelayResponse, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RetrySettings};
 use lagoonshore_state::ids::ServiceName;
 use std::{
@@ -284,7 +284,7 @@
     async fn send_attempt(
         &self,
         request: &RoutedRequest,
-        progress: &CallProgress,
+        progress: &mut CallProgress,
         target: &PeerTarget,
         has_others: bool,
     ) -> Result<RelayReply, LinkError> {
@@ -299,12 +299,11 @@
         }
         let median_latency = self.latencies.median(&request.route.name);
         let record = AttemptRecord::start(&self.peers, target, median_latency);
-        let may_run_twice = request.route.is_idempotent;
         let reply = if target.address == self.peer_address.get() {
+            progress.is_sent = true;
             Ok(self.server.serve(message, request.deadline).await)
         } else {
-            self.links
-                .relay(target.address, message, request.deadline, may_run_twice)
+            self.send_to_peer(target.address, message, request, progress)
                 .await
         };
         let elapsed = record.finish(&reply);
@@ -319,6 +318,21 @@
         reply
     }
 
+    async fn send_to_peer(
+        &self,
+        address: SocketAddr,
+        message: RelayRequest,
+        request: &RoutedRequest,
+        progress: &mut CallProgress,
+    ) -> Result<RelayReply, LinkError> {
+        let may_run_twice = request.route.is_idempotent;
+        let link = self.links.usable_link(address, may_run_twice).await?;
+        progress.is_sent = true;
+        self.links
+            .relay(&link, message, request.deadline, may_run_twice)
+            .await
+    }
+
     /// Processes a reply; returns the response if it is final.
     fn process_reply(
         &self,
--- a/crates/relay/src/peer_listener.rs
+++ b/crates/relay/src/peer_listener.rs
@@ -1,7 +1,7 @@
 //! The listener for other nodes: implements [`RelayService`].
 
 use crate::{
-    calling::peer_links::FRAME_BYTES_MAX, directory::FleetDirectory,
+    calling::peer_link::FRAME_BYTES_MAX, directory::FleetDirectory,
     serving::upstream_server::UpstreamServer,
 };
 
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -1,9 +1,9 @@
 //! Links to nodes that do not reply, under a paused clock.
 
-use lagoonshore_protocol::relay_messages::RelayRequest;
+use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest};
 use lagoonshore_relay::calling::peer_links::{LinkError, PeerLinks};
 use lagoonshore_state::units::RequestImportance;
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpSocket, TcpStream},
     task::LocalSet,
@@ -36,6 +36,16 @@
     }
 }
 
+/// Calls the node at `address` with a request that may run twice.
+async fn call(
+    links: &Rc<PeerLinks>,
+    address: SocketAddr,
+    deadline: Instant,
+) -> Result<RelayReply, LinkError> {
+    let link = links.usable_link(address, true).await?;
+    links.relay(&link, request(), deadline, true).await
+}
+
 /// An address at which connections neither succeed nor fail: its accept queue is full.
 async fn silent_address() -> (SocketAddr, Vec<TcpStream>, tokio::net::TcpListener) {
     let socket = TcpSocket::new_v4().expect("a socket");
@@ -59,7 +69,7 @@
         let links = PeerLinks::new();
         let started = Instant::now();
         let deadline = started + Duration::from_secs(20);
-        let calls = (0..10).map(|_| links.relay(address, request(), deadline, true));
+        let calls = (0..10).map(|_| call(&links, address, deadline));
         let results = futures::future::join_all(calls).await;
         (results, started.elapsed())
     };
@@ -84,9 +94,9 @@
     let sending = async {
         let links = PeerLinks::new();
         let deadline = Instant::now() + Duration::from_secs(20);
-        let first = links.relay(address, request(), deadline, true).await;
+        let first = call(&links, address, deadline).await;
         let started = Instant::now();
-        let second = links.relay(address, request(), deadline, true).await;
+        let second = call(&links, address, deadline).await;
         (first, second, started.elapsed())
     };
     let (first, second, elapsed) = LocalSet::new().run_until(sending).await;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -205,7 +205,7 @@
 }
 
 /// Port at which nodes listen for peers; below the range of ephemeral ports.
-const PEER_PORT: u16 = 7600;
+pub(crate) const PEER_PORT: u16 = 7600;
 
 /// Returns the first three octets of loopback addresses that no other fleet uses.
 fn fleet_prefix() -> String {
