Name the stage of an attempt, and fix an address of a test

The new tests of unresponsive nodes failed once in a run of all tests of the crate and passed before and after it: the address of the silent node was made by replacing ".2" in all of its own address, which gave 127.9xx for process ids whose addresses begin with 127.2xx. It is made from the first three octets now.

--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -22,6 +22,15 @@
 /// `Retry-After` sent when no instance gave an estimate.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(300);
 
+/// `AttemptStage` is how far an attempt got that has no result yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptStage {
+    /// Nothing of the request was sent.
+    Unsent,
+    /// The request was sent and may run.
+    Sent,
+}
+
 /// `CallProgress` records what the attempts of one request have led to so far.
 pub(crate) struct CallProgress {
     pub(crate) service: ServiceName,
@@ -35,8 +44,8 @@
     /// Instance of the attempt in progress.
     current: Option<InstanceKey>,
     pub(crate) may_have_run: bool,
-    /// Whether the request of the attempt in progress was sent.
-    pub(crate) is_sent: bool,
+    /// How far the attempt in progress got.
+    pub(crate) stage: AttemptStage,
     /// Whether the last attempt ended with a rejection by the upstream itself.
     pub(crate) is_rejected: bool,
     /// Totals of the nested calls that all attempts made.
@@ -63,7 +72,7 @@
             rejected: Vec::new(),
             current: None,
             may_have_run: false,
-            is_sent: false,
+            stage: AttemptStage::Unsent,
             is_rejected: false,
             nested_calls: CallTotals::default(),
             is_nested_overload: false,
@@ -78,7 +87,7 @@
     /// Records the start of an attempt at `target`.
     pub(crate) fn start_attempt(&mut self, target: &PeerTarget) {
         self.current = Some(target.key);
-        self.is_sent = false;
+        self.stage = AttemptStage::Unsent;
         push_unique(&mut self.tried, target.key);
         self.last_instance.clone_from(&target.name);
     }
@@ -183,7 +192,7 @@
         if let Some(failure) = self.failure.take() {
             return ForwardOutcome::Answered(failure);
         }
-        if self.is_sent || self.may_have_run {
+        if self.stage == AttemptStage::Sent || self.may_have_run {
             return ForwardOutcome::Unknown(reason);
         }
         ForwardOutcome::NotRun(reason, None)
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -3,7 +3,7 @@
 
 use super::{
     attempt_record::AttemptRecord,
-    call_progress::CallProgress,
+    call_progress::{AttemptStage, CallProgress},
     cancellation_guard::CancellationGuard,
     latency_table::LatencyTable,
     peer_links::{LinkError, PeerLinks},
@@ -300,7 +300,7 @@
         let median_latency = self.latencies.median(&request.route.name);
         let record = AttemptRecord::start(&self.peers, target, median_latency);
         let reply = if target.address == self.peer_address.get() {
-            progress.is_sent = true;
+            progress.stage = AttemptStage::Sent;
             Ok(self.server.serve(message, request.deadline).await)
         } else {
             self.send_to_peer(target.address, message, request, progress)
@@ -327,7 +327,7 @@
     ) -> Result<RelayReply, LinkError> {
         let may_run_twice = request.route.is_idempotent;
         let link = self.links.usable_link(address, may_run_twice).await?;
-        progress.is_sent = true;
+        progress.stage = AttemptStage::Sent;
         self.links
             .relay(&link, message, request.deadline, may_run_twice)
             .await
--- a/crates/relay/tests/unresponsive_nodes.rs
+++ b/crates/relay/tests/unresponsive_nodes.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use lagoonshore_state::{instance_table::InstanceState, upstream_list::UpstreamRecord};
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc};
 use support::{PEER_PORT, TestFleet, ask, route};
 use tokio::{io::AsyncReadExt, net::TcpListener};
 
@@ -33,7 +33,8 @@
 /// Adds an upstream of `b` beside a node that does not reply.
 async fn list_unresponsive(fleet: &TestFleet) -> Rc<Cell<usize>> {
     let own = fleet.members[1].upstream.address.ip().to_string();
-    let ip = own.replace(".2", ".9");
+    let (prefix, _) = own.rsplit_once('.').expect("an IPv4 address");
+    let ip = format!("{prefix}.9");
     let received = unresponsive_node(&ip).await;
     let record = UpstreamRecord {
         name: "silent".into(),
