--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -3,7 +3,7 @@
 
 use super::{
     attempt_record::AttemptRecord,
-    call_progress::CallProgress,
+    call_progress::{AttemptStage, CallProgress},
     cancellation_guard::CancellationGuard,
     latency_table::LatencyTable,
     peer_links::{LinkError, PeerLinks},
@@ -17,6 +17,7 @@
     decision_log::{DecisionLog, RequestTrace},
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
+    lifecycle::request_cutoff::RequestCutoff,
     serving::{
         retry_gate::retry_quota, running_table::CallTotals, suspect_tracker,
         upstream_server::UpstreamServer,
@@ -30,7 +31,7 @@
     },
     request::outcome::RefusalReason,
 };
-use lagoonshore_protocol::relay_messages::{RelayReply, RelayResponse, RelayResult};
+use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest, RelayResponse, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RetrySettings};
 use lagoonshore_state::ids::ServiceName;
 use std::{
@@ -65,6 +66,7 @@
     split: RefCell<TrafficSplit>,
     latencies: LatencyTable,
     running: ActiveCount,
+    cutoff: RequestCutoff,
 }
 
 impl RequestForwarder {
@@ -94,6 +96,7 @@
             split: RefCell::default(),
             latencies: LatencyTable::default(),
             running: ActiveCount::default(),
+            cutoff: RequestCutoff::default(),
         }
     }
 
@@ -132,6 +135,11 @@
         self.running.get()
     }
 
+    /// Ends the requests in flight, so that each is answered before the process exits.
+    pub fn cut_off(&self) {
+        self.cutoff.trigger();
+    }
+
     /// Forwards a request and returns its outcome.
     pub async fn forward(&self, request: RoutedRequest) -> ForwardOutcome {
         let mut guard = CancellationGuard::new(&self.log, &self.running, &request);
@@ -141,12 +149,17 @@
         };
         let mut progress = CallProgress::new(service);
         let attempts = self.try_instances(&request, &mut progress);
-        let result = tokio::time::timeout_at(request.deadline, attempts).await;
+        let attempts = tokio::time::timeout_at(request.deadline, attempts);
+        let result = tokio::select! {
+            biased;
+            result = attempts => result.map_err(|_| RefusalReason::Timeout),
+            () = self.cutoff.reached() => Err(RefusalReason::Draining),
+        };
         guard.mark_finished();
         let outcome = match result {
             Ok(Some(response)) => ForwardOutcome::Answered(response),
             Ok(None) => progress.finish(),
-            Err(_) => progress.finish_timed_out(),
+            Err(reason) => progress.finish_interrupted(reason),
         };
         self.log_outcome(&request, &progress, &outcome);
         self.record_nested_call(&request, &progress, &outcome);
@@ -271,7 +284,7 @@
     async fn send_attempt(
         &self,
         request: &RoutedRequest,
-        progress: &CallProgress,
+        progress: &mut CallProgress,
         target: &PeerTarget,
         has_others: bool,
     ) -> Result<RelayReply, LinkError> {
@@ -286,12 +299,11 @@
         }
         let median_latency = self.latencies.median(&request.route.name);
         let record = AttemptRecord::start(&self.peers, target, median_latency);
-        let may_run_twice = request.route.is_idempotent;
         let reply = if target.address == self.peer_address.get() {
+            progress.stage = AttemptStage::Sent;
             Ok(self.server.serve(message, request.deadline).await)
         } else {
-            self.links
-                .relay(target.address, message, request.deadline, may_run_twice)
+            self.send_to_peer(target.address, message, request, progress)
                 .await
         };
         let elapsed = record.finish(&reply);
@@ -306,6 +318,21 @@
         reply
     }
 
+    async fn send_to_peer(
+        &self,
+        address: SocketAddr,
+        message: RelayRequest,
+        request: &RoutedRequest,
+        progress: &mut CallProgress,
+    ) -> Result<RelayReply, LinkError> {
+        let may_run_twice = request.route.is_idempotent;
+        let link = self.links.usable_link(address, may_run_twice).await?;
+        progress.stage = AttemptStage::Sent;
+        self.links
+            .relay(&link, message, request.deadline, may_run_twice)
+            .await
+    }
+
     /// Processes a reply; returns the response if it is final.
     fn process_reply(
         &self,
