Refuse in time when a stop has little grace or no readiness checks

A stop with a grace time below 4.7 s, whose readiness was not checked meanwhile, took requests that it could not finish: with 1.5 s, requests were taken until 1.6 s after the signal and cut off at 1.3 s.

Cause: the wait for callers to notice was bounded by the end of the stop, not by the time from which new requests are refused, and the two waits after it were added to it.

Change: the notice ends when requests have to be refused at the latest, and so do both waits. The test sends requests that may run once throughout a stop and failed first (502 for the sixth request of each caller): each request that ran gets its response, all others are refused or not read.

--- a/crates/coordination/src/forwarding/stop_schedule.rs
+++ b/crates/coordination/src/forwarding/stop_schedule.rs
@@ -37,9 +37,10 @@
     #[must_use]
     pub fn new(grace: Duration) -> Self {
         let answer_at = grace.mul_f64(ANSWER_SHARE);
+        let refuse_at = REFUSE_TIME_MAX.min(grace.mul_f64(REFUSE_SHARE));
         Self {
-            notice_end: NOTICE_TIME_MAX.min(answer_at),
-            refuse_at: REFUSE_TIME_MAX.min(grace.mul_f64(REFUSE_SHARE)),
+            notice_end: NOTICE_TIME_MAX.min(refuse_at),
+            refuse_at,
             answer_at,
             end_at: grace.mul_f64(END_SHARE),
         }
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -279,6 +279,7 @@
         assert!(schedule.answer_at >= grace * 5 / 6, "{schedule:?}");
         assert!(schedule.answer_at < schedule.end_at, "{schedule:?}");
         assert!(schedule.end_at + STEP_LAG < grace, "{schedule:?}");
-        assert!(schedule.notice_end <= schedule.answer_at, "{schedule:?}");
+        assert!(schedule.notice_end <= schedule.refuse_at, "{schedule:?}");
+        assert!(schedule.refuse_at < schedule.answer_at, "{schedule:?}");
     }
 }
--- a/crates/relay/src/lifecycle/planned_stop.rs
+++ b/crates/relay/src/lifecycle/planned_stop.rs
@@ -88,7 +88,7 @@
         while Instant::now() < notice_end && self.parts.ready.refusals() < FAILED_CHECKS_MIN {
             actix_rt::time::sleep(POLL_INTERVAL).await;
         }
-        actix_rt::time::sleep(CALLER_MOVE_TIME).await;
+        self.wait_while_serving(CALLER_MOVE_TIME).await;
         self.next_step()
     }
 }
@@ -99,9 +99,9 @@
     pub async fn finish_requests(self) -> PlannedStop<RefusingRequests> {
         self.parts.callers.set_phase(ServerPhase::ClosingIdle);
         self.parts.server.start_draining();
-        actix_rt::time::sleep(PEER_NOTICE_TIME).await;
-        let refuse_at = self.started + self.schedule.refuse_at;
-        self.wait_until_idle(refuse_at).await;
+        self.wait_while_serving(PEER_NOTICE_TIME).await;
+        self.wait_until_idle(self.started + self.schedule.refuse_at)
+            .await;
         self.refuse_requests();
         self.wait_until_idle(self.started + self.schedule.answer_at)
             .await;
@@ -151,6 +151,12 @@
         self.parts.server.start_refusing();
     }
 
+    /// Waits for `duration`, until new requests have to be refused at most.
+    async fn wait_while_serving(&self, duration: Duration) {
+        let refuse_at = self.started + self.schedule.refuse_at;
+        tokio::time::sleep_until(refuse_at.min(Instant::now() + duration)).await;
+    }
+
     /// Waits until no request is in progress and no connection is open, until `latest` at most.
     async fn wait_until_idle(&self, latest: Instant) {
         while Instant::now() < latest && !self.is_idle() {
--- a/crates/relay/tests/planned_stop.rs
+++ b/crates/relay/tests/planned_stop.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use actix_rt::task::JoinHandle;
-use std::time::Duration;
-use support::{CallerResponse, TestFleet, ask, route, until};
+use actix_rt::{net::TcpStream, task::JoinHandle};
+use std::{net::SocketAddr, time::Duration};
+use support::{CallerResponse, TestFleet, ask, route, send, until};
 
 /// Grace time of the stopping nodes. It is short, because every test waits for its end.
 const GRACE_TIME: Duration = Duration::from_millis(1500);
@@ -85,3 +85,50 @@
     assert_eq!(reason(&queued), (503, "draining"));
     assert_eq!(stopping.upstream.ids(), vec!["i1"]);
 }
+
+/// Requests that callers sent during a stop, by what they got.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct StopOutcomes {
+    served: u32,
+    refused: u32,
+    unread: u32,
+}
+
+/// Sends one request after the other, each on a new connection, until the listener is closed.
+async fn send_until_closed(callers: SocketAddr, name: usize) -> StopOutcomes {
+    let mut outcomes = StopOutcomes::default();
+    let mut number = 0;
+    while let Ok(stream) = TcpStream::connect(callers).await {
+        number += 1;
+        let id = format!("c{name}-{number}");
+        match send(&stream, "POST", "/b-once/slow", &id).await {
+            Some(200) => outcomes.served += 1,
+            Some(503) => outcomes.refused += 1,
+            Some(status) => panic!("{id}: {status}"),
+            None => outcomes.unread += 1,
+        }
+    }
+    outcomes
+}
+
+#[actix_rt::test]
+async fn requests_that_come_late_in_a_calm_stop_are_served_or_refused() {
+    let fleet = fleet_with_short_grace().await;
+    let stopping = &fleet.members[0];
+    let callers = stopping.listen.callers;
+    let sending: Vec<_> = (0..6)
+        .map(|name| actix_rt::spawn(send_until_closed(callers, name)))
+        .collect();
+    until(|| fleet.members[1].upstream.ids().len() >= 6).await;
+    stopping.node.stop().await;
+    let mut total = StopOutcomes::default();
+    for task in sending {
+        let outcomes = task.await.expect("the caller does not panic");
+        total.served += outcomes.served;
+        total.refused += outcomes.refused;
+        total.unread += outcomes.unread;
+    }
+    assert!(total.served > 6 && total.refused > 0, "{total:?}");
+    let ran = u32::try_from(fleet.members[1].upstream.ids().len()).expect("a count");
+    assert_eq!(total.served, ran, "each request that ran got its response");
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -11,7 +11,10 @@
 use lagoonshore_relay::{
     directory::DocumentSource,
     header_scheme::HeaderScheme,
-    http1::{exchange::SentRequest, memory_budget::MemoryBudget},
+    http1::{
+        exchange::{self, SentRequest},
+        memory_budget::MemoryBudget,
+    },
     node::RelayNode,
 };
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
@@ -241,18 +244,9 @@
     more: &str,
 ) -> CallerResponse {
     let stream = TcpStream::connect(address).await.expect("an open listener");
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nTime-Limit-Ms: 3000\r\n{more}\r\n"
-    );
-    let request = SentRequest {
-        head: head.into(),
-        body: bytes::Bytes::new(),
-        id: None,
-        is_head: false,
-    };
-    let response = lagoonshore_relay::http1::exchange::run(
+    let response = exchange::run(
         &stream,
-        request,
+        caller_request(method, path, id, more),
         &SCHEME,
         MemoryBudget::new(0).share(),
     )
@@ -265,6 +259,25 @@
     }
 }
 
+/// Sends a request on `stream`; returns the status of its response, or `None` if there is none.
+pub(crate) async fn send(stream: &TcpStream, method: &str, path: &str, id: &str) -> Option<u16> {
+    let request = caller_request(method, path, id, "");
+    let response = exchange::run(stream, request, &SCHEME, MemoryBudget::new(0).share()).await;
+    response.ok().map(|response| response.head.status)
+}
+
+fn caller_request(method: &str, path: &str, id: &str, more: &str) -> SentRequest {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nTime-Limit-Ms: 3000\r\n{more}\r\n"
+    );
+    SentRequest {
+        head: head.into(),
+        body: bytes::Bytes::new(),
+        id: None,
+        is_head: false,
+    }
+}
+
 /// Sends raw bytes on a new connection and reads until the node closes it.
 pub(crate) async fn ask_raw(address: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(address).await.expect("an open listener");
