Test the return of a node that missed a check, and the check itself

A node that misses a check before a request is suspected until it answers a probe. The test freezes the way to a node and lets it go again: the first request is refused as not run, and both kinds of requests are served at the same node afterwards.

--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -1,6 +1,7 @@
 //! Traffic weights, the retry allowance, concurrency limits of routes, zone health and planned stops.
 
 use lagoonshore_coordination::forwarding::{
+    link_check,
     retry_allowance::{AllowanceRules, RetryAllowance},
     retry_quota::RetryQuota,
     route_limiter::RouteLimiter,
@@ -283,3 +284,15 @@
         assert!(schedule.refuse_at < schedule.answer_at, "{schedule:?}");
     }
 }
+
+#[test]
+fn a_quiet_link_is_checked_before_a_request_that_may_run_once() {
+    let (recent, old) = (Duration::from_millis(100), Duration::from_secs(1));
+    for (reply_age, is_checked) in [(None, true), (Some(recent), false), (Some(old), true)] {
+        assert_eq!(link_check::is_needed(reply_age, false), is_checked);
+        assert!(
+            !link_check::is_needed(reply_age, true),
+            "it may be sent twice"
+        );
+    }
+}
--- a/crates/relay/tests/unresponsive_nodes.rs
+++ b/crates/relay/tests/unresponsive_nodes.rs
@@ -3,9 +3,15 @@
 mod support;
 
 use lagoonshore_state::{instance_table::InstanceState, upstream_list::UpstreamRecord};
-use std::{cell::Cell, rc::Rc};
-use support::{PEER_PORT, TestFleet, ask, route};
-use tokio::{io::AsyncReadExt, net::TcpListener};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use support::{PEER_PORT, TestFleet, ask, route, until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+};
 
 /// Listens where a node would, and reads without replying; returns the number of bytes read.
 async fn unresponsive_node(ip: &str) -> Rc<Cell<usize>> {
@@ -30,12 +36,50 @@
     received
 }
 
+/// Listens where a node would, and passes data on to the node at `peer` unless `is_frozen`.
+async fn freezable_node(ip: &str, peer: SocketAddr) -> Rc<Cell<bool>> {
+    let listener = TcpListener::bind((ip, PEER_PORT)).await;
+    let listener = listener.expect("a free address");
+    let is_frozen = Rc::new(Cell::new(true));
+    let shared = Rc::clone(&is_frozen);
+    actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let node = TcpStream::connect(peer).await.expect("an open listener");
+            let (from_caller, to_caller) = stream.into_split();
+            let (from_node, to_node) = node.into_split();
+            actix_rt::spawn(pass_on(from_caller, to_node, Rc::clone(&shared)));
+            actix_rt::spawn(pass_on(from_node, to_caller, Rc::clone(&shared)));
+        }
+    });
+    is_frozen
+}
+
+async fn pass_on(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_frozen: Rc<Cell<bool>>) {
+    let mut buffer = [0; 4096];
+    while let Ok(read) = from.read(&mut buffer).await {
+        until(|| !is_frozen.get()).await;
+        if read == 0 || to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Adds an upstream of `b` beside a node that does not reply.
 async fn list_unresponsive(fleet: &TestFleet) -> Rc<Cell<usize>> {
-    let own = fleet.members[1].upstream.address.ip().to_string();
+    let received = unresponsive_node(&unused_ip(fleet)).await;
+    list_at(fleet, &unused_ip(fleet));
+    received
+}
+
+/// Address next to those of the fleet.
+fn unused_ip(fleet: &TestFleet) -> String {
+    let own = fleet.members[0].upstream.address.ip().to_string();
     let (prefix, _) = own.rsplit_once('.').expect("an IPv4 address");
-    let ip = format!("{prefix}.9");
-    let received = unresponsive_node(&ip).await;
+    format!("{prefix}.9")
+}
+
+/// Adds an upstream of `b` at `ip`.
+fn list_at(fleet: &TestFleet, ip: &str) {
     let record = UpstreamRecord {
         name: "silent".into(),
         service: "b".into(),
@@ -49,7 +93,6 @@
     for member in &fleet.members {
         member.node.directory.upsert_upstream(record.clone());
     }
-    received
 }
 
 #[actix_rt::test]
@@ -77,3 +120,23 @@
     assert_eq!(response.status, 503, "{response:?}");
     assert!(response.fields.contains("Retry-After"), "{response:?}");
 }
+
+#[actix_rt::test]
+async fn a_node_that_replies_again_is_used_again() {
+    let fleet = TestFleet::start(&[("a", "z1"), ("b", "z1")]).await;
+    fleet.publish(1, &[route("/b/", "b", true), route("/b-once/", "b", false)]);
+    // The node beside the only listed upstream of `b` is reached through the address that freezes.
+    let is_frozen = freezable_node(&unused_ip(&fleet), fleet.members[1].listen.peers).await;
+    fleet.members[0].node.directory.remove_upstream("u1", 900);
+    list_at(&fleet, &unused_ip(&fleet));
+    let callers = fleet.members[0].listen.callers;
+    let refused = ask(callers, "POST", "/b-once/ok", "i1", "").await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    is_frozen.set(false);
+    actix_rt::time::sleep(Duration::from_millis(1500)).await;
+    let repeatable = ask(callers, "GET", "/b/ok", "i2", "").await;
+    assert_eq!(repeatable.status, 200, "{repeatable:?}");
+    let served = ask(callers, "POST", "/b-once/ok", "i3", "").await;
+    assert_eq!(served.status, 200, "{served:?}");
+    assert_eq!(fleet.members[1].upstream.ids(), vec!["i2", "i3"]);
+}
