--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod memory;
 mod poison;
 mod record;
+mod silent_config;
 mod silent_store;
 mod site;
 mod store;
@@ -51,6 +52,7 @@
         "bystander" => bystander::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
         "poison" => poison::run(&record, has_trouble),
+        "silent-config" => silent_config::run(&record, has_trouble),
         "silent-store" => silent_store::run(&record, has_trouble),
         "watch-cut" => watch_cut::run(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
