Log which crash of an upstream a suspect is counted for

Event 3401 showed five counts for one request within 0.1 ms, but not whether they belonged to one crash or to several.

The local upstream now draws an id each time that it is found to be down, and event 3401 carries it.

--- a/crates/coordination/src/protection/suspects.rs
+++ b/crates/coordination/src/protection/suspects.rs
@@ -31,6 +31,9 @@
 /// Maximum number of reports in one message.
 pub const REPORTS_MAX: usize = 64;
 
+/// `CrashId` identifies one crash of one upstream; random, so that all nodes can tell crashes apart.
+pub type CrashId = u64;
+
 data_type! {
     /// `SuspectReport` is a suspect as one node reports it to another.
     #[derive(Copy, Eq)]
--- a/crates/relay/src/serving/local_upstream.rs
+++ b/crates/relay/src/serving/local_upstream.rs
@@ -19,6 +19,7 @@
 
 use actix_rt::net::TcpStream;
 use compact_str::CompactString;
+use lagoonshore_coordination::protection::suspects::CrashId;
 use lagoonshore_settings::RelaySettings;
 use lagoonshore_state::{
     ids::{InstanceName, ServiceName},
@@ -53,6 +54,8 @@
     /// Last time at which the address was confirmed to serve the service.
     confirmed_at: Cell<Instant>,
     is_down: Cell<bool>,
+    /// Latest crash; it is the one in progress while the upstream is down.
+    crash: Cell<CrashId>,
     announcements: Rc<UpstreamAnnouncements>,
 }
 
@@ -85,6 +88,7 @@
             reported: RefCell::default(),
             confirmed_at: Cell::new(Instant::now()),
             is_down: Cell::new(false),
+            crash: Cell::new(CrashId::default()),
             announcements,
         }
     }
@@ -166,15 +170,17 @@
         if self.is_down.replace(true) {
             return;
         }
+        self.crash.set(rand::random());
         warn!(event = events::UPSTREAM_DOWN, address = %self.address, "upstream: down");
         self.pool.clear();
         actix_rt::spawn(Rc::clone(self).poll_until_up());
     }
 
-    /// Tests whether the upstream is down after a connection to it broke; returns whether it is.
-    pub async fn check_after_disconnect(self: &Rc<Self>) -> bool {
+    /// Tests whether the upstream is down after a connection to it broke; returns the id of its crash
+    /// if it is, the same for all connections that this crash broke.
+    pub async fn check_after_disconnect(self: &Rc<Self>) -> Option<CrashId> {
         if self.is_down.get() {
-            return true;
+            return Some(self.crash.get());
         }
         let connecting = TcpStream::connect(self.address);
         let connected = actix_rt::time::timeout(CONNECT_TIMEOUT, connecting).await;
@@ -185,7 +191,7 @@
         if is_refused {
             self.mark_down();
         }
-        is_refused
+        is_refused.then(|| self.crash.get())
     }
 
     /// Checks the health of the upstream until it accepts connections again.
--- a/crates/relay/src/serving/upstream_exchange.rs
+++ b/crates/relay/src/serving/upstream_exchange.rs
@@ -191,11 +191,11 @@
         self.log
             .log_upstream_failed(&request.id, "exchange", &format!("{error:?}"));
         let may_be_crash = matches!(error, ExchangeError::Broken(_) | ExchangeError::ClosedEarly);
-        if may_be_crash && self.upstream.check_after_disconnect().await {
+        if may_be_crash && let Some(crash) = self.upstream.check_after_disconnect().await {
             let report = self.suspects.record_crash(fingerprint);
             tracing::warn!(
                 event = events::CRASH_COUNTED,
-                request = %request.id, fingerprint, crashes = report.crashes,
+                request = %request.id, fingerprint, crash, crashes = report.crashes,
                 "upstream: crashed while it ran the request"
             );
         }
