--- a/crates/coordination/src/protection/crash_detector.rs
+++ b/crates/coordination/src/protection/crash_detector.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, Default)]
 pub struct CrashDetector {
     in_progress: u32,
+    crash_number: u32,
     first_loss: Option<Instant>,
     lost: u32,
     counted: BTreeSet<RequestFingerprint>,
@@ -82,6 +83,12 @@
         crashed && self.counted.insert(fingerprint)
     }
 
+    /// Number of the latest crash, which tells it apart from earlier ones.
+    #[must_use]
+    pub const fn crash_number(&self) -> u32 {
+        self.crash_number
+    }
+
     /// Removes all abandoned requests and returns the recent ones that are not counted for this
     /// crash yet; marks them as counted. Called when the upstream is found to be down.
     pub fn take_abandoned(&mut self, now: Instant) -> Vec<RequestFingerprint> {
@@ -101,6 +108,7 @@
             .first_loss
             .is_some_and(|started| now.saturating_duration_since(started) < CRASH_WINDOW);
         if !is_same {
+            self.crash_number = self.crash_number.wrapping_add(1);
             self.first_loss = Some(now);
             self.lost = 0;
             self.counted.clear();
--- a/crates/coordination/src/protection/fingerprint.rs
+++ b/crates/coordination/src/protection/fingerprint.rs
@@ -37,6 +37,23 @@
     hasher.finish()
 }
 
+/// Computes the hash by which nodes identify an instance in reports of crashes.
+#[must_use]
+pub fn of_instance(name: &str) -> u64 {
+    let mut hasher = SipHasher24::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
+    write_part(&mut hasher, name.as_bytes());
+    hasher.finish()
+}
+
+/// Computes the hash of a request together with the name of an instance.
+#[must_use]
+pub(crate) fn of_pair(fingerprint: RequestFingerprint, name: &str) -> u64 {
+    let mut hasher = SipHasher24::new_with_keys(HASH_KEYS.0, HASH_KEYS.1);
+    hasher.write_u64(fingerprint);
+    write_part(&mut hasher, name.as_bytes());
+    hasher.finish()
+}
+
 /// Hashes a part with a length prefix, so that the hash depends on where the parts begin and end.
 fn write_part(hasher: &mut SipHasher24, part: &[u8]) {
     hasher.write(&(part.len() as u64).to_le_bytes());
--- a/crates/coordination/src/protection/suspects.rs
+++ b/crates/coordination/src/protection/suspects.rs
@@ -1,47 +1,70 @@
 //! Suspects: requests that were in progress when an upstream crashed.
 //!
-//! After one crash a suspect runs only alone on an instance, so that a second crash can be
-//! attributed to it and to no other request; after two crashes it is quarantined for a bounded
-//! time. A suspect that finishes with a complete response is cleared. After its quarantine it is on
-//! probation: it runs alone, and another crash quarantines it again for twice the time.
+//! A crash proves that at most one of the requests in progress caused it, whatever the number of its
+//! copies. It counts once for each request, and only several crashes lead to a quarantine. A complete
+//! run is evidence for the request, which a request that crashes every upstream never has: it clears
+//! all crashes before it, and cancels one within the minute after it.
+//!
+//! After one crash a suspect may have to run alone on an instance, so that a second crash can be
+//! attributed to it and to no other request; after more crashes it is quarantined for a bounded time.
+//! After its quarantine it is on probation: another crash quarantines it again, for longer.
 
-use crate::protection::fingerprint::RequestFingerprint;
+use super::{
+    crash_set::{CRASHES_MAX, CrashId, CrashMark, CrashReport, CrashSet},
+    fingerprint::RequestFingerprint,
+    run_history::RunHistory,
+};
 
 use lagoonshore_state::data_type;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
-/// Number of crashes after which a request is quarantined.
-pub const QUARANTINE_CRASHES: u8 = 2;
-/// Retention time of a suspect that is not quarantined.
-pub const SUSPECT_TIME: Duration = Duration::from_mins(1);
 /// Duration of the first quarantine.
 pub const QUARANTINE_TIME: Duration = Duration::from_mins(5);
-/// Maximum duration of a quarantine.
-pub const QUARANTINE_TIME_MAX: Duration = Duration::from_hours(1);
-/// Time after a quarantine during which the request still runs alone.
+/// Time after a quarantine during which the request is still on probation.
 pub const PROBATION_TIME: Duration = Duration::from_hours(1);
 /// Maximum number of entries in a table.
 pub const SUSPECTS_MAX: usize = 1024;
 /// Number of entries that are evicted from a full table at once.
 const EVICTION_BATCH: usize = 64;
-/// Time for which a crash is reported to other nodes. It is far below [`SUSPECT_TIME`], so that a
-/// report does not return to a node whose entry has expired.
+/// Time for which a node reports what it has learned of a request to other nodes.
 pub const REPORT_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of reports in one message.
 pub const REPORTS_MAX: usize = 64;
 
-/// `CrashId` identifies one crash of one upstream; random, so that all nodes can tell crashes apart.
-pub type CrashId = u64;
-
 data_type! {
     /// `SuspectReport` is a suspect as one node reports it to another.
-    #[derive(Copy, Eq)]
+    #[derive(Eq)]
     pub struct SuspectReport {
         /// Fingerprint of the request.
         pub fingerprint: RequestFingerprint,
-        /// Number of crashes attributed to it.
-        pub crashes: u8,
+        /// Crashes during which it was in progress.
+        pub crashes: Vec<CrashReport>,
+    }
+}
+
+/// `SuspectRules` are the bounds by which a table decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectRules {
+    /// Crashes after which a request is quarantined.
+    pub quarantine_crashes: u8,
+    /// Time after the latest crash for which a suspect that is not quarantined is kept.
+    pub suspect_time: Duration,
+    /// Factor by which each further crash prolongs the quarantine.
+    pub quarantine_growth: u32,
+    /// Maximum duration of a quarantine.
+    pub quarantine_max: Duration,
+}
+
+impl Default for SuspectRules {
+    /// Rules for nodes that run a suspect alone, so that its second crash is certain to be its own.
+    fn default() -> Self {
+        Self {
+            quarantine_crashes: 2,
+            suspect_time: Duration::from_mins(1),
+            quarantine_growth: 2,
+            quarantine_max: Duration::from_hours(1),
+        }
     }
 }
 
@@ -56,6 +79,27 @@
     Quarantined,
 }
 
+/// `CrashCount` is the result of counting a crash for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashCount {
+    /// Crashes attributed to the request, this one included.
+    pub crashes: u8,
+    /// Whether this crash is not attributed to the request, because it had just run completely.
+    pub is_cleared: bool,
+}
+
+/// `SuspectState` is what a table knows of one suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectState {
+    /// Crashes attributed to the request.
+    pub crashes: u8,
+    /// Time since the latest of them.
+    pub latest_age: Duration,
+    /// Time until the end of the quarantine; `None` if too few crashes are attributed to the request
+    /// for one, and zero after its end.
+    pub quarantine_left: Option<Duration>,
+}
+
 /// `SuspectCounts` holds the gauges of a table.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
 pub struct SuspectCounts {
@@ -67,106 +111,177 @@
     pub quarantined: usize,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct SuspectEntry {
-    crashes: u8,
-    /// Crashes cleared by a successful run; reports of no more crashes than this are outdated.
-    cleared_crashes: u8,
+    crashes: CrashSet,
+    /// Time at which the crashes last changed.
     learned_at: Instant,
-    quarantined_until: Option<Instant>,
-    expires_at: Instant,
 }
 
 /// `SuspectTable` holds the suspects known to a node.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
+    rules: SuspectRules,
     entries: BTreeMap<RequestFingerprint, SuspectEntry>,
+    complete_runs: RunHistory,
 }
 
 impl SuspectTable {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(rules: SuspectRules) -> Self {
+        Self {
+            rules,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether no request is a suspect.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns whether and how a request may run.
     #[must_use]
     pub fn decide(&self, now: Instant, fingerprint: RequestFingerprint) -> SuspectDecision {
-        self.unexpired(now, fingerprint)
-            .map_or(SuspectDecision::Clear, |entry| entry.decide(now))
+        let Some(state) = self.state(now, fingerprint) else {
+            return SuspectDecision::Clear;
+        };
+        match state.quarantine_left {
+            Some(left) if left > Duration::ZERO => SuspectDecision::Quarantined,
+            _ => SuspectDecision::Alone,
+        }
     }
 
-    /// Counts a crash of an upstream that was running the request and returns the report of it.
-    pub fn record_crash(&mut self, now: Instant, fingerprint: RequestFingerprint) -> SuspectReport {
-        let before = self
-            .unexpired(now, fingerprint)
-            .map_or(0, |entry| entry.crashes);
-        let crashes = before.saturating_add(1);
-        self.insert(
-            now,
-            SuspectReport {
-                fingerprint,
-                crashes,
-            },
-        );
-        SuspectReport {
-            fingerprint,
-            crashes,
+    /// What is known of a request; `None` if no crash is attributed to it.
+    #[must_use]
+    pub fn state(&self, now: Instant, fingerprint: RequestFingerprint) -> Option<SuspectState> {
+        let entry = self.unexpired(now, fingerprint)?;
+        let latest = entry.crashes.latest()?;
+        let quarantine_end = self.rules.quarantine_end(&entry.crashes);
+        Some(SuspectState {
+            crashes: entry.crashes.count(),
+            latest_age: now.saturating_duration_since(latest),
+            quarantine_left: quarantine_end.map(|end| end.saturating_duration_since(now)),
+        })
+    }
+
+    /// Counts the crash `id` of the local upstream for a request that it was running. Copies of the
+    /// request are counted once.
+    pub fn record_crash(
+        &mut self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        id: CrashId,
+    ) -> CrashCount {
+        let held = self.unexpired(now, fingerprint);
+        let is_known = held.is_some_and(|entry| entry.crashes.contains(id));
+        let is_cleared = !is_known && self.complete_runs.take(now, fingerprint);
+        let mark = CrashMark {
+            id,
+            at: now,
+            is_cleared,
+        };
+        self.join(now, fingerprint, [mark]);
+        let held = self.unexpired(now, fingerprint);
+        CrashCount {
+            crashes: held.map_or(0, |entry| entry.crashes.count()),
+            is_cleared,
         }
     }
 
-    /// Clears a suspect that finished with a complete response.
-    pub fn record_success(&mut self, fingerprint: RequestFingerprint) {
-        if let Some(entry) = self.entries.get_mut(&fingerprint) {
-            entry.cleared_crashes = entry.cleared_crashes.max(entry.crashes);
-            entry.crashes = 0;
-            entry.quarantined_until = None;
+    /// Records a complete run of a request, which clears its crashes. Returns whether there were any.
+    pub fn record_success(&mut self, now: Instant, fingerprint: RequestFingerprint) -> bool {
+        self.complete_runs.record(now, fingerprint);
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return false;
+        };
+        let is_changed = entry.crashes.clear();
+        if is_changed {
+            entry.learned_at = now;
         }
+        is_changed
     }
 
-    /// Merges a report of another node: it replaces the entry only if it counts more crashes, so a
-    /// report of known crashes does not extend the expiry.
-    pub fn merge(&mut self, now: Instant, report: SuspectReport) {
-        let held = self.unexpired(now, report.fingerprint);
-        let known = held.map_or(0, |entry| entry.crashes.max(entry.cleared_crashes));
-        if report.crashes > known {
-            self.insert(now, report);
+    /// Merges a report of another node. A complete run on this node clears the crashes before it, and
+    /// cancels one after it.
+    pub fn merge(&mut self, now: Instant, report: &SuspectReport) {
+        let fingerprint = report.fingerprint;
+        let reported = report.crashes.iter().take(CRASHES_MAX);
+        let mut marks: Vec<_> = reported
+            .map(|crash| CrashMark::of_report(now, *crash))
+            .collect();
+        for mark in &mut marks {
+            mark.is_cleared |= self.is_refuted(now, fingerprint, *mark);
         }
+        self.join(now, fingerprint, marks);
     }
 
-    /// Reports of recent crashes for other nodes, by falling number of crashes.
+    /// Returns whether a complete run on this node shows that the request did not cause a crash.
+    fn is_refuted(
+        &mut self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        mark: CrashMark,
+    ) -> bool {
+        let Some(run_at) = self.complete_runs.latest(now, fingerprint) else {
+            return false;
+        };
+        let held = self.unexpired(now, fingerprint);
+        let is_known = held.is_some_and(|entry| entry.crashes.contains(mark.id));
+        run_at >= mark.at || (!is_known && self.complete_runs.take(now, fingerprint))
+    }
+
+    /// Reports for other nodes of what was learned recently, by falling number of crashes.
     #[must_use]
     pub fn reports(&self, now: Instant) -> Vec<SuspectReport> {
-        let is_recent = |entry: &SuspectEntry| {
-            entry.crashes > 0 && now.saturating_duration_since(entry.learned_at) < REPORT_TIME
-        };
-        let reports = self.entries.iter().filter(|(_, entry)| is_recent(entry));
-        let mut reports: Vec<_> = reports.map(|(key, entry)| entry.report(*key)).collect();
-        reports.sort_by_key(|report| std::cmp::Reverse(report.crashes));
-        reports.truncate(REPORTS_MAX);
+        let recent = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| now.saturating_duration_since(entry.learned_at) < REPORT_TIME);
+        let mut recent: Vec<_> = recent.collect();
+        recent
+            .sort_by_key(|(_, entry)| std::cmp::Reverse((entry.crashes.count(), entry.learned_at)));
+        recent.truncate(REPORTS_MAX);
+        let reports = recent.into_iter();
         reports
+            .map(|(key, entry)| entry.report(now, *key))
+            .collect()
     }
 
-    /// Report of one request; `None` if no crash is attributed to it.
+    /// Report of one request; `None` if nothing is known of it.
     #[must_use]
     pub fn report(&self, now: Instant, fingerprint: RequestFingerprint) -> Option<SuspectReport> {
         let entry = self.unexpired(now, fingerprint)?;
-        (entry.crashes > 0).then(|| entry.report(fingerprint))
+        Some(entry.report(now, fingerprint))
+    }
+
+    /// Reports of all requests in quarantine or on probation, for a node that has lost its own table.
+    #[must_use]
+    pub fn quarantine_reports(&self, now: Instant) -> Vec<SuspectReport> {
+        let keys = self.entries.keys();
+        let quarantined = keys.filter(|key| {
+            let state = self.state(now, **key);
+            state.is_some_and(|state| state.quarantine_left.is_some())
+        });
+        let reports = quarantined.filter_map(|key| self.report(now, *key));
+        reports.take(REPORTS_MAX).collect()
     }
 
     /// All suspects with at least one crash, by fingerprint.
     #[must_use]
-    pub fn held(&self, now: Instant) -> Vec<(SuspectReport, SuspectDecision)> {
-        let listed = self.entries.iter();
-        let listed = listed.filter(|(_, entry)| entry.crashes > 0 && entry.expires_at > now);
-        listed
-            .map(|(key, entry)| (entry.report(*key), entry.decide(now)))
+    pub fn held(&self, now: Instant) -> Vec<(RequestFingerprint, SuspectState)> {
+        let keys = self.entries.keys();
+        keys.filter_map(|key| Some((*key, self.state(now, *key)?)))
             .collect()
     }
 
     /// Gauges of the table at `now`.
     #[must_use]
     pub fn counts(&self, now: Instant) -> SuspectCounts {
-        let decisions: Vec<_> = self
-            .held(now)
-            .into_iter()
-            .map(|(_, decision)| decision)
-            .collect();
+        let keys = self.entries.keys();
+        let decisions: Vec<_> = keys.map(|key| self.decide(now, *key)).collect();
         let count = |wanted| decisions.iter().filter(|found| **found == wanted).count();
         SuspectCounts {
             held: self.entries.len(),
@@ -177,29 +292,35 @@
 
     fn unexpired(&self, now: Instant, fingerprint: RequestFingerprint) -> Option<&SuspectEntry> {
         let entry = self.entries.get(&fingerprint)?;
-        (entry.expires_at > now).then_some(entry)
+        (self.rules.expiry(entry) > now).then_some(entry)
     }
 
-    fn insert(&mut self, now: Instant, report: SuspectReport) {
-        let SuspectReport {
-            fingerprint,
-            crashes,
-        } = report;
-        let cleared_crashes = self
-            .unexpired(now, fingerprint)
-            .map_or(0, |entry| entry.cleared_crashes);
-        if !self.entries.contains_key(&fingerprint) {
-            self.evict(now);
+    fn join(
+        &mut self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        marks: impl IntoIterator<Item = CrashMark>,
+    ) {
+        let held = self.unexpired(now, fingerprint);
+        let mut crashes = held.map_or_else(CrashSet::default, |entry| entry.crashes.clone());
+        let mut is_changed = false;
+        for mark in marks {
+            is_changed |= crashes.join(mark);
         }
-        let quarantine = quarantine_time(crashes);
-        let expires_at = now + quarantine.map_or(SUSPECT_TIME, |time| time + PROBATION_TIME);
+        let learned_at = match held {
+            Some(entry) if !is_changed => entry.learned_at,
+            _ => now,
+        };
         let entry = SuspectEntry {
             crashes,
-            cleared_crashes,
-            learned_at: now,
-            quarantined_until: quarantine.map(|time| now + time),
-            expires_at,
+            learned_at,
         };
+        if self.rules.expiry(&entry) <= now {
+            return;
+        }
+        if !self.entries.contains_key(&fingerprint) {
+            self.evict(now);
+        }
         self.entries.insert(fingerprint, entry);
     }
 
@@ -210,13 +331,14 @@
         if self.entries.len() < SUSPECTS_MAX {
             return;
         }
-        self.entries.retain(|_, entry| entry.expires_at > now);
+        let rules = self.rules;
+        self.entries.retain(|_, entry| rules.expiry(entry) > now);
         if self.entries.len() < SUSPECTS_MAX {
             return;
         }
         let entries = self.entries.iter();
         let mut candidates: Vec<_> = entries
-            .map(|(key, entry)| (entry.crashes, entry.learned_at, *key))
+            .map(|(key, entry)| (entry.crashes.count(), entry.learned_at, *key))
             .collect();
         candidates.sort_unstable();
         for (_, _, fingerprint) in candidates.into_iter().take(EVICTION_BATCH) {
@@ -225,33 +347,31 @@
     }
 }
 
-impl SuspectEntry {
-    fn decide(&self, now: Instant) -> SuspectDecision {
-        if self.quarantined_until.is_some_and(|until| until > now) {
-            SuspectDecision::Quarantined
-        } else if self.crashes > 0 {
-            SuspectDecision::Alone
-        } else {
-            SuspectDecision::Clear
+impl SuspectRules {
+    /// End of the quarantine of a request; `None` if too few crashes are attributed to it for one.
+    fn quarantine_end(&self, crashes: &CrashSet) -> Option<Instant> {
+        let further = crashes.count().checked_sub(self.quarantine_crashes)?;
+        let factor = self.quarantine_growth.saturating_pow(further.into());
+        let time = QUARANTINE_TIME.saturating_mul(factor);
+        Some(crashes.latest()? + time.min(self.quarantine_max))
+    }
+
+    /// Time at which an entry is forgotten.
+    fn expiry(&self, entry: &SuspectEntry) -> Instant {
+        let crashes = &entry.crashes;
+        if let Some(end) = self.quarantine_end(crashes) {
+            return end + PROBATION_TIME;
         }
+        let latest = crashes.latest_known().unwrap_or(entry.learned_at);
+        latest + self.suspect_time
     }
+}
 
-    const fn report(&self, fingerprint: RequestFingerprint) -> SuspectReport {
+impl SuspectEntry {
+    fn report(&self, now: Instant, fingerprint: RequestFingerprint) -> SuspectReport {
         SuspectReport {
             fingerprint,
-            crashes: self.crashes,
+            crashes: self.crashes.reports(now),
         }
     }
 }
-
-/// Duration of the quarantine after this many crashes, doubled with each crash after the second;
-/// `None` if they are too few for a quarantine.
-fn quarantine_time(crashes: u8) -> Option<Duration> {
-    let doublings = crashes.checked_sub(QUARANTINE_CRASHES)?;
-    let factor = 1_u32.checked_shl(doublings.into()).unwrap_or(u32::MAX);
-    Some(
-        QUARANTINE_TIME
-            .saturating_mul(factor)
-            .min(QUARANTINE_TIME_MAX),
-    )
-}
--- a/crates/daemon/src/calling/call_attempt.rs
+++ b/crates/daemon/src/calling/call_attempt.rs
@@ -17,7 +17,11 @@
     routing::peer_view::{ReportedLoad, STRAGGLER_SLOWNESS},
 };
 use lagoonshore_protocol::messages::{CallReply, CallRequest, CallResult, LoadReport};
-use lagoonshore_state::{ids::ClassName, instance_table::InstanceKey, units::TokenCount};
+use lagoonshore_state::{
+    ids::{ClassName, InstanceName},
+    instance_table::InstanceKey,
+    units::TokenCount,
+};
 use lagoonshore_transport::{Result, TransportError};
 use rand::seq::IndexedRandom;
 use std::{net::SocketAddr, pin::pin, time::Duration};
@@ -96,7 +100,8 @@
         Err(error) => {
             record.close_with_error(&error);
             let refusal = refusal_of_error(&error);
-            suspect_gate::record_lost_connection(&node, &call.request, refusal);
+            let instance = instance_name(&node, target);
+            suspect_gate::record_lost_connection(&node, &instance, &call.request, refusal);
             let is_lost = !refusal.is_not_run();
             AttemptReply {
                 result: CallResult::Refused(refusal),
@@ -106,6 +111,13 @@
     }
 }
 
+/// Name of the instance of `target`; empty if it is no longer listed.
+fn instance_name(node: &SharedNode, target: AttemptTarget) -> InstanceName {
+    let table = node.instances.borrow();
+    let record = table.get(target.key);
+    record.map_or_else(InstanceName::default, |record| record.name.clone())
+}
+
 /// Records the admission level that the called service reported for the class of the parent
 /// request.
 fn record_level(node: &SharedNode, call: &AttemptCall, reply: &CallReply) {
--- a/crates/daemon/src/distribution/digest_exchange.rs
+++ b/crates/daemon/src/distribution/digest_exchange.rs
@@ -149,7 +149,7 @@
         return false;
     }
     gossip.counters.borrow_mut().digests += 1;
-    crash_response::merge(node, digest.suspects.iter().copied());
+    crash_response::merge(node, digest.suspects.iter().cloned());
     let sender = &digest.sender.name;
     let mut members = gossip.members.borrow_mut();
     members.record_platform_access(Instant::now(), sender, digest.reads_platform);
--- a/crates/daemon/src/listeners/inbound_listener.rs
+++ b/crates/daemon/src/listeners/inbound_listener.rs
@@ -57,7 +57,7 @@
         tokens: policy.retry_limit(&class),
         key: None,
         stamp: MessageStamp::default(),
-        crashes: 0,
+        crashes: Vec::new(),
     };
     let deadline = Instant::now() + timeout;
     if !class.idempotent {
--- a/crates/daemon/src/listeners/outbound_listener.rs
+++ b/crates/daemon/src/listeners/outbound_listener.rs
@@ -75,7 +75,7 @@
         tokens: TokenCount(0),
         key: None,
         stamp: MessageStamp::default(),
-        crashes: 0,
+        crashes: Vec::new(),
     };
     if !class.idempotent {
         keyed_executions::set_call_key(&node, &mut request, context.child_key);
--- a/crates/daemon/src/listeners/peer_listener.rs
+++ b/crates/daemon/src/listeners/peer_listener.rs
@@ -76,7 +76,7 @@
     }
 
     async fn suspects(self, _: Context, reports: Vec<SuspectReport>) -> Vec<SuspectReport> {
-        crash_response::merge(&self.node, reports.iter().copied());
+        crash_response::merge(&self.node, reports.iter().cloned());
         let suspects = self.node.protection.suspects.borrow();
         let held = |report: SuspectReport| suspects.report(Instant::now(), report.fingerprint);
         reports.into_iter().filter_map(held).collect()
--- a/crates/daemon/src/observation/protection_dump.rs
+++ b/crates/daemon/src/observation/protection_dump.rs
@@ -40,10 +40,10 @@
     let now = Instant::now();
     let suspects = node.protection.suspects.borrow();
     let listed = suspects.held(now).into_iter().take(LISTED_SUSPECTS_MAX);
-    let listed = listed.map(|(report, decision)| SuspectLine {
-        fingerprint: format!("{:016x}", report.fingerprint),
-        crashes: report.crashes,
-        quarantined: decision == SuspectDecision::Quarantined,
+    let listed = listed.map(|(fingerprint, state)| SuspectLine {
+        fingerprint: format!("{fingerprint:016x}"),
+        crashes: state.crashes,
+        quarantined: suspects.decide(now, fingerprint) == SuspectDecision::Quarantined,
     });
     SuspectsPart {
         counts: suspects.counts(now),
--- a/crates/daemon/src/protection/crash_response.rs
+++ b/crates/daemon/src/protection/crash_response.rs
@@ -5,7 +5,10 @@
 
 use futures::future::join_all;
 use lagoonshore_coordination::protection::{
-    crash_detector::ReconnectResult, fingerprint::RequestFingerprint, suspects::SuspectReport,
+    crash_detector::ReconnectResult,
+    crash_set::CrashId,
+    fingerprint::{self, RequestFingerprint},
+    suspects::SuspectReport,
     upstream_health::ProbeResult,
 };
 use std::{net::SocketAddr, time::Duration};
@@ -39,7 +42,7 @@
         .count_crash(fingerprint, result);
     let mut reports = Vec::new();
     if is_crash {
-        reports.push(count_suspect(&node, fingerprint));
+        reports.extend(count_suspect(&node, fingerprint));
     }
     if result == ReconnectResult::Refused {
         reports.extend(count_abandoned(&node));
@@ -57,20 +60,35 @@
         .take_abandoned(Instant::now());
     let fingerprints = abandoned.into_iter();
     fingerprints
-        .map(|fingerprint| count_suspect(node, fingerprint))
+        .filter_map(|fingerprint| count_suspect(node, fingerprint))
         .collect()
 }
 
-fn count_suspect(node: &SharedNode, fingerprint: RequestFingerprint) -> SuspectReport {
+fn count_suspect(node: &SharedNode, fingerprint: RequestFingerprint) -> Option<SuspectReport> {
+    let (now, crash) = (Instant::now(), latest_crash(node));
     let mut suspects = node.protection.suspects.borrow_mut();
-    let report = suspects.record_crash(Instant::now(), fingerprint);
+    let count = suspects.record_crash(now, fingerprint, crash);
     warn!(
         event = events::SUSPECT_RECORDED,
         fingerprint = format!("{fingerprint:016x}"),
-        crashes = report.crashes,
+        crash = crash.number,
+        crashes = count.crashes,
+        is_cleared = count.is_cleared,
         "suspects: crash recorded"
     );
-    report
+    suspects.report(now, fingerprint)
+}
+
+/// Id of the latest crash of the local upstream.
+fn latest_crash(node: &SharedNode) -> CrashId {
+    let number = node.protection.crashes.borrow().crash_number();
+    // The numbers of each run of the node start at another one.
+    #[allow(clippy::cast_possible_truncation)]
+    let first = node.incarnation as u32;
+    CrashId {
+        instance: fingerprint::of_instance(&node.settings.instance),
+        number: Some(first.wrapping_add(number)),
+    }
 }
 
 /// Reports suspects to the other nodes of the same service and merges the reports that they return.
@@ -94,7 +112,7 @@
 pub fn merge(node: &SharedNode, reports: impl IntoIterator<Item = SuspectReport>) {
     let mut suspects = node.protection.suspects.borrow_mut();
     for report in reports {
-        suspects.merge(Instant::now(), report);
+        suspects.merge(Instant::now(), &report);
     }
 }
 
--- a/crates/daemon/src/protection/suspect_gate.rs
+++ b/crates/daemon/src/protection/suspect_gate.rs
@@ -4,6 +4,7 @@
 
 use lagoonshore_coordination::{
     protection::{
+        crash_set::{CrashId, CrashReport},
         fingerprint::{self, RequestFingerprint},
         suspects::{SuspectDecision, SuspectReport},
     },
@@ -13,6 +14,7 @@
     headers,
     messages::{CallReply, CallRequest},
 };
+use lagoonshore_state::ids::InstanceName;
 use tokio::time::Instant;
 
 /// Fingerprint of a request.
@@ -28,30 +30,42 @@
     )
 }
 
-/// Merges the crash count that the calling node sent with a request.
-pub fn merge_report(node: &SharedNode, fingerprint: RequestFingerprint, crashes: u8) {
+/// Merges the crashes that the calling node sent with a request.
+pub fn merge_report(node: &SharedNode, fingerprint: RequestFingerprint, crashes: &[CrashReport]) {
+    if crashes.is_empty() {
+        return;
+    }
     let report = SuspectReport {
         fingerprint,
-        crashes,
+        crashes: crashes.to_vec(),
     };
     let mut suspects = node.protection.suspects.borrow_mut();
-    suspects.merge(Instant::now(), report);
+    suspects.merge(Instant::now(), &report);
 }
 
 /// Merges the suspect report that the called node returned.
 pub fn merge_reply(node: &SharedNode, reply: &CallReply) {
-    if let Some(report) = reply.suspect {
+    if let Some(report) = &reply.suspect {
         let mut suspects = node.protection.suspects.borrow_mut();
         suspects.merge(Instant::now(), report);
     }
 }
 
-/// Records a crash for a call whose connection was lost: the instance may have crashed together
-/// with its upstream because of the call, so a retry must run alone.
-pub fn record_lost_connection(node: &SharedNode, request: &CallRequest, refusal: CallRefusal) {
+/// Records a crash for a call to `instance` whose connection was lost: the instance may have crashed
+/// together with its upstream because of the call, so a retry must run alone.
+pub fn record_lost_connection(
+    node: &SharedNode,
+    instance: &InstanceName,
+    request: &CallRequest,
+    refusal: CallRefusal,
+) {
     if refusal.reason == RefusalReason::ConnectionLost {
+        let crash = CrashId {
+            instance: fingerprint::of_instance(instance),
+            number: None,
+        };
         let mut suspects = node.protection.suspects.borrow_mut();
-        suspects.record_crash(Instant::now(), fingerprint(request));
+        suspects.record_crash(Instant::now(), fingerprint(request), crash);
     }
 }
 
@@ -73,7 +87,7 @@
     }
 }
 
-/// Writes the crash count of a suspect into its call; refuses a quarantined one.
+/// Writes the crashes of a suspect into its call; refuses a quarantined one.
 ///
 /// # Errors
 /// [`RefusalReason::Quarantined`].
@@ -84,7 +98,7 @@
 ) -> Result<(), RefusalReason> {
     check(node, fingerprint)?;
     let held = report(node, fingerprint);
-    request.crashes = held.map_or(0, |report| report.crashes);
+    request.crashes = held.map_or_else(Vec::new, |report| report.crashes);
     Ok(())
 }
 
--- a/crates/daemon/src/serving/dispatch_tracker.rs
+++ b/crates/daemon/src/serving/dispatch_tracker.rs
@@ -39,7 +39,7 @@
         protection
             .suspects
             .borrow_mut()
-            .record_success(self.fingerprint);
+            .record_success(Instant::now(), self.fingerprint);
         health_probe::record_dispatch(&self.node, DispatchResult::Answered);
     }
 
--- a/crates/daemon/src/serving/request_server.rs
+++ b/crates/daemon/src/serving/request_server.rs
@@ -73,7 +73,7 @@
     let Some(class) = class else {
         return Err(refusals::on_arrival(RefusalReason::NoPolicy));
     };
-    suspect_gate::merge_report(node, fingerprint, request.crashes);
+    suspect_gate::merge_report(node, fingerprint, &request.crashes);
     suspect_gate::check(node, fingerprint).map_err(refusals::on_arrival)?;
     let is_refused_early =
         !node.is_pass_through() && !is_admitted_downstream(node, &request, &class);
--- a/crates/daemon/tests/crash_suspects.rs
+++ b/crates/daemon/tests/crash_suspects.rs
@@ -13,7 +13,10 @@
 use crashing_upstream::{CrashingUpstream, POISON};
 use keyed_support::TcpProxy;
 use lagoonshore_coordination::{
-    protection::suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
+    protection::{
+        crash_set::{CrashId, CrashReport},
+        suspects::{QUARANTINE_TIME, SUSPECTS_MAX, SuspectCounts, SuspectReport},
+    },
     retries::SharedTokens,
 };
 use lagoonshore_daemon::{
@@ -21,7 +24,7 @@
     protection::crash_response,
 };
 use lagoonshore_protocol::messages::{CallRequest, CallResult, MessageStamp};
-use lagoonshore_state::units::{RequestImportance, TokenCount};
+use lagoonshore_state::units::{RequestImportance, TokenCount, whole_millis};
 use std::time::Duration;
 use support::{TestNode, TestResponse};
 use tokio::time::Instant;
@@ -118,7 +121,7 @@
         tokens: TokenCount(0),
         key: None,
         stamp: MessageStamp::default(),
-        crashes: 0,
+        crashes: Vec::new(),
     };
     let call = RoutedCall {
         request,
@@ -194,6 +197,18 @@
     assert_eq!(count_crashes(&fleet), 1);
 }
 
+/// A crash of another instance, `age` ago.
+fn crash_report(number: u32, age: Duration) -> CrashReport {
+    CrashReport {
+        id: CrashId {
+            instance: 1,
+            number: Some(number),
+        },
+        age_ms: whole_millis(age),
+        is_cleared: false,
+    }
+}
+
 async fn get(address: std::net::SocketAddr, path: &'static str) -> TestResponse {
     let headers = [("lagoonshore-timeout-ms", "60000")];
     support::send(address, "GET", path, &headers, "").await
@@ -204,26 +219,21 @@
     let fleet = start_fleet().await;
     let response = send_poison(&fleet[0].0).await;
     assert_eq!(response.outcome, "unknown");
-    let fingerprint = fleet[0]
+    let reports = fleet[0]
         .0
         .node
         .protection
         .suspects
         .borrow()
-        .reports(Instant::now())[0]
-        .fingerprint;
-    // The second crash was reported so long ago that the quarantine has ended.
-    let long_ago = Instant::now() - QUARANTINE_TIME - Duration::from_secs(1);
-    let report = SuspectReport {
-        fingerprint,
-        crashes: 2,
-    };
+        .reports(Instant::now());
+    let [mut report] = reports.try_into().expect("one suspect");
+    // The first crash and a second one were so long ago that the quarantine has ended.
+    let age = QUARANTINE_TIME + Duration::from_secs(1);
+    report.crashes[0].age_ms = whole_millis(age);
+    report.crashes.push(crash_report(2, age));
     for (node, _) in &fleet {
-        node.node
-            .protection
-            .suspects
-            .borrow_mut()
-            .merge(long_ago, report);
+        let mut suspects = node.node.protection.suspects.borrow_mut();
+        suspects.merge(Instant::now(), &report);
     }
     let response = send_poison(&fleet[1].0).await;
     assert_eq!(
@@ -277,7 +287,7 @@
     let (node, _) = &fleet[0];
     let flood = (0..50_000).map(|fingerprint| SuspectReport {
         fingerprint,
-        crashes: 1,
+        crashes: vec![crash_report(1, Duration::ZERO)],
     });
     crash_response::merge(&node.node, flood);
     let response = support::send(node.addresses.admin, "GET", "/state", &[], "").await;
--- a/crates/daemon/tests/keyed_support/mod.rs
+++ b/crates/daemon/tests/keyed_support/mod.rs
@@ -230,7 +230,7 @@
         tokens: TokenCount(0),
         key: Some(ExecutionKey::Home(key.into())),
         stamp: MessageStamp::default(),
-        crashes: 0,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/protocol/src/messages.rs
+++ b/crates/protocol/src/messages.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-pub use lagoonshore_coordination::protection::suspects::SuspectReport;
+pub use lagoonshore_coordination::protection::{crash_set::CrashReport, suspects::SuspectReport};
 use lagoonshore_coordination::{
     at_most_once::message_age::ClockStamp,
     gossip::policy_digest::{ListVersion, PolicyDigest},
@@ -43,7 +43,7 @@
         /// Sender and send time; set by the link.
         pub stamp: MessageStamp,
         /// Upstream crashes known to the calling node during which the request was running.
-        pub crashes: u8,
+        pub crashes: Vec<CrashReport>,
     }
 
     /// `ExecutionKey` determines which node may run a request, and under which key.
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    protection::suspects::SuspectReport, request::outcome::RefusalReason,
+    protection::{crash_set::CrashReport, suspects::SuspectReport},
+    request::outcome::RefusalReason,
 };
 use lagoonshore_state::{
     data_type,
@@ -58,8 +59,8 @@
         pub is_repeat: bool,
         /// Whether an earlier attempt may have reached an upstream.
         pub is_resent: bool,
-        /// Upstream crashes that the sender attributes to the request.
-        pub crashes: u8,
+        /// Upstream crashes that the sender knows to have happened during the request.
+        pub crashes: Vec<CrashReport>,
         /// Latest store revision that the sender has applied or heard of.
         pub revision: u64,
         /// Run of the upstream beside the receiver that announced its departure in a response to the sender. A
--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -166,7 +166,7 @@
 
     pub(crate) fn can_continue(&self, request: &RoutedRequest) -> bool {
         let is_safe = !self.may_have_run || request.route.is_idempotent;
-        is_safe && !self.is_nested_overload && self.reason != RefusalReason::Quarantined
+        is_safe && !self.is_nested_overload
     }
 
     /// Result once no further instance is tried. A failure response of an upstream takes precedence
--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -6,6 +6,7 @@
 
 use lagoonshore_coordination::{
     forwarding::zone_health::ZoneHealth,
+    protection::fingerprint::RequestFingerprint,
     request::request_lifecycle::CallRefusal,
     routing::{PeerSelector, PeerSummary, RoutingOrigin, peer_view::ReportedLoad},
 };
@@ -86,6 +87,20 @@
         self.choose_from(service, &others)
     }
 
+    /// Selects the instance of `service` that may run a request again after its quarantine.
+    pub fn trial_target(
+        &self,
+        service: &str,
+        fingerprint: RequestFingerprint,
+    ) -> Option<PeerTarget> {
+        let (key, record) = self.directory.trial_instance(service, fingerprint)?;
+        Some(PeerTarget {
+            key,
+            name: record.name,
+            address: record.peer,
+        })
+    }
+
     /// Returns whether `service` has a selectable instance that is not in `tried`.
     pub fn has_untried(&self, service: &str, tried: &[InstanceKey]) -> bool {
         let table = self.directory.instances();
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -19,9 +19,9 @@
     header_scheme::HeaderScheme,
     lifecycle::request_cutoff::RequestCutoff,
     serving::{
-        retry_gate::retry_quota, running_table::CallTotals, suspect_tracker,
-        upstream_server::UpstreamServer,
+        retry_gate::retry_quota, running_table::CallTotals, upstream_server::UpstreamServer,
     },
+    suspect_tracker,
 };
 
 use lagoonshore_coordination::{
@@ -29,6 +29,7 @@
         retry_allowance::{AllowanceRules, RetryAllowance},
         traffic_split::TrafficSplit,
     },
+    protection::fingerprint::RequestFingerprint,
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest, RelayResponse, RelayResult};
@@ -218,9 +219,39 @@
         None
     }
 
+    /// Selects the next instance. After its quarantine a suspect goes first to the instance that all
+    /// nodes choose for its run on probation. Whether a quarantined request may run is decided beside
+    /// the upstream, where it may have run completely; the sender passes on the crashes that it knows.
+    fn next_target(&self, request: &RoutedRequest, progress: &CallProgress) -> Option<PeerTarget> {
+        if let Some(fingerprint) = self.suspect_fingerprint(request)
+            && self.server.suspects().is_on_probation(fingerprint)
+            && let Some(target) = self.peers.trial_target(&progress.service, fingerprint)
+            && !progress.tried.contains(&target.key)
+        {
+            return Some(target);
+        }
+        self.next_instance(request, progress)
+    }
+
+    /// Fingerprint of the request; `None` while there are no suspects at all.
+    fn suspect_fingerprint(&self, request: &RoutedRequest) -> Option<RequestFingerprint> {
+        let RoutedRequest {
+            method,
+            target,
+            body,
+            ..
+        } = request;
+        let has_suspects = !self.server.suspects().is_empty();
+        has_suspects.then(|| suspect_tracker::fingerprint_of(&self.origin, method, target, body))
+    }
+
     /// Selects an untried instance, or else one whose upstream rejected the request for overload:
     /// it may reject only a part of the requests.
-    fn next_target(&self, request: &RoutedRequest, progress: &CallProgress) -> Option<PeerTarget> {
+    fn next_instance(
+        &self,
+        request: &RoutedRequest,
+        progress: &CallProgress,
+    ) -> Option<PeerTarget> {
         let (service, tried) = (&progress.service, &progress.tried);
         let attempts = usize::try_from(request.route.attempts).unwrap_or(usize::MAX);
         if tried.len() < INSTANCES_MAX && progress.receivers.len() < attempts {
@@ -293,10 +324,10 @@
         message.revision = self.directory.versions().known_revision();
         message.departed = self.peers.departed_run(target.address);
         message.limit = self.peers.limit(target.address);
-        if message.is_resent || message.is_idempotent {
-            let fingerprint = suspect_tracker::fingerprint_of(&message);
-            message.crashes = self.server.suspects().crash_count(fingerprint);
-        }
+        let fingerprint = self.suspect_fingerprint(request);
+        let suspect =
+            fingerprint.and_then(|fingerprint| self.server.suspects().report(fingerprint));
+        message.crashes = suspect.map_or_else(Vec::new, |suspect| suspect.crashes);
         let median_latency = self.latencies.median(&request.route.name);
         let record = AttemptRecord::start(&self.peers, target, median_latency);
         let reply = if target.address == self.peer_address.get() {
@@ -308,8 +339,8 @@
         };
         let elapsed = record.finish(&reply);
         if let Ok(reply) = &reply {
-            if let Some(report) = reply.suspect {
-                self.server.suspects().merge(&[report]);
+            if let Some(report) = &reply.suspect {
+                self.server.suspects().merge(std::slice::from_ref(report));
             }
             if matches!(reply.result, RelayResult::Answered(_)) {
                 self.latencies.record(&request.route.name, elapsed);
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -12,7 +12,7 @@
 /// are untried.
 const FIRST_WAIT_SHARE: f64 = 0.15;
 
-/// Builds the message for the node beside `target`. The crash count, the revision and
+/// Builds the message for the node beside `target`. The crashes, the revision and
 /// what earlier replies said of the upstream stay empty; the caller of the function fills them in.
 pub(crate) fn build_request(
     request: &RoutedRequest,
@@ -48,7 +48,7 @@
         is_returning: !request.spent.is_zero(),
         is_repeat: is_retry || is_resent,
         is_resent,
-        crashes: 0,
+        crashes: Vec::new(),
         revision: 0,
         departed: None,
         limit: None,
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -3,21 +3,18 @@
 //! Refusals and failures have a higher limit than routine lines. The next line under the same
 //! limit reports how many were left out.
 
-use crate::{events, relay_metrics};
+use crate::{events, line_budget::LineBudget, relay_metrics};
 
 use lagoonshore_coordination::forwarding::arrival_budget::RetryPriority;
 use lagoonshore_protocol::relay_messages::{NodeStatus, RelayResponse};
 use lagoonshore_state::units::whole_millis;
-use std::{cell::Cell, time::Duration};
-use tokio::time::Instant;
+use std::time::Duration;
 use tracing::{info, warn};
 
-/// Lines about refusals, retries and failures per [`LINE_WINDOW`].
+/// Lines about refusals, retries and failures in one [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
 const FAILURE_LINES_MAX: u32 = 25;
-/// Lines about routine decisions per [`LINE_WINDOW`].
+/// Lines about routine decisions in one [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
 const ROUTINE_LINES_MAX: u32 = 1;
-/// Window in which the lines under a limit are counted.
-const LINE_WINDOW: Duration = Duration::from_secs(1);
 
 /// `RequestTrace` holds the fields that log lines about a request have in common.
 #[derive(Clone, Copy, Debug)]
@@ -43,15 +40,6 @@
     routine: LineBudget,
 }
 
-#[derive(Debug)]
-struct LineBudget {
-    /// Lines per window.
-    lines_max: u32,
-    since: Cell<Option<Instant>>,
-    written: Cell<u32>,
-    left_out: Cell<u64>,
-}
-
 impl Default for DecisionLog {
     fn default() -> Self {
         Self {
@@ -61,33 +49,6 @@
     }
 }
 
-impl LineBudget {
-    const fn new(lines_max: u32) -> Self {
-        Self {
-            lines_max,
-            since: Cell::new(None),
-            written: Cell::new(0),
-            left_out: Cell::new(0),
-        }
-    }
-
-    /// Returns the number of lines left out before this one, or `None` if this one is left out too.
-    fn take(&self) -> Option<u64> {
-        let now = Instant::now();
-        let since = self.since.get();
-        if since.is_none_or(|since| now - since >= LINE_WINDOW) {
-            self.since.set(Some(now));
-            self.written.set(0);
-        }
-        if self.written.get() >= self.lines_max {
-            self.left_out.set(self.left_out.get() + 1);
-            return None;
-        }
-        self.written.set(self.written.get() + 1);
-        Some(self.left_out.take())
-    }
-}
-
 impl DecisionLog {
     /// Logs that a request was refused and did not run; `retry_after` is the time after which its
     /// caller may retry.
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -3,11 +3,14 @@
 use crate::{events, known_versions::KnownVersions};
 
 use compact_str::CompactString;
-use lagoonshore_coordination::forwarding::read_schedule::{SHORT_WATCHES_PER_ZONE, WatchLength};
+use lagoonshore_coordination::{
+    forwarding::read_schedule::{SHORT_WATCHES_PER_ZONE, WatchLength},
+    protection::{fingerprint::RequestFingerprint, trial_choice},
+};
 use lagoonshore_protocol::relay_messages::FleetSnapshot;
 use lagoonshore_state::{
     ids::{DocumentVersion, RegionName},
-    instance_table::{InstanceRecord, InstanceState, InstanceTable},
+    instance_table::{InstanceKey, InstanceRecord, InstanceState, InstanceTable},
     route_table::{FleetDocument, RouteTable},
     units::whole_millis,
     upstream_list::{UpstreamList, UpstreamRecord, UpstreamRun},
@@ -301,6 +304,21 @@
         }
     }
 
+    /// Chooses the instance of `service` that may run a request again after its quarantine.
+    #[must_use]
+    pub fn trial_instance(
+        &self,
+        service: &str,
+        fingerprint: RequestFingerprint,
+    ) -> Option<(InstanceKey, InstanceRecord)> {
+        let table = self.instances.borrow();
+        let live = table
+            .of_service(service)
+            .filter(|(_, record)| record.state == InstanceState::Live);
+        let chosen = trial_choice::choose(fingerprint, live, |(_, record)| &record.name)?;
+        Some((chosen.0, chosen.1.clone()))
+    }
+
     /// Number of listed upstreams, each with a node beside it.
     #[must_use]
     pub fn node_count(&self) -> u32 {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -67,3 +67,9 @@
 pub const BREAKER_CLOSED: u16 = 3406;
 /// The local upstream crashed while it ran a request.
 pub const CRASH_COUNTED: u16 = 3401;
+/// A request was refused because it is quarantined.
+pub const REQUEST_QUARANTINED: u16 = 3407;
+/// A request runs once after its quarantine.
+pub const TRIAL_STARTED: u16 = 3408;
+/// A complete run cleared a suspect.
+pub const SUSPECT_CLEARED: u16 = 3409;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,11 +15,14 @@
 pub mod http1;
 pub mod known_versions;
 pub mod lifecycle;
+mod line_budget;
 pub mod logging;
 pub mod node;
 pub mod peer_listener;
 pub mod relay_metrics;
 pub mod serving;
 pub mod state_dump;
+mod suspect_log;
+pub mod suspect_tracker;
 
 pub use error::{RelayError, Result};
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -25,7 +25,10 @@
 };
 
 use actix_rt::net::TcpListener;
-use lagoonshore_coordination::gossip::report_spread::{self, REPORT_INTERVAL};
+use lagoonshore_coordination::{
+    gossip::report_spread::{self, REPORT_INTERVAL},
+    protection::suspects::SuspectReport,
+};
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
 use lagoonshore_state::upstream_list::{UpstreamLimit, UpstreamRun};
 use lagoonshore_transport::{http_listener, metrics_recorder, signals};
@@ -99,12 +102,14 @@
         let callers = CallerListener::new(scheme, Rc::clone(&directory), table, forwarder);
         let ready = Rc::new(ReadyListener::new(Rc::clone(&directory)));
         let (link_peers, fleet) = (Rc::clone(&peer_table), Rc::clone(&directory));
-        let weak_links = Rc::downgrade(&links);
+        let (weak_links, suspects) = (Rc::downgrade(&links), Rc::clone(server.suspects()));
         links.set_event_handler(Rc::new(move |address, event| {
             link_peers.record_link_event(address, event);
             if event == LinkEvent::Reconnected
                 && let Some(links) = weak_links.upgrade()
             {
+                let reports = suspects.quarantine_reports();
+                actix_rt::spawn(report_suspects(Rc::clone(&links), reports, address));
                 actix_rt::spawn(push_snapshot_if_empty(links, Rc::clone(&fleet), address));
             }
         }));
@@ -346,7 +351,7 @@
     }
 }
 
-/// Reports requests that crash upstreams to other nodes, as long as there are recent ones.
+/// Reports what is learned of suspects to other nodes, as long as it is recent.
 async fn spread_suspects(node: Rc<RelayNode>) {
     loop {
         actix_rt::time::sleep(REPORT_INTERVAL).await;
@@ -362,9 +367,17 @@
         };
         for peer in report_spread::choose_peers(&peers, &mut rand::rng()) {
             let (links, reports) = (Rc::clone(&node.links), reports.clone());
-            let deadline = Instant::now() + REPORT_TIMEOUT;
-            // If the report fails, other nodes report the same suspects to that node.
-            actix_rt::spawn(async move { links.report_suspects(peer, reports, deadline).await });
+            actix_rt::spawn(report_suspects(links, reports, peer));
         }
     }
 }
+
+/// Reports suspects to the node at `address`.
+async fn report_suspects(links: Rc<PeerLinks>, reports: Vec<SuspectReport>, address: SocketAddr) {
+    if reports.is_empty() {
+        return;
+    }
+    let deadline = Instant::now() + REPORT_TIMEOUT;
+    // If the report fails, other nodes report the same suspects to that node.
+    let _ = links.report_suspects(address, reports, deadline).await;
+}
--- a/crates/relay/src/serving/local_upstream.rs
+++ b/crates/relay/src/serving/local_upstream.rs
@@ -19,7 +19,7 @@
 
 use actix_rt::net::TcpStream;
 use compact_str::CompactString;
-use lagoonshore_coordination::protection::suspects::CrashId;
+use lagoonshore_coordination::protection::{crash_set::CrashId, fingerprint};
 use lagoonshore_settings::RelaySettings;
 use lagoonshore_state::{
     ids::{InstanceName, ServiceName},
@@ -56,6 +56,8 @@
     is_down: Cell<bool>,
     /// Latest crash; it is the one in progress while the upstream is down.
     crash: Cell<CrashId>,
+    /// Hash of the name of the node, by which reports of crashes name the instance.
+    instance: u64,
     announcements: Rc<UpstreamAnnouncements>,
 }
 
@@ -89,6 +91,7 @@
             confirmed_at: Cell::new(Instant::now()),
             is_down: Cell::new(false),
             crash: Cell::new(CrashId::default()),
+            instance: fingerprint::of_instance(&settings.node),
             announcements,
         }
     }
@@ -170,7 +173,10 @@
         if self.is_down.replace(true) {
             return;
         }
-        self.crash.set(rand::random());
+        self.crash.set(CrashId {
+            instance: self.instance,
+            number: Some(rand::random()),
+        });
         warn!(event = events::UPSTREAM_DOWN, address = %self.address, "upstream: down");
         self.pool.clear();
         actix_rt::spawn(Rc::clone(self).poll_until_up());
--- a/crates/relay/src/serving/mod.rs
+++ b/crates/relay/src/serving/mod.rs
@@ -7,7 +7,6 @@
 mod route_gate;
 pub mod running_table;
 pub mod slot_limiter;
-pub mod suspect_tracker;
 mod upstream_exchange;
 mod upstream_request;
 pub mod upstream_server;
--- a/crates/relay/src/serving/upstream_exchange.rs
+++ b/crates/relay/src/serving/upstream_exchange.rs
@@ -6,13 +6,11 @@
     refusals::{UNAVAILABLE_RETRY_AFTER, refusal, unknown_outcome},
     retry_gate::RetryGate,
     slot_limiter::{SlotLimiter, SlotPermit},
-    suspect_tracker::SuspectTracker,
     upstream_request,
 };
 
 use crate::{
     decision_log::DecisionLog,
-    events,
     header_scheme::HeaderScheme,
     http1::{
         exchange::{ExchangeError, ReceivedResponse, SentRequest},
@@ -20,6 +18,7 @@
         pool::{ANY_IDLE_TIME, ConnectionPool, SendError},
     },
     relay_metrics,
+    suspect_tracker::SuspectTracker,
 };
 
 use lagoonshore_coordination::{
@@ -192,12 +191,7 @@
             .log_upstream_failed(&request.id, "exchange", &format!("{error:?}"));
         let may_be_crash = matches!(error, ExchangeError::Broken(_) | ExchangeError::ClosedEarly);
         if may_be_crash && let Some(crash) = self.upstream.check_after_disconnect().await {
-            let report = self.suspects.record_crash(fingerprint);
-            tracing::warn!(
-                event = events::CRASH_COUNTED,
-                request = %request.id, fingerprint, crash, crashes = report.crashes,
-                "upstream: crashed while it ran the request"
-            );
+            self.suspects.record_crash(&request.id, fingerprint, crash);
         }
         match error {
             ExchangeError::NoAnswer => unknown_outcome(RefusalReason::BrokenAnswer),
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -8,7 +8,6 @@
     route_gate::{RouteGate, RoutePermit, RunSummary},
     running_table::{CallTotals, RunningRequest, RunningTable},
     slot_limiter::{SlotLimiter, SlotPermit},
-    suspect_tracker::{self, SuspectTracker},
     upstream_exchange::UpstreamExchange,
 };
 
@@ -20,11 +19,12 @@
     http1::{memory_budget::MemoryBudget, pool::ConnectionPool},
     lifecycle::request_cutoff::RequestCutoff,
     relay_metrics,
+    suspect_tracker::{self, SuspectStatus, SuspectTracker, TrialGuard},
 };
 
 use lagoonshore_coordination::{
     forwarding::slot_queue::{SlotRank, SlotRequest},
-    protection::{fingerprint::RequestFingerprint, suspects::SuspectReport},
+    protection::fingerprint::RequestFingerprint,
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{NodeStatus, RelayReply, RelayRequest, RelayResult};
@@ -37,8 +37,6 @@
 const SLOTS_DEFAULT: u32 = 8;
 /// Share of the listed slots that is used: some upstreams slow down when nearly all are in use.
 const USABLE_SLOTS_SHARE: f64 = 0.95;
-/// Crashes after which a request is quarantined.
-const CRASHES_MAX: u8 = 3;
 /// Most requests of one route, running and waiting, in multiples of the slots.
 const ROUTE_REQUESTS_PER_SLOT: u32 = 3;
 
@@ -47,6 +45,9 @@
 /// Part of the memory of the process that unfinished responses may hold together.
 const RESPONSE_MEMORY_DIVISOR: usize = 4;
 
+/// A request may not run now, because it crashed upstreams.
+struct Quarantined;
+
 /// `UpstreamServer` runs requests on the local upstream.
 pub struct UpstreamServer {
     directory: Rc<FleetDirectory>,
@@ -187,7 +188,13 @@
         }
     }
 
-    /// Crash counts of suspect requests.
+    /// Returns whether the local upstream refuses connections.
+    #[must_use]
+    pub fn is_upstream_down(&self) -> bool {
+        self.upstream.is_down()
+    }
+
+    /// Suspect requests.
     #[must_use]
     pub const fn suspects(&self) -> &Rc<SuspectTracker> {
         &self.suspects
@@ -201,7 +208,12 @@
         if request.service == self.service {
             self.announcements.record_request(&request);
         }
-        let fingerprint = suspect_tracker::fingerprint_of(&request);
+        let fingerprint = suspect_tracker::fingerprint_of(
+            &request.origin,
+            &request.method,
+            &request.target,
+            &request.body,
+        );
         let mut totals = CallTotals::default();
         let result = self.run(request, deadline, fingerprint, &mut totals).await;
         drop(active);
@@ -225,13 +237,7 @@
         fingerprint: RequestFingerprint,
         totals: &mut CallTotals,
     ) -> RelayResult {
-        let report = SuspectReport {
-            fingerprint,
-            crashes: request.crashes,
-        };
-        if report.crashes > 0 {
-            self.suspects.merge(&[report]);
-        }
+        self.suspects.merge_crashes(fingerprint, &request.crashes);
         // Without a document the calls of the run would find no routes.
         if self.directory.version() == 0 {
             return refusal(RefusalReason::Starting, UNAVAILABLE_RETRY_AFTER);
@@ -246,9 +252,9 @@
         if self.upstream.is_down() {
             return refusal(RefusalReason::UpstreamUnreachable, UNAVAILABLE_RETRY_AFTER);
         }
-        if self.suspects.crash_count(fingerprint) >= CRASHES_MAX {
+        let Ok(_trial) = self.admit_suspect(&request, fingerprint) else {
             return refusal(RefusalReason::Quarantined, Duration::ZERO);
-        }
+        };
         if !self.retry_gate.can_retry(&request) {
             return refusal(RefusalReason::RetryLimit, Duration::ZERO);
         }
@@ -296,6 +302,30 @@
         result
     }
 
+    /// Admits a request that is not quarantined. After its quarantine it runs once at a time, and only
+    /// on the instance that all nodes choose for that.
+    fn admit_suspect(
+        &self,
+        request: &RelayRequest,
+        fingerprint: RequestFingerprint,
+    ) -> Result<Option<TrialGuard>, Quarantined> {
+        let (id, suspects) = (&request.id, &self.suspects);
+        let state = match suspects.status(fingerprint) {
+            SuspectStatus::Clear => return Ok(None),
+            SuspectStatus::Probation(state) => {
+                let chosen = self.directory.trial_instance(&self.service, fingerprint);
+                let is_chosen = chosen.is_some_and(|(_, record)| record.name == request.instance);
+                if is_chosen && let Some(trial) = suspects.start_trial(id, fingerprint, state) {
+                    return Ok(Some(trial));
+                }
+                state
+            }
+            SuspectStatus::Quarantined(state) => state,
+        };
+        suspects.log_quarantined(id, fingerprint, state);
+        Err(Quarantined)
+    }
+
     /// Admits a new request unless the nested calls of its route fail or are not served in time.
     fn admit(&self, request: &RelayRequest) -> Result<Option<RoutePermit<'_>>, Duration> {
         if request.is_nested() || self.control == ControlMode::PassThrough {
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -29,7 +29,7 @@
         is_returning: false,
         is_repeat: false,
         is_resent: false,
-        crashes: 0,
+        crashes: Vec::new(),
         revision: 0,
         departed: None,
         limit: None,
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -28,7 +28,7 @@
         is_returning: false,
         is_repeat: is_resent,
         is_resent,
-        crashes: 0,
+        crashes: Vec::new(),
         revision: 0,
         departed: None,
         limit: None,
--- a/crates/relay/tests/support/upstream.rs
+++ b/crates/relay/tests/support/upstream.rs
@@ -2,7 +2,10 @@
 
 use super::SCHEME;
 
-use actix_rt::net::{TcpListener, TcpStream};
+use actix_rt::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
 use bytes::BytesMut;
 use lagoonshore_relay::http1::{body::BodyReader, head};
 use std::{
@@ -31,7 +34,7 @@
 /// `cut` closes the connection within the body, `late` first sends a response to another request,
 /// `surplus` sends a second response after its own, `unframed` sends no length, `fail` answers 500,
 /// `shed` answers 503 and reports that it did not run the request, `unsigned` leaves out the
-/// signature, `drop` closes the connection without a response.
+/// signature, `drop` closes the connection without a response, `crash` crashes the upstream.
 pub(crate) struct StandInUpstream {
     pub address: SocketAddr,
     pub slots: u32,
@@ -48,9 +51,19 @@
     pub is_leaving: Rc<Cell<bool>>,
     /// Limit on the rate of requests that all responses name.
     pub limit: Rc<Cell<Option<&'static str>>>,
-    accepting: actix_rt::task::JoinHandle<()>,
+    tasks: SharedTasks,
+    shared: UpstreamState,
+}
+
+/// Tasks of one run of an upstream; its crash ends them.
+#[derive(Default)]
+struct UpstreamTasks {
+    accepting: Option<JoinHandle<()>>,
+    connections: Vec<JoinHandle<()>>,
 }
 
+type SharedTasks = Rc<RefCell<UpstreamTasks>>;
+
 impl StandInUpstream {
     pub(crate) async fn start(ip: &str) -> Self {
         let listener = TcpListener::bind(format!("{ip}:0"))
@@ -74,12 +87,10 @@
             repeats_refusals: Rc::clone(&repeats_refusals),
             is_leaving: Rc::clone(&is_leaving),
             limit: Rc::clone(&limit),
+            tasks: SharedTasks::default(),
         };
-        let accepting = actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(serve(stream, shared.clone()));
-            }
-        });
+        let tasks = Rc::clone(&shared.tasks);
+        accept(listener, &shared);
         Self {
             address,
             slots: 10,
@@ -91,10 +102,27 @@
             repeats_refusals,
             is_leaving,
             limit,
-            accepting,
+            tasks,
+            shared,
         }
     }
 
+    /// Crashes the upstream: it refuses connections, and those that are open break.
+    pub(crate) async fn crash(&self) {
+        crash(&self.tasks).await;
+    }
+
+    /// Starts the upstream again at its address after a crash.
+    pub(crate) async fn restart(&self) {
+        let listener = TcpListener::bind(self.address).await.expect("a free port");
+        accept(listener, &self.shared);
+    }
+
+    /// Returns whether the upstream accepts connections.
+    pub(crate) fn is_up(&self) -> bool {
+        self.tasks.borrow().accepting.is_some()
+    }
+
     /// Ids of the requests read so far, in order.
     pub(crate) fn ids(&self) -> Vec<String> {
         self.seen
@@ -106,7 +134,33 @@
 
     /// Stops accepting connections.
     pub(crate) fn stop(&self) {
-        self.accepting.abort();
+        if let Some(accepting) = &self.tasks.borrow().accepting {
+            accepting.abort();
+        }
+    }
+}
+
+fn accept(listener: TcpListener, shared: &UpstreamState) {
+    let (accepted, tasks) = (shared.clone(), Rc::clone(&shared.tasks));
+    let accepting = actix_rt::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let connection = actix_rt::spawn(serve(stream, accepted.clone()));
+            tasks.borrow_mut().connections.push(connection);
+        }
+    });
+    shared.tasks.borrow_mut().accepting = Some(accepting);
+}
+
+async fn crash(tasks: &SharedTasks) {
+    let ended = std::mem::take(&mut *tasks.borrow_mut());
+    let Some(accepting) = ended.accepting else {
+        return;
+    };
+    // The port refuses connections before the open ones end.
+    accepting.abort();
+    let _ = accepting.await;
+    for connection in ended.connections {
+        connection.abort();
     }
 }
 
@@ -121,6 +175,7 @@
     repeats_refusals: Rc<Cell<bool>>,
     is_leaving: Rc<Cell<bool>>,
     limit: Rc<Cell<Option<&'static str>>>,
+    tasks: SharedTasks,
 }
 
 async fn serve(mut stream: TcpStream, shared: UpstreamState) {
@@ -213,6 +268,12 @@
         "shed" => (shed_response(id), true),
         "unsigned" => (ok.replace("Signature: s\r\n", ""), true),
         "drop" => return false,
+        "crash" => {
+            let tasks = Rc::clone(&shared.tasks);
+            // A task of its own, since the crash ends the one of this connection.
+            actix_rt::spawn(async move { crash(&tasks).await });
+            std::future::pending().await
+        }
         _ => (ok, true),
     };
     stream.write_all(text.as_bytes()).await.is_ok() && is_reusable
