Show what a node knows of the store in its state

The state page has the part `store` now: the newest revision applied, the newest one heard of, and the age of the last read.

The records of the reads move from the directory to a module of their own, `store_view`, beside the known versions.

--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -1,6 +1,9 @@
 //! A node's view of the fleet: the document in force and the upstream list.
 
-use crate::{events, known_versions::KnownVersions};
+use crate::{
+    events,
+    store_view::{known_versions::KnownVersions, store_health::StoreHealth},
+};
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
@@ -12,14 +15,12 @@
     ids::{DocumentVersion, RegionName},
     instance_table::{InstanceKey, InstanceRecord, InstanceState, InstanceTable},
     route_table::{FleetDocument, RouteTable},
-    units::whole_millis,
     upstream_list::{UpstreamList, UpstreamRecord, UpstreamRun},
 };
 use std::{
     cell::{Cell, Ref, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
 };
 use tokio::sync::watch;
 use tracing::{info, warn};
@@ -33,17 +34,6 @@
     Peer,
 }
 
-/// `FailedRead` describes a read of the store that failed.
-#[derive(Clone, Copy, Debug)]
-pub struct FailedRead<'a> {
-    /// Error of the read.
-    pub cause: &'a str,
-    /// Time from the start of the read to its failure.
-    pub took: Duration,
-    /// Time since the last read that succeeded, or since the start of the node.
-    pub success_age: Duration,
-}
-
 /// `FleetDirectory` holds the routes and upstreams that the node knows.
 #[derive(Debug)]
 pub struct FleetDirectory {
@@ -55,9 +45,9 @@
     upstreams: RefCell<UpstreamList>,
     instances: RefCell<InstanceTable>,
     is_list_read: Cell<bool>,
-    is_store_unreachable: Cell<bool>,
     refused_count: Cell<u64>,
     versions: KnownVersions,
+    store: StoreHealth,
     changes: watch::Sender<u64>,
 }
 
@@ -74,9 +64,9 @@
             upstreams: RefCell::default(),
             instances: RefCell::default(),
             is_list_read: Cell::new(false),
-            is_store_unreachable: Cell::new(false),
             refused_count: Cell::new(0),
             versions: KnownVersions::default(),
+            store: StoreHealth::default(),
             changes: watch::channel(0).0,
         }
     }
@@ -227,33 +217,10 @@
         &self.versions
     }
 
-    /// Records that a read of the store succeeded.
-    pub fn record_store_read(&self) {
-        if self.is_store_unreachable.replace(false) {
-            info!(event = events::STORE_RECOVERED, "store: reachable again");
-        }
-    }
-
-    /// Records that a read of the store failed.
-    pub fn record_failed_read(&self, read: &FailedRead<'_>) {
-        let FailedRead { cause, .. } = *read;
-        info!(
-            event = events::STORE_READ_FAILED,
-            cause,
-            took_ms = whole_millis(read.took),
-            success_age_ms = whole_millis(read.success_age),
-            revision = self.versions.revision(),
-            known_revision = self.versions.known_revision(),
-            "store: read failed"
-        );
-        if !self.is_store_unreachable.replace(true) {
-            warn!(
-                event = events::STORE_UNREACHABLE,
-                cause,
-                version = self.version(),
-                "store: unreachable"
-            );
-        }
+    /// Reads of the store.
+    #[must_use]
+    pub const fn store(&self) -> &StoreHealth {
+        &self.store
     }
 
     /// Version of the document in force; 0 before the first.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod events;
 pub mod header_scheme;
 pub mod http1;
-pub mod known_versions;
 pub mod lifecycle;
 mod line_budget;
 pub mod logging;
@@ -22,6 +21,7 @@
 pub mod relay_metrics;
 pub mod serving;
 pub mod state_dump;
+pub mod store_view;
 mod suspect_log;
 pub mod suspect_tracker;
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -198,6 +198,7 @@
             is_ready: self.ready.is_ready(),
             version: self.directory.version(),
             refused_entries: self.directory.refused_count(),
+            store: state_dump::store(&self.directory),
             slots: crate::serving::slot_limiter::SlotUsage {
                 in_use: status.in_use,
                 limit: status.limit,
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -10,6 +10,7 @@
     ids::{DocumentVersion, InstanceName, ServiceName, ZoneName},
     instance_table::InstanceState,
     route_table::RouteEntry,
+    units::whole_millis,
 };
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -27,6 +28,8 @@
     pub version: DocumentVersion,
     /// Invalid documents and list entries since the start of the process.
     pub refused_entries: u64,
+    /// What the node knows of the store.
+    pub store: StorePart,
     /// Use of the slots of the local upstream.
     pub slots: SlotUsage,
     /// Requests of callers in progress.
@@ -43,6 +46,28 @@
     pub routes: Vec<RouteEntry>,
 }
 
+/// `StorePart` shows what the node knows of the store, and since when.
+#[derive(Debug, Serialize)]
+pub struct StorePart {
+    /// Newest revision that was applied.
+    pub revision: u64,
+    /// Newest revision that was applied here or that another node has reported.
+    pub known_revision: u64,
+    /// Time since the last read that succeeded, in milliseconds.
+    pub read_age_ms: u32,
+}
+
+/// Returns what the node knows of the store.
+#[must_use]
+pub fn store(directory: &FleetDirectory) -> StorePart {
+    let versions = directory.versions();
+    StorePart {
+        revision: versions.revision(),
+        known_revision: versions.known_revision(),
+        read_age_ms: whole_millis(directory.store().read_age()),
+    }
+}
+
 /// `InstanceView` is what a node knows about one instance.
 #[derive(Debug, Serialize)]
 pub struct InstanceView {
