Bound the age of every node's view of the store

Cause: a node with a long watch notices a dead one by itself only after 12.7 s, and is told of changes earlier only by requests and replies of other nodes. An idle node has none, nor has one whose requests stay on its own instance. Ruled out: a change that is held back, or known and not acted on.

Change: one node in 32 of an availability zone, at least one, is a watcher and watches the store with short waits. Every other node keeps one call open to a watcher, which answers when it learns of a change or after a short time. A node that misses an answer, or whose watcher has not read the store lately, abandons its watch, reads at once on another connection, and reads often until it has a watcher again. So the bound rests on each node's own clock, whatever connection went silent. An abandoned watch is not counted as a failed read any more, and the read after it is never abandoned: a node that hears of a change while the store is slow would otherwise abandon each read. The time given to the own watch after news of a change falls from 0.7 s to 0.3 s. New setting `apply_seconds`, 2 if left out.

The load of 15 to 820 nodes at rest is computed from the schedule by a test: 89 reads of the store and 608 calls to watchers a second at 820 nodes, 20 to the busiest watcher.

--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -13,5 +13,6 @@
 pub mod sliding_window;
 pub mod slot_queue;
 pub mod stop_schedule;
+pub mod store_watchers;
 pub mod traffic_split;
 pub mod zone_health;
--- a/crates/coordination/src/forwarding/read_schedule.rs
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -1,30 +1,35 @@
 //! Schedule of the reads of the store: how long a watch (a long poll) waits, when it is abandoned,
 //! and the pauses between reads.
 //!
-//! The request of a watch that begins in an outage is lost, and its silence looks like a store without
-//! changes. Three rules bound the time until such a watch is noticed. After a failed read the node
-//! makes short reads until one succeeds. Some nodes of each availability zone use short watches. All
-//! others are told the newest revision by the nodes that they talk to and abandon a watch that does
-//! not deliver it.
+//! The request of a watch that begins in an outage, or on a connection that has gone silent, is lost,
+//! and its silence looks like a store without changes. Three rules bound the time until such a watch is
+//! noticed. After a failed read the node makes short reads until one succeeds. The watchers of each
+//! availability zone use short watches. All others are told the newest revision, by their watcher and by
+//! the nodes that they talk to, and abandon a watch that does not deliver it; see
+//! [`store_watchers`](super::store_watchers).
 
 use rand::{Rng, RngCore};
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Time after which a watch is abandoned if other nodes know of newer changes.
-pub const BEHIND_TIMEOUT: Duration = Duration::from_millis(700);
+pub const BEHIND_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between the response to a watch and the next watch, so that changes arrive in batches.
 pub const BATCH_TIME: Duration = Duration::from_millis(700);
 /// Time that a watch may take beyond the wait that it asks the store for.
 pub const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
-/// Nodes of each availability zone that use short watches.
-pub const SHORT_WATCHES_PER_ZONE: usize = 2;
 /// Wait of a long watch.
 const LONG_WAIT: Duration = Duration::from_secs(12);
-/// Shortest wait of one watch, and that of the first watch after a failed read.
+/// Shortest wait of one watch, and that of the first watch after a failed or abandoned one.
 const WAIT_MIN: Duration = Duration::from_millis(1);
+/// Shortest wait of a short watch without anything to do.
+const SHORT_WAIT_MIN: Duration = Duration::from_millis(300);
 /// Part of the settle time that remains for the read after a dead watch.
 const REREAD_TIME: Duration = Duration::from_millis(300);
+/// Part of the settle time in which other nodes hear of what that read returned, and read it too.
+const FOLLOW_TIME: Duration = Duration::from_millis(700);
+/// Timeout of a read to which the store responds without waiting for a change.
+pub const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause after the first of consecutive failures.
 const PAUSE_MIN: Duration = Duration::from_millis(60);
 /// Longest pause after consecutive failures.
@@ -35,16 +40,26 @@
 pub enum WatchLength {
     /// A dead watch is noticed within the settle time of the store.
     Short,
-    /// A dead watch is noticed by the reports of other nodes, or after many seconds.
+    /// A dead watch is noticed by the reports of a watcher or of other nodes.
     Long,
 }
 
+/// `WatchTimes` are the times of one watch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchTimes {
+    /// Time for which the store may wait for a change.
+    pub wait: Duration,
+    /// Time after which the watch is given up.
+    pub timeout: Duration,
+}
+
 /// `ReadSchedule` computes the wait of each watch and the pause after a failed read.
 #[derive(Debug)]
 pub struct ReadSchedule {
     short_wait: Duration,
     pause: Duration,
-    is_failing: bool,
+    /// Whether the next read must return at once.
+    is_immediate: bool,
 }
 
 impl ReadSchedule {
@@ -52,20 +67,37 @@
     /// to be up to date again.
     #[must_use]
     pub fn new(settle_time: Duration) -> Self {
-        let reserve = WATCH_TIMEOUT_MARGIN + REREAD_TIME;
+        let reserve = WATCH_TIMEOUT_MARGIN + REREAD_TIME + FOLLOW_TIME;
         Self {
             short_wait: settle_time
                 .saturating_sub(reserve)
-                .clamp(BATCH_TIME, LONG_WAIT),
+                .clamp(SHORT_WAIT_MIN, LONG_WAIT),
             pause: PAUSE_MIN,
-            is_failing: false,
+            is_immediate: false,
         }
     }
 
+    /// Longest wait of a short watch.
+    #[must_use]
+    pub const fn short_wait(&self) -> Duration {
+        self.short_wait
+    }
+
+    /// Returns whether the next read returns at once, so that nothing can be gained by abandoning it.
+    #[must_use]
+    pub const fn is_immediate(&self) -> bool {
+        self.is_immediate
+    }
+
     /// Records a read that succeeded.
     pub const fn record_success(&mut self) {
         self.pause = PAUSE_MIN;
-        self.is_failing = false;
+        self.is_immediate = false;
+    }
+
+    /// Records a watch that was abandoned. The next read returns at once.
+    pub const fn record_abandoned(&mut self) {
+        self.is_immediate = true;
     }
 
     /// Records a read that failed. Returns the pause before the next one, with jitter around its
@@ -73,16 +105,33 @@
     pub fn record_failure(&mut self, random: &mut dyn RngCore) -> Duration {
         let pause = self.pause;
         self.pause = (pause * 2).min(PAUSE_MAX);
-        self.is_failing = true;
+        self.is_immediate = true;
         pause.mul_f64(random.random_range(0.7..1.3))
     }
 
+    /// Times of the next watch; see [`Self::watch_wait`].
+    #[must_use]
+    pub fn watch_times(
+        &self,
+        now: Instant,
+        length: WatchLength,
+        next: Option<Instant>,
+    ) -> WatchTimes {
+        let wait = self.watch_wait(now, length, next);
+        let timeout = if self.is_immediate {
+            READ_TIMEOUT
+        } else {
+            wait + WATCH_TIMEOUT_MARGIN
+        };
+        WatchTimes { wait, timeout }
+    }
+
     /// Wait of the next watch, which must return by `next` if the node has something to do then.
-    /// After a failed read the watch returns at once, so that its response shows that the store is
-    /// back.
+    /// After a failed or abandoned read it returns at once, so that its response shows that the store
+    /// answers.
     #[must_use]
     pub fn watch_wait(&self, now: Instant, length: WatchLength, next: Option<Instant>) -> Duration {
-        if self.is_failing {
+        if self.is_immediate {
             return WAIT_MIN;
         }
         let longest = match length {
--- a/crates/coordination/tests/store_reads.rs
+++ b/crates/coordination/tests/store_reads.rs
@@ -3,6 +3,7 @@
 use lagoonshore_coordination::forwarding::{
     pending_removals::{PendingRemovals, RemovedEntry},
     read_schedule::{ReadSchedule, WATCH_TIMEOUT_MARGIN, WatchLength},
+    store_watchers::{self, FOLLOW_TIMEOUT_MARGIN, FollowSchedule},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use std::time::Duration;
@@ -100,6 +101,74 @@
     }
 }
 
+#[test]
+fn a_node_that_hears_nothing_of_its_watcher_reads_within_the_view_time() {
+    for view_time in [1.5, 2.0, 2.5, 3.0, 11.0].map(Duration::from_secs_f64) {
+        let schedule = FollowSchedule::new(view_time, Duration::from_secs(1));
+        assert_eq!(schedule.timeout, schedule.wait + FOLLOW_TIMEOUT_MARGIN);
+        assert!(schedule.timeout < view_time, "{schedule:?}");
+    }
+}
+
+#[test]
+fn a_watcher_that_reads_as_often_as_it_should_is_followed() {
+    for settle_time in [3, 4, 5, 8] {
+        let schedule = ReadSchedule::new(Duration::from_secs(settle_time));
+        let watch = schedule.watch_times(Instant::now(), WatchLength::Short, None);
+        let follow = FollowSchedule::new(Duration::from_secs(2), schedule.short_wait());
+        assert!(watch.timeout < follow.read_age_max);
+    }
+}
+
+/// Reads of the store and calls to watchers, for a fleet at rest in five availability zones, and calls to
+/// the busiest watcher; each a second.
+fn load_at_rest(nodes: u16) -> (f64, f64, f64) {
+    const ZONES: u16 = 5;
+    let in_zone = usize::from(nodes.div_ceil(ZONES));
+    let schedule = ReadSchedule::new(SETTLE_TIME);
+    let rate = |wait: Duration| 1.0 / wait.as_secs_f64();
+    let now = Instant::now();
+    let long_wait = schedule.watch_wait(now, WatchLength::Long, None);
+    let watchers = store_watchers::watcher_count(in_zone);
+    let followers = f64::from(u16::try_from(in_zone - watchers).expect("a small zone"));
+    let watchers = f64::from(u16::try_from(watchers).expect("a small zone"));
+    let reads = watchers * rate(schedule.short_wait()) + followers * rate(long_wait);
+    let follow = FollowSchedule::new(Duration::from_secs(2), schedule.short_wait());
+    let calls = followers * rate(follow.wait);
+    let zones = f64::from(ZONES);
+    (reads * zones, calls * zones, calls / watchers)
+}
+
+/// Guards against a load of the store or of a watcher that grows out of bounds with the fleet.
+#[test]
+fn the_load_of_a_fleet_at_rest_stays_within_bounds() {
+    let loads = [15, 96, 300, 820].map(|nodes| {
+        let (reads, calls, busiest) = load_at_rest(nodes);
+        format!("{nodes} nodes: {reads:.1} reads, {calls:.1} calls, {busiest:.1} to one watcher")
+    });
+    assert_eq!(
+        loads,
+        [
+            "15 nodes: 4.7 reads, 7.7 calls, 1.5 to one watcher",
+            "96 nodes: 11.8 reads, 73.1 calls, 14.6 to one watcher",
+            "300 nodes: 31.9 reads, 223.1 calls, 22.3 to one watcher",
+            "820 nodes: 88.9 reads, 607.7 calls, 20.3 to one watcher",
+        ]
+    );
+}
+
+#[test]
+fn an_abandoned_watch_is_followed_by_a_read_that_returns_at_once() {
+    let now = Instant::now();
+    let mut schedule = ReadSchedule::new(SETTLE_TIME);
+    schedule.record_abandoned();
+    assert!(schedule.is_immediate());
+    let times = schedule.watch_times(now, WatchLength::Long, None);
+    assert_eq!(times.wait, Duration::from_millis(1));
+    schedule.record_success();
+    assert!(!schedule.is_immediate());
+}
+
 #[test]
 fn watches_after_a_failed_read_return_at_once_until_one_succeeds() {
     let now = Instant::now();
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -158,6 +158,17 @@
         pub upstreams: Vec<UpstreamRecord>,
     }
 
+    /// `StoreView` is what a watcher tells the nodes that follow it.
+    #[derive(Copy, Eq)]
+    pub struct StoreView {
+        /// Latest store revision that the watcher has applied or heard of.
+        pub revision: u64,
+        /// Version of the document in force; 0 if there is none.
+        pub version: DocumentVersion,
+        /// Time since the last read of the store that succeeded, in milliseconds.
+        pub read_age_ms: u32,
+    }
+
     /// `NodeStatus` is the load and version of a node; each of its replies carries one.
     #[derive(Copy, Default, Eq)]
     pub struct NodeStatus {
--- a/crates/protocol/src/relay_service.rs
+++ b/crates/protocol/src/relay_service.rs
@@ -3,7 +3,7 @@
 // The attribute macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use crate::relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest};
+use crate::relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView};
 
 use lagoonshore_state::route_table::FleetDocument;
 
@@ -16,6 +16,9 @@
     async fn relay(request: RelayRequest) -> RelayReply;
     /// Health check; returns the status of the node.
     async fn probe() -> NodeStatus;
+    /// Returns what the node knows of the store as soon as that is newer than the revision `seen`, or
+    /// after `wait_ms`.
+    async fn store_view(seen: u64, wait_ms: u32) -> StoreView;
     /// Returns the document in force.
     async fn document() -> Option<FleetDocument>;
     /// Pushes the snapshot of the sender to a node that has no document yet.
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -6,11 +6,16 @@
 use crate::events;
 
 use lagoonshore_coordination::{
-    forwarding::link_check::{self, CHECK_TIMEOUT},
+    forwarding::{
+        link_check::{self, CHECK_TIMEOUT},
+        store_watchers::FollowSchedule,
+    },
     protection::suspects::SuspectReport,
 };
-use lagoonshore_protocol::relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest};
-use lagoonshore_state::route_table::FleetDocument;
+use lagoonshore_protocol::relay_messages::{
+    FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView,
+};
+use lagoonshore_state::{route_table::FleetDocument, units::whole_millis};
 use lagoonshore_transport::tarpc_link::context;
 use std::{
     cell::{Cell, RefCell},
@@ -180,6 +185,33 @@
         reply.map_err(|error| self.call_error(address, &link, &error))
     }
 
+    /// Waits until the node at `address` knows more of the store than the revision `seen`, for `wait` at
+    /// most, and returns what it knows.
+    ///
+    /// # Errors
+    /// [`LinkError`] if no reply arrives.
+    pub async fn store_view(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        seen: u64,
+        schedule: FollowSchedule,
+    ) -> Result<StoreView, LinkError> {
+        let deadline = Instant::now() + schedule.timeout;
+        let link = self.open_link(address).await?;
+        let wait_ms = whole_millis(schedule.wait);
+        let call = link.client.store_view(context(deadline), seen, wait_ms);
+        let reply = tokio::time::timeout_at(deadline, call).await;
+        match reply {
+            Ok(Ok(view)) => Ok(view),
+            Ok(Err(error)) => Err(self.call_error(address, &link, &error)),
+            Err(_) => {
+                // The link may have gone silent: a probe decides whether it is used any longer.
+                let _ = self.check(address, &link).await;
+                Err(LinkError::TimedOut)
+            }
+        }
+    }
+
     /// Sends the document and the upstream list to the node at `address`.
     ///
     /// # Errors
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -7,7 +7,7 @@
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    forwarding::read_schedule::{SHORT_WATCHES_PER_ZONE, WatchLength},
+    forwarding::{read_schedule::WatchLength, store_watchers},
     protection::{fingerprint::RequestFingerprint, trial_choice},
 };
 use lagoonshore_protocol::relay_messages::FleetSnapshot;
@@ -253,22 +253,41 @@
         self.upstreams.borrow()
     }
 
-    /// Returns how long the node watches the store: the first live upstreams of each availability
-    /// zone, by name, have short watches, and so has a node whose upstream is not listed.
+    /// Returns how long the node watches the store: for a short time unless a watcher tells it of
+    /// changes.
     #[must_use]
     pub fn watch_length(&self) -> WatchLength {
+        if self.store.has_watcher() {
+            WatchLength::Long
+        } else {
+            WatchLength::Short
+        }
+    }
+
+    /// Returns the watchers of the store that the node may follow, the one that it should follow first
+    /// to begin with: the nodes beside the first live upstreams of its availability zone, by name. Empty
+    /// if it is one of them, or if its upstream is not listed.
+    #[must_use]
+    pub fn watchers(&self) -> Vec<SocketAddr> {
         let upstreams = self.upstreams.borrow();
         let Some(own) = upstreams.find_by_address(self.upstream_address) else {
-            return WatchLength::Short;
+            return Vec::new();
         };
-        let is_before = |other: &&UpstreamRecord| {
-            other.zone == own.zone && other.state == InstanceState::Live && other.name < own.name
-        };
-        if upstreams.iter().filter(is_before).count() < SHORT_WATCHES_PER_ZONE {
-            WatchLength::Short
-        } else {
-            WatchLength::Long
+        let is_live =
+            |other: &&UpstreamRecord| other.zone == own.zone && other.state == InstanceState::Live;
+        // Records are in the order of their names.
+        let live: Vec<_> = upstreams.iter().filter(is_live).collect();
+        let rank = live.iter().filter(|other| other.name < own.name).count();
+        let count = store_watchers::watcher_count(live.len());
+        if rank < count {
+            return Vec::new();
         }
+        let mut watchers: Vec<_> = live[..count]
+            .iter()
+            .map(|record| self.peer_address(record))
+            .collect();
+        watchers.rotate_left(rank % count);
+        watchers
     }
 
     /// Chooses the instance of `service` that may run a request again after its quarantine.
@@ -340,11 +359,16 @@
             service: record.service.clone(),
             zone: record.zone.clone(),
             region: self.region.clone(),
-            peer: SocketAddr::new(record.address.ip(), self.peer_port.get()),
+            peer: self.peer_address(record),
             state: record.state,
         })
     }
 
+    /// Address at which the node beside an upstream listens for peers.
+    fn peer_address(&self, record: &UpstreamRecord) -> SocketAddr {
+        SocketAddr::new(record.address.ip(), self.peer_port.get())
+    }
+
     fn notify_change(&self) {
         self.changes.send_modify(|count| *count += 1);
     }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -36,6 +36,10 @@
 pub const LIMIT_ENDED: u16 = 3111;
 /// An upstream named a limit that is not a valid number.
 pub const LIMIT_INVALID: u16 = 3112;
+/// A watch of the store was abandoned before its response.
+pub const WATCH_ABANDONED: u16 = 3113;
+/// A watcher tells this node of changes of the store, or no longer does.
+pub const WATCHER_CHANGED: u16 = 3114;
 /// A request was refused; it did not run.
 pub const REQUEST_REFUSED: u16 = 3201;
 /// A request got no complete response; it may have run.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -22,6 +22,7 @@
     peer_listener::PeerListener,
     serving::upstream_server::UpstreamServer,
     state_dump::{self, StateDump},
+    store_view::store_follower::StoreFollower,
 };
 
 use actix_rt::net::TcpListener;
@@ -179,6 +180,9 @@
         actix_rt::spawn(apply_directory_changes(Rc::clone(self)));
         actix_rt::spawn(spread_suspects(Rc::clone(self)));
         actix_rt::spawn(pull_newer_documents(Rc::clone(self)));
+        let (directory, links) = (Rc::clone(&self.directory), Rc::clone(&self.links));
+        let follower = StoreFollower::new(&self.settings.store, directory, links);
+        actix_rt::spawn(follower.run());
         info!(
             event = events::RELAY_STARTED,
             node = %self.settings.node, service = %self.settings.service,
--- a/crates/relay/src/peer_listener.rs
+++ b/crates/relay/src/peer_listener.rs
@@ -8,12 +8,12 @@
 use actix_rt::net::TcpListener;
 use lagoonshore_coordination::protection::suspects::SuspectReport;
 use lagoonshore_protocol::{
-    relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest},
+    relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView},
     relay_service::RelayService,
 };
-use lagoonshore_state::route_table::FleetDocument;
+use lagoonshore_state::{route_table::FleetDocument, units::whole_millis};
 use lagoonshore_transport::{peer_server, tarpc_link};
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
 use tokio::time::Instant;
 
@@ -51,6 +51,19 @@
         self.server.node_status()
     }
 
+    async fn store_view(self, _: Context, seen: u64, wait_ms: u32) -> StoreView {
+        let versions = self.directory.versions();
+        versions.record_known(seen);
+        let wait = Duration::from_millis(wait_ms.into());
+        // Without a change, the answer shows that the node is alive and reads the store.
+        let _ = tokio::time::timeout(wait, versions.wait_for_newer(seen)).await;
+        StoreView {
+            revision: versions.known_revision(),
+            version: self.directory.version(),
+            read_age_ms: whole_millis(self.directory.store().read_age()),
+        }
+    }
+
     async fn document(self, _: Context) -> Option<FleetDocument> {
         self.directory
             .document()
--- a/crates/relay/src/store_view/known_versions.rs
+++ b/crates/relay/src/store_view/known_versions.rs
@@ -21,15 +21,18 @@
 /// `KnownVersions` compares what the node has applied with what other nodes report.
 #[derive(Debug)]
 pub struct KnownVersions {
-    applied: Cell<u64>,
+    applied: watch::Sender<u64>,
     peers: watch::Sender<PeerVersions>,
+    /// Revision that another node has reported and that a later read of the store did not reach.
+    refuted: Cell<u64>,
 }
 
 impl Default for KnownVersions {
     fn default() -> Self {
         Self {
-            applied: Cell::new(0),
+            applied: watch::channel(0).0,
             peers: watch::channel(PeerVersions::default()).0,
+            refuted: Cell::new(0),
         }
     }
 }
@@ -37,13 +40,23 @@
 impl KnownVersions {
     /// Records that the changes of the store up to `revision` were applied.
     pub fn record_applied(&self, revision: u64) {
-        self.applied.set(self.applied.get().max(revision));
+        self.applied.send_if_modified(|applied| {
+            let is_newer = revision > *applied;
+            *applied = revision.max(*applied);
+            is_newer
+        });
+    }
+
+    /// Records that a read of the store succeeded that began after `reported` was reported. If the read
+    /// did not reach that revision, no watch is abandoned for it.
+    pub fn record_answered(&self, reported: u64) {
+        self.refuted.set(self.refuted.get().max(reported));
     }
 
     /// Newest revision of the store that was applied.
     #[must_use]
-    pub const fn revision(&self) -> u64 {
-        self.applied.get()
+    pub fn revision(&self) -> u64 {
+        *self.applied.borrow()
     }
 
     /// Newest revision of the store that was applied here or that another node has reported.
@@ -85,9 +98,9 @@
         let mut peers = self.peers();
         loop {
             let newest = peers.borrow_and_update().revision;
-            if newest > self.revision() {
+            if self.is_missing(newest) {
                 actix_rt::time::sleep(time).await;
-                if newest > self.revision() {
+                if self.is_missing(newest) {
                     return;
                 }
             }
@@ -97,4 +110,18 @@
             }
         }
     }
+
+    /// Waits until a revision after `revision` is known.
+    pub async fn wait_for_newer(&self, revision: u64) {
+        let (mut applied, mut peers) = (self.applied.subscribe(), self.peers());
+        // This struct holds the senders, so the channels stay open.
+        tokio::select! {
+            _ = applied.wait_for(|applied| *applied > revision) => {}
+            _ = peers.wait_for(|known| known.revision > revision) => {}
+        }
+    }
+
+    fn is_missing(&self, revision: u64) -> bool {
+        revision > self.revision().max(self.refuted.get())
+    }
 }
--- a/crates/relay/src/store_view/store_health.rs
+++ b/crates/relay/src/store_view/store_health.rs
@@ -4,7 +4,7 @@
 
 use lagoonshore_state::{ids::DocumentVersion, units::whole_millis};
 use std::{cell::Cell, time::Duration};
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 use tracing::{info, warn};
 
 /// `FailedRead` describes a read of the store that failed.
@@ -27,6 +27,8 @@
 pub struct StoreHealth {
     is_unreachable: Cell<bool>,
     read_at: Cell<Instant>,
+    /// Whether a watcher tells this node of changes.
+    has_watcher: watch::Sender<bool>,
 }
 
 impl Default for StoreHealth {
@@ -34,6 +36,7 @@
         Self {
             is_unreachable: Cell::new(false),
             read_at: Cell::new(Instant::now()),
+            has_watcher: watch::channel(false).0,
         }
     }
 }
@@ -68,6 +71,45 @@
         }
     }
 
+    /// Records the answer of a watcher that reads the store.
+    pub fn record_watcher(&self) {
+        self.set_watcher(true);
+    }
+
+    /// Records that no watcher tells this node of changes.
+    pub fn record_no_watcher(&self) {
+        self.set_watcher(false);
+    }
+
+    /// Returns whether a watcher tells this node of changes, so that it need not read often itself.
+    #[must_use]
+    pub fn has_watcher(&self) -> bool {
+        *self.has_watcher.borrow()
+    }
+
+    /// Waits until no watcher tells this node of changes any more.
+    pub async fn wait_until_no_watcher(&self) {
+        let mut has_watcher = self.has_watcher.subscribe();
+        // This struct holds the sender, so the channel stays open.
+        let _ = has_watcher.wait_for(|has_watcher| !has_watcher).await;
+    }
+
+    fn set_watcher(&self, has_watcher: bool) {
+        let is_changed = self.has_watcher.send_if_modified(|known| {
+            let is_changed = *known != has_watcher;
+            *known = has_watcher;
+            is_changed
+        });
+        if is_changed {
+            info!(
+                event = events::WATCHER_CHANGED,
+                has_watcher,
+                read_age_ms = whole_millis(self.read_age()),
+                "store: a watcher tells of changes, or no longer does"
+            );
+        }
+    }
+
     /// Time since the last read that succeeded, or since the start of the node.
     #[must_use]
     pub fn read_age(&self) -> Duration {
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -67,6 +67,8 @@
     pub settle_time: Duration,
     /// Time after which an upstream that announced its departure gets no more requests.
     pub drain_time: Duration,
+    /// Time after which a newer document is in force.
+    pub apply_time: Duration,
 }
 
 impl StoreSettings {
@@ -77,8 +79,15 @@
             address,
             settle_time: SETTLE_TIME_DEFAULT,
             drain_time: DRAIN_TIME_DEFAULT,
+            apply_time: APPLY_TIME_DEFAULT,
         }
     }
+
+    /// Time that the node's view of the store may be old, without a disturbance.
+    #[must_use]
+    pub fn view_time(&self) -> Duration {
+        self.drain_time.min(self.apply_time)
+    }
 }
 
 /// `RetrySettings` limits the retries that all nodes together send to a service.
@@ -104,6 +113,7 @@
     store: SpannedText,
     settle_seconds: Option<Spanned<f64>>,
     drain_seconds: Option<Spanned<f64>>,
+    apply_seconds: Option<Spanned<f64>>,
     repeats: RetryText,
     grace_seconds: Spanned<f64>,
     address_reuse_seconds: Spanned<f64>,
@@ -133,6 +143,8 @@
 const SETTLE_TIME_DEFAULT: Duration = Duration::from_secs(3);
 /// Drain time of upstreams if the settings give none.
 const DRAIN_TIME_DEFAULT: Duration = Duration::from_secs(2);
+/// Time after which a document is in force if the settings give none.
+const APPLY_TIME_DEFAULT: Duration = Duration::from_secs(2);
 /// Largest duration accepted for a setting, in seconds.
 const SECONDS_MAX: f64 = 3600.0;
 /// Largest number accepted for a setting.
@@ -203,6 +215,9 @@
     if let Some(seconds) = &text.drain_seconds {
         settings.drain_time = read_seconds(checker, "drain_seconds", seconds);
     }
+    if let Some(seconds) = &text.apply_seconds {
+        settings.apply_time = read_seconds(checker, "apply_seconds", seconds);
+    }
     settings
 }
 
