Notice a connection that goes silent in the pause after a change

What callers saw: a change of the configuration was read, the connections to the store went silent 0.1 s later, and a further change was confirmed 0.9 s after that.

Cause: after a change a node pauses for 0.7 s, so that changes arrive in batches, and then sends the next watch on the same connection. The wait of a short watch was worked out for a watch that begins before the silence. With the pause the dead connection was noticed 3.4 s after the last response, 3 s are allowed.

Change: the wait of a short watch counts from the last response, the pause included, and leaves the other nodes time to hear of what the next read returns.

--- a/crates/coordination/src/forwarding/read_schedule.rs
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -60,6 +60,8 @@
     pause: Duration,
     /// Whether the next read must return at once.
     is_immediate: bool,
+    /// Time of the last response.
+    responded_at: Option<Instant>,
 }
 
 impl ReadSchedule {
@@ -74,6 +76,7 @@
                 .clamp(SHORT_WAIT_MIN, LONG_WAIT),
             pause: PAUSE_MIN,
             is_immediate: false,
+            responded_at: None,
         }
     }
 
@@ -89,10 +92,11 @@
         self.is_immediate
     }
 
-    /// Records a read that succeeded.
-    pub const fn record_success(&mut self) {
+    /// Records a read that succeeded at `now`.
+    pub const fn record_success(&mut self, now: Instant) {
         self.pause = PAUSE_MIN;
         self.is_immediate = false;
+        self.responded_at = Some(now);
     }
 
     /// Records a watch that was abandoned. The next read returns at once.
@@ -128,14 +132,20 @@
 
     /// Wait of the next watch, which must return by `next` if the node has something to do then.
     /// After a failed or abandoned read it returns at once, so that its response shows that the store
-    /// answers.
+    /// answers. The wait of a short watch counts from the last response: a connection that went silent
+    /// in the pause after it is noticed as soon as one that went silent in the watch.
     #[must_use]
     pub fn watch_wait(&self, now: Instant, length: WatchLength, next: Option<Instant>) -> Duration {
         if self.is_immediate {
             return WAIT_MIN;
         }
         let longest = match length {
-            WatchLength::Short => self.short_wait,
+            WatchLength::Short => {
+                let paused = self
+                    .responded_at
+                    .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+                self.short_wait.saturating_sub(paused).max(WAIT_MIN)
+            }
             WatchLength::Long => LONG_WAIT,
         };
         let wait = next.map_or(longest, |next| next.saturating_duration_since(now));
--- a/crates/coordination/tests/store_reads.rs
+++ b/crates/coordination/tests/store_reads.rs
@@ -2,7 +2,7 @@
 
 use lagoonshore_coordination::forwarding::{
     pending_removals::{PendingRemovals, RemovedEntry},
-    read_schedule::{ReadSchedule, WATCH_TIMEOUT_MARGIN, WatchLength},
+    read_schedule::{BATCH_TIME, BEHIND_TIMEOUT, ReadSchedule, WATCH_TIMEOUT_MARGIN, WatchLength},
     store_watchers::{self, FOLLOW_TIMEOUT_MARGIN, FollowSchedule},
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -74,7 +74,7 @@
             "{pause:?}"
         );
     }
-    backoff.record_success();
+    backoff.record_success(Instant::now());
     assert!(backoff.record_failure(&mut random) < Duration::from_millis(78));
 }
 
@@ -101,6 +101,24 @@
     }
 }
 
+/// Guards against a silent connection that is noticed late because it was used again only after the
+/// pause that follows a change; others have to hear of what was missed, and read it, in time as well.
+#[test]
+fn a_connection_that_went_silent_after_a_change_is_noticed_as_soon_as_in_a_watch() {
+    let mut random = SmallRng::seed_from_u64(1);
+    for settle_time in [3, 4, 5, 8] {
+        let settle_time = Duration::from_secs(settle_time);
+        let mut schedule = ReadSchedule::new(settle_time);
+        let response = Instant::now();
+        schedule.record_success(response);
+        let next = response + BATCH_TIME;
+        let times = schedule.watch_times(next, WatchLength::Short, None);
+        let pause = schedule.record_failure(&mut random);
+        let noticed = BATCH_TIME + times.timeout + pause;
+        assert!(noticed + BEHIND_TIMEOUT < settle_time, "{noticed:?}");
+    }
+}
+
 #[test]
 fn a_node_that_hears_nothing_of_its_watcher_reads_within_the_view_time() {
     for view_time in [1.5, 2.0, 2.5, 3.0, 11.0].map(Duration::from_secs_f64) {
@@ -165,7 +183,7 @@
     assert!(schedule.is_immediate());
     let times = schedule.watch_times(now, WatchLength::Long, None);
     assert_eq!(times.wait, Duration::from_millis(1));
-    schedule.record_success();
+    schedule.record_success(now);
     assert!(!schedule.is_immediate());
 }
 
@@ -176,7 +194,7 @@
     schedule.record_failure(&mut SmallRng::seed_from_u64(1));
     let first = schedule.watch_wait(now, WatchLength::Long, None);
     assert_eq!(first, Duration::from_millis(1));
-    schedule.record_success();
+    schedule.record_success(now);
     let next = schedule.watch_wait(now, WatchLength::Long, None);
     assert_eq!(next, Duration::from_secs(12));
 }
