Hold removals back only after an outage in which entries can expire

What callers saw: the store cut a waiting watch, and 0.1 s later an entry was removed.

Cause: every failed read counted as an outage of the store, in which entries of live upstreams may expire, so that removals were held back until these entries may be registered again. A cut watch is no such outage.

Change: a failed read counts only if the store has not answered for two heartbeats of the upstreams, by what this node and the watcher that it follows know. No entry expires in less: it takes three intervals of silence, and the last heartbeat is at most one old. New setting `heartbeat_seconds`, 1.5 if left out; the bound on a removal after a real outage is unchanged.

`a_failed_read_is_no_outage_if_the_store_answered_a_moment_ago` checks the decision.

--- a/crates/coordination/src/forwarding/pending_removals.rs
+++ b/crates/coordination/src/forwarding/pending_removals.rs
@@ -5,7 +5,9 @@
 //! confirmed only when that recovery time is over; any other removal is confirmed immediately.
 //!
 //! The end of an outage is known only to lie within the last failed read. A removal is therefore
-//! never held back longer than it may be if the store returned right after the start of that read.
+//! never held back longer than it may be if the store returned right after the start of that read. A
+//! failed read is no outage in this sense if the store is known to have answered, this node or another
+//! one, more recently than an entry can have expired for lack of a heartbeat.
 
 use lagoonshore_state::ids::InstanceName;
 
@@ -29,6 +31,7 @@
 pub struct PendingRemovals {
     entries: Vec<(RemovedEntry, Instant)>,
     hold_max: Duration,
+    expiry_min: Duration,
     recovered_at: Option<Instant>,
 }
 
@@ -39,10 +42,26 @@
         Self {
             entries: Vec::new(),
             hold_max,
+            expiry_min: Duration::ZERO,
             recovered_at: None,
         }
     }
 
+    /// Sets the shortest outage in which an entry can expire.
+    #[must_use]
+    pub const fn with_expiry(mut self, expiry_min: Duration) -> Self {
+        self.expiry_min = expiry_min;
+        self
+    }
+
+    /// Records a read that began at `started` and failed; the next one begins at `now`, and the store is
+    /// known to have answered at `answered`.
+    pub fn record_failed_read(&mut self, answered: Instant, started: Instant, now: Instant) {
+        if now.saturating_duration_since(answered) >= self.expiry_min {
+            self.record_outage(started, now);
+        }
+    }
+
     /// Records a failed read of the store that began at `started`; the next read begins at `now`.
     pub fn record_outage(&mut self, started: Instant, now: Instant) {
         let recovered_at = (now + RECOVERY_TIME).min(started + self.hold_max);
--- a/crates/coordination/tests/store_reads.rs
+++ b/crates/coordination/tests/store_reads.rs
@@ -175,6 +175,22 @@
     );
 }
 
+/// Guards against a departure that is applied late because a watch was cut a moment before it.
+#[test]
+fn a_failed_read_is_no_outage_if_the_store_answered_a_moment_ago() {
+    const EXPIRY_MIN: Duration = Duration::from_secs(3);
+    let answered = Instant::now();
+    let mut entries = PendingRemovals::new(HOLD_MAX).with_expiry(EXPIRY_MIN);
+    let cut = answered + Duration::from_millis(2600);
+    entries.record_failed_read(answered, answered, cut);
+    entries.record_removal(cut, removed("u1"));
+    assert_eq!(entries.take_confirmed(cut), vec![removed("u1")]);
+    let back = answered + EXPIRY_MIN;
+    entries.record_failed_read(answered, back, back);
+    entries.record_removal(back, removed("u2"));
+    assert_eq!(entries.take_confirmed(back), vec![]);
+}
+
 #[test]
 fn an_abandoned_watch_is_followed_by_a_read_that_returns_at_once() {
     let now = Instant::now();
--- a/crates/relay/src/store_view/store_follower.rs
+++ b/crates/relay/src/store_view/store_follower.rs
@@ -67,7 +67,7 @@
         if read_age > self.schedule.read_age_max {
             return false;
         }
-        self.directory.store().record_watcher();
+        self.directory.store().record_watcher(read_age);
         true
     }
 }
--- a/crates/relay/src/store_view/store_health.rs
+++ b/crates/relay/src/store_view/store_health.rs
@@ -27,6 +27,8 @@
 pub struct StoreHealth {
     is_unreachable: Cell<bool>,
     read_at: Cell<Instant>,
+    /// Latest time at which the store is known to have answered this node or its watcher.
+    answered_at: Cell<Instant>,
     /// Whether a watcher tells this node of changes.
     has_watcher: watch::Sender<bool>,
 }
@@ -36,6 +38,7 @@
         Self {
             is_unreachable: Cell::new(false),
             read_at: Cell::new(Instant::now()),
+            answered_at: Cell::new(Instant::now()),
             has_watcher: watch::channel(false).0,
         }
     }
@@ -45,6 +48,7 @@
     /// Records that a read succeeded.
     pub fn record_read(&self) {
         self.read_at.set(Instant::now());
+        self.answered_at.set(Instant::now());
         if self.is_unreachable.replace(false) {
             info!(event = events::STORE_RECOVERED, "store: reachable again");
         }
@@ -71,8 +75,12 @@
         }
     }
 
-    /// Records the answer of a watcher that reads the store.
-    pub fn record_watcher(&self) {
+    /// Records the answer of a watcher that read the store `read_age` ago.
+    pub fn record_watcher(&self, read_age: Duration) {
+        let now = Instant::now();
+        let answered_at = now.checked_sub(read_age).unwrap_or(now);
+        self.answered_at
+            .set(self.answered_at.get().max(answered_at));
         self.set_watcher(true);
     }
 
@@ -94,6 +102,12 @@
         let _ = has_watcher.wait_for(|has_watcher| !has_watcher).await;
     }
 
+    /// Latest time at which the store is known to have answered this node or its watcher.
+    #[must_use]
+    pub const fn answered_at(&self) -> Instant {
+        self.answered_at.get()
+    }
+
     fn set_watcher(&self, has_watcher: bool) {
         let is_changed = self.has_watcher.send_if_modified(|known| {
             let is_changed = *known != has_watcher;
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -69,6 +69,8 @@
     pub drain_time: Duration,
     /// Time after which a newer document is in force.
     pub apply_time: Duration,
+    /// Interval at which upstreams renew their entries.
+    pub heartbeat_interval: Duration,
 }
 
 impl StoreSettings {
@@ -80,6 +82,7 @@
             settle_time: SETTLE_TIME_DEFAULT,
             drain_time: DRAIN_TIME_DEFAULT,
             apply_time: APPLY_TIME_DEFAULT,
+            heartbeat_interval: HEARTBEAT_INTERVAL_DEFAULT,
         }
     }
 
@@ -114,6 +117,7 @@
     settle_seconds: Option<Spanned<f64>>,
     drain_seconds: Option<Spanned<f64>>,
     apply_seconds: Option<Spanned<f64>>,
+    heartbeat_seconds: Option<Spanned<f64>>,
     repeats: RetryText,
     grace_seconds: Spanned<f64>,
     address_reuse_seconds: Spanned<f64>,
@@ -145,6 +149,8 @@
 const DRAIN_TIME_DEFAULT: Duration = Duration::from_secs(2);
 /// Time after which a document is in force if the settings give none.
 const APPLY_TIME_DEFAULT: Duration = Duration::from_secs(2);
+/// Interval of the heartbeats of upstreams if the settings give none.
+const HEARTBEAT_INTERVAL_DEFAULT: Duration = Duration::from_millis(1500);
 /// Largest duration accepted for a setting, in seconds.
 const SECONDS_MAX: f64 = 3600.0;
 /// Largest number accepted for a setting.
@@ -218,6 +224,9 @@
     if let Some(seconds) = &text.apply_seconds {
         settings.apply_time = read_seconds(checker, "apply_seconds", seconds);
     }
+    if let Some(seconds) = &text.heartbeat_seconds {
+        settings.heartbeat_interval = read_seconds(checker, "heartbeat_seconds", seconds);
+    }
     settings
 }
 
