Bound the memory of the messages between nodes

What operators of like systems saw: bytes without end took a process over its memory, and the requests of others on that machine ended with it. Here eight messages of 70 MB from other nodes took the real program to 571 MB, 300 of 1 MB to 322 MB, and eight replies of 70 MB to 573 MB; the smallest instance has 160 MB.

Cause: a frame of up to 72 MiB was read whole, then decoded into a second copy, for each link and each message, and nothing bounded them together. The sender held the body, the encoded message and the buffer of the link.

Change: bodies and header fields are sent beside the encoded message. They are written from where they are and read into the memory in which they stay, so that there is one copy at each end. All that is received counts against one budget, half of the memory of the process; what is read frees its part when the last user drops it. Bytes beside a message that do not fit are read and discarded, and the message says so: such a request is refused as not run, such a response ends as unknown. A message that does not fit by itself ends its link. Nobody waits for memory, so that readers cannot block each other; requests leave a part to responses, and large messages a part to small ones. lagoonshored uses the same links, with a budget of its own.

Nodes of this build and of earlier ones do not understand each other's messages.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod peer_service;
 pub mod problem;
 pub mod record;
+pub mod relay_bytes;
 pub mod relay_messages;
 pub mod relay_service;
 
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -1,6 +1,7 @@
 //! Messages between the nodes of a forwarding fleet.
 
-use bytes::Bytes;
+use crate::relay_bytes::RelayBytes;
+
 use compact_str::CompactString;
 use lagoonshore_coordination::{
     protection::{crash_set::CrashReport, suspects::SuspectReport},
@@ -36,9 +37,9 @@
         /// Path with query, byte for byte as received.
         pub target: CompactString,
         /// Header fields to forward, in HTTP/1.1 wire format.
-        pub fields: Bytes,
+        pub fields: RelayBytes,
         /// Body.
-        pub body: Bytes,
+        pub body: RelayBytes,
         /// Importance of the request at the root of the call chain.
         pub importance: RequestImportance,
         /// Whether the request is idempotent.
@@ -76,9 +77,9 @@
         /// HTTP status.
         pub status: u16,
         /// Header fields to forward, in HTTP/1.1 wire format.
-        pub fields: Bytes,
+        pub fields: RelayBytes,
         /// Body.
-        pub body: Bytes,
+        pub body: RelayBytes,
     }
 
     /// `RelayRefusal` is returned when there is no upstream response.
@@ -195,6 +196,12 @@
     pub const fn is_failure(&self) -> bool {
         self.status >= SERVER_ERROR_MIN
     }
+
+    /// Returns whether the receiver had memory for the whole response.
+    #[must_use]
+    pub const fn is_whole(&self) -> bool {
+        !self.fields.is_dropped() && !self.body.is_dropped()
+    }
 }
 
 impl RelayRequest {
@@ -203,6 +210,12 @@
     pub const fn is_nested(&self) -> bool {
         self.calls_before.is_some()
     }
+
+    /// Returns whether the receiver had memory for the whole request.
+    #[must_use]
+    pub const fn is_whole(&self) -> bool {
+        !self.fields.is_dropped() && !self.body.is_dropped()
+    }
 }
 
 impl CallFailure {
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -150,8 +150,8 @@
         match outcome {
             ForwardOutcome::Answered(response) => ServerResponse {
                 status: response.status,
-                fields: response.fields,
-                body: response.body,
+                fields: response.fields.bytes(),
+                body: response.body.bytes(),
             },
             ForwardOutcome::NotRun(reason, retry_after) => {
                 self.node_response(id, 503, retry_after, reason.as_str())
--- a/crates/relay/src/calling/peer_link.rs
+++ b/crates/relay/src/calling/peer_link.rs
@@ -2,16 +2,27 @@
 
 use actix_rt::net::TcpStream;
 use lagoonshore_protocol::{relay_messages::NodeStatus, relay_service::RelayServiceClient};
-use lagoonshore_transport::tarpc_link::{self, context};
+use lagoonshore_transport::{
+    memory_budget::MemoryBudget,
+    tarpc_link::{self, LinkLimits, context},
+};
 use std::{cell::Cell, net::SocketAddr, time::Duration};
 use tarpc::client::NewClient;
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
 /// Largest message between nodes, in bytes.
-pub const FRAME_BYTES_MAX: usize = 72 * 1024 * 1024;
+const FRAME_BYTES_MAX: usize = 72 * 1024 * 1024;
 /// Timeout for connecting to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// Limits of the messages that are received on a link.
+pub(crate) const fn link_limits(budget: MemoryBudget) -> LinkLimits {
+    LinkLimits {
+        frame_bytes: FRAME_BYTES_MAX,
+        budget,
+    }
+}
+
 /// `PeerLink` is an open connection to another node.
 pub(crate) struct PeerLink {
     pub(crate) client: RelayServiceClient,
@@ -27,14 +38,14 @@
 
 impl PeerLink {
     /// Connects to the node at `address`; `None` if that fails.
-    pub(crate) async fn connect(address: SocketAddr) -> Option<Self> {
+    pub(crate) async fn connect(address: SocketAddr, budget: MemoryBudget) -> Option<Self> {
         let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connecting.await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         // Closing a broken link resets the connection, so that data still buffered is not delivered
         // late.
         stream.set_zero_linger().ok()?;
-        let transport = tarpc_link::transport(stream, FRAME_BYTES_MAX);
+        let transport = tarpc_link::client_transport(stream, link_limits(budget));
         let config = tarpc_link::client_config();
         let NewClient { client, dispatch } = RelayServiceClient::new(config, transport);
         let dispatch = actix_rt::spawn(async move {
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -16,7 +16,7 @@
     FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView,
 };
 use lagoonshore_state::{route_table::FleetDocument, units::whole_millis};
-use lagoonshore_transport::tarpc_link::context;
+use lagoonshore_transport::{memory_budget::MemoryBudget, tarpc_link::context};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -80,15 +80,17 @@
 pub struct PeerLinks {
     entries: RefCell<HashMap<SocketAddr, Rc<PeerEntry>>>,
     event_handler: RefCell<Option<LinkEventHandler>>,
+    budget: MemoryBudget,
 }
 
 impl PeerLinks {
-    /// Creates an empty set; links are opened on first use.
+    /// Creates an empty set; links are opened on first use. The replies share the memory of `budget`.
     #[must_use]
-    pub fn new() -> Rc<Self> {
+    pub fn new(budget: MemoryBudget) -> Rc<Self> {
         Rc::new(Self {
             entries: RefCell::default(),
             event_handler: RefCell::default(),
+            budget,
         })
     }
 
@@ -294,7 +296,7 @@
         address: SocketAddr,
         entry: &PeerEntry,
     ) -> Result<Rc<PeerLink>, LinkError> {
-        let connected = PeerLink::connect(address).await;
+        let connected = PeerLink::connect(address, self.budget.clone()).await;
         let Some(link) = connected.map(Rc::new) else {
             self.mark_lost(address, "no connection");
             return Err(LinkError::Connect);
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -378,6 +378,10 @@
             worst_failure: reply.trouble,
         });
         match reply.result {
+            RelayResult::Answered(response) if !response.is_whole() => {
+                progress.record_lost(RefusalReason::BrokenAnswer);
+                None
+            }
             RelayResult::Answered(response) => {
                 let is_exhausted = reply.trouble.is_exhausted();
                 let can_retry =
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -4,9 +4,10 @@
 pub mod body;
 pub mod exchange;
 pub mod head;
-pub mod memory_budget;
 pub mod pool;
 pub mod request_handler;
 mod response_writer;
 pub mod server;
 mod server_connection;
+
+pub use lagoonshore_transport::memory_budget;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -32,7 +32,9 @@
 };
 use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
 use lagoonshore_state::upstream_list::{UpstreamLimit, UpstreamRun};
-use lagoonshore_transport::{http_listener, metrics_recorder, signals};
+use lagoonshore_transport::{
+    http_listener, memory_budget::MemoryBudget, metrics_recorder, signals,
+};
 use rand::{SeedableRng, rngs::SmallRng};
 use snafu::ResultExt;
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
@@ -54,6 +56,11 @@
 /// Timeout of a report of suspects to another node.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes in one MiB.
+const BYTES_PER_MIB: usize = 1024 * 1024;
+/// Part of the memory of the process that messages may hold together.
+const MESSAGE_MEMORY_DIVISOR: usize = 2;
+
 /// `RelayNode` is a node with all its parts.
 pub struct RelayNode {
     /// Settings at the start of the process; reloads do not change them.
@@ -71,6 +78,7 @@
     links: Rc<PeerLinks>,
     peer_table: Rc<PeerTable>,
     scheme: HeaderScheme,
+    budget: MemoryBudget,
 }
 
 impl RelayNode {
@@ -87,8 +95,11 @@
         let log = Rc::new(DecisionLog::default());
         let random = SmallRng::seed_from_u64(seed);
         let peer_table = Rc::new(PeerTable::new(&settings, Rc::clone(&directory), random));
-        let links = PeerLinks::new();
-        let server = UpstreamServer::new(&settings, scheme, Rc::clone(&directory), Rc::clone(&log));
+        let budget = MemoryBudget::new(message_bytes(settings.memory_mib));
+        let links = PeerLinks::new(budget.clone());
+        let (server_log, server_budget) = (Rc::clone(&log), budget.clone());
+        let fleet = Rc::clone(&directory);
+        let server = UpstreamServer::new(&settings, scheme, fleet, server_log, server_budget);
         let server = Rc::new(server);
         let forwarder = RequestForwarder::new(
             &settings,
@@ -124,6 +135,7 @@
             links,
             peer_table,
             scheme,
+            budget,
         }))
     }
 
@@ -162,7 +174,8 @@
             ADMIN_CONNECTIONS_MAX,
         );
         actix_rt::spawn(serving);
-        let listener = PeerListener::new(Rc::clone(&self.server), Rc::clone(&self.directory));
+        let (upstream, fleet) = (Rc::clone(&self.server), Rc::clone(&self.directory));
+        let listener = PeerListener::new(upstream, fleet, self.budget.clone());
         actix_rt::spawn(listener.serve_links(peers));
         let metrics = metrics_recorder::handle();
         let node = Rc::clone(self);
@@ -298,6 +311,13 @@
     }
 }
 
+/// Memory for the messages of a node, in bytes. The rest is for what the process holds besides: its
+/// program and tables, the buffers of its connections, and what the allocator keeps.
+fn message_bytes(memory_mib: u32) -> usize {
+    let memory = usize::try_from(memory_mib).unwrap_or(usize::MAX);
+    memory.saturating_mul(BYTES_PER_MIB) / MESSAGE_MEMORY_DIVISOR
+}
+
 fn bound_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
     // If the bound address is unavailable, the requested one is reported.
     listener.local_addr().unwrap_or(asked)
--- a/crates/relay/src/peer_listener.rs
+++ b/crates/relay/src/peer_listener.rs
@@ -1,8 +1,7 @@
 //! The listener for other nodes: implements [`RelayService`].
 
 use crate::{
-    calling::peer_link::FRAME_BYTES_MAX, directory::FleetDirectory,
-    serving::upstream_server::UpstreamServer,
+    calling::peer_link, directory::FleetDirectory, serving::upstream_server::UpstreamServer,
 };
 
 use actix_rt::net::TcpListener;
@@ -12,7 +11,7 @@
     relay_service::RelayService,
 };
 use lagoonshore_state::{route_table::FleetDocument, units::whole_millis};
-use lagoonshore_transport::{peer_server, tarpc_link};
+use lagoonshore_transport::{memory_budget::MemoryBudget, peer_server, tarpc_link};
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
 use tokio::time::Instant;
@@ -25,18 +24,28 @@
 pub struct PeerListener {
     server: Rc<UpstreamServer>,
     directory: Rc<FleetDirectory>,
+    budget: MemoryBudget,
 }
 
 impl PeerListener {
-    /// Creates the listener of a node.
+    /// Creates the listener of a node. The requests share the memory of `budget`.
     #[must_use]
-    pub const fn new(server: Rc<UpstreamServer>, directory: Rc<FleetDirectory>) -> Self {
-        Self { server, directory }
+    pub const fn new(
+        server: Rc<UpstreamServer>,
+        directory: Rc<FleetDirectory>,
+        budget: MemoryBudget,
+    ) -> Self {
+        Self {
+            server,
+            directory,
+            budget,
+        }
     }
 
     /// Serves other nodes until the future is dropped.
     pub async fn serve_links(self, listener: TcpListener) {
-        let serve = move |stream| tarpc_link::serve(stream, FRAME_BYTES_MAX, self.clone().serve());
+        let limits = peer_link::link_limits(self.budget.clone());
+        let serve = move |stream| tarpc_link::serve(stream, limits.clone(), self.clone().serve());
         peer_server::accept_links(listener, LINKS_MAX, serve).await;
     }
 }
--- a/crates/relay/src/serving/refusals.rs
+++ b/crates/relay/src/serving/refusals.rs
@@ -8,6 +8,9 @@
 /// Time after which a caller may retry when the upstream is down or draining.
 pub(crate) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after which a caller may retry when the node has no memory for the request.
+pub(crate) const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Refusal of a request of which no byte was sent to the upstream.
 pub(crate) fn refusal(reason: RefusalReason, retry_after: Duration) -> RelayResult {
     RelayResult::Refused(RelayRefusal {
--- a/crates/relay/src/serving/upstream_exchange.rs
+++ b/crates/relay/src/serving/upstream_exchange.rs
@@ -171,8 +171,8 @@
         }
         let response = RelayResponse {
             status: head.status,
-            fields: head.fields.clone(),
-            body: response.body,
+            fields: head.fields.clone().into(),
+            body: response.body.into(),
         };
         if !response.is_failure() {
             self.suspects.record_success(fingerprint);
--- a/crates/relay/src/serving/upstream_request.rs
+++ b/crates/relay/src/serving/upstream_request.rs
@@ -37,7 +37,7 @@
     head.put_slice(b"\r\n");
     SentRequest {
         head: head.freeze(),
-        body: request.body.clone(),
+        body: request.body.bytes(),
         id: Some(id.clone()),
         is_head: method == "HEAD",
     }
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -3,7 +3,9 @@
 use super::{
     announcements::UpstreamAnnouncements,
     local_upstream::LocalUpstream,
-    refusals::{UNAVAILABLE_RETRY_AFTER, nested_overload, refusal, unknown_outcome},
+    refusals::{
+        MEMORY_RETRY_AFTER, UNAVAILABLE_RETRY_AFTER, nested_overload, refusal, unknown_outcome,
+    },
     retry_gate::RetryGate,
     route_gate::{RouteGate, RoutePermit, RunSummary},
     running_table::{CallTotals, RunningRequest, RunningTable},
@@ -40,11 +42,6 @@
 /// Most requests of one route, running and waiting, in multiples of the slots.
 const ROUTE_REQUESTS_PER_SLOT: u32 = 3;
 
-/// Bytes in one MiB.
-const BYTES_PER_MIB: usize = 1024 * 1024;
-/// Part of the memory of the process that unfinished responses may hold together.
-const RESPONSE_MEMORY_DIVISOR: usize = 4;
-
 /// A request may not run now, because it crashed upstreams.
 struct Quarantined;
 
@@ -69,15 +66,15 @@
 }
 
 impl UpstreamServer {
-    /// Creates the server of a node.
+    /// Creates the server of a node. The responses of the upstream share the memory of `budget`.
     #[must_use]
     pub fn new(
         settings: &RelaySettings,
         scheme: HeaderScheme,
         directory: Rc<FleetDirectory>,
         log: Rc<DecisionLog>,
+        budget: MemoryBudget,
     ) -> Self {
-        let budget = MemoryBudget::new(response_bytes(settings.memory_mib));
         let pool = Rc::new(ConnectionPool::new(settings.upstream, budget));
         let limiter = SlotLimiter::new(SLOTS_DEFAULT);
         let announcements = UpstreamAnnouncements::new(Rc::clone(&directory), limiter.clone());
@@ -238,6 +235,9 @@
         totals: &mut CallTotals,
     ) -> RelayResult {
         self.suspects.merge_crashes(fingerprint, &request.crashes);
+        if !request.is_whole() {
+            return refusal(RefusalReason::Overload, MEMORY_RETRY_AFTER);
+        }
         // Without a document the calls of the run would find no routes.
         if self.directory.version() == 0 {
             return refusal(RefusalReason::Starting, UNAVAILABLE_RETRY_AFTER);
@@ -371,12 +371,6 @@
     }
 }
 
-/// Memory for unfinished responses of the upstream, in bytes.
-fn response_bytes(memory_mib: u32) -> usize {
-    let memory = usize::try_from(memory_mib).unwrap_or(usize::MAX);
-    memory.saturating_mul(BYTES_PER_MIB) / RESPONSE_MEMORY_DIVISOR
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn usable_slots(slots: u32) -> u32 {
     ((f64::from(slots) * USABLE_SLOTS_SHARE) as u32).max(1)
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -1,7 +1,13 @@
 //! Links to nodes that do not reply, under a paused clock.
 
-use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest};
-use lagoonshore_relay::calling::peer_links::{LinkError, PeerLinks};
+use lagoonshore_protocol::{
+    relay_bytes::RelayBytes,
+    relay_messages::{RelayReply, RelayRequest},
+};
+use lagoonshore_relay::{
+    calling::peer_links::{LinkError, PeerLinks},
+    http1::memory_budget::MemoryBudget,
+};
 use lagoonshore_state::units::RequestImportance;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
@@ -18,8 +24,8 @@
         origin: "s".into(),
         method: "GET".into(),
         target: "/".into(),
-        fields: bytes::Bytes::new(),
-        body: bytes::Bytes::new(),
+        fields: RelayBytes::default(),
+        body: RelayBytes::default(),
         importance: RequestImportance(0),
         is_idempotent: true,
         calls_before: None,
@@ -66,7 +72,7 @@
 async fn requests_do_not_queue_for_a_connection_that_fails() {
     let (address, _held, _listener) = silent_address().await;
     let sending = async {
-        let links = PeerLinks::new();
+        let links = PeerLinks::new(MemoryBudget::new(1 << 20));
         let started = Instant::now();
         let deadline = started + Duration::from_secs(20);
         let calls = (0..10).map(|_| call(&links, address, deadline));
@@ -92,7 +98,7 @@
 async fn a_request_for_a_lost_node_fails_at_once() {
     let (address, _held, _listener) = silent_address().await;
     let sending = async {
-        let links = PeerLinks::new();
+        let links = PeerLinks::new(MemoryBudget::new(1 << 20));
         let deadline = Instant::now() + Duration::from_secs(20);
         let first = call(&links, address, deadline).await;
         let started = Instant::now();
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -3,7 +3,10 @@
 mod support;
 
 use lagoonshore_coordination::request::outcome::RefusalReason;
-use lagoonshore_protocol::relay_messages::{RelayRequest, RelayResult};
+use lagoonshore_protocol::{
+    relay_bytes::RelayBytes,
+    relay_messages::{RelayRequest, RelayResult},
+};
 use lagoonshore_state::units::RequestImportance;
 use std::time::Duration;
 use support::{TestFleet, route, until};
@@ -17,8 +20,8 @@
         origin: "b".into(),
         method: "POST".into(),
         target: path.into(),
-        fields: bytes::Bytes::new(),
-        body: bytes::Bytes::new(),
+        fields: RelayBytes::default(),
+        body: RelayBytes::default(),
         importance: RequestImportance(0),
         is_idempotent: false,
         calls_before: None,
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -3,8 +3,11 @@
 
 pub mod close_signal;
 pub mod error;
+mod frame_reader;
 pub mod http_listener;
 pub mod leaving_watch;
+pub mod link_transport;
+pub mod memory_budget;
 pub mod metrics_recorder;
 pub mod peer_link;
 pub mod peer_server;
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -3,7 +3,8 @@
 use crate::{
     error::{self, Result, TransportError},
     leaving_watch::{self, LeavingHook},
-    tarpc_link::{self, context},
+    memory_budget::MemoryBudget,
+    tarpc_link::{self, LinkLimits, context},
 };
 
 use actix_rt::net::TcpStream;
@@ -26,6 +27,8 @@
 
 /// Largest message between nodes, in bytes.
 pub const FRAME_BYTES_MAX: usize = 8 * 1024 * 1024;
+/// Memory for the messages that a node receives on all links of one direction, in bytes.
+const RECEIVED_BYTES_MAX: usize = 64 * 1024 * 1024;
 /// Timeout for connecting to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for the first call on a link, which returns the incarnation of the node.
@@ -43,6 +46,15 @@
     stamp: Box<dyn Fn() -> MessageStamp>,
     links: RefCell<BTreeMap<SocketAddr, PeerLink>>,
     leaving_hook: RefCell<Option<LeavingHook>>,
+    limits: LinkLimits,
+}
+
+/// Limits of the messages that a node receives on its links.
+pub(crate) fn link_limits() -> LinkLimits {
+    LinkLimits {
+        frame_bytes: FRAME_BYTES_MAX,
+        budget: MemoryBudget::new(RECEIVED_BYTES_MAX),
+    }
 }
 
 impl PeerLinks {
@@ -53,6 +65,7 @@
             stamp: Box::new(stamp),
             links: RefCell::default(),
             leaving_hook: RefCell::default(),
+            limits: link_limits(),
         }
     }
 
@@ -167,7 +180,7 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error::connect_error(address, &error))?;
-        let transport = tarpc_link::transport(stream, FRAME_BYTES_MAX);
+        let transport = tarpc_link::client_transport(stream, self.limits.clone());
         let config = tarpc_link::client_config();
         let NewClient { client, dispatch } = PeerServiceClient::new(config, transport);
         let alive = Rc::new(Cell::new(true));
--- a/crates/transport/src/peer_server.rs
+++ b/crates/transport/src/peer_server.rs
@@ -1,6 +1,6 @@
 //! Server side of the links between nodes: serves calls of other nodes over tarpc.
 
-use crate::{peer_link::FRAME_BYTES_MAX, tarpc_link};
+use crate::{peer_link, tarpc_link};
 
 use actix_rt::net::{TcpListener, TcpStream};
 use lagoonshore_protocol::peer_service::PeerService;
@@ -17,8 +17,9 @@
 where
     S: PeerService + Clone + 'static,
 {
+    let limits = peer_link::link_limits();
     accept_links(listener, LINKS_MAX, move |stream| {
-        tarpc_link::serve(stream, FRAME_BYTES_MAX, server.clone().serve())
+        tarpc_link::serve(stream, limits.clone(), server.clone().serve())
     })
     .await;
 }
--- a/crates/transport/src/tarpc_link.rs
+++ b/crates/transport/src/tarpc_link.rs
@@ -1,4 +1,9 @@
-//! tarpc connections between nodes: framing, codec and limits.
+//! tarpc connections between nodes, and their limits.
+
+use crate::{
+    link_transport::{LinkTransport, ReceivedKind},
+    memory_budget::MemoryBudget,
+};
 
 use actix_rt::net::TcpStream;
 use futures::StreamExt;
@@ -6,34 +11,35 @@
 use tarpc::{
     client,
     context::Context,
-    serde_transport::{self, Transport},
     server::{self, BaseChannel, Channel, Serve},
-    tokio_serde::formats::Bincode,
 };
 use tokio::time::Instant;
-use tokio_util::codec::LengthDelimitedCodec;
 
 /// Limit on calls in flight on one link.
 const IN_FLIGHT_MAX: usize = 4096;
 /// Limit on responses that wait to be written on one link.
 const RESPONSE_BUFFER_MAX: usize = 1024;
 
-/// Message transport of one link: receives `Item`, sends `SinkItem`.
-pub type LinkTransport<Item, SinkItem> =
-    Transport<TcpStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+/// `LinkLimits` bounds the messages that are received on a link.
+#[derive(Clone, Debug)]
+pub struct LinkLimits {
+    /// Largest message, in bytes.
+    pub frame_bytes: usize,
+    /// Memory that the messages share with others.
+    pub budget: MemoryBudget,
+}
 
-/// Wraps a connection in length-delimited bincode frames of at most `frame_bytes` bytes.
-pub fn transport<Item, SinkItem>(
+/// Creates the transport of the client side of a link.
+#[must_use]
+pub fn client_transport<Item, SinkItem>(
     stream: TcpStream,
-    frame_bytes: usize,
-) -> LinkTransport<Item, SinkItem>
-where
-    Item: for<'de> Deserialize<'de>,
-    SinkItem: Serialize,
-{
-    let mut builder = LengthDelimitedCodec::builder();
-    builder.max_frame_length(frame_bytes);
-    serde_transport::new(builder.new_framed(stream), Bincode::default())
+    limits: LinkLimits,
+) -> LinkTransport<Item, SinkItem> {
+    let LinkLimits {
+        frame_bytes,
+        budget,
+    } = limits;
+    LinkTransport::new(stream, frame_bytes, budget, ReceivedKind::Responses)
 }
 
 /// Returns the limits of the client side of a link.
@@ -54,7 +60,7 @@
 }
 
 /// Serves one link until it ends, which cancels its requests.
-pub async fn serve<S>(stream: TcpStream, frame_bytes: usize, server: S)
+pub async fn serve<S>(stream: TcpStream, limits: LinkLimits, server: S)
 where
     S: Serve + Clone + 'static,
     S::Req: for<'de> Deserialize<'de> + 'static,
@@ -66,7 +72,12 @@
     let config = server::Config {
         pending_response_buffer: RESPONSE_BUFFER_MAX,
     };
-    let channel = BaseChannel::new(config, transport(stream, frame_bytes));
+    let LinkLimits {
+        frame_bytes,
+        budget,
+    } = limits;
+    let transport = LinkTransport::new(stream, frame_bytes, budget, ReceivedKind::Requests);
+    let channel = BaseChannel::new(config, transport);
     channel
         .execute(server)
         .for_each(|request| async move {
