Hold all bodies of a node within one part of its memory

Cause: every reader had a bound of its own and nothing bounded them together: the bounds of one body, times the requests of a connection, times the connections. Responses were copied into the output of their connection.

A body of known length is counted when its head is read; one that does not fit is refused as not run with 503, Retry-After and the reason `memory`, before it is read. Unparsed input counts as well. Responses are written from where they are. The output of a connection, its staged close and the queue of unwritten parts are modules of their own now; links and callers' connections use the same queue.

The stand-in upstream of the relay's tests takes bodies of 64 MiB, and its caller has memory for responses of 1 MiB, since the first 64 KiB of a response are counted now.

--- a/crates/relay/src/admin_listener.rs
+++ b/crates/relay/src/admin_listener.rs
@@ -51,7 +51,7 @@
         request_handler::ready_response(self.page(path))
     }
 
-    fn reject(&self, status: u16) -> ServerResponse {
+    fn reject(&self, status: u16, _: &str) -> ServerResponse {
         text_response(status, "text/plain", "unreadable request\n".to_owned())
     }
 
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -11,7 +11,7 @@
         head::RequestHead,
         request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
     },
-    serving::running_table::RunningTable,
+    serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
 };
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -169,7 +169,7 @@
     /// Creates a response of the node itself, as opposed to one of an upstream.
     fn node_response(
         &self,
-        id: &CompactString,
+        id: &str,
         status: u16,
         retry_after: Option<Duration>,
         reason: &str,
@@ -197,13 +197,12 @@
         async move { self.handle(request).await }.boxed_local()
     }
 
-    fn reject(&self, status: u16) -> ServerResponse {
-        self.node_response(
-            &CompactString::default(),
-            status,
-            None,
-            "unreadable request",
-        )
+    fn reject(&self, status: u16, id: &str) -> ServerResponse {
+        if status == 503 {
+            self.forwarder.log_no_memory(id);
+            return self.node_response(id, status, Some(MEMORY_RETRY_AFTER), "memory");
+        }
+        self.node_response(id, status, None, "unreadable request")
     }
 
     fn limits(&self) -> CallerLimits {
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -244,6 +244,12 @@
         sent.map_err(|error| self.call_error(address, &link, &error))
     }
 
+    /// Bytes that no message holds, of those of all messages of the node.
+    #[must_use]
+    pub fn free_memory(&self) -> usize {
+        self.budget.free()
+    }
+
     /// Number of open links.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -141,6 +141,11 @@
         self.cutoff.trigger();
     }
 
+    /// Logs that the request `id` was refused before it was read, for want of memory.
+    pub(crate) fn log_no_memory(&self, id: &str) {
+        self.log.log_no_memory(id, self.links.free_memory());
+    }
+
     /// Forwards a request and returns its outcome.
     pub async fn forward(&self, request: RoutedRequest) -> ForwardOutcome {
         let mut guard = CancellationGuard::new(&self.log, &self.running, &request);
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -75,6 +75,22 @@
         );
     }
 
+    /// Logs that the request `id` was refused before it was read, with the `free` bytes of the memory of
+    /// messages.
+    pub fn log_no_memory(&self, id: &str, free: usize) {
+        relay_metrics::count_refused("memory");
+        let Some(left_out) = self.failures.take() else {
+            return;
+        };
+        warn!(
+            event = events::MEMORY_EXHAUSTED,
+            request = id,
+            free,
+            left_out,
+            "request: refused unread, no memory"
+        );
+    }
+
     /// Logs that a request got no complete response and may have run.
     pub fn log_failed(&self, trace: &RequestTrace<'_>, reason: &str) {
         relay_metrics::count_failed(reason);
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -54,6 +54,8 @@
 pub const UPSTREAM_FAILED: u16 = 3206;
 /// A retry was refused by the node beside the upstream, whose retry budget is exhausted.
 pub const RETRY_REFUSED: u16 = 3207;
+/// A request was refused before it was read, for want of memory.
+pub const MEMORY_EXHAUSTED: u16 = 3208;
 /// The link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
--- a/crates/relay/src/http1/body.rs
+++ b/crates/relay/src/http1/body.rs
@@ -1,5 +1,7 @@
 //! Framing of message bodies (RFC 9112, sections 6 and 7).
 
+use super::memory_budget::MemoryShare;
+
 use bytes::{Bytes, BytesMut};
 use httparse::Status;
 
@@ -28,6 +30,8 @@
     TooLarge,
     /// The chunked coding is malformed.
     Malformed,
+    /// There is no memory for the body now.
+    NoMemory,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +50,7 @@
     body: BytesMut,
     trailer_bytes: usize,
     bytes_max: usize,
+    memory: Option<MemoryShare>,
 }
 
 impl BodyReader {
@@ -63,9 +68,25 @@
             body: BytesMut::new(),
             trailer_bytes: 0,
             bytes_max,
+            memory: None,
         })
     }
 
+    /// Counts the body against the budget of `share`; a body of known length is counted at once.
+    ///
+    /// # Errors
+    /// [`BodyError::NoMemory`] if there is no memory for it.
+    pub fn with_memory(mut self, mut share: MemoryShare) -> Result<Self, BodyError> {
+        if let BodyFraming::Length(length) = self.framing {
+            if !share.extend_to(length) {
+                return Err(BodyError::NoMemory);
+            }
+            self.body.reserve(length.min(self.bytes_max));
+        }
+        self.memory = Some(share);
+        Ok(self)
+    }
+
     /// Moves the bytes of the body out of `buffer`; returns `true` once the body is complete. Bytes
     /// that follow the body stay in the buffer.
     ///
@@ -103,10 +124,14 @@
         self.body.is_empty()
     }
 
-    /// Returns the bytes read, which are the whole body once [`Self::read_from`] returned `true`.
+    /// Returns the bytes read, which are the whole body once [`Self::read_from`] returned `true`. They
+    /// hold their memory for as long as they are in use.
     #[must_use]
     pub fn finish(self) -> Bytes {
-        self.body.freeze()
+        match self.memory {
+            Some(share) => share.hold(self.body),
+            None => self.body.freeze(),
+        }
     }
 
     fn read_data(&mut self, buffer: &mut BytesMut, wanted: usize) -> Result<usize, BodyError> {
@@ -114,11 +139,12 @@
         if self.body.len() + taken > self.bytes_max {
             return Err(BodyError::TooLarge);
         }
-        if self.body.is_empty() && taken == buffer.len() {
-            self.body = buffer.split();
-        } else {
-            self.body.extend_from_slice(&buffer.split_to(taken));
+        if let Some(share) = &mut self.memory
+            && !share.extend_to(self.body.len() + taken)
+        {
+            return Err(BodyError::NoMemory);
         }
+        self.body.extend_from_slice(&buffer.split_to(taken));
         Ok(taken)
     }
 
--- a/crates/relay/src/http1/exchange.rs
+++ b/crates/relay/src/http1/exchange.rs
@@ -83,7 +83,7 @@
 
 /// Sends `request` on `stream` and reads its response. Writing continues while an early response
 /// is read. Responses that echo another id belong to an earlier request and are skipped. `memory` is
-/// the share of the response in the memory for unfinished ones.
+/// the empty share of the response in the memory of messages; its body holds its part for as long as it is in use.
 ///
 /// # Errors
 /// [`ExchangeError`] if there is no complete response; the connection must not be reused then.
@@ -191,10 +191,6 @@
             if self.parse()? {
                 return Ok(ReadProgress::Complete);
             }
-            let body_bytes = self.current.as_ref().map_or(0, |(_, body)| body.len());
-            if !self.memory.extend_to(body_bytes) {
-                return Err(ExchangeError::NoAnswer);
-            }
         }
         Ok(ReadProgress::Interrupted)
     }
@@ -256,7 +252,8 @@
             return Err(ExchangeError::NoAnswer);
         }
         let body = BodyReader::new(head.framing, RESPONSE_BODY_BYTES_MAX);
-        let body = body.map_err(|_| ExchangeError::NoAnswer)?;
+        let body = body.and_then(|body| body.with_memory(self.memory.another()));
+        let body = body.map_err(|_: BodyError| ExchangeError::NoAnswer)?;
         self.current = Some((head, body));
         Ok(true)
     }
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -6,8 +6,9 @@
 pub mod head;
 pub mod pool;
 pub mod request_handler;
-mod response_writer;
+mod response_output;
 pub mod server;
 mod server_connection;
+mod staged_close;
 
 pub use lagoonshore_transport::memory_budget;
--- a/crates/relay/src/http1/request_handler.rs
+++ b/crates/relay/src/http1/request_handler.rs
@@ -35,8 +35,9 @@
     /// Answers one request. The future is dropped, and with it the request cancelled, when the
     /// caller disconnects.
     fn respond(self: Rc<Self>, request: ServerRequest) -> LocalBoxFuture<'static, ServerResponse>;
-    /// Creates the response to an unreadable request, with `status`.
-    fn reject(&self, status: u16) -> ServerResponse;
+    /// Creates the response to a request that was not read, with `status`; `id` is empty if it is not
+    /// known.
+    fn reject(&self, status: u16, id: &str) -> ServerResponse;
     /// Limits on size and time of requests that are in force.
     fn limits(&self) -> CallerLimits;
     /// Returns a receiver of the phase, by which connections decide when to close.
--- a/crates/relay/src/http1/server.rs
+++ b/crates/relay/src/http1/server.rs
@@ -12,19 +12,28 @@
 };
 
 use actix_rt::net::TcpListener;
+use lagoonshore_transport::memory_budget::MemoryBudget;
 use std::{rc::Rc, time::Duration};
 
 /// Pause after a failed accept; without it, the loop would spin while descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves `listener` until the phase is [`ServerPhase::Closed`]; connections above
-/// `connections_max` are closed at once.
+/// `ServerLimits` bounds what the connections of a server hold.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// Concurrent connections; those above are closed at once.
+    pub connections: u32,
+    /// Memory that the requests share with other messages.
+    pub budget: MemoryBudget,
+}
+
+/// Serves `listener` until the phase is [`ServerPhase::Closed`].
 pub async fn serve<H: RequestHandler>(
     listener: TcpListener,
     handler: Rc<H>,
     scheme: HeaderScheme,
     open: ActiveCount,
-    connections_max: u32,
+    limits: ServerLimits,
 ) {
     let mut phase = handler.phase();
     loop {
@@ -38,11 +47,12 @@
             actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if open.get() >= connections_max {
+        if open.get() >= limits.connections {
             continue;
         }
         let guard = ActiveGuard::new(&open);
-        let connection = ServerConnection::new(stream, Rc::clone(&handler), scheme);
+        let connection =
+            ServerConnection::new(stream, Rc::clone(&handler), scheme, limits.budget.clone());
         actix_rt::spawn(async move {
             connection.serve().await;
             drop(guard);
--- a/crates/relay/src/http1/server_connection.rs
+++ b/crates/relay/src/http1/server_connection.rs
@@ -5,13 +5,15 @@
     body::{BodyError, BodyFraming, BodyReader},
     head::{self, HeadError, RequestHead},
     request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
-    response_writer::write_response,
+    response_output::ResponseOutput,
+    staged_close,
 };
 
 use crate::header_scheme::HeaderScheme;
 
 use actix_rt::net::TcpStream;
 use bytes::BytesMut;
+use lagoonshore_transport::memory_budget::{MemoryBudget, MemoryShare};
 use std::{collections::VecDeque, io::ErrorKind, rc::Rc, time::Duration};
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
@@ -22,12 +24,11 @@
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Bytes reserved for one read.
 const READ_CHUNK_BYTES: usize = 8 * 1024;
-/// Unwritten output, in bytes, above which no further response is serialized.
-const WRITE_AHEAD_BYTES: usize = 256 * 1024;
-/// Longest time for which input is read and discarded after the write side was closed. Closing with
-/// unread input would reset the connection, and the last response could be lost (RFC 9112,
-/// section 9.6).
-const STAGED_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for which input is discarded after the write side was closed.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// The same for a request whose body was not read: its caller may read the response only after it has
+/// sent the body.
+const BODY_DISCARD_TIME: Duration = Duration::from_secs(5);
 /// Idle time after which a connection is closed in [`ServerPhase::ClosingIdle`]. It is not zero
 /// because a caller that has just connected is about to send a request.
 const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -69,18 +70,28 @@
     handler: Rc<H>,
     scheme: HeaderScheme,
     input: BytesMut,
-    output: BytesMut,
+    output: ResponseOutput,
     partial: Option<PartialRequest>,
     pending: VecDeque<PendingResponse>,
     /// Start of the head being received, or the last progress of its body; `None` between requests.
     receiving_since: Option<Instant>,
     idle_since: Instant,
     is_input_closed: bool,
+    discard_time: Duration,
+    /// Memory of the unparsed input.
+    input_memory: MemoryShare,
+    budget: MemoryBudget,
     phase: watch::Receiver<ServerPhase>,
 }
 
 impl<H: RequestHandler> ServerConnection<H> {
-    pub(crate) fn new(stream: TcpStream, handler: Rc<H>, scheme: HeaderScheme) -> Self {
+    /// Creates a connection whose requests share the memory of `budget`.
+    pub(crate) fn new(
+        stream: TcpStream,
+        handler: Rc<H>,
+        scheme: HeaderScheme,
+        budget: MemoryBudget,
+    ) -> Self {
         // If the option cannot be set, responses are only delayed.
         let _ = stream.set_nodelay(true);
         let phase = handler.phase();
@@ -89,12 +100,15 @@
             handler,
             scheme,
             input: BytesMut::new(),
-            output: BytesMut::new(),
+            output: ResponseOutput::default(),
             partial: None,
             pending: VecDeque::new(),
             receiving_since: None,
             idle_since: Instant::now(),
             is_input_closed: false,
+            discard_time: DISCARD_TIME,
+            input_memory: budget.request_share(),
+            budget,
             phase,
         }
     }
@@ -107,7 +121,7 @@
             }
             let is_done = self.pending.is_empty() && self.output.is_empty();
             if is_done && (self.is_input_closed || self.is_idle_expired()) {
-                self.close_in_stages().await;
+                staged_close::close(self.stream, self.discard_time).await;
                 return;
             }
             match self.next_event().await {
@@ -138,7 +152,7 @@
             ..
         } = self;
         let can_read = input.len() < READ_AHEAD_BYTES || self.partial.is_some();
-        let can_respond = output.len() < WRITE_AHEAD_BYTES;
+        let can_respond = output.is_accepting();
         let next_response = async {
             match pending.front_mut() {
                 Some(pending) if can_respond => (&mut pending.task).await,
@@ -219,9 +233,10 @@
                     }
                     break;
                 }
-                Err(error) => self.refuse(body_status(error)),
+                Err(error) => self.refuse_body(error),
             }
         }
+        self.input_memory.reduce_to(self.input.len());
         true
     }
 
@@ -248,10 +263,11 @@
             }
         };
         if head.expects_continue && head.framing != BodyFraming::Length(0) {
-            self.output
-                .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+            self.output.push_continue();
         }
-        match BodyReader::new(head.framing, limits.body_bytes) {
+        let body = BodyReader::new(head.framing, limits.body_bytes);
+        let body = body.and_then(|body| body.with_memory(self.budget.request_share()));
+        match body {
             Ok(body) => {
                 self.partial = Some(PartialRequest {
                     head,
@@ -261,7 +277,7 @@
                 true
             }
             Err(error) => {
-                self.refuse(body_status(error));
+                self.refuse_request(body_status(error), &head.id.unwrap_or_default());
                 false
             }
         }
@@ -295,10 +311,25 @@
         self.is_input_closed = closes || self.is_closing();
     }
 
-    /// Answers unparsable input with `status` and stops reading, since the start of a following
-    /// request cannot be found.
+    /// Refuses the request whose body cannot be read.
+    fn refuse_body(&mut self, error: BodyError) {
+        let head = self.partial.take().map(|partial| partial.head);
+        let id = head.and_then(|head| head.id);
+        self.refuse_request(body_status(error), &id.unwrap_or_default());
+    }
+
+    /// Answers unparsable input with `status`.
     fn refuse(&mut self, status: u16) {
-        let response = self.handler.reject(status);
+        self.refuse_request(status, "");
+    }
+
+    /// Answers the request `id`, which was not read, with `status` and stops reading, since the start of
+    /// a following request cannot be found.
+    fn refuse_request(&mut self, status: u16, id: &str) {
+        let response = self.handler.reject(status, id);
+        if !id.is_empty() {
+            self.discard_time = BODY_DISCARD_TIME;
+        }
         self.receiving_since = None;
         self.partial = None;
         self.input.clear();
@@ -314,11 +345,11 @@
         let Some(pending) = self.pending.pop_front() else {
             return;
         };
-        let response = response.unwrap_or_else(|_| self.handler.reject(502));
+        let response = response.unwrap_or_else(|_| self.handler.reject(502, ""));
         let is_last = self.pending.is_empty();
         let closes = pending.closes || (is_last && self.is_closing());
         self.is_input_closed |= closes;
-        write_response(&mut self.output, &response, closes, pending.is_head);
+        self.output.push(response, closes, pending.is_head);
         self.idle_since = Instant::now();
     }
 
@@ -329,6 +360,9 @@
             Ok(0) => false,
             Ok(_) => {
                 self.idle_since = Instant::now();
+                if !self.input_memory.extend_to(self.input.len()) {
+                    self.refuse(503);
+                }
                 true
             }
             Err(error) => error.kind() == ErrorKind::WouldBlock,
@@ -337,36 +371,15 @@
 
     /// Writes as much output as the socket takes; `false` if the caller disconnected.
     fn write_some(&mut self) -> bool {
-        while !self.output.is_empty() {
-            match self.stream.try_write(&self.output) {
-                Ok(written) => {
-                    let _ = self.output.split_to(written);
+        match self.output.write_to(&self.stream) {
+            Ok(is_written) => {
+                if is_written {
                     self.idle_since = Instant::now();
                 }
-                Err(error) => return error.kind() == ErrorKind::WouldBlock,
+                true
             }
+            Err(_) => false,
         }
-        true
-    }
-
-    /// Closes the write side and discards input until the caller closes, for
-    /// [`STAGED_CLOSE_TIMEOUT`] at most.
-    async fn close_in_stages(mut self) {
-        use tokio::io::{AsyncReadExt, AsyncWriteExt};
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let mut discarded = [0; 1024];
-        let reading = async {
-            while self
-                .stream
-                .read(&mut discarded)
-                .await
-                .is_ok_and(|read| read > 0)
-            {}
-        };
-        // The connection is dropped either way.
-        let _ = actix_rt::time::timeout(STAGED_CLOSE_TIMEOUT, reading).await;
     }
 }
 
@@ -374,5 +387,6 @@
     match error {
         BodyError::TooLarge => 413,
         BodyError::Malformed => 400,
+        BodyError::NoMemory => 503,
     }
 }
--- a/crates/relay/src/lifecycle/ready_listener.rs
+++ b/crates/relay/src/lifecycle/ready_listener.rs
@@ -69,10 +69,10 @@
                 "readiness: changed"
             );
         }
-        request_handler::ready_response(self.reject(if is_ready { 200 } else { 503 }))
+        request_handler::ready_response(self.reject(if is_ready { 200 } else { 503 }, ""))
     }
 
-    fn reject(&self, status: u16) -> ServerResponse {
+    fn reject(&self, status: u16, _: &str) -> ServerResponse {
         ServerResponse {
             status,
             fields: Bytes::new(),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -14,7 +14,7 @@
     error::{RelayError, Result, SignalsSnafu},
     events,
     header_scheme::HeaderScheme,
-    http1::server,
+    http1::server::{self, ServerLimits},
     lifecycle::{
         planned_stop::{self, StopParts},
         ready_listener::ReadyListener,
@@ -162,7 +162,7 @@
             Rc::clone(&self.callers),
             self.scheme,
             Rc::clone(&self.caller_connections),
-            CALLER_CONNECTIONS_MAX,
+            self.limits(CALLER_CONNECTIONS_MAX),
         );
         actix_rt::spawn(serving);
         let (count, scheme) = (ActiveCount::default(), self.scheme);
@@ -171,7 +171,7 @@
             Rc::clone(&self.ready),
             scheme,
             count,
-            ADMIN_CONNECTIONS_MAX,
+            self.limits(ADMIN_CONNECTIONS_MAX),
         );
         actix_rt::spawn(serving);
         let (upstream, fleet) = (Rc::clone(&self.server), Rc::clone(&self.directory));
@@ -186,7 +186,7 @@
             listener,
             scheme,
             ActiveCount::default(),
-            ADMIN_CONNECTIONS_MAX,
+            self.limits(ADMIN_CONNECTIONS_MAX),
         );
         actix_rt::spawn(serving);
         actix_rt::spawn(metrics_recorder::run_upkeep(metrics));
@@ -205,6 +205,14 @@
         Ok(bound)
     }
 
+    /// Limits of a listener with `connections` connections at most.
+    fn limits(&self, connections: u32) -> ServerLimits {
+        ServerLimits {
+            connections,
+            budget: self.budget.clone(),
+        }
+    }
+
     /// Returns a snapshot of the state of the node for operators.
     #[must_use]
     pub fn dump(&self) -> StateDump {
--- a/crates/relay/src/serving/mod.rs
+++ b/crates/relay/src/serving/mod.rs
@@ -2,7 +2,7 @@
 
 mod announcements;
 pub mod local_upstream;
-mod refusals;
+pub(crate) mod refusals;
 pub(crate) mod retry_gate;
 mod route_gate;
 pub mod running_table;
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -207,6 +207,8 @@
     fleet
 }
 
+/// Largest response that a test receives, in bytes.
+const RESPONSE_BYTES_MAX: usize = 1024 * 1024;
 /// Port at which nodes listen for peers; below the range of ephemeral ports.
 pub(crate) const PEER_PORT: u16 = 7600;
 
@@ -248,7 +250,7 @@
         &stream,
         caller_request(method, path, id, more),
         &SCHEME,
-        MemoryBudget::new(0).share(),
+        MemoryBudget::new(RESPONSE_BYTES_MAX).share(),
     )
     .await
     .expect("a complete response");
@@ -262,7 +264,13 @@
 /// Sends a request on `stream`; returns the status of its response, or `None` if there is none.
 pub(crate) async fn send(stream: &TcpStream, method: &str, path: &str, id: &str) -> Option<u16> {
     let request = caller_request(method, path, id, "");
-    let response = exchange::run(stream, request, &SCHEME, MemoryBudget::new(0).share()).await;
+    let response = exchange::run(
+        stream,
+        request,
+        &SCHEME,
+        MemoryBudget::new(RESPONSE_BYTES_MAX).share(),
+    )
+    .await;
     response.ok().map(|response| response.head.status)
 }
 
--- a/crates/relay/tests/support/upstream.rs
+++ b/crates/relay/tests/support/upstream.rs
@@ -310,7 +310,7 @@
             return None;
         }
     };
-    let mut body = BodyReader::new(head.framing, 1024 * 1024).ok()?;
+    let mut body = BodyReader::new(head.framing, 64 << 20).ok()?;
     while !body.read_from(buffer).ok()? {
         if stream.read_buf(buffer).await.ok()? == 0 {
             return None;
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod tarpc_link;
 pub mod upstream_client;
 mod upstream_pool;
+pub mod write_queue;
 
 pub use error::{Result, TransportError};
--- a/crates/transport/src/link_transport.rs
+++ b/crates/transport/src/link_transport.rs
@@ -8,16 +8,16 @@
 use crate::{
     frame_reader::{FrameReader, LENGTH_BYTES, LENGTHS_BYTES, PARTS_MAX},
     memory_budget::MemoryBudget,
+    write_queue::{WRITE_SLICES_MAX, WriteQueue},
 };
 
 use actix_rt::net::TcpStream;
 use bincode::Options;
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use futures::{Sink, Stream, ready};
 use lagoonshore_protocol::relay_bytes;
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::VecDeque,
     io::{Error, ErrorKind, IoSlice, Result},
     marker::PhantomData,
     pin::Pin,
@@ -29,15 +29,12 @@
 
 /// Unwritten bytes above which no further message is accepted.
 const WRITE_AHEAD_BYTES: usize = 256 * 1024;
-/// Most slices of one vectored write.
-const WRITE_SLICES_MAX: usize = 16;
 
 /// `LinkTransport` receives messages of type `Item` and sends those of type `SinkItem`.
 pub struct LinkTransport<Item, SinkItem> {
     stream: TcpStream,
     reader: FrameReader,
-    unwritten: VecDeque<Bytes>,
-    unwritten_bytes: usize,
+    unwritten: WriteQueue,
     messages: PhantomData<fn(SinkItem) -> Item>,
 }
 
@@ -53,48 +50,25 @@
         Self {
             stream,
             reader: FrameReader::new(frame_bytes_max, budget, received),
-            unwritten: VecDeque::new(),
-            unwritten_bytes: 0,
+            unwritten: WriteQueue::default(),
             messages: PhantomData,
         }
     }
 
     /// Writes until everything is written or the socket is full.
     fn poll_write(&mut self, context: &mut Context<'_>) -> Poll<Result<()>> {
-        while self.unwritten_bytes > 0 {
+        while !self.unwritten.is_empty() {
             let mut slices = [IoSlice::new(&[]); WRITE_SLICES_MAX];
-            let mut filled = 0;
-            for (slice, part) in slices.iter_mut().zip(&self.unwritten) {
-                *slice = IoSlice::new(part);
-                filled += 1;
-            }
+            let filled = self.unwritten.fill(&mut slices);
             let stream = Pin::new(&mut self.stream);
             let written = ready!(stream.poll_write_vectored(context, &slices[..filled]))?;
             if written == 0 {
                 return Poll::Ready(Err(ErrorKind::WriteZero.into()));
             }
-            self.remove_written(written);
+            self.unwritten.advance(written);
         }
         Poll::Ready(Ok(()))
     }
-
-    fn remove_written(&mut self, written: usize) {
-        self.unwritten_bytes -= written;
-        let mut left = written;
-        while let Some(part) = self.unwritten.front_mut() {
-            if part.len() > left {
-                part.advance(left);
-                return;
-            }
-            left -= part.len();
-            self.unwritten.pop_front();
-        }
-    }
-
-    fn push_unwritten(&mut self, part: Bytes) {
-        self.unwritten_bytes += part.len();
-        self.unwritten.push_back(part);
-    }
 }
 
 impl<Item, SinkItem> Stream for LinkTransport<Item, SinkItem>
@@ -125,7 +99,7 @@
 
     fn poll_ready(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
         let transport = self.get_mut();
-        if transport.unwritten_bytes < WRITE_AHEAD_BYTES {
+        if transport.unwritten.len() < WRITE_AHEAD_BYTES {
             return Poll::Ready(Ok(()));
         }
         transport.poll_write(context)
@@ -147,9 +121,9 @@
             let length = u32::try_from(length).map_err(Error::other)?;
             place.copy_from_slice(&length.to_be_bytes());
         }
-        transport.push_unwritten(frame.freeze());
+        transport.unwritten.push(frame.freeze());
         for part in parts {
-            transport.push_unwritten(part);
+            transport.unwritten.push(part);
         }
         Ok(())
     }
--- a/crates/transport/src/memory_budget.rs
+++ b/crates/transport/src/memory_budget.rs
@@ -101,6 +101,12 @@
 }
 
 impl MemoryShare {
+    /// Creates an empty share of the same budget, for another message of the same kind.
+    #[must_use]
+    pub fn another(&self) -> Self {
+        self.budget.share_of(self.kind)
+    }
+
     /// Extends the share to a message of `length` bytes; `false` if the budget does not have them. The
     /// first bytes of each message are not counted.
     #[must_use]
