Count deadlines between nodes on the clock of the runtime, and test wasted time on it

Cause: the test states a limit of 30 ms of real time. Where the first request took longer, the gate had learned that and refused the second one; or the call of the upstream ended before the limit of its parent. The program was right in both cases. On the stopped clock the test failed at first as well: links handed their deadlines to tarpc as times of the system's clock, so that calls went on running out while the clock of the runtime stood still.

Change: the test sends both requests while the clock of the runtime is stopped, waits until the second one runs, and lets the 30 ms pass at once. The limit is the same, and nothing else is left out. Deadlines are handed to tarpc and taken from it as the time that is left on the clock of the runtime; with a running clock both are the same.

--- a/crates/daemon/src/listeners/peer_listener.rs
+++ b/crates/daemon/src/listeners/peer_listener.rs
@@ -14,6 +14,7 @@
     peer_service::PeerService,
 };
 use lagoonshore_state::ids::IncarnationId;
+use lagoonshore_transport::tarpc_link;
 use tarpc::context::Context;
 use tokio::time::Instant;
 
@@ -51,7 +52,7 @@
         // The message carries the time that remained when it was sent, so its time in transit is
         // subtracted.
         let age = self.node.executions.age(request.stamp);
-        let deadline = Instant::from_std(context.deadline);
+        let deadline = tarpc_link::deadline_of(&context);
         match deadline.checked_sub(age) {
             Some(deadline) if deadline > Instant::now() => {
                 keyed_server::serve(&self.node, request, deadline).await
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -15,7 +15,7 @@
     rc::Rc,
     time::Duration,
 };
-use support::{TestNode, TestResponse};
+use support::{TestNode, TestResponse, stopped_clock::StoppedClock};
 use tokio::sync::watch;
 
 const PORTAL: &str = include_str!("../../../examples/kocaeli/records/diary-portal.yaml");
@@ -25,6 +25,9 @@
 /// Polls after which a test fails because its condition was never met.
 const POLLS_MAX: u32 = 2000;
 
+/// Resolution of timers: one may fire this much after its deadline.
+const TIMER_TICK: Duration = Duration::from_millis(1);
+
 /// Number of requests that a fake upstream ran.
 type RunCount = Rc<Cell<u32>>;
 /// Paths of the requests that a fake upstream ran.
@@ -187,13 +190,23 @@
 async fn time_spent_on_failed_requests_is_counted_as_wasted() {
     let chain = start_chain(MEDICATION).await;
     let (portal, inbound) = (&chain.portal, chain.portal.addresses.inbound);
-    assert_eq!(get_day(inbound, 1).await.status, 200);
+    let clock = StoppedClock::stop();
+    let first = get_day(inbound, 1).await;
+    assert_eq!(first.status, 200, "{first:?}");
     assert_eq!(portal.node.counters.borrow().wasted_micros, 0);
     chain.can_answer.send_replace(false);
     let fields = [("lagoonshore-timeout-ms", "30")];
-    let response = support::send(inbound, "GET", "/day/7", &fields, "").await;
-    assert_eq!(response.reason, "timeout");
+    let request =
+        actix_rt::spawn(async move { support::send(inbound, "GET", "/day/7", &fields, "").await });
+    let runs = &chain.medication_runs;
+    clock
+        .wait_until(|| runs.get() == 2 || request.is_finished())
+        .await;
+    clock.advance(Duration::from_millis(30) + TIMER_TICK).await;
+    let response = request.await.expect("the request task ends");
+    assert_eq!(response.reason, "timeout", "{response:?}");
     assert!(portal.node.counters.borrow().wasted_micros > 0);
+    clock.release().await;
     let mut polls = 0;
     while chain.medication.node.counters.borrow().wasted_micros == 0 {
         polls += 1;
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test binary uses only part of this module.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod stopped_clock;
+
 use awc::Client;
 use bytes::Bytes;
 use lagoonshore_daemon::{
--- a/crates/relay/src/peer_listener.rs
+++ b/crates/relay/src/peer_listener.rs
@@ -14,7 +14,6 @@
 use lagoonshore_transport::{memory_budget::MemoryBudget, peer_server, tarpc_link};
 use std::{rc::Rc, time::Duration};
 use tarpc::context::Context;
-use tokio::time::Instant;
 
 /// Concurrent links from other nodes.
 const LINKS_MAX: usize = 1200;
@@ -52,7 +51,7 @@
 
 impl RelayService for PeerListener {
     async fn relay(self, context: Context, request: RelayRequest) -> RelayReply {
-        let deadline = Instant::from_std(context.deadline);
+        let deadline = tarpc_link::deadline_of(&context);
         self.server.serve(request, deadline).await
     }
 
--- a/crates/transport/src/tarpc_link.rs
+++ b/crates/transport/src/tarpc_link.rs
@@ -51,14 +51,23 @@
     config
 }
 
-/// Returns the context of a call with the given deadline.
+/// Returns the context of a call with the given deadline on the clock of the runtime. tarpc compares it
+/// with the system's clock, which differs from that of the runtime while a test has stopped the latter.
 #[must_use]
 pub fn context(deadline: Instant) -> Context {
+    let time_left = deadline.saturating_duration_since(Instant::now());
     let mut context = Context::current();
-    context.deadline = deadline.into_std();
+    context.deadline = std::time::Instant::now() + time_left;
     context
 }
 
+/// Returns the deadline of a call on the clock of the runtime.
+#[must_use]
+pub fn deadline_of(context: &Context) -> Instant {
+    let now = std::time::Instant::now();
+    Instant::now() + context.deadline.saturating_duration_since(now)
+}
+
 /// Serves one link until it ends, which cancels its requests.
 pub async fn serve<S>(stream: TcpStream, limits: LinkLimits, server: S)
 where
