Types of client accounts in documents and messages

Cause: documents of some fleets name client accounts with keys and quotas, and nothing between the decoder and the upstream can carry them. Change: AccountEntry, AccountQuota and AccountKey (whose text is in no Debug output); a document may have accounts, a route may be open to anyone; the account of a request goes with it from node to node and is inherited by the calls of its run. Nothing fills the fields yet, so that deployments without accounts behave as before.

--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -32,6 +32,7 @@
         aim: Duration::from_secs(1),
         attempts: 2,
         importance: RequestImportance(2),
+        is_anonymous: false,
     }
 }
 
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -9,7 +9,7 @@
 };
 use lagoonshore_state::{
     data_type,
-    ids::{DocumentVersion, InstanceName, ServiceName},
+    ids::{AccountName, DocumentVersion, InstanceName, ServiceName},
     route_table::FleetDocument,
     units::RequestImportance,
     upstream_list::{UpstreamLimit, UpstreamRecord, UpstreamRun},
@@ -42,6 +42,8 @@
         pub body: RelayBytes,
         /// Importance of the request at the root of the call chain.
         pub importance: RequestImportance,
+        /// Client account of the request at the root of the call chain, if it has one.
+        pub account: Option<AccountName>,
         /// Whether the request is idempotent.
         pub is_idempotent: bool,
         /// Number of calls that the parent request made before this one; `None` without a parent.
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -124,6 +124,7 @@
             target,
             fields,
             body,
+            account: parent.as_ref().and_then(|parent| parent.account.clone()),
             parent,
             spent,
             received,
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -23,7 +23,10 @@
 ) -> RelayRequest {
     let elapsed = request.spent + request.received.elapsed();
     let aim_left = request.route.aim.saturating_sub(elapsed);
-    let is_retry = request.parent.is_some_and(|parent| parent.is_retry);
+    let is_retry = request
+        .parent
+        .as_ref()
+        .is_some_and(|parent| parent.is_retry);
     let is_resent = progress.deliveries > 0;
     let max_wait = if has_others {
         request.route.aim.mul_f64(FIRST_WAIT_SHARE)
@@ -40,8 +43,12 @@
         fields: request.fields.clone().into(),
         body: request.body.clone().into(),
         importance: request.importance(),
+        account: request.account.clone(),
         is_idempotent: request.route.is_idempotent,
-        calls_before: request.parent.map(|parent| parent.nested_calls.calls),
+        calls_before: request
+            .parent
+            .as_ref()
+            .map(|parent| parent.nested_calls.calls),
         kind: route_id(&request.route.name),
         aim_ms: whole_millis(aim_left),
         wait_ms: whole_millis(max_wait),
--- a/crates/relay/src/calling/routed_request.rs
+++ b/crates/relay/src/calling/routed_request.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_protocol::relay_messages::RelayResponse;
-use lagoonshore_state::{route_table::RouteEntry, units::RequestImportance};
+use lagoonshore_state::{ids::AccountName, route_table::RouteEntry, units::RequestImportance};
 use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
@@ -27,6 +27,8 @@
     pub fields: Bytes,
     /// Request body.
     pub body: Bytes,
+    /// Client account of the request at the root of the call chain, if it has one.
+    pub account: Option<AccountName>,
     /// Running request that makes this call; `None` unless the local upstream makes it.
     pub parent: Option<RunningRequest>,
     /// Time that the caller spent on earlier attempts and the waits between them.
@@ -53,7 +55,7 @@
     /// Importance of the first request of the chain.
     #[must_use]
     pub fn importance(&self) -> RequestImportance {
-        let inherited = self.parent.map(|parent| parent.importance);
+        let inherited = self.parent.as_ref().map(|parent| parent.importance);
         inherited.unwrap_or(self.route.importance)
     }
 }
--- a/crates/relay/src/serving/running_table.rs
+++ b/crates/relay/src/serving/running_table.rs
@@ -4,14 +4,16 @@
 
 use compact_str::CompactString;
 use lagoonshore_protocol::relay_messages::CallFailure;
-use lagoonshore_state::units::RequestImportance;
+use lagoonshore_state::{ids::AccountName, units::RequestImportance};
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
 /// `RunningRequest` holds what the calls of a running request inherit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RunningRequest {
     /// Importance of the first request of the chain.
     pub importance: RequestImportance,
+    /// Client account of that request, if it has one.
+    pub account: Option<AccountName>,
     /// Whether the request is a retry, or a call of a run that is one.
     pub is_retry: bool,
     /// Totals of the calls that it made so far.
@@ -60,7 +62,7 @@
     #[must_use]
     pub fn parent_of(&self, id: &str, separator: char) -> Option<RunningRequest> {
         let (parent, _) = id.rsplit_once(separator)?;
-        self.requests.borrow().get(parent).copied()
+        self.requests.borrow().get(parent).cloned()
     }
 
     /// Adds a finished call, with the totals of its own nested calls, to the request that made it.
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -284,6 +284,7 @@
         let summary = RunSummary::of(&request);
         let running = RunningRequest {
             importance: request.importance,
+            account: request.account.clone(),
             is_retry: request.is_repeat,
             ..RunningRequest::default()
         };
--- a/crates/relay/tests/memory.rs
+++ b/crates/relay/tests/memory.rs
@@ -95,6 +95,7 @@
         fields: RelayBytes::default(),
         body: RelayBytes::Dropped,
         importance: RequestImportance(0),
+        account: None,
         is_idempotent: false,
         calls_before: None,
         kind: 1,
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -27,6 +27,7 @@
         fields: RelayBytes::default(),
         body: RelayBytes::default(),
         importance: RequestImportance(0),
+        account: None,
         is_idempotent: true,
         calls_before: None,
         kind: 1,
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -23,6 +23,7 @@
         fields: RelayBytes::default(),
         body: RelayBytes::default(),
         importance: RequestImportance(0),
+        account: None,
         is_idempotent: false,
         calls_before: None,
         kind: 1,
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -164,6 +164,7 @@
         connections: 100,
     });
     FleetDocument {
+        accounts: None,
         version,
         routes: routes.to_vec(),
         services: services.collect(),
@@ -189,6 +190,7 @@
         aim: Duration::from_secs(1),
         attempts: 3,
         importance: RequestImportance(1),
+        is_anonymous: false,
     }
 }
 
--- a/crates/state/src/ids.rs
+++ b/crates/state/src/ids.rs
@@ -14,6 +14,8 @@
 pub type ClassName = CompactString;
 /// `LaneName` is the name of a lane, unique within a policy.
 pub type LaneName = CompactString;
+/// `AccountName` is the name of a client account, unique within a document.
+pub type AccountName = CompactString;
 /// `PolicyRevision` is the revision of a policy record, from 1 and strictly increasing.
 pub type PolicyRevision = u64;
 /// `DocumentVersion` is the version of a fleet's document; 0 means that there is none.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,6 +5,7 @@
 #[macro_use]
 mod macros;
 
+pub mod account;
 pub mod adaptive_limit;
 pub mod admission_level;
 pub mod counters;
--- a/crates/state/src/route_table.rs
+++ b/crates/state/src/route_table.rs
@@ -1,6 +1,7 @@
 //! Routing table of a fleet, built from its published document.
 
 use crate::{
+    account::AccountEntry,
     ids::{DocumentVersion, ServiceName},
     units::RequestImportance,
 };
@@ -19,6 +20,8 @@
         pub services: Vec<ServiceEntry>,
         /// Limits on what callers may send.
         pub limits: CallerLimits,
+        /// Client accounts; `None` if the fleet has none, and no caller needs a key.
+        pub accounts: Option<Vec<AccountEntry>>,
     }
 
     /// `RouteEntry` describes a route: the requests that match a host and a path prefix, and how
@@ -42,6 +45,8 @@
         pub attempts: u32,
         /// Importance of the requests.
         pub importance: RequestImportance,
+        /// Whether callers need no key, though the document has accounts.
+        pub is_anonymous: bool,
     }
 
     /// `RouteTarget` is a service that gets a share of a route's requests.
--- a/crates/state/tests/route_table.rs
+++ b/crates/state/tests/route_table.rs
@@ -22,6 +22,7 @@
         aim: Duration::from_secs(1),
         attempts: 2,
         importance: RequestImportance(0),
+        is_anonymous: false,
     }
 }
 
@@ -36,6 +37,7 @@
         ],
         services: Vec::new(),
         limits: CallerLimits::default(),
+        accounts: None,
     })
 }
 
