Accounts by name in the route table

Cause: quotas and importance of an account are looked up by its name at each request. Change: the route table keeps the document's accounts by name, and says whether there are any. Evidence: clippy over all targets is clean.

--- a/crates/state/src/route_table.rs
+++ b/crates/state/src/route_table.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     account::AccountEntry,
-    ids::{DocumentVersion, ServiceName},
+    ids::{AccountName, DocumentVersion, ServiceName},
     units::RequestImportance,
 };
 
@@ -101,6 +101,7 @@
     hosts: HashMap<CompactString, HashMap<CompactString, Rc<RouteEntry>>>,
     services: Vec<ServiceEntry>,
     limits: CallerLimits,
+    accounts: Option<HashMap<AccountName, Rc<AccountEntry>>>,
 }
 
 impl RouteTable {
@@ -118,6 +119,10 @@
             hosts,
             services: document.services,
             limits: document.limits,
+            accounts: document.accounts.map(|accounts| {
+                let entry = |account: AccountEntry| (account.name.clone(), Rc::new(account));
+                accounts.into_iter().map(entry).collect()
+            }),
         }
     }
 
@@ -139,6 +144,18 @@
         self.services.iter().find(|service| service.name == name)
     }
 
+    /// Returns whether callers need the key of an account.
+    #[must_use]
+    pub const fn has_accounts(&self) -> bool {
+        self.accounts.is_some()
+    }
+
+    /// Returns the account called `name`.
+    #[must_use]
+    pub fn account(&self, name: &str) -> Option<&Rc<AccountEntry>> {
+        self.accounts.as_ref()?.get(name)
+    }
+
     /// Returns all routes, ordered by host and prefix.
     #[must_use]
     pub fn routes(&self) -> Vec<&RouteEntry> {
