Break the import circles of the command line and of the drain states

Cause: the subcommands of lagoonctl imported the module that dispatches to them for its argument parsers, and the error of the coordination layer imported the drain control, which returns that error. Change: the parsers are a module of their own, argument_parser; the drain states and causes are one as well, drain_state, below both the error and the control. No behaviour changes; tests change in imports only.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -1,7 +1,7 @@
 //! `lagoonctl fleet`: one line per node, with a mark at each revision that is behind.
 
 use crate::{
-    command,
+    argument_parser,
     error::{CliError, Result, usage_error},
     node_reader,
     text_table::{TextTable, format_scalar},
@@ -21,7 +21,7 @@
 /// [`CliError::Usage`] if no address is given or an argument is not an address.
 pub fn parse(mut arguments: Arguments) -> Result<Box<dyn Fn() -> Result>> {
     let as_json = arguments.contains("--json");
-    let addresses = command::parse_addresses(arguments)?;
+    let addresses = argument_parser::parse_addresses(arguments)?;
     if addresses.is_empty() {
         return Err(usage_error(
             "expected at least one address of an admin listener",
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! `lagoonshore-cli` implements `lagoonctl`, the read-only command line for operators. It has no
 //! command that changes a node: operators change nodes only by publishing records.
 
+pub mod argument_parser;
 pub mod check;
 pub mod command;
 pub mod error;
--- a/crates/cli/src/policy.rs
+++ b/crates/cli/src/policy.rs
@@ -1,7 +1,7 @@
 //! `lagoonctl policy`: revisions in force at a node, and the last record it refused per service.
 
 use crate::{
-    command,
+    argument_parser,
     error::Result,
     node_reader,
     text_table::{TextTable, format_scalar},
@@ -16,7 +16,7 @@
 /// [`crate::CliError::Usage`] unless exactly one address is given.
 pub fn parse(mut arguments: Arguments) -> Result<Box<dyn Fn() -> Result>> {
     let as_json = arguments.contains("--json");
-    let address = command::parse_address(arguments)?;
+    let address = argument_parser::parse_address(arguments)?;
     Ok(Box::new(move || {
         let state = node_reader::fetch_blocking(address, "/state")?;
         let policy = &state["policy"];
--- a/crates/cli/src/state.rs
+++ b/crates/cli/src/state.rs
@@ -1,7 +1,7 @@
 //! `lagoonctl state`: state of one node, whole or one part.
 
 use crate::{
-    command,
+    argument_parser,
     error::{Result, usage_error},
     node_reader, text_table,
 };
@@ -14,9 +14,9 @@
 /// # Errors
 /// [`crate::CliError::Usage`] if an option is invalid or there is not exactly one address.
 pub fn parse(mut arguments: Arguments) -> Result<Box<dyn Fn() -> Result>> {
-    let part: Option<String> = command::parse_option(&mut arguments, "--part")?;
+    let part: Option<String> = argument_parser::parse_option(&mut arguments, "--part")?;
     let as_json = arguments.contains("--json");
-    let address = command::parse_address(arguments)?;
+    let address = argument_parser::parse_address(arguments)?;
     Ok(Box::new(move || {
         let state = node_reader::fetch_blocking(address, "/state")?;
         let selected = select(&state, part.as_deref())?;
--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the coordination layer.
 
-use crate::lifecycle::drain::DrainState;
+use crate::lifecycle::drain_state::DrainState;
 
 use lagoonshore_state::StateError;
 use snafu::Snafu;
--- a/crates/coordination/tests/lifecycle.rs
+++ b/crates/coordination/tests/lifecycle.rs
@@ -3,10 +3,7 @@
 
 use goldenscript::{Command, Context, Runner};
 use lagoonshore_coordination::{
-    lifecycle::{
-        drain::{DrainCause, DrainControl},
-        pause_detector::PauseDetector,
-    },
+    lifecycle::{drain::DrainControl, drain_state::DrainCause, pause_detector::PauseDetector},
     protection::upstream_health::{DispatchResult, HealthControl, ProbeResult},
     request::outcome::RefusalReason,
 };
--- a/crates/daemon/src/lifecycle/node_lifecycle.rs
+++ b/crates/daemon/src/lifecycle/node_lifecycle.rs
@@ -4,7 +4,7 @@
 
 use lagoonshore_coordination::{
     lifecycle::{
-        drain::DrainCause,
+        drain_state::DrainCause,
         pause_detector::{PauseDetector, TICK_INTERVAL},
     },
     protection::upstream_health::ProbeResult,
--- a/crates/daemon/src/lifecycle/planned_stop.rs
+++ b/crates/daemon/src/lifecycle/planned_stop.rs
@@ -2,7 +2,7 @@
 
 use crate::{lifecycle::node_lifecycle, node::SharedNode, observation::events};
 
-use lagoonshore_coordination::lifecycle::drain::DrainCause;
+use lagoonshore_coordination::lifecycle::drain_state::DrainCause;
 use std::time::Duration;
 use tracing::{info, warn};
 
--- a/crates/daemon/src/observation/node_metrics.rs
+++ b/crates/daemon/src/observation/node_metrics.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 
 use lagoonshore_coordination::{
-    lifecycle::drain::DrainState, protection::upstream_health::UpstreamState,
+    lifecycle::drain_state::DrainState, protection::upstream_health::UpstreamState,
     request::outcome::CallOutcome, routing::ejection::PeerCondition,
 };
 use lagoonshore_protocol::messages::CallResult;
--- a/crates/daemon/src/protection/health_probe.rs
+++ b/crates/daemon/src/protection/health_probe.rs
@@ -8,7 +8,7 @@
 };
 
 use lagoonshore_coordination::{
-    lifecycle::drain::DrainCause,
+    lifecycle::drain_state::DrainCause,
     protection::upstream_health::{DispatchResult, HealthChange},
 };
 use rand::Rng;
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -8,7 +8,7 @@
 mod support;
 
 use keyed_support::{RECORD, ZonePair, post, request_key};
-use lagoonshore_coordination::lifecycle::drain::DrainCause;
+use lagoonshore_coordination::lifecycle::drain_state::DrainCause;
 use lagoonshore_protocol::messages::{CallResult, MessageStamp};
 use lagoonshore_transport::peer_link::PeerLinks;
 use std::{cell::Cell, rc::Rc, time::Duration};
--- a/crates/daemon/tests/draining.rs
+++ b/crates/daemon/tests/draining.rs
@@ -12,7 +12,7 @@
 
 use crashing_upstream::CrashingUpstream;
 use lagoonshore_coordination::{
-    gossip::policy_digest::ListVersion, lifecycle::drain::DrainState,
+    gossip::policy_digest::ListVersion, lifecycle::drain_state::DrainState,
     request::outcome::RefusalReason,
 };
 use lagoonshore_daemon::{
--- a/crates/daemon/tests/metrics_page.rs
+++ b/crates/daemon/tests/metrics_page.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use lagoonshore_coordination::lifecycle::drain::DrainCause;
+use lagoonshore_coordination::lifecycle::drain_state::DrainCause;
 use lagoonshore_transport::http_listener::HttpRequest;
 use std::collections::BTreeMap;
 
