Decide by tokens, counters and loans how a quota is kept over the fleet

Cause: an account's quota is summed over all nodes, and no node sees all requests. Change: coordination::quota: parts of a zone, a token bucket, a node's tokens in hand, the counter with its loans, and the choice of the counter by rendezvous hashing with a hold-down. Nothing uses it yet.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod gossip;
 pub mod lifecycle;
 pub mod protection;
+pub mod quota;
 pub mod request;
 pub mod retries;
 pub mod routing;
