Keep quotas of accounts: gate, counters and loans between nodes

Cause: the decisions of coordination::quota had no messages and no gate. Change: take_tokens between nodes; relay::quota with the counters of a zone, their loans, and the gate that admits requests at the node where they begin; 429 with the reason quota and a Retry-After, 503 quota-unknown if no counter answers; the section quota of the settings; metrics, events 3501 to 3503, /state. A fleet without accounts builds no view of counters and sends nothing.

--- a/crates/coordination/src/quota/account_counter.rs
+++ b/crates/coordination/src/quota/account_counter.rs
@@ -29,7 +29,7 @@
 }
 
 /// `CounterTotals` counts tokens since the counter began.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize)]
 pub struct CounterTotals {
     /// Tokens granted to nodes.
     pub granted: f64,
--- a/crates/coordination/src/request/outcome.rs
+++ b/crates/coordination/src/request/outcome.rs
@@ -56,6 +56,10 @@
         HomeUnreachable,
         /// The request ran, but its response is no longer retained.
         AnswerEvicted,
+        /// The client account has used up its quota.
+        QuotaExceeded,
+        /// No counter of the quota of the client account can be reached.
+        QuotaUnknown,
         /// The message is older than the limit, or the process was paused and has not checked its
         /// upstream since.
         Stale,
@@ -97,6 +101,8 @@
             Self::KeyReused => "key-reused",
             Self::HomeUnreachable => "home-unreachable",
             Self::AnswerEvicted => "answer-evicted",
+            Self::QuotaExceeded => "quota",
+            Self::QuotaUnknown => "quota-unknown",
             Self::Stale => "stale",
         }
     }
@@ -113,6 +119,8 @@
             Self::KeyExpired | Self::AnswerEvicted => 410,
             // "Precondition Required", RFC 6585, section 3.
             Self::KeyRequired => 428,
+            // "Too Many Requests", RFC 6585, section 4.
+            Self::QuotaExceeded => 429,
             _ => 503,
         }
     }
@@ -127,6 +135,7 @@
                 | Self::BadRequest
                 | Self::RetryLimit
                 | Self::Quarantined
+                | Self::QuotaExceeded
         )
     }
 
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -172,6 +172,30 @@
         pub read_age_ms: u32,
     }
 
+    /// `TokenAsk` asks a counter for tokens of the quota of an account.
+    pub struct TokenAsk {
+        /// Name of the account.
+        pub account: AccountName,
+        /// Tokens that are wanted.
+        pub wanted: f64,
+        /// Whether the counter of another availability zone asks for a loan.
+        pub is_loan: bool,
+    }
+
+    /// `TokenGrant` is the reply to a [`TokenAsk`].
+    #[derive(Copy)]
+    pub enum TokenGrant {
+        /// The node does not count the requests of the account, or not yet.
+        NotCounter,
+        /// The tokens that the asking node may use.
+        Granted {
+            /// Tokens; a whole number unless they are lent.
+            tokens: f64,
+            /// Milliseconds after which the node may ask again; 0 if it got all that it wanted.
+            short_ms: u32,
+        },
+    }
+
     /// `NodeStatus` is the load and version of a node; each of its replies carries one.
     #[derive(Copy, Default, Eq)]
     pub struct NodeStatus {
--- a/crates/protocol/src/relay_service.rs
+++ b/crates/protocol/src/relay_service.rs
@@ -3,7 +3,9 @@
 // The attribute macro generates items without doc comments.
 #![allow(missing_docs)]
 
-use crate::relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView};
+use crate::relay_messages::{
+    FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView, TokenAsk, TokenGrant,
+};
 
 use lagoonshore_state::route_table::FleetDocument;
 
@@ -23,6 +25,8 @@
     async fn document() -> Option<FleetDocument>;
     /// Pushes the snapshot of the sender to a node that has no document yet.
     async fn teach(snapshot: FleetSnapshot);
+    /// Takes tokens of the quota of an account from its counter.
+    async fn take_tokens(ask: TokenAsk) -> TokenGrant;
     /// Reports requests suspected of crashing upstreams.
     async fn suspects(reports: Vec<SuspectReport>);
 }
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -11,6 +11,7 @@
         head::RequestHead,
         request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
     },
+    quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
 };
 
@@ -18,7 +19,7 @@
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_coordination::request::outcome::RefusalReason;
-use lagoonshore_state::route_table::{CallerLimits, RouteEntry};
+use lagoonshore_state::route_table::{CallerLimits, RouteEntry, RouteTable};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -41,6 +42,7 @@
     directory: Rc<FleetDirectory>,
     running_table: Rc<RunningTable>,
     forwarder: RequestForwarder,
+    quotas: Rc<QuotaGate>,
     time_limits: RefCell<HashMap<CompactString, Duration>>,
     phase: watch::Sender<ServerPhase>,
     is_refusing: Cell<bool>,
@@ -55,12 +57,14 @@
         directory: Rc<FleetDirectory>,
         running_table: Rc<RunningTable>,
         forwarder: RequestForwarder,
+        quotas: Rc<QuotaGate>,
     ) -> Self {
         Self {
             scheme,
             directory,
             running_table,
             forwarder,
+            quotas,
             time_limits: RefCell::default(),
             phase: watch::channel(ServerPhase::Open).0,
             is_refusing: Cell::new(false),
@@ -131,7 +135,39 @@
             deadline: received + limit.min(route.timeout),
             route,
         };
-        self.to_response(&id, self.forwarder.forward(request).await)
+        let permit = match self.admit(&routes, &request).await {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                let QuotaRefusal {
+                    reason,
+                    retry_after,
+                } = refusal;
+                let status = reason.status();
+                return self.node_response(&id, status, Some(retry_after), reason.as_str());
+            }
+        };
+        let outcome = self.forwarder.forward(request).await;
+        if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
+            permit.give_back();
+        }
+        self.to_response(&id, outcome)
+    }
+
+    /// Counts a request against the quota of its account. Calls of a running request were counted with the
+    /// request at the root of their chain.
+    async fn admit(
+        &self,
+        routes: &RouteTable,
+        request: &RoutedRequest,
+    ) -> Result<Option<QuotaPermit>, QuotaRefusal> {
+        let account = match &request.account {
+            Some(account) if request.parent.is_none() => routes.account(account),
+            _ => None,
+        };
+        match account {
+            Some(account) => self.quotas.admit(account).await,
+            None => Ok(None),
+        }
     }
 
     /// Returns the time that a caller had spent on a request before this attempt. Callers of a route
--- a/crates/relay/src/calling/peer_links.rs
+++ b/crates/relay/src/calling/peer_links.rs
@@ -13,7 +13,7 @@
     protection::suspects::SuspectReport,
 };
 use lagoonshore_protocol::relay_messages::{
-    FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView,
+    FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView, TokenAsk, TokenGrant,
 };
 use lagoonshore_state::{route_table::FleetDocument, units::whole_millis};
 use lagoonshore_transport::{memory_budget::MemoryBudget, tarpc_link::context};
@@ -214,6 +214,31 @@
         }
     }
 
+    /// Asks the node at `address` for tokens of a quota.
+    ///
+    /// # Errors
+    /// [`LinkError`] if no reply arrives; the tokens may have been taken.
+    pub async fn take_tokens(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        ask: TokenAsk,
+        deadline: Instant,
+    ) -> Result<TokenGrant, LinkError> {
+        let asking = async {
+            let link = self.open_link(address).await?;
+            let in_flight = InFlightGuard::new(&link);
+            let reply = link.client.take_tokens(context(deadline), ask).await;
+            drop(in_flight);
+            if reply.is_ok() {
+                link.record_reply();
+            }
+            reply.map_err(|error| self.call_error(address, &link, &error))
+        };
+        // A connection attempt may take longer.
+        let reply = tokio::time::timeout_at(deadline, asking).await;
+        reply.unwrap_or(Err(LinkError::TimedOut))
+    }
+
     /// Sends the document and the upstream list to the node at `address`.
     ///
     /// # Errors
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -56,6 +56,12 @@
 pub const RETRY_REFUSED: u16 = 3207;
 /// A request was refused before it was read, for want of memory.
 pub const MEMORY_EXHAUSTED: u16 = 3208;
+/// A request was refused for the quota of its account.
+pub const QUOTA_REFUSED: u16 = 3501;
+/// The counter of an account borrowed tokens from those of other zones.
+pub const QUOTA_BORROWED: u16 = 3502;
+/// A counter of quotas did not answer.
+pub const COUNTER_SILENT: u16 = 3503;
 /// The link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod logging;
 pub mod node;
 pub mod peer_listener;
+pub mod quota;
 pub mod relay_metrics;
 pub mod serving;
 pub mod state_dump;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -20,6 +20,13 @@
         ready_listener::ReadyListener,
     },
     peer_listener::PeerListener,
+    quota::{
+        fleet_counters::FleetCounters,
+        quota_counters::QuotaCounters,
+        quota_gate::QuotaGate,
+        quota_log::QuotaLog,
+        quota_view::{self, QuotaDump},
+    },
     serving::upstream_server::UpstreamServer,
     state_dump::{self, StateDump},
     store_view::store_follower::StoreFollower,
@@ -77,6 +84,9 @@
     pub caller_connections: ActiveCount,
     links: Rc<PeerLinks>,
     peer_table: Rc<PeerTable>,
+    fleet_counters: Rc<FleetCounters>,
+    quota_counters: Rc<QuotaCounters>,
+    quota_gate: Rc<QuotaGate>,
     scheme: HeaderScheme,
     budget: MemoryBudget,
 }
@@ -110,8 +120,28 @@
             Rc::clone(&links),
             Rc::clone(&server),
         );
+        let fleet_counters = Rc::new(FleetCounters::new(&settings, Rc::clone(&directory)));
+        let quota_log = Rc::new(QuotaLog::default());
+        let quota_counters = QuotaCounters::new(
+            Rc::clone(&fleet_counters),
+            Rc::clone(&links),
+            Rc::clone(&quota_log),
+        );
+        let quota_gate = QuotaGate::new(
+            settings.control,
+            Rc::clone(&fleet_counters),
+            Rc::clone(&quota_counters),
+            Rc::clone(&links),
+            quota_log,
+        );
         let table = Rc::clone(server.running_table());
-        let callers = CallerListener::new(scheme, Rc::clone(&directory), table, forwarder);
+        let callers = CallerListener::new(
+            scheme,
+            Rc::clone(&directory),
+            table,
+            forwarder,
+            Rc::clone(&quota_gate),
+        );
         let ready = Rc::new(ReadyListener::new(Rc::clone(&directory)));
         let (link_peers, fleet) = (Rc::clone(&peer_table), Rc::clone(&directory));
         let (weak_links, suspects) = (Rc::downgrade(&links), Rc::clone(server.suspects()));
@@ -134,6 +164,9 @@
             caller_connections: ActiveCount::default(),
             links,
             peer_table,
+            fleet_counters,
+            quota_counters,
+            quota_gate,
             scheme,
             budget,
         }))
@@ -157,6 +190,7 @@
         };
         self.directory.set_peer_port(bound.peers.port());
         self.callers.forwarder().set_peer_address(bound.peers);
+        self.fleet_counters.set_own_address(bound.peers);
         let serving = server::serve(
             callers,
             Rc::clone(&self.callers),
@@ -175,7 +209,8 @@
         );
         actix_rt::spawn(serving);
         let (upstream, fleet) = (Rc::clone(&self.server), Rc::clone(&self.directory));
-        let listener = PeerListener::new(upstream, fleet, self.budget.clone());
+        let counters = Rc::clone(&self.quota_counters);
+        let listener = PeerListener::new(upstream, fleet, counters, self.budget.clone());
         actix_rt::spawn(listener.serve_links(peers));
         let metrics = metrics_recorder::handle();
         let node = Rc::clone(self);
@@ -234,6 +269,7 @@
             upstream_connections: self.server.connections_opened(),
             links: self.links.len(),
             instances: state_dump::instances(&self.directory, &self.peer_table),
+            quotas: self.quota_dump(),
             routes: self
                 .directory
                 .routes()
@@ -244,6 +280,18 @@
         }
     }
 
+    /// Admits the requests of accounts with quotas.
+    #[must_use]
+    pub const fn quota_gate(&self) -> &Rc<QuotaGate> {
+        &self.quota_gate
+    }
+
+    fn quota_dump(&self) -> Option<QuotaDump> {
+        let has_accounts = self.directory.routes().has_accounts();
+        has_accounts
+            .then(|| quota_view::dump(&self.fleet_counters, &self.quota_gate, &self.quota_counters))
+    }
+
     /// Records that a run of the upstream beside the node at `peer` announced its departure.
     pub fn record_departure(&self, peer: SocketAddr, run: &UpstreamRun) {
         self.peer_table.record_departure(peer, run);
@@ -339,6 +387,9 @@
     while changes.changed().await.is_ok() {
         node.server.apply_upstream_list();
         node.callers.forwarder().apply_directory_change();
+        node.fleet_counters.apply_directory_change();
+        node.quota_counters.apply_directory_change();
+        node.quota_gate.apply_directory_change();
         let listed: BTreeSet<SocketAddr> = {
             let table = node.directory.instances();
             table.iter().map(|(_, record)| record.peer).collect()
--- a/crates/relay/src/peer_listener.rs
+++ b/crates/relay/src/peer_listener.rs
@@ -1,13 +1,16 @@
 //! The listener for other nodes: implements [`RelayService`].
 
 use crate::{
-    calling::peer_link, directory::FleetDirectory, serving::upstream_server::UpstreamServer,
+    calling::peer_link, directory::FleetDirectory, quota::quota_counters::QuotaCounters,
+    serving::upstream_server::UpstreamServer,
 };
 
 use actix_rt::net::TcpListener;
 use lagoonshore_coordination::protection::suspects::SuspectReport;
 use lagoonshore_protocol::{
-    relay_messages::{FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView},
+    relay_messages::{
+        FleetSnapshot, NodeStatus, RelayReply, RelayRequest, StoreView, TokenAsk, TokenGrant,
+    },
     relay_service::RelayService,
 };
 use lagoonshore_state::{route_table::FleetDocument, units::whole_millis};
@@ -23,6 +26,7 @@
 pub struct PeerListener {
     server: Rc<UpstreamServer>,
     directory: Rc<FleetDirectory>,
+    counters: Rc<QuotaCounters>,
     budget: MemoryBudget,
 }
 
@@ -32,11 +36,13 @@
     pub const fn new(
         server: Rc<UpstreamServer>,
         directory: Rc<FleetDirectory>,
+        counters: Rc<QuotaCounters>,
         budget: MemoryBudget,
     ) -> Self {
         Self {
             server,
             directory,
+            counters,
             budget,
         }
     }
@@ -82,6 +88,10 @@
         self.directory.merge_snapshot(snapshot);
     }
 
+    async fn take_tokens(self, _: Context, ask: TokenAsk) -> TokenGrant {
+        self.counters.serve(ask).await
+    }
+
     async fn suspects(self, _: Context, reports: Vec<SuspectReport>) {
         self.server.suspects().merge(&reports);
     }
--- /dev/null
+++ b/crates/relay/src/quota/fleet_counters.rs
@@ -0,0 +1,139 @@
+//! Which nodes count the requests of an account, by the directory of this node.
+
+use crate::directory::FleetDirectory;
+
+use lagoonshore_coordination::quota::{
+    counter_choice::CounterChoice,
+    quota_rules::{QuotaPart, QuotaRules},
+};
+use lagoonshore_settings::{RelaySettings, relay_settings::QuotaSettings};
+use lagoonshore_state::{account::AccountQuota, ids::ZoneName};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
+use tokio::time::Instant;
+
+/// `FleetCounters` finds the counters of accounts.
+#[derive(Debug)]
+pub struct FleetCounters {
+    zone: ZoneName,
+    rules: QuotaRules,
+    own_address: Cell<SocketAddr>,
+    directory: Rc<FleetDirectory>,
+    choice: RefCell<CounterChoice>,
+}
+
+/// `CounterDuty` says that this node counts the requests of an account.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CounterDuty {
+    /// Time from which it may count.
+    pub(crate) since: Instant,
+    /// Part of the quota of its zone.
+    pub(crate) part: QuotaPart,
+}
+
+impl FleetCounters {
+    /// Creates the view of a node that knows no others.
+    #[must_use]
+    pub fn new(settings: &RelaySettings, directory: Rc<FleetDirectory>) -> Self {
+        Self {
+            zone: settings.zone.clone(),
+            rules: quota_rules(settings.quotas),
+            own_address: Cell::new(settings.listen.peers),
+            directory,
+            choice: RefCell::default(),
+        }
+    }
+
+    /// Sets the address on which the node itself listens for peers.
+    pub fn set_own_address(&self, address: SocketAddr) {
+        self.own_address.set(address);
+    }
+
+    /// Address on which the node itself listens for peers.
+    #[must_use]
+    pub const fn own_address(&self) -> SocketAddr {
+        self.own_address.get()
+    }
+
+    /// Bounds of quotas.
+    #[must_use]
+    pub const fn rules(&self) -> &QuotaRules {
+        &self.rules
+    }
+
+    /// Applies a change of the directory. Does nothing for a fleet without accounts.
+    pub fn apply_directory_change(&self) {
+        if !self.directory.is_complete() || !self.directory.routes().has_accounts() {
+            return;
+        }
+        let listed = {
+            let table = self.directory.instances();
+            let places = table
+                .iter()
+                .map(|(_, record)| (record.zone.clone(), record.peer));
+            places.collect()
+        };
+        let mut choice = self.choice.borrow_mut();
+        choice.apply_list(Instant::now(), &listed);
+    }
+
+    /// Returns the counters that may be asked for tokens of `account`: that of the own zone first, then
+    /// those of the others.
+    #[must_use]
+    pub fn candidates(&self, now: Instant, account: &str) -> Vec<SocketAddr> {
+        let choice = self.choice.borrow();
+        let own = choice.counter(now, account, &self.zone);
+        let others = choice.other_counters(now, account, &self.zone);
+        own.into_iter().chain(others).collect()
+    }
+
+    /// Returns the counters of `account` in the other zones.
+    #[must_use]
+    pub fn lenders(&self, now: Instant, account: &str) -> Vec<SocketAddr> {
+        let choice = self.choice.borrow();
+        choice.other_counters(now, account, &self.zone)
+    }
+
+    /// Returns since when this node counts the requests of `account`; `None` if it does not, or if the
+    /// account has no quota.
+    pub(crate) fn duty(&self, now: Instant, account: &str) -> Option<CounterDuty> {
+        let quota = self.quota(account)?;
+        let choice = self.choice.borrow();
+        let own = self.own_address.get();
+        let since = choice.counting_since(now, account, &self.zone, own)?;
+        let zones = choice.zone_count(now, self.rules.zone_hold());
+        let part = self.rules.zone_part(quota, zones);
+        (since <= now).then_some(CounterDuty { since, part })
+    }
+
+    /// Quota of `account`; `None` if it has none.
+    #[must_use]
+    pub fn quota(&self, account: &str) -> Option<AccountQuota> {
+        self.directory.routes().account(account)?.quota
+    }
+
+    /// Number of listed nodes, at least one.
+    #[must_use]
+    pub fn node_count(&self) -> u32 {
+        let count = self.choice.borrow().node_count().max(1);
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Number of zones among which quotas are divided.
+    #[must_use]
+    pub fn zone_count(&self, now: Instant) -> u32 {
+        let hold = self.rules.zone_hold();
+        self.choice.borrow().zone_count(now, hold)
+    }
+}
+
+const fn quota_rules(settings: QuotaSettings) -> QuotaRules {
+    QuotaRules {
+        window: settings.window,
+        overage: settings.overage,
+        slack: settings.slack,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/quota/mod.rs
@@ -0,0 +1,8 @@
+//! Quotas of client accounts: the gate for requests, and the counters; see
+//! [`quota`](lagoonshore_coordination::quota).
+
+pub mod fleet_counters;
+pub mod quota_counters;
+pub mod quota_gate;
+pub mod quota_log;
+pub mod quota_view;
--- /dev/null
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -0,0 +1,335 @@
+//! Admits the requests of an account by the tokens that this node has taken from its counter.
+
+use super::{
+    fleet_counters::FleetCounters, quota_counters::QuotaCounters, quota_log::QuotaLog,
+    quota_view::HandView,
+};
+
+use crate::calling::peer_links::{LinkError, PeerLinks};
+
+use lagoonshore_coordination::{
+    quota::token_hand::{QuotaToken, TokenHand},
+    request::outcome::RefusalReason,
+};
+use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant};
+use lagoonshore_settings::ControlMode;
+use lagoonshore_state::{account::AccountEntry, ids::AccountName};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{sync::Notify, time::Instant};
+
+/// Longest time that a request waits for a token.
+const WAIT_MAX: Duration = Duration::from_millis(250);
+/// Time after which a node goes on to the next counter.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a counter that did not answer is not asked.
+const AVOID_TIME: Duration = Duration::from_millis(500);
+/// Time for which requests are refused after no counter answered, and after which their callers may return.
+const UNANSWERED_TIME: Duration = Duration::from_millis(100);
+/// Accounts whose tokens are kept before those of idle ones are dropped.
+const HANDS_MAX: usize = 1024;
+/// Time without a request after which an account is idle.
+const IDLE_TIME: Duration = Duration::from_secs(10);
+
+/// `QuotaGate` admits requests of accounts.
+pub struct QuotaGate {
+    control: ControlMode,
+    fleet: Rc<FleetCounters>,
+    counters: Rc<QuotaCounters>,
+    links: Rc<PeerLinks>,
+    log: Rc<QuotaLog>,
+    hands: RefCell<HashMap<AccountName, Rc<AccountHand>>>,
+    /// Counters that did not answer, with the time until which they are not asked.
+    avoided: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+/// `AccountHand` is what this node holds of the quota of one account.
+struct AccountHand {
+    account: AccountName,
+    hand: RefCell<TokenHand>,
+    waiting: Cell<u32>,
+    is_asking: Cell<bool>,
+    used_at: Cell<Instant>,
+    /// Time until which requests are refused because no counter answered.
+    unanswered_until: Cell<Instant>,
+    answered: Notify,
+}
+
+/// `QuotaPermit` is the admission of one request. Dropping it spends its token.
+pub struct QuotaPermit {
+    entry: Rc<AccountHand>,
+    token: QuotaToken,
+}
+
+impl QuotaPermit {
+    /// Gives the token of a request that did not run back.
+    pub fn give_back(self) {
+        let mut hand = self.entry.hand.borrow_mut();
+        hand.restore(Instant::now(), self.token);
+    }
+}
+
+/// `QuotaRefusal` says why a request was not admitted, and when its caller may return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// Reason.
+    pub reason: RefusalReason,
+    /// Time after which the quota allows a request of this caller.
+    pub retry_after: Duration,
+}
+
+/// Counts a request that waits.
+struct WaitingGuard<'a>(&'a AccountHand);
+
+impl<'a> WaitingGuard<'a> {
+    fn new(entry: &'a AccountHand) -> Self {
+        entry.waiting.set(entry.waiting.get() + 1);
+        Self(entry)
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+    }
+}
+
+impl QuotaGate {
+    /// Creates the gate of a node.
+    #[must_use]
+    pub fn new(
+        control: ControlMode,
+        fleet: Rc<FleetCounters>,
+        counters: Rc<QuotaCounters>,
+        links: Rc<PeerLinks>,
+        log: Rc<QuotaLog>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            control,
+            fleet,
+            counters,
+            links,
+            log,
+            hands: RefCell::default(),
+            avoided: RefCell::default(),
+        })
+    }
+
+    /// Admits a request of `account`, after a short wait for a token if this node holds none. `None` if
+    /// the account has no quota.
+    ///
+    /// # Errors
+    /// [`QuotaRefusal`] if the quota is used up, or if no counter answers.
+    pub async fn admit(
+        self: &Rc<Self>,
+        account: &AccountEntry,
+    ) -> Result<Option<QuotaPermit>, QuotaRefusal> {
+        if account.quota.is_none() || self.control == ControlMode::PassThrough {
+            return Ok(None);
+        }
+        let entry = self.entry(&account.name);
+        let now = Instant::now();
+        entry.used_at.set(now);
+        entry.hand.borrow_mut().record_request(now);
+        let token = match entry.take() {
+            Some(token) => token,
+            None => self.wait_for_token(&entry).await?,
+        };
+        let rules = self.fleet.rules();
+        let is_low = entry.hand.borrow_mut().is_low(Instant::now(), rules);
+        if is_low {
+            self.start_ask(&entry);
+        }
+        Ok(Some(QuotaPermit { entry, token }))
+    }
+
+    /// Drops what is held for accounts that have no quota any more.
+    pub fn apply_directory_change(&self) {
+        let mut hands = self.hands.borrow_mut();
+        hands.retain(|account, _| self.fleet.quota(account).is_some());
+    }
+
+    /// Returns the tokens in hand for operators.
+    pub(crate) fn views(&self) -> Vec<HandView> {
+        let now = Instant::now();
+        let hands = self.hands.borrow();
+        let views = hands.values().map(|entry| {
+            let mut hand = entry.hand.borrow_mut();
+            let (requests, tokens) = hand.rates(now);
+            HandView {
+                account: entry.account.clone(),
+                counter: self.fleet.candidates(now, &entry.account).first().copied(),
+                tokens: hand.count(now),
+                request_rate: requests,
+                token_rate: tokens,
+                waiting: entry.waiting.get(),
+                is_short: !hand.can_ask(now),
+            }
+        });
+        views.collect()
+    }
+
+    async fn wait_for_token(
+        self: &Rc<Self>,
+        entry: &Rc<AccountHand>,
+    ) -> Result<QuotaToken, QuotaRefusal> {
+        let until = Instant::now() + WAIT_MAX;
+        let waiting = WaitingGuard::new(entry);
+        loop {
+            if let Some(token) = entry.take() {
+                return Ok(token);
+            }
+            let now = Instant::now();
+            if now < entry.unanswered_until.get() {
+                return Err(self.refuse_unanswered(entry));
+            }
+            if !entry.hand.borrow().can_ask(now) {
+                return Err(self.refuse_over_quota(entry));
+            }
+            let answered = entry.answered.notified();
+            self.start_ask(entry);
+            if tokio::time::timeout_at(until, answered).await.is_err() {
+                drop(waiting);
+                return Err(self.refuse_unanswered(entry));
+            }
+        }
+    }
+
+    fn refuse_over_quota(&self, entry: &AccountHand) -> QuotaRefusal {
+        let now = Instant::now();
+        let quota = self.fleet.quota(&entry.account);
+        let rate = quota.map_or(0.0, |quota| quota.rate);
+        let rate_min = rate / f64::from(self.fleet.node_count());
+        let mut hand = entry.hand.borrow_mut();
+        let refusal = QuotaRefusal {
+            reason: RefusalReason::QuotaExceeded,
+            retry_after: hand.retry_after(now, rate_min),
+        };
+        let rates = hand.rates(now);
+        self.log.log_refused(&entry.account, refusal, rates);
+        refusal
+    }
+
+    fn refuse_unanswered(&self, entry: &AccountHand) -> QuotaRefusal {
+        let refusal = QuotaRefusal {
+            reason: RefusalReason::QuotaUnknown,
+            retry_after: UNANSWERED_TIME,
+        };
+        let rates = entry.hand.borrow().rates(Instant::now());
+        self.log.log_refused(&entry.account, refusal, rates);
+        refusal
+    }
+
+    fn entry(&self, account: &AccountName) -> Rc<AccountHand> {
+        let mut hands = self.hands.borrow_mut();
+        if let Some(entry) = hands.get(account) {
+            return Rc::clone(entry);
+        }
+        let now = Instant::now();
+        if hands.len() >= HANDS_MAX {
+            hands.retain(|_, entry| now < entry.used_at.get() + IDLE_TIME);
+        }
+        let entry = Rc::new(AccountHand {
+            account: account.clone(),
+            hand: RefCell::new(TokenHand::new(now)),
+            waiting: Cell::new(0),
+            is_asking: Cell::new(false),
+            used_at: Cell::new(now),
+            unanswered_until: Cell::new(now),
+            answered: Notify::new(),
+        });
+        hands.insert(account.clone(), Rc::clone(&entry));
+        entry
+    }
+
+    /// Asks for tokens unless an ask is in progress.
+    fn start_ask(self: &Rc<Self>, entry: &Rc<AccountHand>) {
+        if !entry.is_asking.replace(true) {
+            actix_rt::spawn(Rc::clone(self).ask(Rc::clone(entry)));
+        }
+    }
+
+    /// Asks one counter after the other until one answers.
+    async fn ask(self: Rc<Self>, entry: Rc<AccountHand>) {
+        let is_answered = self.ask_counters(&entry).await;
+        if !is_answered {
+            let until = Instant::now() + UNANSWERED_TIME;
+            entry.unanswered_until.set(until);
+        }
+        entry.is_asking.set(false);
+        entry.answered.notify_waiters();
+    }
+
+    async fn ask_counters(&self, entry: &AccountHand) -> bool {
+        let candidates = self.fleet.candidates(Instant::now(), &entry.account);
+        for address in candidates {
+            if self.is_avoided(address) {
+                continue;
+            }
+            let asked_at = Instant::now();
+            let rules = self.fleet.rules();
+            let waiting = entry.waiting.get();
+            let wanted = entry.hand.borrow_mut().wanted(asked_at, waiting, rules);
+            let ask = TokenAsk {
+                account: entry.account.clone(),
+                wanted,
+                is_loan: false,
+            };
+            match self.send(address, ask, asked_at + ASK_TIMEOUT).await {
+                Ok(TokenGrant::Granted { tokens, short_ms }) => {
+                    let short_for = Duration::from_millis(short_ms.into());
+                    entry.add(asked_at, tokens, short_for, &self.fleet);
+                    return true;
+                }
+                Ok(TokenGrant::NotCounter) => {}
+                Err(error) => self.avoid(address, error),
+            }
+        }
+        false
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        ask: TokenAsk,
+        deadline: Instant,
+    ) -> Result<TokenGrant, LinkError> {
+        if address != self.fleet.own_address() {
+            return self.links.take_tokens(address, ask, deadline).await;
+        }
+        Ok(self.counters.serve(ask).await)
+    }
+
+    fn is_avoided(&self, address: SocketAddr) -> bool {
+        let avoided = self.avoided.borrow();
+        let until = avoided.get(&address);
+        until.is_some_and(|until| Instant::now() < *until)
+    }
+
+    fn avoid(&self, address: SocketAddr, error: LinkError) {
+        let now = Instant::now();
+        let mut avoided = self.avoided.borrow_mut();
+        avoided.retain(|_, until| now < *until);
+        avoided.insert(address, now + AVOID_TIME);
+        self.log.log_unanswered(address, error);
+    }
+}
+
+impl AccountHand {
+    fn take(&self) -> Option<QuotaToken> {
+        self.hand.borrow_mut().take(Instant::now())
+    }
+
+    // Tokens that nodes get are whole, and few.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn add(&self, asked_at: Instant, tokens: f64, short_for: Duration, fleet: &FleetCounters) {
+        let mut hand = self.hand.borrow_mut();
+        let (now, rules) = (Instant::now(), fleet.rules());
+        hand.add(now, asked_at, tokens as u32, short_for, rules);
+    }
+}
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -37,6 +37,19 @@
     counter!("lagoonshore_relay_repeats_refused_total").increment(1);
 }
 
+pub(crate) fn count_quota_refused(account: &str, reason: &str) {
+    let (account, reason) = (account.to_owned(), reason.to_owned());
+    counter!("lagoonshore_relay_quota_refused_total", "account" => account, "reason" => reason)
+        .increment(1);
+}
+
+// Fractions of tokens do not matter in the total.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(crate) fn count_quota_tokens(kind: &'static str, tokens: f64) {
+    counter!("lagoonshore_relay_quota_tokens_total", "kind" => kind)
+        .increment(tokens.round() as u64);
+}
+
 pub(crate) fn count_caller_left() {
     counter!("lagoonshore_relay_callers_left_total").increment(1);
 }
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -1,7 +1,8 @@
 //! The state of a node as the admin listener shows it to operators.
 
 use crate::{
-    calling::peer_table::PeerTable, directory::FleetDirectory, serving::slot_limiter::SlotUsage,
+    calling::peer_table::PeerTable, directory::FleetDirectory, quota::quota_view::QuotaDump,
+    serving::slot_limiter::SlotUsage,
 };
 
 use compact_str::CompactString;
@@ -42,6 +43,8 @@
     pub links: usize,
     /// Instances in the upstream list.
     pub instances: Vec<InstanceView>,
+    /// Quotas of accounts; `None` in a fleet without accounts.
+    pub quotas: Option<QuotaDump>,
     /// Routes in force.
     pub routes: Vec<RouteEntry>,
 }
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -32,6 +32,8 @@
     pub store: StoreSettings,
     /// Retry limits of the whole fleet.
     pub retries: RetrySettings,
+    /// Bounds on what a client account may send beyond its quota.
+    pub quotas: QuotaSettings,
     /// Time between the request to stop and the forced kill of the process.
     pub grace_time: Duration,
     /// Shortest time between the end of an upstream and the reuse of its address by another
@@ -104,6 +106,28 @@
     pub window: Duration,
 }
 
+/// `QuotaSettings` bounds the requests of a client account that run in one window, over all nodes: no more
+/// than `(rate x window + burst) x (1 + overage) + slack` of its quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaSettings {
+    /// Length of the window.
+    pub window: Duration,
+    /// Share of the quota by which a window may exceed it.
+    pub overage: f64,
+    /// Requests by which a window may exceed it besides.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(5),
+            overage: 0.25,
+            slack: 20.0,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RelayText {
@@ -119,6 +143,7 @@
     apply_seconds: Option<Spanned<f64>>,
     heartbeat_seconds: Option<Spanned<f64>>,
     repeats: RetryText,
+    quota: Option<QuotaText>,
     grace_seconds: Spanned<f64>,
     address_reuse_seconds: Spanned<f64>,
     memory_mib: Spanned<f64>,
@@ -143,6 +168,18 @@
     window_seconds: Spanned<f64>,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct QuotaText {
+    window_seconds: Spanned<f64>,
+    overage: Spanned<f64>,
+    slack: Spanned<f64>,
+}
+
+/// Least overage of quotas. With less, tokens would expire before a node can use them.
+const QUOTA_OVERAGE_MIN: f64 = 0.05;
+/// Largest overage of quotas.
+const QUOTA_OVERAGE_MAX: f64 = 10.0;
 /// Settle time of the store if the settings give none.
 const SETTLE_TIME_DEFAULT: Duration = Duration::from_secs(3);
 /// Drain time of upstreams if the settings give none.
@@ -189,6 +226,7 @@
             upstream: checker.read_address("upstream", &text.upstream),
             store: read_store(&mut checker, &text),
             retries: read_retries(&mut checker, &text.repeats),
+            quotas: read_quotas(&mut checker, text.quota.as_ref()),
             grace_time: read_seconds(&mut checker, "grace_seconds", &text.grace_seconds),
             address_reuse_time: read_seconds(
                 &mut checker,
@@ -238,6 +276,23 @@
     }
 }
 
+fn read_quotas(checker: &mut ValueChecker, text: Option<&QuotaText>) -> QuotaSettings {
+    let Some(text) = text else {
+        return QuotaSettings::default();
+    };
+    let overage = &text.overage;
+    if !(QUOTA_OVERAGE_MIN..=QUOTA_OVERAGE_MAX).contains(&overage.value) {
+        let found = overage.value.to_string();
+        let expected = "a number from 0.05 to 10";
+        checker.add_error(overage.referenced, "quota.overage", &found, expected);
+    }
+    QuotaSettings {
+        window: read_seconds(checker, "quota.window_seconds", &text.window_seconds),
+        overage: overage.value,
+        slack: read_number(checker, "quota.slack", &text.slack),
+    }
+}
+
 fn read_number(checker: &mut ValueChecker, key: &str, text: &Spanned<f64>) -> f64 {
     let value = text.value;
     if (0.0..=NUMBER_MAX).contains(&value) {
