Let callers in by the keys of their client accounts

Cause: documents that name client accounts had no effect. A request with a key that no document ever held was run, its key was passed on to the upstream, and a caller could name an account to it.

The caller listener keeps the credentials fields apart from those that it relays and decides by the document in force: 401 without a valid key, but for routes that anyone may use and calls of a running request, which inherit its account; 503 for what may be a call of a request that is not known. The node beside the upstream writes the account's name on every attempt. The importance of an account goes before the route's. A document without accounts has the effect that it had; credentials are relayed last in the head.

--- /dev/null
+++ b/crates/coordination/src/forwarding/caller_access.rs
@@ -0,0 +1,79 @@
+//! Decides whether a request of a caller may run, by its key.
+//!
+//! Answers a load of requests with keys that are unknown, withdrawn or missing. The calls of an upstream
+//! carry no key; they inherit the account of the running request that makes them. The id of a call
+//! proves nothing where that request is not known, because callers choose their ids: such a request is
+//! refused, but not for good, since it may be a call that began before the node restarted.
+
+use lagoonshore_state::{
+    account::{AccountEntry, AccountKey},
+    route_table::{RouteEntry, RouteTable},
+};
+use std::rc::Rc;
+
+/// `PresentedKey` is what a request says of its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PresentedKey {
+    /// The request has no key.
+    Absent,
+    /// The request has this key.
+    Single(AccountKey),
+    /// The request has several keys, or something that no key can be.
+    Unusable,
+}
+
+/// `CallParent` says what is known of the request that made a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallParent {
+    /// The id is not that of a call.
+    None,
+    /// The id is that of a call of a request that the local upstream is running.
+    Running,
+    /// The id looks like that of a call, and no such request is running.
+    Unknown,
+}
+
+/// `AccessRefusal` is the reason why a request may not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AccessRefusal {
+    /// No account of the document in force holds the key, or there is none.
+    UnknownKey,
+    /// The request may be a call, and the request that made it is not known.
+    UnknownParent,
+}
+
+impl AccessRefusal {
+    /// Reason in log lines and in the response.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::UnknownKey => "unknown key",
+            Self::UnknownParent => "unknown parent",
+        }
+    }
+}
+
+/// Decides about a request of `route` that is not a call of a running request; returns its account, if
+/// it has one. A key is checked on every route, and needed except on those that anyone may use.
+///
+/// # Errors
+/// [`AccessRefusal`] if the request may not run.
+pub fn check_key(
+    routes: &RouteTable,
+    route: &RouteEntry,
+    key: &PresentedKey,
+    parent: CallParent,
+) -> Result<Option<Rc<AccountEntry>>, AccessRefusal> {
+    if !routes.has_accounts() {
+        return Ok(None);
+    }
+    match key {
+        PresentedKey::Single(key) => {
+            let account = routes.account_of_key(key);
+            account.cloned().map(Some).ok_or(AccessRefusal::UnknownKey)
+        }
+        PresentedKey::Absent if route.is_anonymous || parent == CallParent::Running => Ok(None),
+        PresentedKey::Absent if parent == CallParent::Unknown => Err(AccessRefusal::UnknownParent),
+        PresentedKey::Absent | PresentedKey::Unusable => Err(AccessRefusal::UnknownKey),
+    }
+}
--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -2,6 +2,7 @@
 //! how many retries the fleet may send.
 
 pub mod arrival_budget;
+pub mod caller_access;
 pub mod circuit_breaker;
 pub mod link_check;
 pub mod pending_removals;
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -1,10 +1,12 @@
 //! The listener for callers on the instance and for the calls of its upstream.
 
 use crate::{
+    access_gate::{AccessDenial, AccessGate, UNAUTHORIZED},
     calling::{
         request_forwarder::RequestForwarder,
         routed_request::{ForwardOutcome, RoutedRequest},
     },
+    decision_log::DecisionLog,
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     http1::{
@@ -39,7 +41,8 @@
 pub struct CallerListener {
     scheme: HeaderScheme,
     directory: Rc<FleetDirectory>,
-    running_table: Rc<RunningTable>,
+    gate: AccessGate,
+    log: Rc<DecisionLog>,
     forwarder: RequestForwarder,
     time_limits: RefCell<HashMap<CompactString, Duration>>,
     phase: watch::Sender<ServerPhase>,
@@ -54,12 +57,14 @@
         scheme: HeaderScheme,
         directory: Rc<FleetDirectory>,
         running_table: Rc<RunningTable>,
+        log: Rc<DecisionLog>,
         forwarder: RequestForwarder,
     ) -> Self {
         Self {
             scheme,
             directory,
-            running_table,
+            gate: AccessGate::new(scheme.call_separator, running_table),
+            log,
             forwarder,
             time_limits: RefCell::default(),
             phase: watch::channel(ServerPhase::Open).0,
@@ -103,11 +108,13 @@
         let Some(route) = routes.find(&head.host, &head.target) else {
             return self.node_response(&id, 404, None, "no route");
         };
-        let parent = self
-            .running_table
-            .parent_of(&id, self.scheme.call_separator);
+        let key = &head.credentials.key;
+        let caller = match self.gate.admit(&routes, &route, &id, key) {
+            Ok(caller) => caller,
+            Err(denial) => return self.denial_response(&id, &route, denial),
+        };
         let limit = head.time_limit.unwrap_or(route.timeout);
-        let spent = match parent {
+        let spent = match caller.parent {
             Some(_) => Duration::ZERO,
             None => self.time_spent(&route, limit),
         };
@@ -115,8 +122,14 @@
             method,
             target,
             fields,
+            credentials,
             ..
         } = head;
+        let fields = if routes.has_accounts() {
+            fields
+        } else {
+            joined(fields, &credentials.fields)
+        };
         let request = RoutedRequest {
             id: id.clone(),
             version: routes.version(),
@@ -124,8 +137,9 @@
             target,
             fields,
             body,
-            account: parent.as_ref().and_then(|parent| parent.account.clone()),
-            parent,
+            account: caller.account,
+            importance: caller.importance,
+            parent: caller.parent,
             spent,
             received,
             deadline: received + limit.min(route.timeout),
@@ -167,6 +181,16 @@
         }
     }
 
+    fn denial_response(
+        &self,
+        id: &str,
+        route: &RouteEntry,
+        denial: AccessDenial,
+    ) -> ServerResponse {
+        self.log.log_denied(id, &route.name, &denial);
+        self.node_response(id, denial.status, denial.retry_after, denial.reason)
+    }
+
     /// Creates a response of the node itself, as opposed to one of an upstream.
     fn node_response(
         &self,
@@ -183,6 +207,9 @@
         if let Some(retry_after) = retry_after {
             let _ = write!(fields, "Retry-After: {:.3}\r\n", retry_after.as_secs_f64());
         }
+        if status == UNAUTHORIZED {
+            let _ = write!(fields, "WWW-Authenticate: {}\r\n", self.scheme.key_scheme);
+        }
         let _ = write!(fields, "Lagoonshore-Reason: {reason}\r\n");
         fields.put_slice(b"Content-Type: text/plain\r\n");
         ServerResponse {
@@ -193,6 +220,14 @@
     }
 }
 
+/// Returns `fields` followed by `more`.
+fn joined(fields: Bytes, more: &[u8]) -> Bytes {
+    if more.is_empty() {
+        return fields;
+    }
+    [&fields, more].concat().into()
+}
+
 impl RequestHandler for CallerListener {
     fn respond(self: Rc<Self>, request: ServerRequest) -> LocalBoxFuture<'static, ServerResponse> {
         async move { self.handle(request).await }.boxed_local()
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -318,7 +318,7 @@
         }
         let (now, service) = (Instant::now(), &progress.service);
         let mut allowance = self.allowance.borrow_mut();
-        allowance.spend(now, service, request.importance(), 1 + calls)
+        allowance.spend(now, service, request.importance, 1 + calls)
     }
 
     async fn send_attempt(
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -42,7 +42,7 @@
         target: request.target.clone(),
         fields: request.fields.clone().into(),
         body: request.body.clone().into(),
-        importance: request.importance(),
+        importance: request.importance,
         account: request.account.clone(),
         is_idempotent: request.route.is_idempotent,
         calls_before: request
--- a/crates/relay/src/calling/routed_request.rs
+++ b/crates/relay/src/calling/routed_request.rs
@@ -29,6 +29,8 @@
     pub body: Bytes,
     /// Client account of the request at the root of the call chain, if it has one.
     pub account: Option<AccountName>,
+    /// Importance of that request.
+    pub importance: RequestImportance,
     /// Running request that makes this call; `None` unless the local upstream makes it.
     pub parent: Option<RunningRequest>,
     /// Time that the caller spent on earlier attempts and the waits between them.
@@ -50,12 +52,3 @@
     /// The request may have run.
     Unknown(RefusalReason),
 }
-
-impl RoutedRequest {
-    /// Importance of the first request of the chain.
-    #[must_use]
-    pub fn importance(&self) -> RequestImportance {
-        let inherited = self.parent.as_ref().map(|parent| parent.importance);
-        inherited.unwrap_or(self.route.importance)
-    }
-}
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -3,7 +3,7 @@
 //! Refusals and failures have a higher limit than routine lines. The next line under the same
 //! limit reports how many were left out.
 
-use crate::{events, line_budget::LineBudget, relay_metrics};
+use crate::{access_gate::AccessDenial, events, line_budget::LineBudget, relay_metrics};
 
 use lagoonshore_coordination::forwarding::arrival_budget::RetryPriority;
 use lagoonshore_protocol::relay_messages::{NodeStatus, RelayResponse};
@@ -75,6 +75,23 @@
         );
     }
 
+    /// Logs that the request `id` was refused for its key.
+    pub(crate) fn log_denied(&self, id: &str, route: &str, denial: &AccessDenial) {
+        relay_metrics::count_refused(denial.reason);
+        let Some(left_out) = self.failures.take() else {
+            return;
+        };
+        info!(
+            event = events::ACCESS_DENIED,
+            request = id,
+            route,
+            status = denial.status,
+            reason = denial.reason,
+            left_out,
+            "request: refused for its key"
+        );
+    }
+
     /// Logs that the request `id` was refused before it was read, with the `free` bytes of the memory of
     /// messages.
     pub fn log_no_memory(&self, id: &str, free: usize) {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -56,6 +56,8 @@
 pub const RETRY_REFUSED: u16 = 3207;
 /// A request was refused before it was read, for want of memory.
 pub const MEMORY_EXHAUSTED: u16 = 3208;
+/// A request was refused for its key.
+pub const ACCESS_DENIED: u16 = 3209;
 /// The link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
--- a/crates/relay/src/header_scheme.rs
+++ b/crates/relay/src/header_scheme.rs
@@ -25,12 +25,19 @@
     pub decode_rate_limit: fn(&[&[u8]]) -> LimitNotice,
     /// Service of the instance on which the request originated.
     pub origin_service: &'static str,
+    /// Credentials of a caller, which hold its key.
+    pub credentials: &'static str,
+    /// Word before the key in the credentials.
+    pub key_scheme: &'static str,
+    /// Name of the account that calls, for upstreams.
+    pub account: &'static str,
     /// Character that separates the id of the parent request from the suffix in the id of a call.
     pub call_separator: char,
 }
 
 impl HeaderScheme {
-    /// Returns whether the node sets the field itself, so that the caller's value is not relayed.
+    /// Returns whether the node sets or reads the field itself, so that the caller's value is not relayed
+    /// with the others.
     #[must_use]
     pub fn is_set_by_system(&self, name: &str) -> bool {
         [
@@ -38,6 +45,8 @@
             self.time_limit,
             self.expected_instance,
             self.origin_service,
+            self.credentials,
+            self.account,
         ]
         .iter()
         .any(|own| name.eq_ignore_ascii_case(own))
--- /dev/null
+++ b/crates/relay/src/http1/credentials.rs
@@ -0,0 +1,64 @@
+//! The key that a request carries in its credentials field (RFC 9110, section 11.6.2).
+
+use crate::header_scheme::HeaderScheme;
+
+use bytes::Bytes;
+use httparse::Header;
+use lagoonshore_coordination::forwarding::caller_access::PresentedKey;
+use lagoonshore_state::account::{AccountKey, KEY_BYTES_MAX};
+use std::fmt;
+
+/// `RequestCredentials` holds the credentials fields of a request, apart from the fields to relay.
+#[derive(Clone)]
+pub struct RequestCredentials {
+    /// Key that the fields hold.
+    pub key: PresentedKey,
+    /// The fields as received, each terminated by CRLF. They are relayed only in a fleet without
+    /// accounts, where they belong to the upstream.
+    pub fields: Bytes,
+}
+
+impl RequestCredentials {
+    /// Reads the credentials among `headers`; `fields` are those that may be relayed.
+    pub(super) fn of(headers: &[Header<'_>], scheme: &HeaderScheme, fields: Bytes) -> Self {
+        let named = headers
+            .iter()
+            .filter(|header| header.name.eq_ignore_ascii_case(scheme.credentials));
+        let keys = named.map(|header| parse_key(header.value, scheme.key_scheme));
+        // A field that is repeated is harmless; two different ones would leave open who calls.
+        let key = keys.reduce(|first, next| {
+            if first == next {
+                first
+            } else {
+                PresentedKey::Unusable
+            }
+        });
+        Self {
+            key: key.unwrap_or(PresentedKey::Absent),
+            fields,
+        }
+    }
+}
+
+impl fmt::Debug for RequestCredentials {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("RequestCredentials(..)")
+    }
+}
+
+/// Parses the value of a credentials field: the word `scheme` in any case, blanks, and the key.
+fn parse_key(value: &[u8], scheme: &str) -> PresentedKey {
+    let Ok(text) = std::str::from_utf8(value) else {
+        return PresentedKey::Unusable;
+    };
+    let Some((word, key)) = text.trim().split_once([' ', '\t']) else {
+        return PresentedKey::Unusable;
+    };
+    let key = key.trim();
+    let is_key = key.len() <= KEY_BYTES_MAX && key.bytes().all(|byte| byte.is_ascii_graphic());
+    if word.eq_ignore_ascii_case(scheme) && is_key && !key.is_empty() {
+        PresentedKey::Single(AccountKey::new(key.into()))
+    } else {
+        PresentedKey::Unusable
+    }
+}
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -1,7 +1,7 @@
 //! Parsing of request and response heads. Relayed fields keep their bytes; hop-by-hop fields
 //! (RFC 9110, section 7.6.1) and fields that the node sets itself are removed.
 
-use super::body::BodyFraming;
+use super::{body::BodyFraming, credentials::RequestCredentials};
 
 use crate::header_scheme::HeaderScheme;
 
@@ -15,6 +15,8 @@
 
 /// Most header fields in one head.
 const FIELDS_MAX: usize = 100;
+/// Buffer capacity for relayed fields, in bytes.
+const FIELDS_BYTES: usize = 256;
 /// Field that is handled on the connection of the caller and not relayed.
 const EXPECT_FIELD: &str = "expect";
 /// Value of the field by which an upstream announces its departure.
@@ -37,6 +39,8 @@
     pub time_limit: Option<Duration>,
     /// Fields to relay, each terminated by CRLF.
     pub fields: Bytes,
+    /// Key of the caller.
+    pub credentials: RequestCredentials,
     /// Framing of the body.
     pub framing: BodyFraming,
     /// Whether the caller closes the connection after the response.
@@ -116,6 +120,9 @@
     }
     let summary = FieldSummary::of(parsed.headers)?;
     let is_http10 = parsed.version == Some(0);
+    let credentials = relayed_fields(parsed.headers, &summary, |name| {
+        !name.eq_ignore_ascii_case(scheme.credentials)
+    });
     let head = RequestHead {
         method: parsed.method.unwrap_or_default().into(),
         target: target.into(),
@@ -127,6 +134,7 @@
         fields: relayed_fields(parsed.headers, &summary, |name| {
             scheme.is_set_by_system(name)
         }),
+        credentials: RequestCredentials::of(parsed.headers, scheme, credentials),
         framing: summary.framing.unwrap_or(BodyFraming::Length(0)),
         closes: summary.closes || is_http10,
         expects_continue: field_text(parsed.headers, EXPECT_FIELD).is_some(),
@@ -263,11 +271,14 @@
     summary: &FieldSummary<'_>,
     is_excluded: impl Fn(&str) -> bool,
 ) -> Bytes {
-    let mut block = BytesMut::with_capacity(256);
+    let mut block = BytesMut::new();
     for field in fields {
         if summary.is_hop_by_hop(field.name) || is_excluded(field.name) {
             continue;
         }
+        if block.is_empty() {
+            block.reserve(FIELDS_BYTES);
+        }
         block.extend_from_slice(field.name.as_bytes());
         block.extend_from_slice(b": ");
         block.extend_from_slice(field.value);
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -2,6 +2,7 @@
 //! are handled concurrently, and a truncated response is told apart from a complete one.
 
 pub mod body;
+pub mod credentials;
 pub mod exchange;
 pub mod head;
 pub mod pool;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -3,6 +3,7 @@
 //! originate on its instance, selects an upstream for each one, and sends it to the node beside
 //! that upstream, which runs it.
 
+mod access_gate;
 pub mod active_count;
 pub mod admin_listener;
 pub mod caller_listener;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -105,13 +105,13 @@
             &settings,
             scheme,
             Rc::clone(&directory),
-            log,
+            Rc::clone(&log),
             Rc::clone(&peer_table),
             Rc::clone(&links),
             Rc::clone(&server),
         );
         let table = Rc::clone(server.running_table());
-        let callers = CallerListener::new(scheme, Rc::clone(&directory), table, forwarder);
+        let callers = CallerListener::new(scheme, Rc::clone(&directory), table, log, forwarder);
         let ready = Rc::new(ReadyListener::new(Rc::clone(&directory)));
         let (link_peers, fleet) = (Rc::clone(&peer_table), Rc::clone(&directory));
         let (weak_links, suspects) = (Rc::downgrade(&links), Rc::clone(server.suspects()));
--- a/crates/relay/src/serving/upstream_request.rs
+++ b/crates/relay/src/serving/upstream_request.rs
@@ -31,6 +31,9 @@
     let _ = write!(head, "{}: {}\r\n", scheme.time_limit, time_left.as_millis());
     let _ = write!(head, "{}: {expected}\r\n", scheme.expected_instance);
     let _ = write!(head, "{}: {origin}\r\n", scheme.origin_service);
+    if let Some(account) = &request.account {
+        let _ = write!(head, "{}: {account}\r\n", scheme.account);
+    }
     if !request.body.is_empty() || !matches!(method.as_str(), "GET" | "HEAD") {
         let _ = write!(head, "Content-Length: {}\r\n", request.body.len());
     }
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -44,6 +44,9 @@
     rate_limit: "rate-limit",
     decode_rate_limit,
     origin_service: "origin-service",
+    credentials: "authorization",
+    key_scheme: "Bearer",
+    account: "account",
     call_separator: '.',
 };
 
--- a/crates/state/src/account.rs
+++ b/crates/state/src/account.rs
@@ -3,7 +3,8 @@
 use crate::{ids::AccountName, units::RequestImportance};
 
 use compact_str::CompactString;
-use std::fmt;
+use siphasher::sip::SipHasher24;
+use std::{fmt, hash::Hasher};
 
 data_type! {
     /// `AccountEntry` describes a client account of a fleet's document.
@@ -28,6 +29,16 @@
     }
 }
 
+id_type! {
+    /// `KeyFingerprint` names a key to operators without showing it.
+    pub struct KeyFingerprint(u64);
+}
+
+/// Longest key, in bytes.
+pub const KEY_BYTES_MAX: usize = 256;
+/// Bits of a key's hash that its fingerprint leaves out.
+const FINGERPRINT_SHIFT: u32 = 32;
+
 /// `AccountKey` is the secret by which a caller proves its account. Its text appears in no log, error or
 /// state dump.
 #[derive(Clone, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
@@ -45,6 +56,21 @@
     pub fn secret(&self) -> &str {
         &self.0
     }
+
+    /// Fingerprint by which operators tell keys apart; the same at every node.
+    #[must_use]
+    pub fn fingerprint(&self) -> KeyFingerprint {
+        let mut hasher = SipHasher24::new();
+        hasher.write(self.0.as_bytes());
+        // Half of the hash, so that it tells less of a key than is needed to confirm a guess.
+        KeyFingerprint(hasher.finish() >> FINGERPRINT_SHIFT)
+    }
+}
+
+impl fmt::Display for KeyFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:08x}", self.0)
+    }
 }
 
 impl fmt::Debug for AccountKey {
--- a/crates/state/src/route_table.rs
+++ b/crates/state/src/route_table.rs
@@ -1,8 +1,9 @@
 //! Routing table of a fleet, built from its published document.
 
 use crate::{
-    account::AccountEntry,
+    account::{AccountEntry, AccountKey},
     ids::{AccountName, DocumentVersion, ServiceName},
+    key_index::KeyIndex,
     units::RequestImportance,
 };
 
@@ -102,6 +103,7 @@
     services: Vec<ServiceEntry>,
     limits: CallerLimits,
     accounts: Option<HashMap<AccountName, Rc<AccountEntry>>>,
+    keys: KeyIndex,
 }
 
 impl RouteTable {
@@ -114,15 +116,17 @@
             let prefixes = hosts.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Rc::new(route));
         }
+        let accounts: Option<HashMap<_, _>> = document.accounts.map(|accounts| {
+            let entry = |account: AccountEntry| (account.name.clone(), Rc::new(account));
+            accounts.into_iter().map(entry).collect()
+        });
         Self {
             version: document.version,
+            keys: KeyIndex::new(accounts.iter().flat_map(HashMap::values)),
             hosts,
             services: document.services,
             limits: document.limits,
-            accounts: document.accounts.map(|accounts| {
-                let entry = |account: AccountEntry| (account.name.clone(), Rc::new(account));
-                accounts.into_iter().map(entry).collect()
-            }),
+            accounts,
         }
     }
 
@@ -156,6 +160,35 @@
         self.accounts.as_ref()?.get(name)
     }
 
+    /// Returns the account that holds `key`.
+    #[must_use]
+    pub fn account_of_key(&self, key: &AccountKey) -> Option<&Rc<AccountEntry>> {
+        self.keys.find(key)
+    }
+
+    /// Returns all accounts, ordered by name.
+    #[must_use]
+    pub fn accounts(&self) -> Vec<&Rc<AccountEntry>> {
+        let mut accounts: Vec<_> = self.accounts.iter().flat_map(HashMap::values).collect();
+        accounts.sort_by(|left, right| left.name.cmp(&right.name));
+        accounts
+    }
+
+    /// Returns the importance of the requests that `account` sends to `route`. In a document with
+    /// accounts, the route's rank stands in for that of an account that has none.
+    #[must_use]
+    pub fn importance(
+        &self,
+        route: &RouteEntry,
+        account: Option<&AccountEntry>,
+    ) -> RequestImportance {
+        if !self.has_accounts() {
+            return route.importance;
+        }
+        let own = account.and_then(|account| account.importance);
+        RequestImportance::of_account(own.unwrap_or(route.importance), route.importance)
+    }
+
     /// Returns all routes, ordered by host and prefix.
     #[must_use]
     pub fn routes(&self) -> Vec<&RouteEntry> {
--- a/crates/state/src/units.rs
+++ b/crates/state/src/units.rs
@@ -27,6 +27,19 @@
     /// The lowest importance.
     pub const LOWEST: Self = Self(u8::MAX);
 
+    /// Lowest rank that [`Self::of_account`] tells apart.
+    const RANK_MAX: u8 = (1 << Self::RANK_BITS) - 1;
+    /// Bits of each of the two ranks.
+    const RANK_BITS: u32 = 4;
+
+    /// Combines the rank of an account with that of a route: the account goes first, and among its
+    /// requests the route orders them. Ranks from 15 on count as 15.
+    #[must_use]
+    pub fn of_account(account: Self, route: Self) -> Self {
+        let (high, low) = (account.0.min(Self::RANK_MAX), route.0.min(Self::RANK_MAX));
+        Self((high << Self::RANK_BITS) | low)
+    }
+
     /// Returns `true` if `self` is strictly more important than `other`.
     #[must_use]
     pub const fn outranks(self, other: Self) -> bool {
