--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -115,7 +115,7 @@
             &settings,
             scheme,
             Rc::clone(&directory),
-            log,
+            Rc::clone(&log),
             Rc::clone(&peer_table),
             Rc::clone(&links),
             Rc::clone(&server),
@@ -139,6 +139,7 @@
             scheme,
             Rc::clone(&directory),
             table,
+            log,
             forwarder,
             Rc::clone(&quota_gate),
         );
--- a/crates/relay/tests/quotas.rs
+++ b/crates/relay/tests/quotas.rs
@@ -5,7 +5,7 @@
 use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_relay::{directory::DocumentSource, node::RelayNode};
 use lagoonshore_state::{
-    account::{AccountEntry, AccountQuota},
+    account::{AccountEntry, AccountKey, AccountQuota},
     instance_table::InstanceState,
     upstream_list::UpstreamRecord,
 };
@@ -227,3 +227,23 @@
     let quotas = fleet.members[0].node.dump().quotas.expect("accounts");
     assert!(quotas.hands.is_empty() && quotas.counters.is_empty());
 }
+
+#[actix_rt::test]
+async fn a_caller_over_its_quota_is_told_when_to_return_and_nothing_runs() {
+    let fleet = TestFleet::start(&[("a", "z1"), ("a", "z2")]).await;
+    let limited = AccountEntry {
+        keys: vec![AccountKey::new("key".into())],
+        ..account(SCANT_RATE)
+    };
+    publish_accounts(&fleet, 1, &[limited]);
+    until_counted(&fleet).await;
+    let callers = fleet.members[0].listen.callers;
+    let key = "Authorization: Bearer key\r\n";
+    let response = support::ask(callers, "GET", "/a/x", "i1", key).await;
+    assert_eq!(response.status, 429);
+    assert!(response.fields.contains("Retry-After: "), "{response:?}");
+    assert_eq!(response.body, "quota");
+    for member in &fleet.members {
+        assert!(member.upstream.seen.borrow().is_empty());
+    }
+}
