Ask refused callers to return when their account has earned a request

Cause: a caller of an account with two requests a second was asked to return after 50 to 200 ms, when the quota mostly allowed none yet. Change: the first return is not before the time in which the account earns one request, at most a second; the others follow at the rate of the node.

--- a/crates/coordination/src/quota/token_hand.rs
+++ b/crates/coordination/src/quota/token_hand.rs
@@ -122,14 +122,14 @@
         }
     }
 
-    /// Returns the time after which a refused caller may return, each later than the one before by the
-    /// time in which this node gets a token. `rate_min` is the rate that it can expect at least, in
-    /// tokens a second.
-    pub fn retry_after(&mut self, now: Instant, rate_min: f64) -> Duration {
-        let rate = self.granted.rate(now).max(rate_min);
-        let spacing = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(RETURN_MAX);
-        let first = self.asks_again_at.max(now + RETURN_MIN);
-        let next = first.max(self.last_return + spacing.min(RETURN_MAX));
+    /// Returns the time after which a refused caller may return: the account, whose quota allows `rate`
+    /// requests a second at `nodes` nodes, has then earned another one. Each caller gets a later time
+    /// than the one before, by the time in which this node gets a token.
+    pub fn retry_after(&mut self, now: Instant, rate: f64, nodes: u32) -> Duration {
+        let node_rate = self.granted.rate(now).max(rate / f64::from(nodes.max(1)));
+        let earned = token_time(rate).max(RETURN_MIN);
+        let first = self.asks_again_at.max(now + earned);
+        let next = first.max(self.last_return + token_time(node_rate));
         self.last_return = if next > now + RETURN_MAX { first } else { next };
         self.last_return - now
     }
@@ -160,3 +160,9 @@
         self.batches.retain(|batch| now < batch.expires_at);
     }
 }
+
+/// Time in which one token arrives at `rate` tokens a second, at most [`RETURN_MAX`].
+fn token_time(rate: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(rate.recip()).unwrap_or(RETURN_MAX);
+    time.min(RETURN_MAX)
+}
--- a/crates/coordination/tests/quotas.rs
+++ b/crates/coordination/tests/quotas.rs
@@ -4,6 +4,7 @@
 #[path = "support/quota_fleet.rs"]
 mod quota_fleet;
 
+use lagoonshore_coordination::quota::token_hand::TokenHand;
 use lagoonshore_state::account::AccountQuota;
 use proptest::{prelude::*, test_runner::RngSeed};
 use quota_fleet::{LinkFaults, QuotaFleet, RULES};
@@ -108,6 +109,26 @@
     assert!(used >= 950, "{used} of 1000");
 }
 
+/// Returns of six callers that are refused at once, in milliseconds.
+fn returns(rate: f64, granted: u32) -> Vec<u128> {
+    let now = Instant::now();
+    let mut hand = TokenHand::new(now);
+    let short_for = Duration::from_millis(80);
+    hand.add(now, now, granted, short_for, &RULES);
+    let waits = (0..6).map(|_| hand.retry_after(now, rate, 61));
+    waits.map(|wait| wait.as_millis()).collect()
+}
+
+#[test]
+fn returns_are_spread_by_the_rate_of_the_node() {
+    let summary = [
+        ("small", returns(2.0, 0)),
+        ("middle", returns(40.0, 10)),
+        ("large", returns(800.0, 100)),
+    ];
+    insta::assert_debug_snapshot!(summary);
+}
+
 /// A fault that begins within a run.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -204,11 +204,11 @@
         let now = Instant::now();
         let quota = self.fleet.quota(&entry.account);
         let rate = quota.map_or(0.0, |quota| quota.rate);
-        let rate_min = rate / f64::from(self.fleet.node_count());
+        let nodes = self.fleet.node_count();
         let mut hand = entry.hand.borrow_mut();
         let refusal = QuotaRefusal {
             reason: RefusalReason::QuotaExceeded,
-            retry_after: hand.retry_after(now, rate_min),
+            retry_after: hand.retry_after(now, rate, nodes),
         };
         let rates = hand.rates(now);
         self.log.log_refused(&entry.account, refusal, rates);
