--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -1,16 +1,19 @@
 //! The listener for callers on the instance and for the calls of its upstream.
 
 use crate::{
+    access_gate::{AccessDenial, AccessGate, UNAUTHORIZED},
     calling::{
         request_forwarder::RequestForwarder,
         routed_request::{ForwardOutcome, RoutedRequest},
     },
+    decision_log::DecisionLog,
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     http1::{
         head::RequestHead,
         request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
     },
+    quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
 };
 
@@ -18,7 +21,7 @@
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_coordination::request::outcome::RefusalReason;
-use lagoonshore_state::route_table::{CallerLimits, RouteEntry};
+use lagoonshore_state::route_table::{CallerLimits, RouteEntry, RouteTable};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -39,8 +42,10 @@
 pub struct CallerListener {
     scheme: HeaderScheme,
     directory: Rc<FleetDirectory>,
-    running_table: Rc<RunningTable>,
+    gate: AccessGate,
+    log: Rc<DecisionLog>,
     forwarder: RequestForwarder,
+    quotas: Rc<QuotaGate>,
     time_limits: RefCell<HashMap<CompactString, Duration>>,
     phase: watch::Sender<ServerPhase>,
     is_refusing: Cell<bool>,
@@ -54,13 +59,17 @@
         scheme: HeaderScheme,
         directory: Rc<FleetDirectory>,
         running_table: Rc<RunningTable>,
+        log: Rc<DecisionLog>,
         forwarder: RequestForwarder,
+        quotas: Rc<QuotaGate>,
     ) -> Self {
         Self {
             scheme,
             directory,
-            running_table,
+            gate: AccessGate::new(scheme.call_separator, running_table),
+            log,
             forwarder,
+            quotas,
             time_limits: RefCell::default(),
             phase: watch::channel(ServerPhase::Open).0,
             is_refusing: Cell::new(false),
@@ -103,11 +112,13 @@
         let Some(route) = routes.find(&head.host, &head.target) else {
             return self.node_response(&id, 404, None, "no route");
         };
-        let parent = self
-            .running_table
-            .parent_of(&id, self.scheme.call_separator);
+        let key = &head.credentials.key;
+        let caller = match self.gate.admit(&routes, &route, &id, key) {
+            Ok(caller) => caller,
+            Err(denial) => return self.denial_response(&id, &route, denial),
+        };
         let limit = head.time_limit.unwrap_or(route.timeout);
-        let spent = match parent {
+        let spent = match caller.parent {
             Some(_) => Duration::ZERO,
             None => self.time_spent(&route, limit),
         };
@@ -115,8 +126,14 @@
             method,
             target,
             fields,
+            credentials,
             ..
         } = head;
+        let fields = if routes.has_accounts() {
+            fields
+        } else {
+            joined(fields, &credentials.fields)
+        };
         let request = RoutedRequest {
             id: id.clone(),
             version: routes.version(),
@@ -124,14 +141,40 @@
             target,
             fields,
             body,
-            account: parent.as_ref().and_then(|parent| parent.account.clone()),
-            parent,
+            account: caller.account,
+            importance: caller.importance,
+            parent: caller.parent,
             spent,
             received,
             deadline: received + limit.min(route.timeout),
             route,
         };
-        self.to_response(&id, self.forwarder.forward(request).await)
+        let permit = match self.admit(&routes, &request).await {
+            Ok(permit) => permit,
+            Err(refusal) => return self.quota_response(&id, refusal),
+        };
+        let outcome = self.forwarder.forward(request).await;
+        if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
+            permit.give_back();
+        }
+        self.to_response(&id, outcome)
+    }
+
+    /// Counts a request against the quota of its account. Calls of a running request were counted with the
+    /// request at the root of their chain.
+    async fn admit(
+        &self,
+        routes: &RouteTable,
+        request: &RoutedRequest,
+    ) -> Result<Option<QuotaPermit>, QuotaRefusal> {
+        let account = match &request.account {
+            Some(account) if request.parent.is_none() => routes.account(account),
+            _ => None,
+        };
+        match account {
+            Some(account) => self.quotas.admit(account).await,
+            None => Ok(None),
+        }
     }
 
     /// Returns the time that a caller had spent on a request before this attempt. Callers of a route
@@ -167,6 +210,24 @@
         }
     }
 
+    fn quota_response(&self, id: &str, refusal: QuotaRefusal) -> ServerResponse {
+        let QuotaRefusal {
+            reason,
+            retry_after,
+        } = refusal;
+        self.node_response(id, reason.status(), Some(retry_after), reason.as_str())
+    }
+
+    fn denial_response(
+        &self,
+        id: &str,
+        route: &RouteEntry,
+        denial: AccessDenial,
+    ) -> ServerResponse {
+        self.log.log_denied(id, &route.name, &denial);
+        self.node_response(id, denial.status, denial.retry_after, denial.reason)
+    }
+
     /// Creates a response of the node itself, as opposed to one of an upstream.
     fn node_response(
         &self,
@@ -183,6 +244,9 @@
         if let Some(retry_after) = retry_after {
             let _ = write!(fields, "Retry-After: {:.3}\r\n", retry_after.as_secs_f64());
         }
+        if status == UNAUTHORIZED {
+            let _ = write!(fields, "WWW-Authenticate: {}\r\n", self.scheme.key_scheme);
+        }
         let _ = write!(fields, "Lagoonshore-Reason: {reason}\r\n");
         fields.put_slice(b"Content-Type: text/plain\r\n");
         ServerResponse {
@@ -193,6 +257,14 @@
     }
 }
 
+/// Returns `fields` followed by `more`.
+fn joined(fields: Bytes, more: &[u8]) -> Bytes {
+    if more.is_empty() {
+        return fields;
+    }
+    [&fields, more].concat().into()
+}
+
 impl RequestHandler for CallerListener {
     fn respond(self: Rc<Self>, request: ServerRequest) -> LocalBoxFuture<'static, ServerResponse> {
         async move { self.handle(request).await }.boxed_local()
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -56,6 +56,8 @@
 pub const RETRY_REFUSED: u16 = 3207;
 /// A request was refused before it was read, for want of memory.
 pub const MEMORY_EXHAUSTED: u16 = 3208;
+/// A request was refused for its key.
+pub const ACCESS_DENIED: u16 = 3209;
 /// The link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
@@ -79,3 +81,9 @@
 pub const TRIAL_STARTED: u16 = 3408;
 /// A complete run cleared a suspect.
 pub const SUSPECT_CLEARED: u16 = 3409;
+/// A request was refused for the quota of its account.
+pub const QUOTA_REFUSED: u16 = 3501;
+/// The counter of an account borrowed tokens from those of other zones.
+pub const QUOTA_BORROWED: u16 = 3502;
+/// A counter of quotas did not answer.
+pub const COUNTER_SILENT: u16 = 3503;
