--- /dev/null
+++ b/crates/coordination/tests/room_sharing.rs
@@ -0,0 +1,121 @@
+//! Whose place is given up when a shared resource is used up, and how long a request may take to arrive.
+
+use lagoonshore_coordination::protection::{
+    arrival_progress::{ArrivalLimits, ArrivalProgress},
+    room_sharing::{HolderStanding, RoomClaim, RoomHolder, choose_given_up},
+};
+use rstest::rstest;
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+const LIMITS: ArrivalLimits = ArrivalLimits {
+    stall_time: Duration::from_secs(3),
+    body_time: Duration::from_secs(30),
+    bytes_per_second: 1000,
+};
+
+fn caller(number: u8) -> IpAddr {
+    Ipv4Addr::new(10, 0, 0, number).into()
+}
+
+fn holders(rows: &[(u8, usize, HolderStanding)]) -> Vec<RoomHolder<usize>> {
+    let holder =
+        |(key, (number, held, standing)): (usize, &(u8, usize, HolderStanding))| RoomHolder {
+            key,
+            caller: caller(*number),
+            held: *held,
+            standing: *standing,
+        };
+    rows.iter().enumerate().map(holder).collect()
+}
+
+fn chosen(rows: &[(u8, usize, HolderStanding)], number: u8, missing: usize) -> Vec<usize> {
+    let claim = RoomClaim {
+        caller: Some(caller(number)),
+        missing,
+    };
+    choose_given_up(&holders(rows), claim)
+}
+
+#[test]
+fn the_slowest_go_first_then_idle_ones() {
+    use HolderStanding::{Active, Fixed, Idle, Slow};
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let rows = [
+        (1, 5, Active),
+        (1, 5, Idle(now)),
+        (1, 5, Slow(later)),
+        (1, 5, Slow(now)),
+        (1, 5, Fixed),
+    ];
+    assert_eq!(chosen(&rows, 2, 3), [3]);
+    assert_eq!(chosen(&rows, 1, 10), [3, 2]);
+    assert_eq!(chosen(&rows, 1, 15), [3, 2, 1]);
+}
+
+#[rstest]
+#[case::same_address(1, 5, &[])]
+#[case::other_address(2, 5, &[1])]
+#[case::as_much_as_the_largest_keeps(2, 15, &[1, 0])]
+#[case::more_than_the_largest_keeps(2, 20, &[])]
+fn an_address_that_holds_most_gives_way(
+    #[case] number: u8,
+    #[case] missing: usize,
+    #[case] expected: &[usize],
+) {
+    use HolderStanding::{Active, Fixed};
+    let rows = [(1, 10, Active), (1, 5, Active), (1, 15, Fixed)];
+    assert_eq!(chosen(&rows, number, missing), expected);
+}
+
+#[test]
+fn nothing_is_given_up_in_vain() {
+    let rows = [(1, 5, HolderStanding::Slow(Instant::now()))];
+    assert!(chosen(&rows, 2, 6).is_empty());
+}
+
+#[test]
+fn a_request_that_stops_or_trickles_is_slow_and_ends() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let mut progress = ArrivalProgress::new(start);
+    progress.record(start, 10_000, 16_000);
+    assert_eq!(progress.slow_since(start), None);
+    assert_eq!(progress.deadline(&LIMITS), at(3));
+    for second in 1..60 {
+        progress.record(at(second), 1, 16_000);
+    }
+    assert_eq!(progress.slow_since(at(59)), Some(at(1)));
+    assert_eq!(progress.deadline(&LIMITS), at(40));
+}
+
+#[test]
+fn a_request_that_keeps_its_pace_is_not_slow() {
+    let start = Instant::now();
+    let mut progress = ArrivalProgress::new(start);
+    for step in 1..=40 {
+        let now = start + Duration::from_millis(500) * step;
+        progress.record(now, 1000, 16_000);
+        assert_eq!(progress.slow_since(now), None);
+        assert!(progress.deadline(&LIMITS) > now);
+    }
+    assert_eq!(progress.received(), 40_000);
+}
+
+#[test]
+fn work_that_was_taken_on_goes_before_requests_that_arrive() {
+    let rows = [
+        (1, 5, HolderStanding::Active),
+        (2, 8, HolderStanding::Fixed),
+    ];
+    let claim = |missing| RoomClaim {
+        caller: None,
+        missing,
+    };
+    assert_eq!(choose_given_up(&holders(&rows), claim(5)), [0]);
+    assert!(choose_given_up(&holders(&rows), claim(6)).is_empty());
+}
--- a/crates/relay/src/admin_listener.rs
+++ b/crates/relay/src/admin_listener.rs
@@ -1,7 +1,9 @@
 //! The listener for operators: metrics and the state of the node.
 
 use crate::{
-    http1::request_handler::{self, RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+    http1::request_handler::{
+        self, RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+    },
     state_dump::StateDump,
 };
 
@@ -51,8 +53,12 @@
         request_handler::ready_response(self.page(path))
     }
 
-    fn reject(&self, status: u16, _: &str) -> ServerResponse {
-        text_response(status, "text/plain", "unreadable request\n".to_owned())
+    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
+        text_response(
+            request.status,
+            "text/plain",
+            "unreadable request\n".to_owned(),
+        )
     }
 
     fn limits(&self) -> CallerLimits {
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -9,7 +9,9 @@
     header_scheme::HeaderScheme,
     http1::{
         head::RequestHead,
-        request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+        request_handler::{
+            RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+        },
     },
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
 };
@@ -198,9 +200,10 @@
         async move { self.handle(request).await }.boxed_local()
     }
 
-    fn reject(&self, status: u16, id: &str) -> ServerResponse {
+    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
+        self.forwarder.log_unread(request);
+        let RejectedRequest { status, id, .. } = request;
         if status == 503 {
-            self.forwarder.log_no_memory(id);
             return self.node_response(id, status, Some(MEMORY_RETRY_AFTER), "memory");
         }
         self.node_response(id, status, None, "unreadable request")
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -17,6 +17,7 @@
     decision_log::{DecisionLog, RequestTrace},
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
+    http1::request_handler::RejectedRequest,
     lifecycle::request_cutoff::RequestCutoff,
     serving::{
         retry_gate::retry_quota, running_table::CallTotals, upstream_server::UpstreamServer,
@@ -141,9 +142,9 @@
         self.cutoff.trigger();
     }
 
-    /// Logs that the request `id` was refused before it was read, for want of memory.
-    pub(crate) fn log_no_memory(&self, id: &str) {
-        self.log.log_no_memory(id, self.links.free_memory());
+    /// Logs that a request was refused before it was read to its end.
+    pub(crate) fn log_unread(&self, request: RejectedRequest<'_>) {
+        self.log.log_unread(request, self.links.free_memory());
     }
 
     /// Forwards a request and returns its outcome.
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -3,7 +3,9 @@
 //! Refusals and failures have a higher limit than routine lines. The next line under the same
 //! limit reports how many were left out.
 
-use crate::{events, line_budget::LineBudget, relay_metrics};
+use crate::{
+    events, http1::request_handler::RejectedRequest, line_budget::LineBudget, relay_metrics,
+};
 
 use lagoonshore_coordination::forwarding::arrival_budget::RetryPriority;
 use lagoonshore_protocol::relay_messages::{NodeStatus, RelayResponse};
@@ -16,6 +18,9 @@
 /// Lines about routine decisions in one [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
 const ROUTINE_LINES_MAX: u32 = 1;
 
+/// Status of a request for which there is no memory.
+const NO_MEMORY_STATUS: u16 = 503;
+
 /// `RequestTrace` holds the fields that log lines about a request have in common.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestTrace<'a> {
@@ -75,19 +80,26 @@
         );
     }
 
-    /// Logs that the request `id` was refused before it was read, with the `free` bytes of the memory of
-    /// messages.
-    pub fn log_no_memory(&self, id: &str, free: usize) {
-        relay_metrics::count_refused("memory");
+    /// Logs that a request was refused before it was read to its end, with the `free` bytes of the memory
+    /// of messages.
+    pub fn log_unread(&self, request: RejectedRequest<'_>, free: usize) {
+        let reason = request.reason.as_str();
+        relay_metrics::count_unread(reason);
+        if request.status == NO_MEMORY_STATUS {
+            relay_metrics::count_refused("memory");
+        }
         let Some(left_out) = self.failures.take() else {
             return;
         };
         warn!(
-            event = events::MEMORY_EXHAUSTED,
-            request = id,
+            event = events::REQUEST_UNREAD,
+            request = request.id,
+            caller = %request.caller,
+            status = request.status,
+            reason,
             free,
             left_out,
-            "request: refused unread, no memory"
+            "request: refused unread"
         );
     }
 
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -54,8 +54,12 @@
 pub const UPSTREAM_FAILED: u16 = 3206;
 /// A retry was refused by the node beside the upstream, whose retry budget is exhausted.
 pub const RETRY_REFUSED: u16 = 3207;
-/// A request was refused before it was read, for want of memory.
-pub const MEMORY_EXHAUSTED: u16 = 3208;
+/// A request was refused before it was read to its end.
+pub const REQUEST_UNREAD: u16 = 3208;
+/// A new connection was closed at once, since all places are in use.
+pub const CONNECTION_REFUSED: u16 = 3209;
+/// A connection that was not in use was closed for a new one.
+pub const CONNECTION_GIVEN_UP: u16 = 3210;
 /// The link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
--- a/crates/relay/src/http1/body.rs
+++ b/crates/relay/src/http1/body.rs
@@ -1,9 +1,8 @@
 //! Framing of message bodies (RFC 9112, sections 6 and 7).
 
-use super::memory_budget::MemoryShare;
-
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use httparse::Status;
+use lagoonshore_transport::body_memory::{BodyMemory, MemoryError};
 
 /// Longest chunk-size line or trailer line, in bytes.
 const CHUNK_LINE_BYTES_MAX: usize = 4096;
@@ -42,15 +41,30 @@
     Trailer,
 }
 
+/// Result of one step of the decoding.
+enum ChunkStep {
+    /// So many bytes were used.
+    Used(usize),
+    /// More input has to arrive.
+    Incomplete,
+    /// So many bytes were used, and the body is complete.
+    LastUsed(usize),
+}
+
 /// `BodyReader` reads one body from the input buffer of a connection.
 #[derive(Debug)]
 pub struct BodyReader {
     framing: BodyFraming,
-    chunk: ChunkState,
-    body: BytesMut,
-    trailer_bytes: usize,
+    chunks: ChunkReader,
     bytes_max: usize,
-    memory: Option<MemoryShare>,
+    memory: BodyMemory,
+}
+
+/// Decodes the chunked coding.
+#[derive(Debug)]
+struct ChunkReader {
+    state: ChunkState,
+    trailer_bytes: usize,
 }
 
 impl BodyReader {
@@ -64,26 +78,24 @@
         }
         Ok(Self {
             framing,
-            chunk: ChunkState::Size,
-            body: BytesMut::new(),
-            trailer_bytes: 0,
+            chunks: ChunkReader {
+                state: ChunkState::Size,
+                trailer_bytes: 0,
+            },
             bytes_max,
-            memory: None,
+            memory: BodyMemory::uncounted(),
         })
     }
 
-    /// Counts the body against the budget of `share`; a body of known length is counted at once.
+    /// Reads the body into `memory`; a body of known length is counted at once.
     ///
     /// # Errors
     /// [`BodyError::NoMemory`] if there is no memory for it.
-    pub fn with_memory(mut self, mut share: MemoryShare) -> Result<Self, BodyError> {
+    pub fn with_memory(mut self, mut memory: BodyMemory) -> Result<Self, BodyError> {
         if let BodyFraming::Length(length) = self.framing {
-            if !share.extend_to(length) {
-                return Err(BodyError::NoMemory);
-            }
-            self.body.reserve(length.min(self.bytes_max));
+            memory.reserve(length)?;
         }
-        self.memory = Some(share);
+        self.memory = memory;
         Ok(self)
     }
 
@@ -91,19 +103,23 @@
     /// that follow the body stay in the buffer.
     ///
     /// # Errors
-    /// [`BodyError`] if the body is too large or malformed.
+    /// [`BodyError`] if the body is too large or malformed, or its memory was given to others.
     pub fn read_from(&mut self, buffer: &mut BytesMut) -> Result<bool, BodyError> {
-        match self.framing {
+        let is_complete = match self.framing {
             BodyFraming::Length(length) => {
-                self.read_data(buffer, length - self.body.len())?;
-                Ok(self.body.len() == length)
+                self.read_data(buffer, length - self.memory.len())?;
+                self.memory.len() == length
             }
             BodyFraming::UntilClose => {
                 self.read_data(buffer, usize::MAX)?;
-                Ok(false)
+                false
             }
-            BodyFraming::Chunked => self.read_chunks(buffer),
+            BodyFraming::Chunked => self.read_chunks(buffer)?,
+        };
+        if is_complete {
+            self.memory.keep()?;
         }
+        Ok(is_complete)
     }
 
     /// Returns whether the body ends at the end of the connection.
@@ -114,94 +130,156 @@
 
     /// Bytes of the body read so far, without chunk framing.
     #[must_use]
-    pub fn len(&self) -> usize {
-        self.body.len()
+    pub const fn len(&self) -> usize {
+        self.memory.len()
     }
 
     /// Returns whether no byte of the body was read yet.
     #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.body.is_empty()
+    pub const fn is_empty(&self) -> bool {
+        self.memory.is_empty()
     }
 
     /// Returns the bytes read, which are the whole body once [`Self::read_from`] returned `true`. They
     /// hold their memory for as long as they are in use.
     #[must_use]
     pub fn finish(self) -> Bytes {
-        match self.memory {
-            Some(share) => share.hold(self.body),
-            None => self.body.freeze(),
-        }
+        self.memory.finish()
     }
 
-    fn read_data(&mut self, buffer: &mut BytesMut, wanted: usize) -> Result<usize, BodyError> {
+    fn read_data(&mut self, buffer: &mut BytesMut, wanted: usize) -> Result<(), BodyError> {
         let taken = buffer.len().min(wanted);
-        if self.body.len() + taken > self.bytes_max {
+        if self.memory.len() + taken > self.bytes_max {
             return Err(BodyError::TooLarge);
         }
-        if let Some(share) = &mut self.memory
-            && !share.extend_to(self.body.len() + taken)
-        {
-            return Err(BodyError::NoMemory);
-        }
-        self.body.extend_from_slice(&buffer.split_to(taken));
-        Ok(taken)
+        let data = &buffer[..taken];
+        let write = |bytes: &mut Vec<u8>| bytes.extend_from_slice(data);
+        self.memory.write_with(taken, self.bytes_max, write)?;
+        buffer.advance(taken);
+        Ok(())
     }
 
     fn read_chunks(&mut self, buffer: &mut BytesMut) -> Result<bool, BodyError> {
+        let Self {
+            chunks,
+            bytes_max,
+            memory,
+            ..
+        } = self;
+        let data_max = chunks.data_max(buffer);
+        let decode = |bytes: &mut Vec<u8>| chunks.decode(buffer, bytes, *bytes_max);
+        let (used, is_complete) = memory.write_with(data_max, *bytes_max, decode)??;
+        buffer.advance(used);
+        Ok(is_complete)
+    }
+}
+
+impl ChunkReader {
+    /// Upper bound of the data in `input`.
+    const fn data_max(&self, input: &[u8]) -> usize {
+        match self.state {
+            ChunkState::Trailer => 0,
+            _ => input.len(),
+        }
+    }
+
+    /// Appends the data in `input` to `body`, which may have `bytes_max` bytes at most. Returns the
+    /// number of bytes used, and whether the body is complete.
+    fn decode(
+        &mut self,
+        input: &[u8],
+        body: &mut Vec<u8>,
+        bytes_max: usize,
+    ) -> Result<(usize, bool), BodyError> {
+        let mut used = 0;
         loop {
-            match self.chunk {
-                ChunkState::Size => match httparse::parse_chunk_size(buffer) {
-                    Ok(Status::Complete((used, size))) => {
-                        let _ = buffer.split_to(used);
-                        let size = usize::try_from(size).map_err(|_| BodyError::TooLarge)?;
-                        self.chunk = match size {
-                            0 => ChunkState::Trailer,
-                            size => ChunkState::Data(size),
-                        };
-                    }
-                    Ok(Status::Partial) if buffer.len() <= CHUNK_LINE_BYTES_MAX => {
-                        return Ok(false);
-                    }
-                    _ => return Err(BodyError::Malformed),
-                },
-                ChunkState::Data(size) => {
-                    let taken = self.read_data(buffer, size)?;
-                    if taken < size {
-                        self.chunk = ChunkState::Data(size - taken);
-                        return Ok(false);
-                    }
-                    self.chunk = ChunkState::DataEnd;
-                }
-                ChunkState::DataEnd => {
-                    if buffer.len() < LINE_END_BYTES {
-                        return Ok(false);
-                    }
-                    if buffer.split_to(LINE_END_BYTES)[..] != *b"\r\n" {
-                        return Err(BodyError::Malformed);
-                    }
-                    self.chunk = ChunkState::Size;
-                }
-                ChunkState::Trailer => {
-                    let Some(end) = find_line_end(buffer) else {
-                        let is_short = buffer.len() <= CHUNK_LINE_BYTES_MAX;
-                        return if is_short {
-                            Ok(false)
-                        } else {
-                            Err(BodyError::Malformed)
-                        };
-                    };
-                    let line = buffer.split_to(end + LINE_END_BYTES);
-                    if line.len() == LINE_END_BYTES {
-                        return Ok(true);
-                    }
-                    self.trailer_bytes += line.len();
-                    if self.trailer_bytes > TRAILER_BYTES_MAX {
-                        return Err(BodyError::TooLarge);
-                    }
-                }
+            let rest = &input[used..];
+            let step = match self.state {
+                ChunkState::Size => self.decode_size(rest)?,
+                ChunkState::Data(size) => self.decode_data(rest, size, body, bytes_max)?,
+                ChunkState::DataEnd => self.decode_data_end(rest)?,
+                ChunkState::Trailer => self.decode_trailer(rest)?,
+            };
+            match step {
+                ChunkStep::Used(bytes) => used += bytes,
+                ChunkStep::Incomplete => return Ok((used, false)),
+                ChunkStep::LastUsed(bytes) => return Ok((used + bytes, true)),
+            }
+        }
+    }
+
+    fn decode_size(&mut self, input: &[u8]) -> Result<ChunkStep, BodyError> {
+        match httparse::parse_chunk_size(input) {
+            Ok(Status::Complete((used, size))) => {
+                let size = usize::try_from(size).map_err(|_| BodyError::TooLarge)?;
+                self.state = match size {
+                    0 => ChunkState::Trailer,
+                    size => ChunkState::Data(size),
+                };
+                Ok(ChunkStep::Used(used))
             }
+            Ok(Status::Partial) if input.len() <= CHUNK_LINE_BYTES_MAX => Ok(ChunkStep::Incomplete),
+            _ => Err(BodyError::Malformed),
+        }
+    }
+
+    fn decode_data(
+        &mut self,
+        input: &[u8],
+        size: usize,
+        body: &mut Vec<u8>,
+        bytes_max: usize,
+    ) -> Result<ChunkStep, BodyError> {
+        if input.is_empty() {
+            return Ok(ChunkStep::Incomplete);
+        }
+        let taken = input.len().min(size);
+        if taken > bytes_max - body.len() {
+            return Err(BodyError::TooLarge);
         }
+        body.extend_from_slice(&input[..taken]);
+        self.state = match size - taken {
+            0 => ChunkState::DataEnd,
+            left => ChunkState::Data(left),
+        };
+        Ok(ChunkStep::Used(taken))
+    }
+
+    fn decode_data_end(&mut self, input: &[u8]) -> Result<ChunkStep, BodyError> {
+        let Some(end) = input.get(..LINE_END_BYTES) else {
+            return Ok(ChunkStep::Incomplete);
+        };
+        if end != b"\r\n" {
+            return Err(BodyError::Malformed);
+        }
+        self.state = ChunkState::Size;
+        Ok(ChunkStep::Used(LINE_END_BYTES))
+    }
+
+    fn decode_trailer(&mut self, input: &[u8]) -> Result<ChunkStep, BodyError> {
+        let Some(end) = find_line_end(input) else {
+            let is_short = input.len() <= CHUNK_LINE_BYTES_MAX;
+            return if is_short {
+                Ok(ChunkStep::Incomplete)
+            } else {
+                Err(BodyError::Malformed)
+            };
+        };
+        let line_bytes = end + LINE_END_BYTES;
+        if line_bytes == LINE_END_BYTES {
+            return Ok(ChunkStep::LastUsed(line_bytes));
+        }
+        self.trailer_bytes += line_bytes;
+        if self.trailer_bytes > TRAILER_BYTES_MAX {
+            return Err(BodyError::TooLarge);
+        }
+        Ok(ChunkStep::Used(line_bytes))
+    }
+}
+
+impl From<MemoryError> for BodyError {
+    fn from(_: MemoryError) -> Self {
+        Self::NoMemory
     }
 }
 
--- a/crates/relay/src/http1/exchange.rs
+++ b/crates/relay/src/http1/exchange.rs
@@ -10,6 +10,7 @@
 
 use actix_rt::net::TcpStream;
 use bytes::{Buf, Bytes, BytesMut};
+use lagoonshore_transport::body_memory::BodyMemory;
 use std::{fmt::Display, io::ErrorKind, time::Duration};
 
 /// Largest head of a response, in bytes.
@@ -252,7 +253,8 @@
             return Err(ExchangeError::NoAnswer);
         }
         let body = BodyReader::new(head.framing, RESPONSE_BODY_BYTES_MAX);
-        let body = body.and_then(|body| body.with_memory(self.memory.another()));
+        let body =
+            body.and_then(|body| body.with_memory(BodyMemory::counted(self.memory.another())));
         let body = body.map_err(|_: BodyError| ExchangeError::NoAnswer)?;
         self.current = Some((head, body));
         Ok(true)
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -2,8 +2,10 @@
 //! are handled concurrently, and a truncated response is told apart from a complete one.
 
 pub mod body;
+mod connection_table;
 pub mod exchange;
 pub mod head;
+mod input_pool;
 pub mod pool;
 pub mod request_handler;
 mod response_output;
--- a/crates/relay/src/http1/pool.rs
+++ b/crates/relay/src/http1/pool.rs
@@ -60,6 +60,7 @@
     idle: RefCell<Vec<IdleConnection>>,
     opened: Cell<u64>,
     budget: MemoryBudget,
+    idle_max: usize,
 }
 
 impl std::fmt::Debug for IdleConnection {
@@ -80,9 +81,17 @@
             idle: RefCell::new(Vec::new()),
             opened: Cell::new(0),
             budget,
+            idle_max: usize::MAX,
         }
     }
 
+    /// Limits the idle connections that are kept.
+    #[must_use]
+    pub const fn with_idle_max(mut self, idle_max: usize) -> Self {
+        self.idle_max = idle_max;
+        self
+    }
+
     /// Number of attempts to open a connection so far.
     #[must_use]
     pub const fn opened(&self) -> u64 {
@@ -131,11 +140,20 @@
                 since,
                 expires,
             };
-            self.idle.borrow_mut().push(kept);
+            self.keep(kept);
         }
         Ok(response)
     }
 
+    /// Keeps a connection, and closes the one that has been idle for longest if there are too many.
+    fn keep(&self, kept: IdleConnection) {
+        let mut idle = self.idle.borrow_mut();
+        idle.push(kept);
+        if idle.len() > self.idle_max {
+            idle.remove(0);
+        }
+    }
+
     /// Takes the most recently used connection on which nothing has been received since, and on which
     /// `id` was not refused.
     fn take_idle(
--- a/crates/relay/src/http1/request_handler.rs
+++ b/crates/relay/src/http1/request_handler.rs
@@ -1,11 +1,11 @@
 //! The interface between the HTTP server and what answers its requests.
 
-use super::head::RequestHead;
+use super::{body::BodyError, head::RequestHead};
 
 use bytes::Bytes;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_state::route_table::CallerLimits;
-use std::rc::Rc;
+use std::{net::IpAddr, rc::Rc};
 use tokio::{sync::watch, time::Instant};
 
 /// `ServerRequest` is a request that was read completely.
@@ -30,14 +30,80 @@
     pub body: Bytes,
 }
 
+/// `RejectedRequest` is a request that a server does not read, or not to its end.
+#[derive(Clone, Copy, Debug)]
+pub struct RejectedRequest<'a> {
+    /// HTTP status code of the response.
+    pub status: u16,
+    /// Why it is rejected.
+    pub reason: RejectionReason,
+    /// Id of the request; empty if it is not known.
+    pub id: &'a str,
+    /// Address of the caller.
+    pub caller: IpAddr,
+}
+
+/// `RejectionReason` is why a request is not read, or not to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RejectionReason {
+    /// It is malformed.
+    Malformed,
+    /// Its head or its body is larger than allowed.
+    TooLarge,
+    /// It did not arrive in time.
+    Timeout,
+    /// There is no memory for it.
+    NoMemory,
+    /// Its memory or its connection was given to others while it arrived.
+    GivenUp,
+    /// The handler failed.
+    Failed,
+}
+
+impl RejectionReason {
+    /// HTTP status code that is sent for it.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::Malformed => 400,
+            Self::TooLarge => 413,
+            Self::Timeout => 408,
+            Self::NoMemory | Self::GivenUp => 503,
+            Self::Failed => 502,
+        }
+    }
+
+    /// The word that stands for it in responses, logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::TooLarge => "too-large",
+            Self::Timeout => "slow-request",
+            Self::NoMemory => "memory",
+            Self::GivenUp => "given-up",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+impl From<BodyError> for RejectionReason {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::TooLarge,
+            BodyError::Malformed => Self::Malformed,
+            BodyError::NoMemory => Self::NoMemory,
+        }
+    }
+}
+
 /// `RequestHandler` answers the requests that a server receives.
 pub trait RequestHandler: 'static {
     /// Answers one request. The future is dropped, and with it the request cancelled, when the
     /// caller disconnects.
     fn respond(self: Rc<Self>, request: ServerRequest) -> LocalBoxFuture<'static, ServerResponse>;
-    /// Creates the response to a request that was not read, with `status`; `id` is empty if it is not
-    /// known.
-    fn reject(&self, status: u16, id: &str) -> ServerResponse;
+    /// Creates the response to a request that was not read, and did not run.
+    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse;
     /// Limits on size and time of requests that are in force.
     fn limits(&self) -> CallerLimits;
     /// Returns a receiver of the phase, by which connections decide when to close.
--- a/crates/relay/src/http1/server.rs
+++ b/crates/relay/src/http1/server.rs
@@ -2,18 +2,21 @@
 //! to a handler.
 
 use super::{
+    connection_table::{ConnectionTable, PlaceGuard},
+    input_pool::InputPool,
     request_handler::{RequestHandler, ServerPhase},
-    server_connection::ServerConnection,
+    server_connection::{ConnectionParts, ServerConnection},
 };
 
 use crate::{
     active_count::{ActiveCount, ActiveGuard},
+    connection_log::ConnectionLog,
     header_scheme::HeaderScheme,
 };
 
 use actix_rt::net::TcpListener;
 use lagoonshore_transport::memory_budget::MemoryBudget;
-use std::{rc::Rc, time::Duration};
+use std::{net::IpAddr, rc::Rc, time::Duration};
 
 /// Pause after a failed accept; without it, the loop would spin while descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -21,8 +24,12 @@
 /// `ServerLimits` bounds what the connections of a server hold.
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
-    /// Concurrent connections; those above are closed at once.
-    pub connections: u32,
+    /// Concurrent connections; above them, one that is not in use is closed, or else the new one.
+    pub connections: usize,
+    /// Time that the body of a request may take to arrive.
+    pub body_time: Duration,
+    /// Received bytes of a body that allow one second more.
+    pub body_bytes_per_second: u32,
     /// Memory that the requests share with other messages.
     pub budget: MemoryBudget,
 }
@@ -36,6 +43,10 @@
     limits: ServerLimits,
 ) {
     let mut phase = handler.phase();
+    let limits = Rc::new(limits);
+    let table = Rc::<ConnectionTable>::default();
+    let input_pool = Rc::<InputPool>::default();
+    let log = ConnectionLog::default();
     loop {
         // Connections in the backlog are accepted before the listener closes.
         let accepted = tokio::select! {
@@ -43,19 +54,40 @@
             accepted = listener.accept() => accepted,
             Ok(_) = phase.wait_for(|phase| *phase == ServerPhase::Closed) => return,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok((stream, address)) = accepted else {
             actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if open.get() >= limits.connections {
+        let Some(guard) = take_place(&table, address.ip(), &limits, &log) else {
             continue;
-        }
-        let guard = ActiveGuard::new(&open);
-        let connection =
-            ServerConnection::new(stream, Rc::clone(&handler), scheme, limits.budget.clone());
+        };
+        let parts = ConnectionParts {
+            limits: Rc::clone(&limits),
+            place: guard.place(),
+            input_pool: Rc::clone(&input_pool),
+        };
+        let connection = ServerConnection::new(stream, Rc::clone(&handler), scheme, parts);
+        let active = ActiveGuard::new(&open);
         actix_rt::spawn(async move {
             connection.serve().await;
-            drop(guard);
+            drop((guard, active));
         });
     }
 }
+
+/// Takes a place for a connection of `caller`; `None` if there is none.
+fn take_place(
+    table: &Rc<ConnectionTable>,
+    caller: IpAddr,
+    limits: &ServerLimits,
+    log: &ConnectionLog,
+) -> Option<PlaceGuard> {
+    let Some((guard, given_up)) = table.take_place(caller, limits.connections) else {
+        log.log_refused(caller, limits.connections);
+        return None;
+    };
+    if let Some(given_up) = given_up {
+        log.log_given_up(given_up, caller, limits.connections);
+    }
+    Some(guard)
+}
--- a/crates/relay/src/http1/server_connection.rs
+++ b/crates/relay/src/http1/server_connection.rs
@@ -3,9 +3,15 @@
 
 use super::{
     body::{BodyError, BodyFraming, BodyReader},
+    connection_table::{ConnectionActivity, ConnectionPlace},
     head::{self, HeadError, RequestHead},
-    request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+    input_pool::InputPool,
+    request_handler::{
+        RejectedRequest, RejectionReason, RequestHandler, ServerPhase, ServerRequest,
+        ServerResponse,
+    },
     response_output::ResponseOutput,
+    server::ServerLimits,
     staged_close,
 };
 
@@ -13,17 +19,26 @@
 
 use actix_rt::net::TcpStream;
 use bytes::BytesMut;
-use lagoonshore_transport::memory_budget::{MemoryBudget, MemoryShare};
-use std::{collections::VecDeque, io::ErrorKind, rc::Rc, time::Duration};
-use tokio::{sync::watch, task::JoinHandle, time::Instant};
+use lagoonshore_coordination::protection::arrival_progress::{ArrivalLimits, ArrivalProgress};
+use lagoonshore_transport::{
+    body_memory::BodyMemory,
+    memory_budget::{MemoryShare, UNCOUNTED_BYTES},
+    memory_report::MemoryHolder,
+};
+use std::{collections::VecDeque, io::ErrorKind, rc::Rc, sync::Arc, time::Duration};
+use tokio::{
+    sync::{Notify, watch},
+    task::JoinHandle,
+    time::Instant,
+};
 
 /// Most requests of one connection that are handled concurrently.
 const PIPELINED_REQUESTS_MAX: usize = 32;
 /// Unparsed input, in bytes, above which reading pauses until responses are written. It does not
 /// pause within a body.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Bytes reserved for one read.
-const READ_CHUNK_BYTES: usize = 8 * 1024;
+/// Input after which other connections get their turn, in reads.
+const READS_PER_TURN: u32 = 16;
 /// Longest time for which input is discarded after the write side was closed.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// The same for a request whose body was not read: its caller may read the response only after it has
@@ -52,6 +67,7 @@
 struct PartialRequest {
     head: RequestHead,
     body: BodyReader,
+    progress: ArrivalProgress,
     received: Instant,
 }
 
@@ -62,6 +78,8 @@
     Answered(Result<ServerResponse, tokio::task::JoinError>),
     TimedOut,
     PhaseChanged,
+    BodyGivenUp,
+    PlaceGivenUp,
 }
 
 /// `ServerConnection` serves one connection of a caller.
@@ -73,25 +91,46 @@
     output: ResponseOutput,
     partial: Option<PartialRequest>,
     pending: VecDeque<PendingResponse>,
-    /// Start of the head being received, or the last progress of its body; `None` between requests.
+    /// Start of the request being received; `None` between requests.
     receiving_since: Option<Instant>,
     idle_since: Instant,
     is_input_closed: bool,
+    /// Whether the connection closes after the requests in progress, since its place is needed.
+    is_place_given_up: bool,
     discard_time: Duration,
+    /// Input that arrived after the last request that is read.
+    discarded_bytes: usize,
+    reads_in_turn: u32,
     /// Memory of the unparsed input.
     input_memory: MemoryShare,
-    budget: MemoryBudget,
+    input_pool: Rc<InputPool>,
+    limits: Rc<ServerLimits>,
+    place: Rc<ConnectionPlace>,
+    /// Tells that the body being received was given up for others.
+    body_given_up: Arc<Notify>,
     phase: watch::Receiver<ServerPhase>,
 }
 
+/// What a connection shares with the others of its server, and its place among them.
+pub(crate) struct ConnectionParts {
+    pub(crate) limits: Rc<ServerLimits>,
+    pub(crate) place: Rc<ConnectionPlace>,
+    pub(crate) input_pool: Rc<InputPool>,
+}
+
 impl<H: RequestHandler> ServerConnection<H> {
-    /// Creates a connection whose requests share the memory of `budget`.
+    /// Creates a connection at `place`, within the limits of its server.
     pub(crate) fn new(
         stream: TcpStream,
         handler: Rc<H>,
         scheme: HeaderScheme,
-        budget: MemoryBudget,
+        parts: ConnectionParts,
     ) -> Self {
+        let ConnectionParts {
+            limits,
+            place,
+            input_pool,
+        } = parts;
         // If the option cannot be set, responses are only delayed.
         let _ = stream.set_nodelay(true);
         let phase = handler.phase();
@@ -106,9 +145,15 @@
             receiving_since: None,
             idle_since: Instant::now(),
             is_input_closed: false,
+            is_place_given_up: false,
             discard_time: DISCARD_TIME,
-            input_memory: budget.request_share(),
-            budget,
+            discarded_bytes: 0,
+            reads_in_turn: 0,
+            input_memory: request_share(&limits, &place),
+            input_pool,
+            limits,
+            place,
+            body_given_up: Arc::default(),
             phase,
         }
     }
@@ -121,14 +166,27 @@
             }
             let is_done = self.pending.is_empty() && self.output.is_empty();
             if is_done && (self.is_input_closed || self.is_idle_expired()) {
-                staged_close::close(self.stream, self.discard_time).await;
+                self.place.set(ConnectionActivity::Closing(Instant::now()));
+                let Self { place, stream, .. } = self;
+                tokio::select! {
+                    () = staged_close::close(stream, self.discard_time) => {}
+                    () = place.given_up() => {}
+                }
                 return;
             }
+            self.place.set(self.activity());
             match self.next_event().await {
                 ConnectionEvent::Readable => {
                     if !self.read_some() {
                         return;
                     }
+                    self.end_turn().await;
+                }
+                ConnectionEvent::BodyGivenUp => self.refuse_body(BodyError::NoMemory),
+                ConnectionEvent::PlaceGivenUp => {
+                    if self.give_up_place() {
+                        return;
+                    }
                 }
                 ConnectionEvent::Writable | ConnectionEvent::PhaseChanged => {}
                 ConnectionEvent::Answered(response) => self.write_next_response(response),
@@ -149,9 +207,14 @@
             output,
             input,
             phase,
+            place,
+            body_given_up,
+            partial,
             ..
         } = self;
-        let can_read = input.len() < READ_AHEAD_BYTES || self.partial.is_some();
+        let is_receiving = partial.is_some();
+        let ahead = input.len() + self.discarded_bytes;
+        let can_read = ahead < READ_AHEAD_BYTES || is_receiving;
         let can_respond = output.is_accepting();
         let next_response = async {
             match pending.front_mut() {
@@ -161,6 +224,8 @@
         };
         tokio::select! {
             biased;
+            () = place.given_up() => ConnectionEvent::PlaceGivenUp,
+            () = body_given_up.notified(), if is_receiving => ConnectionEvent::BodyGivenUp,
             response = next_response => ConnectionEvent::Answered(response),
             // An error of the socket is returned by the read or write that follows.
             _ = stream.readable(), if can_read => ConnectionEvent::Readable,
@@ -173,6 +238,13 @@
     /// Returns the time at which the connection is checked for a timeout.
     fn next_timeout(&self) -> Instant {
         let limits = self.handler.limits();
+        if let Some(partial) = &self.partial {
+            return partial.progress.deadline(&ArrivalLimits {
+                stall_time: limits.head_time,
+                body_time: self.limits.body_time,
+                bytes_per_second: self.limits.body_bytes_per_second,
+            });
+        }
         if let Some(since) = self.receiving_since {
             return since + limits.head_time;
         }
@@ -195,7 +267,7 @@
             return true;
         }
         if self.receiving_since.is_some() {
-            self.refuse(408);
+            self.refuse_unread(408, RejectionReason::Timeout);
             return true;
         }
         self.output.is_empty() && !self.pending.is_empty()
@@ -211,7 +283,7 @@
     }
 
     fn is_closing(&self) -> bool {
-        *self.phase.borrow() >= ServerPhase::Closing
+        self.is_place_given_up || *self.phase.borrow() >= ServerPhase::Closing
     }
 
     /// Parses the complete requests in the input and starts them; `false` closes the connection.
@@ -227,15 +299,13 @@
             match partial.body.read_from(&mut self.input) {
                 Ok(true) => self.start_request(),
                 Ok(false) => {
-                    if partial.body.len() > before {
-                        self.idle_since = Instant::now();
-                        self.receiving_since = Some(self.idle_since);
-                    }
+                    partial.record_progress(before);
                     break;
                 }
                 Err(error) => self.refuse_body(error),
             }
         }
+        self.input_pool.compact(&mut self.input);
         self.input_memory.reduce_to(self.input.len());
         true
     }
@@ -254,11 +324,11 @@
             Ok(Some(head)) => head,
             Ok(None) => return false,
             Err(HeadError::TooLarge) => {
-                self.refuse(431);
+                self.refuse_unread(431, RejectionReason::TooLarge);
                 return false;
             }
             Err(HeadError::Malformed) => {
-                self.refuse(400);
+                self.refuse_unread(400, RejectionReason::Malformed);
                 return false;
             }
         };
@@ -266,23 +336,34 @@
             self.output.push_continue();
         }
         let body = BodyReader::new(head.framing, limits.body_bytes);
-        let body = body.and_then(|body| body.with_memory(self.budget.request_share()));
-        match body {
+        match body.and_then(|body| body.with_memory(self.body_memory(&head))) {
             Ok(body) => {
                 self.partial = Some(PartialRequest {
                     head,
                     body,
+                    progress: ArrivalProgress::new(Instant::now()),
                     received,
                 });
                 true
             }
             Err(error) => {
-                self.refuse_request(body_status(error), &head.id.unwrap_or_default());
+                self.refuse_request(error.into(), &head.id.unwrap_or_default());
                 false
             }
         }
     }
 
+    /// Memory for the body that follows `head`. A body that is not counted is kept in any case.
+    fn body_memory(&mut self, head: &RequestHead) -> BodyMemory {
+        let share = request_share(&self.limits, &self.place);
+        if matches!(head.framing, BodyFraming::Length(length) if length <= UNCOUNTED_BYTES) {
+            return BodyMemory::counted(share);
+        }
+        self.body_given_up = Arc::default();
+        let given_up = Arc::clone(&self.body_given_up);
+        BodyMemory::arriving(share, self.place.caller(), given_up)
+    }
+
     fn start_request(&mut self) {
         let Some(partial) = self.partial.take() else {
             return;
@@ -292,6 +373,7 @@
             head,
             body,
             received,
+            ..
         } = partial;
         let closes = head.closes;
         let is_head = head.method == "HEAD";
@@ -313,20 +395,31 @@
 
     /// Refuses the request whose body cannot be read.
     fn refuse_body(&mut self, error: BodyError) {
-        let head = self.partial.take().map(|partial| partial.head);
-        let id = head.and_then(|head| head.id);
-        self.refuse_request(body_status(error), &id.unwrap_or_default());
+        let Some(partial) = self.partial.take() else {
+            return;
+        };
+        let reason = match error {
+            BodyError::NoMemory if !partial.body.is_empty() => RejectionReason::GivenUp,
+            error => error.into(),
+        };
+        self.refuse_request(reason, &partial.head.id.unwrap_or_default());
     }
 
-    /// Answers unparsable input with `status`.
-    fn refuse(&mut self, status: u16) {
-        self.refuse_request(status, "");
+    /// Answers input that is no complete request with `status`.
+    fn refuse_unread(&mut self, status: u16, reason: RejectionReason) {
+        let partial = self.partial.take();
+        let id = partial.and_then(|partial| partial.head.id);
+        self.refuse_with(status, reason, &id.unwrap_or_default());
     }
 
-    /// Answers the request `id`, which was not read, with `status` and stops reading, since the start of
-    /// a following request cannot be found.
-    fn refuse_request(&mut self, status: u16, id: &str) {
-        let response = self.handler.reject(status, id);
+    /// Answers the request `id`, which was not read, and stops reading, since the start of a following
+    /// request cannot be found.
+    fn refuse_request(&mut self, reason: RejectionReason, id: &str) {
+        self.refuse_with(reason.status(), reason, id);
+    }
+
+    fn refuse_with(&mut self, status: u16, reason: RejectionReason, id: &str) {
+        let response = self.reject(status, reason, id);
         if !id.is_empty() {
             self.discard_time = BODY_DISCARD_TIME;
         }
@@ -341,11 +434,54 @@
         });
     }
 
+    fn reject(&self, status: u16, reason: RejectionReason, id: &str) -> ServerResponse {
+        self.handler.reject(RejectedRequest {
+            status,
+            reason,
+            id,
+            caller: self.place.caller(),
+        })
+    }
+
+    /// Closes a connection that makes no use of its place; returns whether it may be dropped. Requests that
+    /// arrived meanwhile are answered first.
+    fn give_up_place(&mut self) -> bool {
+        self.is_place_given_up = true;
+        if !self.pending.is_empty() || !self.output.is_empty() {
+            return false;
+        }
+        if self.receiving_since.is_some() {
+            let partial = self.partial.take();
+            let id = partial.and_then(|partial| partial.head.id);
+            let reason = RejectionReason::GivenUp;
+            let response = self.reject(reason.status(), reason, &id.unwrap_or_default());
+            self.output.push(response, true, false);
+            // The connection is dropped either way.
+            let _ = self.write_some();
+        }
+        true
+    }
+
+    /// What the connection does, by which others may take its place.
+    fn activity(&self) -> ConnectionActivity {
+        let is_busy = !self.pending.is_empty() || !self.output.is_empty();
+        if is_busy || self.is_place_given_up {
+            return ConnectionActivity::Busy;
+        }
+        if let Some(partial) = &self.partial {
+            return ConnectionActivity::Receiving(partial.progress);
+        }
+        match self.receiving_since {
+            Some(since) => ConnectionActivity::Receiving(ArrivalProgress::new(since)),
+            None => ConnectionActivity::Idle(self.idle_since),
+        }
+    }
+
     fn write_next_response(&mut self, response: Result<ServerResponse, tokio::task::JoinError>) {
         let Some(pending) = self.pending.pop_front() else {
             return;
         };
-        let response = response.unwrap_or_else(|_| self.handler.reject(502, ""));
+        let response = response.unwrap_or_else(|_| self.reject(502, RejectionReason::Failed, ""));
         let is_last = self.pending.is_empty();
         let closes = pending.closes || (is_last && self.is_closing());
         self.is_input_closed |= closes;
@@ -355,20 +491,37 @@
 
     /// Reads available input; `false` if the caller disconnected.
     fn read_some(&mut self) -> bool {
-        self.input.reserve(READ_CHUNK_BYTES);
+        self.input_pool.prepare(&mut self.input);
         match self.stream.try_read_buf(&mut self.input) {
             Ok(0) => false,
-            Ok(_) => {
-                self.idle_since = Instant::now();
-                if !self.input_memory.extend_to(self.input.len()) {
-                    self.refuse(503);
-                }
+            Ok(read) => {
+                self.count_input(read);
                 true
             }
             Err(error) => error.kind() == ErrorKind::WouldBlock,
         }
     }
 
+    /// Counts input that was read. Input after the last request is discarded.
+    fn count_input(&mut self, read: usize) {
+        self.idle_since = Instant::now();
+        self.reads_in_turn += 1;
+        if self.is_input_closed {
+            self.discarded_bytes += read;
+            self.input.clear();
+        } else if !self.input_memory.extend_to(self.input.len()) {
+            self.refuse_unread(503, RejectionReason::NoMemory);
+        }
+    }
+
+    /// Lets other connections run after some input.
+    async fn end_turn(&mut self) {
+        if self.reads_in_turn >= READS_PER_TURN {
+            self.reads_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Writes as much output as the socket takes; `false` if the caller disconnected.
     fn write_some(&mut self) -> bool {
         match self.output.write_to(&self.stream) {
@@ -383,10 +536,20 @@
     }
 }
 
-const fn body_status(error: BodyError) -> u16 {
-    match error {
-        BodyError::TooLarge => 413,
-        BodyError::Malformed => 400,
-        BodyError::NoMemory => 503,
+impl PartialRequest {
+    /// Records what was read beyond `before` bytes of the body.
+    fn record_progress(&mut self, before: usize) {
+        let length = self.body.len();
+        let held = match self.head.framing {
+            BodyFraming::Length(length) => length,
+            _ => length,
+        };
+        self.progress.record(Instant::now(), length - before, held);
     }
 }
+
+/// The empty share of a request in the memory of messages.
+fn request_share(limits: &ServerLimits, place: &ConnectionPlace) -> MemoryShare {
+    let holder = MemoryHolder::Caller(place.caller());
+    limits.budget.request_share().held_by(holder)
+}
--- a/crates/relay/src/http1/staged_close.rs
+++ b/crates/relay/src/http1/staged_close.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Bytes that are discarded at once.
-const DISCARD_BYTES: usize = 16 * 1024;
+const DISCARD_BYTES: usize = 4 * 1024;
 
 /// Closes the write side and discards input until the caller closes, for `timeout` at most.
 pub(crate) async fn close(mut stream: TcpStream, timeout: Duration) {
@@ -16,7 +16,12 @@
         return;
     }
     let mut discarded = vec![0; DISCARD_BYTES];
-    let reading = async { while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {} };
+    let reading = async {
+        while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {
+            // A caller that goes on sending must not hold up others.
+            tokio::task::yield_now().await;
+        }
+    };
     // The connection is dropped either way.
     let _ = actix_rt::time::timeout(timeout, reading).await;
 }
--- a/crates/relay/src/lifecycle/ready_listener.rs
+++ b/crates/relay/src/lifecycle/ready_listener.rs
@@ -3,7 +3,9 @@
 use crate::{
     directory::FleetDirectory,
     events,
-    http1::request_handler::{self, RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+    http1::request_handler::{
+        self, RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+    },
 };
 
 use bytes::Bytes;
@@ -69,15 +71,11 @@
                 "readiness: changed"
             );
         }
-        request_handler::ready_response(self.reject(if is_ready { 200 } else { 503 }, ""))
+        request_handler::ready_response(empty_response(if is_ready { 200 } else { 503 }))
     }
 
-    fn reject(&self, status: u16, _: &str) -> ServerResponse {
-        ServerResponse {
-            status,
-            fields: Bytes::new(),
-            body: Bytes::new(),
-        }
+    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
+        empty_response(request.status)
     }
 
     fn limits(&self) -> CallerLimits {
@@ -88,3 +86,11 @@
         self.phase.subscribe()
     }
 }
+
+const fn empty_response(status: u16) -> ServerResponse {
+    ServerResponse {
+        status,
+        fields: Bytes::new(),
+        body: Bytes::new(),
+    }
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -20,6 +20,7 @@
         ready_listener::ReadyListener,
     },
     peer_listener::PeerListener,
+    process_limits,
     serving::upstream_server::UpstreamServer,
     state_dump::{self, StateDump},
     store_view::store_follower::StoreFollower,
@@ -41,10 +42,8 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-/// Concurrent connections of callers.
-const CALLER_CONNECTIONS_MAX: u32 = 2500;
 /// Concurrent connections of operators, and of readiness checks.
-const ADMIN_CONNECTIONS_MAX: u32 = 32;
+const ADMIN_CONNECTIONS_MAX: usize = 32;
 /// Timeout for fetching a document from another node, or for pushing a snapshot to it.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time given to the store to deliver a document that another node already has, before it is
@@ -162,7 +161,7 @@
             Rc::clone(&self.callers),
             self.scheme,
             Rc::clone(&self.caller_connections),
-            self.limits(CALLER_CONNECTIONS_MAX),
+            self.caller_limits(),
         );
         actix_rt::spawn(serving);
         let (count, scheme) = (ActiveCount::default(), self.scheme);
@@ -205,10 +204,21 @@
         Ok(bound)
     }
 
+    /// Limits of the listener for callers, whose connections have to fit the descriptors and the memory of
+    /// the process.
+    fn caller_limits(&self) -> ServerLimits {
+        let process = process_limits::of_process(&self.settings);
+        let connections = process.caller_connections(self.settings.callers.connections);
+        self.limits(usize::try_from(connections).unwrap_or(usize::MAX))
+    }
+
     /// Limits of a listener with `connections` connections at most.
-    fn limits(&self, connections: u32) -> ServerLimits {
+    fn limits(&self, connections: usize) -> ServerLimits {
+        let callers = self.settings.callers;
         ServerLimits {
             connections,
+            body_time: callers.body_time,
+            body_bytes_per_second: callers.body_bytes_per_second,
             budget: self.budget.clone(),
         }
     }
@@ -233,6 +243,8 @@
             served: self.server.running(),
             upstream_connections: self.server.connections_opened(),
             links: self.links.len(),
+            caller_connections: self.caller_connections.get(),
+            memory: self.budget.report(),
             instances: state_dump::instances(&self.directory, &self.peer_table),
             routes: self
                 .directory
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -37,6 +37,14 @@
     counter!("lagoonshore_relay_repeats_refused_total").increment(1);
 }
 
+pub(crate) fn count_unread(reason: &'static str) {
+    counter!("lagoonshore_relay_unread_total", "reason" => reason).increment(1);
+}
+
+pub(crate) fn count_connection_closed(reason: &'static str) {
+    counter!("lagoonshore_relay_connections_closed_total", "reason" => reason).increment(1);
+}
+
 pub(crate) fn count_caller_left() {
     counter!("lagoonshore_relay_callers_left_total").increment(1);
 }
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -20,7 +20,7 @@
     header_scheme::HeaderScheme,
     http1::{memory_budget::MemoryBudget, pool::ConnectionPool},
     lifecycle::request_cutoff::RequestCutoff,
-    relay_metrics,
+    process_limits, relay_metrics,
     suspect_tracker::{self, SuspectStatus, SuspectTracker, TrialGuard},
 };
 
@@ -35,6 +35,8 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
+/// Part of the connections to the upstream that may be idle, as a divisor.
+const IDLE_DIVISOR: usize = 2;
 /// Slots that are assumed until the upstream is listed.
 const SLOTS_DEFAULT: u32 = 8;
 /// Share of the listed slots that is used: some upstreams slow down when nearly all are in use.
@@ -51,6 +53,8 @@
     control: ControlMode,
     service: ServiceName,
     limiter: SlotLimiter,
+    /// Connections to the upstream that fit the descriptors of the process.
+    connections_max: u32,
     announcements: Rc<UpstreamAnnouncements>,
     pool: Rc<ConnectionPool>,
     upstream: Rc<LocalUpstream>,
@@ -75,7 +79,10 @@
         log: Rc<DecisionLog>,
         budget: MemoryBudget,
     ) -> Self {
-        let pool = Rc::new(ConnectionPool::new(settings.upstream, budget));
+        let connections_max = process_limits::of_process(settings).upstream_connections();
+        let idle_max = usize::try_from(connections_max).unwrap_or(usize::MAX) / IDLE_DIVISOR;
+        let pool = ConnectionPool::new(settings.upstream, budget).with_idle_max(idle_max);
+        let pool = Rc::new(pool);
         let limiter = SlotLimiter::new(SLOTS_DEFAULT);
         let announcements = UpstreamAnnouncements::new(Rc::clone(&directory), limiter.clone());
         let announcements = Rc::new(announcements);
@@ -104,6 +111,7 @@
             control: settings.control,
             service: settings.service.clone(),
             limiter,
+            connections_max,
             announcements,
             pool,
             upstream,
@@ -123,7 +131,8 @@
     /// its service.
     pub fn apply_upstream_list(&self) {
         if let Some(slots) = self.directory.local_slots() {
-            self.limiter.set_limit(usable_slots(slots));
+            self.limiter
+                .set_limit(usable_slots(slots).min(self.connections_max));
         }
         let instances = self.directory.instances();
         let count = instances.of_service(&self.service).count();
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -12,6 +12,7 @@
     route_table::RouteEntry,
     units::whole_millis,
 };
+use lagoonshore_transport::memory_report::MemoryReport;
 use serde::Serialize;
 use std::net::SocketAddr;
 
@@ -40,6 +41,10 @@
     pub upstream_connections: u64,
     /// Open links to other nodes.
     pub links: usize,
+    /// Open connections of callers.
+    pub caller_connections: u32,
+    /// Who holds the memory of messages.
+    pub memory: MemoryReport,
     /// Instances in the upstream list.
     pub instances: Vec<InstanceView>,
     /// Routes in force.
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -39,6 +39,8 @@
     pub address_reuse_time: Duration,
     /// Memory limit of the process, in MiB.
     pub memory_mib: u32,
+    /// What callers may hold and how long their requests may take to arrive.
+    pub callers: CallerSettings,
     /// Least severe level that is logged.
     pub log: LogLevel,
     /// Whether policies are enforced.
@@ -93,6 +95,30 @@
     }
 }
 
+/// `CallerSettings` limits the connections of callers and the time that their requests take to arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerSettings {
+    /// Descriptors that the process may open; `None` for what the operating system allows.
+    pub descriptors: Option<u32>,
+    /// Concurrent connections of callers, if descriptors and memory suffice for them.
+    pub connections: u32,
+    /// Time that the body of a request may take to arrive.
+    pub body_time: Duration,
+    /// Received bytes of a body that allow one second more.
+    pub body_bytes_per_second: u32,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self {
+            descriptors: None,
+            connections: CALLER_CONNECTIONS_DEFAULT,
+            body_time: BODY_TIME_DEFAULT,
+            body_bytes_per_second: BODY_RATE_DEFAULT,
+        }
+    }
+}
+
 /// `RetrySettings` limits the retries that all nodes together send to a service.
 #[derive(Clone, Copy, Debug)]
 pub struct RetrySettings {
@@ -122,6 +148,10 @@
     grace_seconds: Spanned<f64>,
     address_reuse_seconds: Spanned<f64>,
     memory_mib: Spanned<f64>,
+    descriptors: Option<Spanned<f64>>,
+    caller_connections: Option<Spanned<f64>>,
+    body_seconds: Option<Spanned<f64>>,
+    body_bytes_per_second: Option<Spanned<f64>>,
     log: Option<SpannedText>,
     control: Option<SpannedText>,
 }
@@ -151,6 +181,12 @@
 const APPLY_TIME_DEFAULT: Duration = Duration::from_secs(2);
 /// Interval of the heartbeats of upstreams if the settings give none.
 const HEARTBEAT_INTERVAL_DEFAULT: Duration = Duration::from_millis(1500);
+/// Concurrent connections of callers if the settings give none.
+const CALLER_CONNECTIONS_DEFAULT: u32 = 2500;
+/// Time that a body may take to arrive if the settings give none.
+const BODY_TIME_DEFAULT: Duration = Duration::from_secs(30);
+/// Received bytes of a body that allow one second more, if the settings give none.
+const BODY_RATE_DEFAULT: u32 = 16 * 1024;
 /// Largest duration accepted for a setting, in seconds.
 const SECONDS_MAX: f64 = 3600.0;
 /// Largest number accepted for a setting.
@@ -196,6 +232,7 @@
                 &text.address_reuse_seconds,
             ),
             memory_mib: read_whole_number(&mut checker, "memory_mib", &text.memory_mib),
+            callers: read_callers(&mut checker, &text),
             log: checker.read_choice(
                 "log",
                 text.log.as_ref(),
@@ -230,6 +267,23 @@
     settings
 }
 
+fn read_callers(checker: &mut ValueChecker, text: &RelayText) -> CallerSettings {
+    let mut settings = CallerSettings::default();
+    if let Some(count) = &text.descriptors {
+        settings.descriptors = Some(read_whole_number(checker, "descriptors", count));
+    }
+    if let Some(count) = &text.caller_connections {
+        settings.connections = read_whole_number(checker, "caller_connections", count);
+    }
+    if let Some(seconds) = &text.body_seconds {
+        settings.body_time = read_seconds(checker, "body_seconds", seconds);
+    }
+    if let Some(rate) = &text.body_bytes_per_second {
+        settings.body_bytes_per_second = read_whole_number(checker, "body_bytes_per_second", rate);
+    }
+    settings
+}
+
 fn read_retries(checker: &mut ValueChecker, text: &RetryText) -> RetrySettings {
     RetrySettings {
         ratio: read_number(checker, "repeats.ratio", &text.ratio),
--- a/crates/transport/src/frame_reader.rs
+++ b/crates/transport/src/frame_reader.rs
@@ -1,6 +1,9 @@
 //! Reading of the frames of a link, within a memory budget.
 
-use crate::memory_budget::{MemoryBudget, MemoryShare};
+use crate::{
+    memory_budget::{MemoryBudget, MemoryShare},
+    memory_report::MemoryHolder,
+};
 
 use actix_rt::net::TcpStream;
 use bytes::{Buf, BufMut, BytesMut};
@@ -47,6 +50,8 @@
     frame_bytes_max: usize,
     budget: MemoryBudget,
     received: ReceivedKind,
+    /// The node at the other end.
+    holder: MemoryHolder,
     input: BytesMut,
     state: FrameState,
 }
@@ -85,11 +90,13 @@
         frame_bytes_max: usize,
         budget: MemoryBudget,
         received: ReceivedKind,
+        holder: MemoryHolder,
     ) -> Self {
         Self {
             frame_bytes_max,
             budget,
             received,
+            holder,
             input: BytesMut::new(),
             state: FrameState::Lengths,
         }
@@ -234,10 +241,11 @@
     }
 
     fn new_share(&self) -> MemoryShare {
-        match self.received {
+        let share = match self.received {
             ReceivedKind::Requests => self.budget.request_share(),
             ReceivedKind::Responses => self.budget.share(),
-        }
+        };
+        share.held_by(self.holder)
     }
 }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,6 +1,8 @@
 //! `lagoonshore-transport` contains the network I/O of a node: HTTP listeners, the upstream client,
 //! links between nodes and the platform reader; and its process signals and metrics recorder.
 
+mod arrival_table;
+pub mod body_memory;
 pub mod close_signal;
 pub mod error;
 mod frame_reader;
@@ -8,6 +10,7 @@
 pub mod leaving_watch;
 pub mod link_transport;
 pub mod memory_budget;
+pub mod memory_report;
 pub mod metrics_recorder;
 pub mod peer_link;
 pub mod peer_server;
--- a/crates/transport/src/link_transport.rs
+++ b/crates/transport/src/link_transport.rs
@@ -8,6 +8,7 @@
 use crate::{
     frame_reader::{FrameReader, LENGTH_BYTES, LENGTHS_BYTES, PARTS_MAX},
     memory_budget::MemoryBudget,
+    memory_report::MemoryHolder,
     write_queue::{WRITE_SLICES_MAX, WriteQueue},
 };
 
@@ -47,9 +48,12 @@
         budget: MemoryBudget,
         received: ReceivedKind,
     ) -> Self {
+        // If the address is not available, the connection has ended.
+        let node = stream.peer_addr().ok();
+        let holder = node.map_or_else(MemoryHolder::default, |node| MemoryHolder::Node(node.ip()));
         Self {
             stream,
-            reader: FrameReader::new(frame_bytes_max, budget, received),
+            reader: FrameReader::new(frame_bytes_max, budget, received, holder),
             unwritten: WriteQueue::default(),
             messages: PhantomData,
         }
--- a/crates/transport/src/memory_budget.rs
+++ b/crates/transport/src/memory_budget.rs
@@ -2,16 +2,23 @@
 //!
 //! Nobody waits for memory: a message that does not fit is refused or given up at once, so that readers
 //! cannot block each other. Requests leave a part of the memory to responses, for which work was done,
-//! and large messages leave a part to small ones.
+//! and large messages leave a part to small ones. Before a message is refused, requests that are still
+//! arriving may have to give up their memory for it (`arrival_table`).
 
-use bytes::{Bytes, BytesMut};
+use crate::{
+    arrival_table::ArrivalTable,
+    memory_report::{HolderTable, MemoryHolder, MemoryReport, MessageKind},
+};
+
+use bytes::Bytes;
+use lagoonshore_coordination::protection::room_sharing::RoomClaim;
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering},
 };
 
 /// Bytes of each message that are not counted.
-const UNCOUNTED_BYTES: usize = 4 * 1024;
+pub const UNCOUNTED_BYTES: usize = 4 * 1024;
 /// Size up to which a message is small, in bytes.
 const SMALL_BYTES: usize = 64 * 1024;
 /// Part of the memory that is left to others by large responses, and by small requests.
@@ -27,6 +34,8 @@
 struct BudgetState {
     free: AtomicUsize,
     reserve: usize,
+    holders: HolderTable,
+    arrivals: ArrivalTable,
 }
 
 /// `MemoryShare` is the part of a budget that one message holds; dropping it frees the part.
@@ -34,18 +43,13 @@
 pub struct MemoryShare {
     budget: MemoryBudget,
     kind: MessageKind,
+    holder: MemoryHolder,
     bytes: usize,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum MessageKind {
-    Request,
-    Response,
-}
-
 /// Bytes of a message, with the share that they hold for as long as any of them is in use.
-struct HeldBytes {
-    bytes: BytesMut,
+struct HeldBytes<B> {
+    bytes: B,
     _share: MemoryShare,
 }
 
@@ -57,6 +61,8 @@
             state: Arc::new(BudgetState {
                 free: AtomicUsize::new(bytes),
                 reserve: bytes / RESERVE_DIVISOR,
+                holders: HolderTable::default(),
+                arrivals: ArrivalTable::default(),
             }),
         }
     }
@@ -79,10 +85,23 @@
         self.state.free.load(Ordering::Relaxed)
     }
 
+    /// Shows who holds the memory.
+    #[must_use]
+    pub fn report(&self) -> MemoryReport {
+        let given_up = self.state.arrivals.given_up();
+        self.state.holders.report(self.free(), given_up)
+    }
+
+    /// The requests that are arriving.
+    pub(crate) fn arrivals(&self) -> &ArrivalTable {
+        &self.state.arrivals
+    }
+
     fn share_of(&self, kind: MessageKind) -> MemoryShare {
         MemoryShare {
             budget: self.clone(),
             kind,
+            holder: MemoryHolder::default(),
             bytes: 0,
         }
     }
@@ -104,31 +123,87 @@
     /// Creates an empty share of the same budget, for another message of the same kind.
     #[must_use]
     pub fn another(&self) -> Self {
-        self.budget.share_of(self.kind)
+        self.budget.share_of(self.kind).held_by(self.holder)
+    }
+
+    /// Names the side from which the message comes. The share has to be empty.
+    #[must_use]
+    pub fn held_by(mut self, holder: MemoryHolder) -> Self {
+        self.holder = holder;
+        self
     }
 
-    /// Extends the share to a message of `length` bytes; `false` if the budget does not have them. The
-    /// first bytes of each message are not counted.
+    /// Bytes that the share holds.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// The budget of the share.
+    pub(crate) const fn budget(&self) -> &MemoryBudget {
+        &self.budget
+    }
+
+    /// Extends the share to a message of `length` bytes, for which requests that are arriving may be
+    /// given up; `false` if that does not suffice. The first bytes of each message are not counted.
     #[must_use]
     pub fn extend_to(&mut self, length: usize) -> bool {
-        let wanted = length.saturating_sub(UNCOUNTED_BYTES);
-        let added = wanted.saturating_sub(self.bytes);
+        if self.try_extend_to(length) {
+            return true;
+        }
+        let claim = self.claim(length);
+        self.budget.arrivals().make_room(claim, None) && self.try_extend_to(length)
+    }
+
+    /// Extends the share to a message of `length` bytes; `false` if the budget does not have them now.
+    pub(crate) fn try_extend_to(&mut self, length: usize) -> bool {
+        let added = self.added_by(length);
         if added == 0 {
             return true;
         }
         let is_taken = self.budget.try_take(added, self.left_to_others(length));
         if is_taken {
             self.bytes += added;
+            let holders = &self.budget.state.holders;
+            holders.add(self.holder, self.kind, added);
         }
         is_taken
     }
 
+    /// What the budget lacks for a message of `length` bytes.
+    pub(crate) fn claim(&self, length: usize) -> RoomClaim {
+        let needed = self.added_by(length) + self.left_to_others(length);
+        let caller = match (self.kind, self.holder) {
+            (MessageKind::Request, MemoryHolder::Caller(address)) => Some(address),
+            _ => None,
+        };
+        RoomClaim {
+            caller,
+            missing: needed.saturating_sub(self.budget.free()),
+        }
+    }
+
+    /// Bytes by which a message of `length` bytes extends the share.
+    const fn added_by(&self, length: usize) -> usize {
+        let wanted = length.saturating_sub(UNCOUNTED_BYTES);
+        wanted.saturating_sub(self.bytes)
+    }
+
     /// Reduces the share to that of a message of `length` bytes.
     pub fn reduce_to(&mut self, length: usize) {
         let wanted = length.saturating_sub(UNCOUNTED_BYTES);
         let freed = self.bytes.saturating_sub(wanted);
+        self.release(freed);
+    }
+
+    fn release(&mut self, freed: usize) {
+        if freed == 0 {
+            return;
+        }
         self.bytes -= freed;
-        self.budget.state.free.fetch_add(freed, Ordering::Relaxed);
+        let state = &self.budget.state;
+        state.holders.remove(self.holder, self.kind, freed);
+        state.free.fetch_add(freed, Ordering::Relaxed);
     }
 
     /// Bytes that a message of `length` bytes has to leave free.
@@ -145,9 +220,12 @@
     /// Turns the bytes of the message into shared ones, which hold the share for as long as they are in
     /// use.
     #[must_use]
-    pub fn hold(self, bytes: BytesMut) -> Bytes {
+    pub fn hold<B>(self, bytes: B) -> Bytes
+    where
+        B: AsRef<[u8]> + Into<Bytes> + Send + 'static,
+    {
         if self.bytes == 0 {
-            return bytes.freeze();
+            return bytes.into();
         }
         Bytes::from_owner(HeldBytes {
             bytes,
@@ -156,15 +234,14 @@
     }
 }
 
-impl AsRef<[u8]> for HeldBytes {
+impl<B: AsRef<[u8]>> AsRef<[u8]> for HeldBytes<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
 impl Drop for MemoryShare {
     fn drop(&mut self) {
-        let free = &self.budget.state.free;
-        free.fetch_add(self.bytes, Ordering::Relaxed);
+        self.release(self.bytes);
     }
 }
