Split the server connection, and log requests that are not read on their own

Lines about requests that are refused unread shared their limit with refusals and failures, so that a crowd of clients would have hidden these.

A handler that failed is no longer logged as a refusal.

--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -10,7 +10,8 @@
     http1::{
         head::RequestHead,
         request_handler::{
-            RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+            RejectedRequest, RejectionReason, RequestHandler, ServerPhase, ServerRequest,
+            ServerResponse,
         },
     },
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
@@ -201,7 +202,9 @@
     }
 
     fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
-        self.forwarder.log_unread(request);
+        if request.reason != RejectionReason::Failed {
+            self.forwarder.log_unread(request);
+        }
         let RejectedRequest { status, id, .. } = request;
         if status == 503 {
             return self.node_response(id, status, Some(MEMORY_RETRY_AFTER), "memory");
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -18,6 +18,9 @@
 /// Lines about routine decisions in one [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
 const ROUTINE_LINES_MAX: u32 = 1;
 
+/// Lines about requests that were not read to their end, in one
+/// [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
+const UNREAD_LINES_MAX: u32 = 10;
 /// Status of a request for which there is no memory.
 const NO_MEMORY_STATUS: u16 = 503;
 
@@ -43,6 +46,7 @@
 pub struct DecisionLog {
     failures: LineBudget,
     routine: LineBudget,
+    unread: LineBudget,
 }
 
 impl Default for DecisionLog {
@@ -50,6 +54,7 @@
         Self {
             failures: LineBudget::new(FAILURE_LINES_MAX),
             routine: LineBudget::new(ROUTINE_LINES_MAX),
+            unread: LineBudget::new(UNREAD_LINES_MAX),
         }
     }
 }
@@ -88,7 +93,7 @@
         if request.status == NO_MEMORY_STATUS {
             relay_metrics::count_refused("memory");
         }
-        let Some(left_out) = self.failures.take() else {
+        let Some(left_out) = self.unread.take() else {
             return;
         };
         warn!(
--- a/crates/relay/src/http1/server_connection.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -1,15 +1,14 @@
 //! One connection of a server: reads requests, handles pipelined ones concurrently, and writes
 //! the responses in the order of the requests (RFC 9112, section 9.3.2).
 
+mod receiving;
+mod refusing;
+
 use super::{
-    body::{BodyError, BodyFraming, BodyReader},
+    body::BodyError,
     connection_table::{ConnectionActivity, ConnectionPlace},
-    head::{self, HeadError, RequestHead},
     input_pool::InputPool,
-    request_handler::{
-        RejectedRequest, RejectionReason, RequestHandler, ServerPhase, ServerRequest,
-        ServerResponse,
-    },
+    request_handler::{RejectionReason, RequestHandler, ServerPhase, ServerResponse},
     response_output::ResponseOutput,
     server::ServerLimits,
     staged_close,
@@ -20,30 +19,20 @@
 use actix_rt::net::TcpStream;
 use bytes::BytesMut;
 use lagoonshore_coordination::protection::arrival_progress::{ArrivalLimits, ArrivalProgress};
-use lagoonshore_transport::{
-    body_memory::BodyMemory,
-    memory_budget::{MemoryShare, UNCOUNTED_BYTES},
-    memory_report::MemoryHolder,
-};
-use std::{collections::VecDeque, io::ErrorKind, rc::Rc, sync::Arc, time::Duration};
+use lagoonshore_transport::memory_budget::MemoryShare;
+use receiving::PartialRequest;
+use std::{collections::VecDeque, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     sync::{Notify, watch},
     task::JoinHandle,
     time::Instant,
 };
 
-/// Most requests of one connection that are handled concurrently.
-const PIPELINED_REQUESTS_MAX: usize = 32;
 /// Unparsed input, in bytes, above which reading pauses until responses are written. It does not
 /// pause within a body.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Input after which other connections get their turn, in reads.
-const READS_PER_TURN: u32 = 16;
 /// Longest time for which input is discarded after the write side was closed.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
-/// The same for a request whose body was not read: its caller may read the response only after it has
-/// sent the body.
-const BODY_DISCARD_TIME: Duration = Duration::from_secs(5);
 /// Idle time after which a connection is closed in [`ServerPhase::ClosingIdle`]. It is not zero
 /// because a caller that has just connected is about to send a request.
 const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -63,14 +52,6 @@
     }
 }
 
-/// A request whose body is incomplete.
-struct PartialRequest {
-    head: RequestHead,
-    body: BodyReader,
-    progress: ArrivalProgress,
-    received: Instant,
-}
-
 /// The event that a connection handles next.
 enum ConnectionEvent {
     Readable,
@@ -149,7 +130,7 @@
             discard_time: DISCARD_TIME,
             discarded_bytes: 0,
             reads_in_turn: 0,
-            input_memory: request_share(&limits, &place),
+            input_memory: receiving::request_share(&limits, &place),
             input_pool,
             limits,
             place,
@@ -286,182 +267,6 @@
         self.is_place_given_up || *self.phase.borrow() >= ServerPhase::Closing
     }
 
-    /// Parses the complete requests in the input and starts them; `false` closes the connection.
-    fn parse_requests(&mut self) -> bool {
-        while !self.is_input_closed && self.pending.len() < PIPELINED_REQUESTS_MAX {
-            if self.partial.is_none() && !self.parse_head() {
-                break;
-            }
-            let Some(partial) = &mut self.partial else {
-                break;
-            };
-            let before = partial.body.len();
-            match partial.body.read_from(&mut self.input) {
-                Ok(true) => self.start_request(),
-                Ok(false) => {
-                    partial.record_progress(before);
-                    break;
-                }
-                Err(error) => self.refuse_body(error),
-            }
-        }
-        self.input_pool.compact(&mut self.input);
-        self.input_memory.reduce_to(self.input.len());
-        true
-    }
-
-    /// Parses a head from the input; `false` if none is complete or valid.
-    fn parse_head(&mut self) -> bool {
-        while self.input.starts_with(b"\r\n") {
-            let _ = self.input.split_to(2);
-        }
-        if self.input.is_empty() {
-            return false;
-        }
-        let received = *self.receiving_since.get_or_insert_with(Instant::now);
-        let limits = self.handler.limits();
-        let head = match head::parse_request(&mut self.input, limits.head_bytes, &self.scheme) {
-            Ok(Some(head)) => head,
-            Ok(None) => return false,
-            Err(HeadError::TooLarge) => {
-                self.refuse_unread(431, RejectionReason::TooLarge);
-                return false;
-            }
-            Err(HeadError::Malformed) => {
-                self.refuse_unread(400, RejectionReason::Malformed);
-                return false;
-            }
-        };
-        if head.expects_continue && head.framing != BodyFraming::Length(0) {
-            self.output.push_continue();
-        }
-        let body = BodyReader::new(head.framing, limits.body_bytes);
-        match body.and_then(|body| body.with_memory(self.body_memory(&head))) {
-            Ok(body) => {
-                self.partial = Some(PartialRequest {
-                    head,
-                    body,
-                    progress: ArrivalProgress::new(Instant::now()),
-                    received,
-                });
-                true
-            }
-            Err(error) => {
-                self.refuse_request(error.into(), &head.id.unwrap_or_default());
-                false
-            }
-        }
-    }
-
-    /// Memory for the body that follows `head`. A body that is not counted is kept in any case.
-    fn body_memory(&mut self, head: &RequestHead) -> BodyMemory {
-        let share = request_share(&self.limits, &self.place);
-        if matches!(head.framing, BodyFraming::Length(length) if length <= UNCOUNTED_BYTES) {
-            return BodyMemory::counted(share);
-        }
-        self.body_given_up = Arc::default();
-        let given_up = Arc::clone(&self.body_given_up);
-        BodyMemory::arriving(share, self.place.caller(), given_up)
-    }
-
-    fn start_request(&mut self) {
-        let Some(partial) = self.partial.take() else {
-            return;
-        };
-        self.receiving_since = None;
-        let PartialRequest {
-            head,
-            body,
-            received,
-            ..
-        } = partial;
-        let closes = head.closes;
-        let is_head = head.method == "HEAD";
-        let request = ServerRequest {
-            head,
-            body: body.finish(),
-            received,
-        };
-        let response = Rc::clone(&self.handler).respond(request);
-        self.pending.push_back(PendingResponse {
-            task: actix_rt::spawn(response),
-            closes,
-            is_head,
-        });
-        // Requests pipelined after the last one of the connection are not read; their callers
-        // retry them.
-        self.is_input_closed = closes || self.is_closing();
-    }
-
-    /// Refuses the request whose body cannot be read.
-    fn refuse_body(&mut self, error: BodyError) {
-        let Some(partial) = self.partial.take() else {
-            return;
-        };
-        let reason = match error {
-            BodyError::NoMemory if !partial.body.is_empty() => RejectionReason::GivenUp,
-            error => error.into(),
-        };
-        self.refuse_request(reason, &partial.head.id.unwrap_or_default());
-    }
-
-    /// Answers input that is no complete request with `status`.
-    fn refuse_unread(&mut self, status: u16, reason: RejectionReason) {
-        let partial = self.partial.take();
-        let id = partial.and_then(|partial| partial.head.id);
-        self.refuse_with(status, reason, &id.unwrap_or_default());
-    }
-
-    /// Answers the request `id`, which was not read, and stops reading, since the start of a following
-    /// request cannot be found.
-    fn refuse_request(&mut self, reason: RejectionReason, id: &str) {
-        self.refuse_with(reason.status(), reason, id);
-    }
-
-    fn refuse_with(&mut self, status: u16, reason: RejectionReason, id: &str) {
-        let response = self.reject(status, reason, id);
-        if !id.is_empty() {
-            self.discard_time = BODY_DISCARD_TIME;
-        }
-        self.receiving_since = None;
-        self.partial = None;
-        self.input.clear();
-        self.is_input_closed = true;
-        self.pending.push_back(PendingResponse {
-            task: actix_rt::spawn(std::future::ready(response)),
-            closes: true,
-            is_head: false,
-        });
-    }
-
-    fn reject(&self, status: u16, reason: RejectionReason, id: &str) -> ServerResponse {
-        self.handler.reject(RejectedRequest {
-            status,
-            reason,
-            id,
-            caller: self.place.caller(),
-        })
-    }
-
-    /// Closes a connection that makes no use of its place; returns whether it may be dropped. Requests that
-    /// arrived meanwhile are answered first.
-    fn give_up_place(&mut self) -> bool {
-        self.is_place_given_up = true;
-        if !self.pending.is_empty() || !self.output.is_empty() {
-            return false;
-        }
-        if self.receiving_since.is_some() {
-            let partial = self.partial.take();
-            let id = partial.and_then(|partial| partial.head.id);
-            let reason = RejectionReason::GivenUp;
-            let response = self.reject(reason.status(), reason, &id.unwrap_or_default());
-            self.output.push(response, true, false);
-            // The connection is dropped either way.
-            let _ = self.write_some();
-        }
-        true
-    }
-
     /// What the connection does, by which others may take its place.
     fn activity(&self) -> ConnectionActivity {
         let is_busy = !self.pending.is_empty() || !self.output.is_empty();
@@ -489,39 +294,6 @@
         self.idle_since = Instant::now();
     }
 
-    /// Reads available input; `false` if the caller disconnected.
-    fn read_some(&mut self) -> bool {
-        self.input_pool.prepare(&mut self.input);
-        match self.stream.try_read_buf(&mut self.input) {
-            Ok(0) => false,
-            Ok(read) => {
-                self.count_input(read);
-                true
-            }
-            Err(error) => error.kind() == ErrorKind::WouldBlock,
-        }
-    }
-
-    /// Counts input that was read. Input after the last request is discarded.
-    fn count_input(&mut self, read: usize) {
-        self.idle_since = Instant::now();
-        self.reads_in_turn += 1;
-        if self.is_input_closed {
-            self.discarded_bytes += read;
-            self.input.clear();
-        } else if !self.input_memory.extend_to(self.input.len()) {
-            self.refuse_unread(503, RejectionReason::NoMemory);
-        }
-    }
-
-    /// Lets other connections run after some input.
-    async fn end_turn(&mut self) {
-        if self.reads_in_turn >= READS_PER_TURN {
-            self.reads_in_turn = 0;
-            tokio::task::yield_now().await;
-        }
-    }
-
     /// Writes as much output as the socket takes; `false` if the caller disconnected.
     fn write_some(&mut self) -> bool {
         match self.output.write_to(&self.stream) {
@@ -535,21 +307,3 @@
         }
     }
 }
-
-impl PartialRequest {
-    /// Records what was read beyond `before` bytes of the body.
-    fn record_progress(&mut self, before: usize) {
-        let length = self.body.len();
-        let held = match self.head.framing {
-            BodyFraming::Length(length) => length,
-            _ => length,
-        };
-        self.progress.record(Instant::now(), length - before, held);
-    }
-}
-
-/// The empty share of a request in the memory of messages.
-fn request_share(limits: &ServerLimits, place: &ConnectionPlace) -> MemoryShare {
-    let holder = MemoryHolder::Caller(place.caller());
-    limits.budget.request_share().held_by(holder)
-}
--- /dev/null
+++ b/crates/relay/src/http1/server_connection/receiving.rs
@@ -0,0 +1,193 @@
+//! Reads and parses the requests of a connection, and starts those that are complete.
+
+use super::{PendingResponse, RequestHandler, ServerConnection};
+
+use crate::http1::{
+    body::{BodyFraming, BodyReader},
+    connection_table::ConnectionPlace,
+    head::{self, HeadError, RequestHead},
+    request_handler::{RejectionReason, ServerRequest},
+    server::ServerLimits,
+};
+
+use lagoonshore_coordination::protection::arrival_progress::ArrivalProgress;
+use lagoonshore_transport::{
+    body_memory::BodyMemory,
+    memory_budget::{MemoryShare, UNCOUNTED_BYTES},
+    memory_report::MemoryHolder,
+};
+use std::{io::ErrorKind, rc::Rc, sync::Arc};
+use tokio::time::Instant;
+
+/// Most requests of one connection that are handled concurrently.
+const PIPELINED_REQUESTS_MAX: usize = 32;
+/// Input after which other connections get their turn, in reads.
+const READS_PER_TURN: u32 = 16;
+
+/// A request whose body is incomplete.
+pub(super) struct PartialRequest {
+    pub(super) head: RequestHead,
+    pub(super) body: BodyReader,
+    pub(super) progress: ArrivalProgress,
+    received: Instant,
+}
+
+impl<H: RequestHandler> ServerConnection<H> {
+    /// Parses the complete requests in the input and starts them; `false` closes the connection.
+    pub(super) fn parse_requests(&mut self) -> bool {
+        while !self.is_input_closed && self.pending.len() < PIPELINED_REQUESTS_MAX {
+            if self.partial.is_none() && !self.parse_head() {
+                break;
+            }
+            let Some(partial) = &mut self.partial else {
+                break;
+            };
+            let before = partial.body.len();
+            match partial.body.read_from(&mut self.input) {
+                Ok(true) => self.start_request(),
+                Ok(false) => {
+                    partial.record_progress(before);
+                    break;
+                }
+                Err(error) => self.refuse_body(error),
+            }
+        }
+        self.input_pool.compact(&mut self.input);
+        self.input_memory.reduce_to(self.input.len());
+        true
+    }
+
+    /// Parses a head from the input; `false` if none is complete or valid.
+    fn parse_head(&mut self) -> bool {
+        while self.input.starts_with(b"\r\n") {
+            let _ = self.input.split_to(2);
+        }
+        if self.input.is_empty() {
+            return false;
+        }
+        let received = *self.receiving_since.get_or_insert_with(Instant::now);
+        let limits = self.handler.limits();
+        let head = match head::parse_request(&mut self.input, limits.head_bytes, &self.scheme) {
+            Ok(Some(head)) => head,
+            Ok(None) => return false,
+            Err(HeadError::TooLarge) => {
+                self.refuse_unread(431, RejectionReason::TooLarge);
+                return false;
+            }
+            Err(HeadError::Malformed) => {
+                self.refuse_unread(400, RejectionReason::Malformed);
+                return false;
+            }
+        };
+        if head.expects_continue && head.framing != BodyFraming::Length(0) {
+            self.output.push_continue();
+        }
+        let body = BodyReader::new(head.framing, limits.body_bytes);
+        match body.and_then(|body| body.with_memory(self.body_memory(&head))) {
+            Ok(body) => {
+                self.partial = Some(PartialRequest {
+                    head,
+                    body,
+                    progress: ArrivalProgress::new(Instant::now()),
+                    received,
+                });
+                true
+            }
+            Err(error) => {
+                self.refuse_request(error.into(), &head.id.unwrap_or_default());
+                false
+            }
+        }
+    }
+
+    /// Memory for the body that follows `head`. A body that is not counted is kept in any case.
+    fn body_memory(&mut self, head: &RequestHead) -> BodyMemory {
+        let share = request_share(&self.limits, &self.place);
+        if matches!(head.framing, BodyFraming::Length(length) if length <= UNCOUNTED_BYTES) {
+            return BodyMemory::counted(share);
+        }
+        self.body_given_up = Arc::default();
+        let given_up = Arc::clone(&self.body_given_up);
+        BodyMemory::arriving(share, self.place.caller(), given_up)
+    }
+
+    fn start_request(&mut self) {
+        let Some(partial) = self.partial.take() else {
+            return;
+        };
+        self.receiving_since = None;
+        let PartialRequest {
+            head,
+            body,
+            received,
+            ..
+        } = partial;
+        let closes = head.closes;
+        let is_head = head.method == "HEAD";
+        let request = ServerRequest {
+            head,
+            body: body.finish(),
+            received,
+        };
+        let response = Rc::clone(&self.handler).respond(request);
+        self.pending.push_back(PendingResponse {
+            task: actix_rt::spawn(response),
+            closes,
+            is_head,
+        });
+        // Requests pipelined after the last one of the connection are not read; their callers
+        // retry them.
+        self.is_input_closed = closes || self.is_closing();
+    }
+
+    /// Reads available input; `false` if the caller disconnected.
+    pub(super) fn read_some(&mut self) -> bool {
+        self.input_pool.prepare(&mut self.input);
+        match self.stream.try_read_buf(&mut self.input) {
+            Ok(0) => false,
+            Ok(read) => {
+                self.count_input(read);
+                true
+            }
+            Err(error) => error.kind() == ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Counts input that was read. Input after the last request is discarded.
+    fn count_input(&mut self, read: usize) {
+        self.idle_since = Instant::now();
+        self.reads_in_turn += 1;
+        if self.is_input_closed {
+            self.discarded_bytes += read;
+            self.input.clear();
+        } else if !self.input_memory.extend_to(self.input.len()) {
+            self.refuse_unread(503, RejectionReason::NoMemory);
+        }
+    }
+
+    /// Lets other connections run after some input.
+    pub(super) async fn end_turn(&mut self) {
+        if self.reads_in_turn >= READS_PER_TURN {
+            self.reads_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+impl PartialRequest {
+    /// Records what was read beyond `before` bytes of the body.
+    fn record_progress(&mut self, before: usize) {
+        let length = self.body.len();
+        let held = match self.head.framing {
+            BodyFraming::Length(length) => length,
+            _ => length,
+        };
+        self.progress.record(Instant::now(), length - before, held);
+    }
+}
+
+/// The empty share of a request in the memory of messages.
+pub(super) fn request_share(limits: &ServerLimits, place: &ConnectionPlace) -> MemoryShare {
+    let holder = MemoryHolder::Caller(place.caller());
+    limits.budget.request_share().held_by(holder)
+}
--- /dev/null
+++ b/crates/relay/src/http1/server_connection/refusing.rs
@@ -0,0 +1,85 @@
+//! Refuses requests that are not read, or not to their end, and closes connections whose place is needed.
+
+use super::{PendingResponse, RequestHandler, ServerConnection};
+
+use crate::http1::{
+    body::BodyError,
+    request_handler::{RejectedRequest, RejectionReason, ServerResponse},
+};
+
+use std::time::Duration;
+
+/// Longest time for which input is discarded after the response to a request whose body was not read: its
+/// caller may read the response only after it has sent the body.
+const BODY_DISCARD_TIME: Duration = Duration::from_secs(5);
+
+impl<H: RequestHandler> ServerConnection<H> {
+    /// Refuses the request whose body cannot be read.
+    pub(super) fn refuse_body(&mut self, error: BodyError) {
+        let Some(partial) = self.partial.take() else {
+            return;
+        };
+        let reason = match error {
+            BodyError::NoMemory if !partial.body.is_empty() => RejectionReason::GivenUp,
+            error => error.into(),
+        };
+        self.refuse_request(reason, &partial.head.id.unwrap_or_default());
+    }
+
+    /// Answers input that is no complete request with `status`.
+    pub(super) fn refuse_unread(&mut self, status: u16, reason: RejectionReason) {
+        let partial = self.partial.take();
+        let id = partial.and_then(|partial| partial.head.id);
+        self.refuse_with(status, reason, &id.unwrap_or_default());
+    }
+
+    /// Answers the request `id`, which was not read, and stops reading, since the start of a following
+    /// request cannot be found.
+    pub(super) fn refuse_request(&mut self, reason: RejectionReason, id: &str) {
+        self.refuse_with(reason.status(), reason, id);
+    }
+
+    fn refuse_with(&mut self, status: u16, reason: RejectionReason, id: &str) {
+        let response = self.reject(status, reason, id);
+        if !id.is_empty() {
+            self.discard_time = BODY_DISCARD_TIME;
+        }
+        self.receiving_since = None;
+        self.partial = None;
+        self.input.clear();
+        self.is_input_closed = true;
+        self.pending.push_back(PendingResponse {
+            task: actix_rt::spawn(std::future::ready(response)),
+            closes: true,
+            is_head: false,
+        });
+    }
+
+    pub(super) fn reject(&self, status: u16, reason: RejectionReason, id: &str) -> ServerResponse {
+        self.handler.reject(RejectedRequest {
+            status,
+            reason,
+            id,
+            caller: self.place.caller(),
+        })
+    }
+
+    /// Closes a connection that makes no use of its place; returns whether it may be dropped. Requests that
+    /// arrived meanwhile are answered first.
+    pub(super) fn give_up_place(&mut self) -> bool {
+        self.is_place_given_up = true;
+        if !self.pending.is_empty() || !self.output.is_empty() {
+            return false;
+        }
+        if self.receiving_since.is_some() {
+            let partial = self.partial.take();
+            let id = partial.and_then(|partial| partial.head.id);
+            let reason = RejectionReason::GivenUp;
+            let response = self.reject(reason.status(), reason, &id.unwrap_or_default());
+            self.output.push(response, true, false);
+            // The connection is dropped either way.
+            let _ = self.write_some();
+        }
+        true
+    }
+}
