Hold back pipelined requests and unread responses while memory is short

Cause, shown by the crowds without bodies (142 and 102 MiB of 48): the fields of a request were not counted, nor what a request in progress holds besides, of which a connection may have 32; and responses that nobody reads held their memory for 20 s.

Change: fields are counted with the body. While messages hold more than a quarter of their memory, a connection starts one request at a time and reads 4 KiB ahead; each further one counts 16 KiB. While less than a quarter is free, a connection whose caller has not read for a second is closed.

--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -28,9 +28,6 @@
     time::Instant,
 };
 
-/// Unparsed input, in bytes, above which reading pauses until responses are written. It does not
-/// pause within a body.
-const READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Longest time for which input is discarded after the write side was closed.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Idle time after which a connection is closed in [`ServerPhase::ClosingIdle`]. It is not zero
@@ -38,6 +35,8 @@
 const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without progress after which writing a response to a caller is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The same while the memory of messages is nearly used up.
+const WRITE_TIMEOUT_SHORT: Duration = Duration::from_secs(1);
 
 /// A request that is being handled; dropping it cancels the handler.
 struct PendingResponse {
@@ -181,7 +180,10 @@
     }
 
     async fn next_event(&mut self) -> ConnectionEvent {
-        let next_timeout = self.next_timeout();
+        let next_timeout = self.next_check();
+        let read_ahead_max = self.read_ahead_max();
+        let is_receiving = self.partial.is_some();
+        let is_within_request = is_receiving || self.receiving_since.is_some();
         let Self {
             stream,
             pending,
@@ -190,12 +192,10 @@
             phase,
             place,
             body_given_up,
-            partial,
             ..
         } = self;
-        let is_receiving = partial.is_some();
         let ahead = input.len() + self.discarded_bytes;
-        let can_read = ahead < READ_AHEAD_BYTES || is_receiving;
+        let can_read = ahead < read_ahead_max || is_within_request;
         let can_respond = output.is_accepting();
         let next_response = async {
             match pending.front_mut() {
@@ -216,7 +216,17 @@
         }
     }
 
-    /// Returns the time at which the connection is checked for a timeout.
+    /// Returns the time at which the connection is checked for a timeout. A response that is not read is
+    /// checked more often, since memory may become short.
+    fn next_check(&self) -> Instant {
+        let timeout = self.next_timeout();
+        if self.output.is_empty() {
+            return timeout;
+        }
+        timeout.min(Instant::now() + WRITE_TIMEOUT_SHORT)
+    }
+
+    /// Returns the time at which the connection, or a request on it, times out.
     fn next_timeout(&self) -> Instant {
         let limits = self.handler.limits();
         if let Some(partial) = &self.partial {
@@ -230,7 +240,13 @@
             return since + limits.head_time;
         }
         if !self.output.is_empty() {
-            return self.idle_since + WRITE_TIMEOUT;
+            let is_short = self.limits.budget.is_nearly_used_up();
+            let write_time = if is_short {
+                WRITE_TIMEOUT_SHORT
+            } else {
+                WRITE_TIMEOUT
+            };
+            return self.idle_since + write_time;
         }
         if !self.pending.is_empty() {
             return Instant::now() + limits.idle_time;
--- a/crates/relay/src/http1/server_connection/receiving.rs
+++ b/crates/relay/src/http1/server_connection/receiving.rs
@@ -21,6 +21,13 @@
 
 /// Most requests of one connection that are handled concurrently.
 const PIPELINED_REQUESTS_MAX: usize = 32;
+/// Unparsed input, in bytes, above which reading pauses until responses are written. It does not
+/// pause within a request.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// The same while memory is short.
+const READ_AHEAD_BYTES_SHORT: usize = 4 * 1024;
+/// Memory of a request in progress beside its head and body, in bytes.
+const REQUEST_BYTES: usize = 16 * 1024;
 /// Input after which other connections get their turn, in reads.
 const READS_PER_TURN: u32 = 16;
 
@@ -35,7 +42,7 @@
 impl<H: RequestHandler> ServerConnection<H> {
     /// Parses the complete requests in the input and starts them; `false` closes the connection.
     pub(super) fn parse_requests(&mut self) -> bool {
-        while !self.is_input_closed && self.pending.len() < PIPELINED_REQUESTS_MAX {
+        while !self.is_input_closed && self.may_start_request() {
             if self.partial.is_none() && !self.parse_head() {
                 break;
             }
@@ -57,6 +64,21 @@
         true
     }
 
+    /// Returns whether another request may be started. Pipelined ones wait while memory is short.
+    fn may_start_request(&self) -> bool {
+        let pending = self.pending.len();
+        pending == 0 || (pending < PIPELINED_REQUESTS_MAX && !self.limits.budget.is_short())
+    }
+
+    /// Unparsed input, in bytes, above which reading pauses.
+    pub(super) fn read_ahead_max(&self) -> usize {
+        if self.limits.budget.is_short() {
+            READ_AHEAD_BYTES_SHORT
+        } else {
+            READ_AHEAD_BYTES
+        }
+    }
+
     /// Parses a head from the input; `false` if none is complete or valid.
     fn parse_head(&mut self) -> bool {
         while self.input.starts_with(b"\r\n") {
@@ -102,7 +124,12 @@
 
     /// Memory for the body that follows `head`. A body that is not counted is kept in any case.
     fn body_memory(&mut self, head: &RequestHead) -> BodyMemory {
-        let share = request_share(&self.limits, &self.place);
+        let mut beside = head.fields.len();
+        if !self.pending.is_empty() {
+            // The memory of a connection covers only one small request.
+            beside += UNCOUNTED_BYTES + REQUEST_BYTES;
+        }
+        let share = request_share(&self.limits, &self.place).with_beside(beside);
         if matches!(head.framing, BodyFraming::Length(length) if length <= UNCOUNTED_BYTES) {
             return BodyMemory::counted(share);
         }
--- a/crates/transport/src/memory_budget.rs
+++ b/crates/transport/src/memory_budget.rs
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 struct BudgetState {
     free: AtomicUsize,
+    total: usize,
     reserve: usize,
     holders: HolderTable,
     arrivals: ArrivalTable,
@@ -44,6 +45,8 @@
     budget: MemoryBudget,
     kind: MessageKind,
     holder: MemoryHolder,
+    /// Bytes that are counted beside the message.
+    beside: usize,
     bytes: usize,
 }
 
@@ -60,6 +63,7 @@
         Self {
             state: Arc::new(BudgetState {
                 free: AtomicUsize::new(bytes),
+                total: bytes,
                 reserve: bytes / RESERVE_DIVISOR,
                 holders: HolderTable::default(),
                 arrivals: ArrivalTable::default(),
@@ -85,6 +89,18 @@
         self.state.free.load(Ordering::Relaxed)
     }
 
+    /// Returns whether messages hold so much of the memory that others have to hold back.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.free() < self.state.total / 4 * 3
+    }
+
+    /// Returns whether large requests find no memory, or soon will not.
+    #[must_use]
+    pub fn is_nearly_used_up(&self) -> bool {
+        self.free() < self.state.total / 4
+    }
+
     /// Shows who holds the memory.
     #[must_use]
     pub fn report(&self) -> MemoryReport {
@@ -102,6 +118,7 @@
             budget: self.clone(),
             kind,
             holder: MemoryHolder::default(),
+            beside: 0,
             bytes: 0,
         }
     }
@@ -133,6 +150,13 @@
         self
     }
 
+    /// Counts `bytes` beside the message, such as the fields of a request. The share has to be empty.
+    #[must_use]
+    pub const fn with_beside(mut self, bytes: usize) -> Self {
+        self.beside = bytes;
+        self
+    }
+
     /// Bytes that the share holds.
     #[must_use]
     pub const fn bytes(&self) -> usize {
@@ -185,14 +209,18 @@
 
     /// Bytes by which a message of `length` bytes extends the share.
     const fn added_by(&self, length: usize) -> usize {
-        let wanted = length.saturating_sub(UNCOUNTED_BYTES);
-        wanted.saturating_sub(self.bytes)
+        self.counted(length).saturating_sub(self.bytes)
+    }
+
+    /// Bytes that are counted for a message of `length` bytes.
+    const fn counted(&self, length: usize) -> usize {
+        let whole = length.saturating_add(self.beside);
+        whole.saturating_sub(UNCOUNTED_BYTES)
     }
 
     /// Reduces the share to that of a message of `length` bytes.
     pub fn reduce_to(&mut self, length: usize) {
-        let wanted = length.saturating_sub(UNCOUNTED_BYTES);
-        let freed = self.bytes.saturating_sub(wanted);
+        let freed = self.bytes.saturating_sub(self.counted(length));
         self.release(freed);
     }
 
