--- a/crates/relay/src/http1/server_connection.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -1,11 +1,16 @@
 //! One connection of a server: reads requests, handles pipelined ones concurrently, and writes
 //! the responses in the order of the requests (RFC 9112, section 9.3.2).
 
+mod receiving;
+mod refusing;
+
 use super::{
-    body::{BodyError, BodyFraming, BodyReader},
-    head::{self, HeadError, RequestHead},
-    request_handler::{RequestHandler, ServerPhase, ServerRequest, ServerResponse},
+    body::BodyError,
+    connection_table::{ConnectionActivity, ConnectionPlace},
+    input_pool::InputPool,
+    request_handler::{RejectionReason, RequestHandler, ServerPhase, ServerResponse},
     response_output::ResponseOutput,
+    server::ServerLimits,
     staged_close,
 };
 
@@ -13,27 +18,25 @@
 
 use actix_rt::net::TcpStream;
 use bytes::BytesMut;
-use lagoonshore_transport::memory_budget::{MemoryBudget, MemoryShare};
-use std::{collections::VecDeque, io::ErrorKind, rc::Rc, time::Duration};
-use tokio::{sync::watch, task::JoinHandle, time::Instant};
+use lagoonshore_coordination::protection::arrival_progress::{ArrivalLimits, ArrivalProgress};
+use lagoonshore_transport::memory_budget::MemoryShare;
+use receiving::PartialRequest;
+use std::{collections::VecDeque, rc::Rc, sync::Arc, time::Duration};
+use tokio::{
+    sync::{Notify, watch},
+    task::JoinHandle,
+    time::Instant,
+};
 
-/// Most requests of one connection that are handled concurrently.
-const PIPELINED_REQUESTS_MAX: usize = 32;
-/// Unparsed input, in bytes, above which reading pauses until responses are written. It does not
-/// pause within a body.
-const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// Bytes reserved for one read.
-const READ_CHUNK_BYTES: usize = 8 * 1024;
 /// Longest time for which input is discarded after the write side was closed.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
-/// The same for a request whose body was not read: its caller may read the response only after it has
-/// sent the body.
-const BODY_DISCARD_TIME: Duration = Duration::from_secs(5);
 /// Idle time after which a connection is closed in [`ServerPhase::ClosingIdle`]. It is not zero
 /// because a caller that has just connected is about to send a request.
 const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without progress after which writing a response to a caller is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// The same while the memory of messages is nearly used up.
+const WRITE_TIMEOUT_SHORT: Duration = Duration::from_secs(1);
 
 /// A request that is being handled; dropping it cancels the handler.
 struct PendingResponse {
@@ -48,13 +51,6 @@
     }
 }
 
-/// A request whose body is incomplete.
-struct PartialRequest {
-    head: RequestHead,
-    body: BodyReader,
-    received: Instant,
-}
-
 /// The event that a connection handles next.
 enum ConnectionEvent {
     Readable,
@@ -62,6 +58,8 @@
     Answered(Result<ServerResponse, tokio::task::JoinError>),
     TimedOut,
     PhaseChanged,
+    BodyGivenUp,
+    PlaceGivenUp,
 }
 
 /// `ServerConnection` serves one connection of a caller.
@@ -73,25 +71,46 @@
     output: ResponseOutput,
     partial: Option<PartialRequest>,
     pending: VecDeque<PendingResponse>,
-    /// Start of the head being received, or the last progress of its body; `None` between requests.
+    /// Start of the request being received; `None` between requests.
     receiving_since: Option<Instant>,
     idle_since: Instant,
     is_input_closed: bool,
+    /// Whether the connection closes after the requests in progress, since its place is needed.
+    is_place_given_up: bool,
     discard_time: Duration,
+    /// Input that arrived after the last request that is read.
+    discarded_bytes: usize,
+    reads_in_turn: u32,
     /// Memory of the unparsed input.
     input_memory: MemoryShare,
-    budget: MemoryBudget,
+    input_pool: Rc<InputPool>,
+    limits: Rc<ServerLimits>,
+    place: Rc<ConnectionPlace>,
+    /// Tells that the body being received was given up for others.
+    body_given_up: Arc<Notify>,
     phase: watch::Receiver<ServerPhase>,
 }
 
+/// What a connection shares with the others of its server, and its place among them.
+pub(crate) struct ConnectionParts {
+    pub(crate) limits: Rc<ServerLimits>,
+    pub(crate) place: Rc<ConnectionPlace>,
+    pub(crate) input_pool: Rc<InputPool>,
+}
+
 impl<H: RequestHandler> ServerConnection<H> {
-    /// Creates a connection whose requests share the memory of `budget`.
+    /// Creates a connection at `place`, within the limits of its server.
     pub(crate) fn new(
         stream: TcpStream,
         handler: Rc<H>,
         scheme: HeaderScheme,
-        budget: MemoryBudget,
+        parts: ConnectionParts,
     ) -> Self {
+        let ConnectionParts {
+            limits,
+            place,
+            input_pool,
+        } = parts;
         // If the option cannot be set, responses are only delayed.
         let _ = stream.set_nodelay(true);
         let phase = handler.phase();
@@ -106,9 +125,15 @@
             receiving_since: None,
             idle_since: Instant::now(),
             is_input_closed: false,
+            is_place_given_up: false,
             discard_time: DISCARD_TIME,
-            input_memory: budget.request_share(),
-            budget,
+            discarded_bytes: 0,
+            reads_in_turn: 0,
+            input_memory: receiving::request_share(&limits, &place),
+            input_pool,
+            limits,
+            place,
+            body_given_up: Arc::default(),
             phase,
         }
     }
@@ -121,14 +146,27 @@
             }
             let is_done = self.pending.is_empty() && self.output.is_empty();
             if is_done && (self.is_input_closed || self.is_idle_expired()) {
-                staged_close::close(self.stream, self.discard_time).await;
+                self.place.set(ConnectionActivity::Closing(Instant::now()));
+                let Self { place, stream, .. } = self;
+                tokio::select! {
+                    () = staged_close::close(stream, self.discard_time) => {}
+                    () = place.given_up() => {}
+                }
                 return;
             }
+            self.place.set(self.activity());
             match self.next_event().await {
                 ConnectionEvent::Readable => {
                     if !self.read_some() {
                         return;
                     }
+                    self.end_turn().await;
+                }
+                ConnectionEvent::BodyGivenUp => self.refuse_body(BodyError::NoMemory),
+                ConnectionEvent::PlaceGivenUp => {
+                    if self.give_up_place() {
+                        return;
+                    }
                 }
                 ConnectionEvent::Writable | ConnectionEvent::PhaseChanged => {}
                 ConnectionEvent::Answered(response) => self.write_next_response(response),
@@ -142,16 +180,22 @@
     }
 
     async fn next_event(&mut self) -> ConnectionEvent {
-        let next_timeout = self.next_timeout();
+        let next_timeout = self.next_check();
+        let read_ahead_max = self.read_ahead_max();
+        let is_receiving = self.partial.is_some();
+        let is_within_request = is_receiving || self.receiving_since.is_some();
         let Self {
             stream,
             pending,
             output,
             input,
             phase,
+            place,
+            body_given_up,
             ..
         } = self;
-        let can_read = input.len() < READ_AHEAD_BYTES || self.partial.is_some();
+        let ahead = input.len() + self.discarded_bytes;
+        let can_read = ahead < read_ahead_max || is_within_request;
         let can_respond = output.is_accepting();
         let next_response = async {
             match pending.front_mut() {
@@ -161,6 +205,8 @@
         };
         tokio::select! {
             biased;
+            () = place.given_up() => ConnectionEvent::PlaceGivenUp,
+            () = body_given_up.notified(), if is_receiving => ConnectionEvent::BodyGivenUp,
             response = next_response => ConnectionEvent::Answered(response),
             // An error of the socket is returned by the read or write that follows.
             _ = stream.readable(), if can_read => ConnectionEvent::Readable,
@@ -170,14 +216,37 @@
         }
     }
 
-    /// Returns the time at which the connection is checked for a timeout.
+    /// Returns the time at which the connection is checked for a timeout. A response that is not read is
+    /// checked more often, since memory may become short.
+    fn next_check(&self) -> Instant {
+        let timeout = self.next_timeout();
+        if self.output.is_empty() {
+            return timeout;
+        }
+        timeout.min(Instant::now() + WRITE_TIMEOUT_SHORT)
+    }
+
+    /// Returns the time at which the connection, or a request on it, times out.
     fn next_timeout(&self) -> Instant {
         let limits = self.handler.limits();
+        if let Some(partial) = &self.partial {
+            return partial.progress.deadline(&ArrivalLimits {
+                stall_time: limits.head_time,
+                body_time: self.limits.body_time,
+                bytes_per_second: self.limits.body_bytes_per_second,
+            });
+        }
         if let Some(since) = self.receiving_since {
             return since + limits.head_time;
         }
         if !self.output.is_empty() {
-            return self.idle_since + WRITE_TIMEOUT;
+            let is_short = self.limits.budget.is_nearly_used_up();
+            let write_time = if is_short {
+                WRITE_TIMEOUT_SHORT
+            } else {
+                WRITE_TIMEOUT
+            };
+            return self.idle_since + write_time;
         }
         if !self.pending.is_empty() {
             return Instant::now() + limits.idle_time;
@@ -195,7 +264,7 @@
             return true;
         }
         if self.receiving_since.is_some() {
-            self.refuse(408);
+            self.refuse_unread(408, RejectionReason::Timeout);
             return true;
         }
         self.output.is_empty() && !self.pending.is_empty()
@@ -211,141 +280,29 @@
     }
 
     fn is_closing(&self) -> bool {
-        *self.phase.borrow() >= ServerPhase::Closing
+        self.is_place_given_up || *self.phase.borrow() >= ServerPhase::Closing
     }
 
-    /// Parses the complete requests in the input and starts them; `false` closes the connection.
-    fn parse_requests(&mut self) -> bool {
-        while !self.is_input_closed && self.pending.len() < PIPELINED_REQUESTS_MAX {
-            if self.partial.is_none() && !self.parse_head() {
-                break;
-            }
-            let Some(partial) = &mut self.partial else {
-                break;
-            };
-            let before = partial.body.len();
-            match partial.body.read_from(&mut self.input) {
-                Ok(true) => self.start_request(),
-                Ok(false) => {
-                    if partial.body.len() > before {
-                        self.idle_since = Instant::now();
-                        self.receiving_since = Some(self.idle_since);
-                    }
-                    break;
-                }
-                Err(error) => self.refuse_body(error),
-            }
-        }
-        self.input_memory.reduce_to(self.input.len());
-        true
-    }
-
-    /// Parses a head from the input; `false` if none is complete or valid.
-    fn parse_head(&mut self) -> bool {
-        while self.input.starts_with(b"\r\n") {
-            let _ = self.input.split_to(2);
-        }
-        if self.input.is_empty() {
-            return false;
-        }
-        let received = *self.receiving_since.get_or_insert_with(Instant::now);
-        let limits = self.handler.limits();
-        let head = match head::parse_request(&mut self.input, limits.head_bytes, &self.scheme) {
-            Ok(Some(head)) => head,
-            Ok(None) => return false,
-            Err(HeadError::TooLarge) => {
-                self.refuse(431);
-                return false;
-            }
-            Err(HeadError::Malformed) => {
-                self.refuse(400);
-                return false;
-            }
-        };
-        if head.expects_continue && head.framing != BodyFraming::Length(0) {
-            self.output.push_continue();
+    /// What the connection does, by which others may take its place.
+    fn activity(&self) -> ConnectionActivity {
+        let is_busy = !self.pending.is_empty() || !self.output.is_empty();
+        if is_busy || self.is_place_given_up {
+            return ConnectionActivity::Busy;
         }
-        let body = BodyReader::new(head.framing, limits.body_bytes);
-        let body = body.and_then(|body| body.with_memory(self.budget.request_share()));
-        match body {
-            Ok(body) => {
-                self.partial = Some(PartialRequest {
-                    head,
-                    body,
-                    received,
-                });
-                true
-            }
-            Err(error) => {
-                self.refuse_request(body_status(error), &head.id.unwrap_or_default());
-                false
-            }
+        if let Some(partial) = &self.partial {
+            return ConnectionActivity::Receiving(partial.progress);
         }
-    }
-
-    fn start_request(&mut self) {
-        let Some(partial) = self.partial.take() else {
-            return;
-        };
-        self.receiving_since = None;
-        let PartialRequest {
-            head,
-            body,
-            received,
-        } = partial;
-        let closes = head.closes;
-        let is_head = head.method == "HEAD";
-        let request = ServerRequest {
-            head,
-            body: body.finish(),
-            received,
-        };
-        let response = Rc::clone(&self.handler).respond(request);
-        self.pending.push_back(PendingResponse {
-            task: actix_rt::spawn(response),
-            closes,
-            is_head,
-        });
-        // Requests pipelined after the last one of the connection are not read; their callers
-        // retry them.
-        self.is_input_closed = closes || self.is_closing();
-    }
-
-    /// Refuses the request whose body cannot be read.
-    fn refuse_body(&mut self, error: BodyError) {
-        let head = self.partial.take().map(|partial| partial.head);
-        let id = head.and_then(|head| head.id);
-        self.refuse_request(body_status(error), &id.unwrap_or_default());
-    }
-
-    /// Answers unparsable input with `status`.
-    fn refuse(&mut self, status: u16) {
-        self.refuse_request(status, "");
-    }
-
-    /// Answers the request `id`, which was not read, with `status` and stops reading, since the start of
-    /// a following request cannot be found.
-    fn refuse_request(&mut self, status: u16, id: &str) {
-        let response = self.handler.reject(status, id);
-        if !id.is_empty() {
-            self.discard_time = BODY_DISCARD_TIME;
+        match self.receiving_since {
+            Some(since) => ConnectionActivity::Receiving(ArrivalProgress::new(since)),
+            None => ConnectionActivity::Idle(self.idle_since),
         }
-        self.receiving_since = None;
-        self.partial = None;
-        self.input.clear();
-        self.is_input_closed = true;
-        self.pending.push_back(PendingResponse {
-            task: actix_rt::spawn(std::future::ready(response)),
-            closes: true,
-            is_head: false,
-        });
     }
 
     fn write_next_response(&mut self, response: Result<ServerResponse, tokio::task::JoinError>) {
         let Some(pending) = self.pending.pop_front() else {
             return;
         };
-        let response = response.unwrap_or_else(|_| self.handler.reject(502, ""));
+        let response = response.unwrap_or_else(|_| self.reject(502, RejectionReason::Failed, ""));
         let is_last = self.pending.is_empty();
         let closes = pending.closes || (is_last && self.is_closing());
         self.is_input_closed |= closes;
@@ -353,22 +310,6 @@
         self.idle_since = Instant::now();
     }
 
-    /// Reads available input; `false` if the caller disconnected.
-    fn read_some(&mut self) -> bool {
-        self.input.reserve(READ_CHUNK_BYTES);
-        match self.stream.try_read_buf(&mut self.input) {
-            Ok(0) => false,
-            Ok(_) => {
-                self.idle_since = Instant::now();
-                if !self.input_memory.extend_to(self.input.len()) {
-                    self.refuse(503);
-                }
-                true
-            }
-            Err(error) => error.kind() == ErrorKind::WouldBlock,
-        }
-    }
-
     /// Writes as much output as the socket takes; `false` if the caller disconnected.
     fn write_some(&mut self) -> bool {
         match self.output.write_to(&self.stream) {
@@ -382,11 +323,3 @@
         }
     }
 }
-
-const fn body_status(error: BodyError) -> u16 {
-    match error {
-        BodyError::TooLarge => 413,
-        BodyError::Malformed => 400,
-        BodyError::NoMemory => 503,
-    }
-}
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -50,6 +50,14 @@
         .increment(tokens.round() as u64);
 }
 
+pub(crate) fn count_unread(reason: &'static str) {
+    counter!("lagoonshore_relay_unread_total", "reason" => reason).increment(1);
+}
+
+pub(crate) fn count_connection_closed(reason: &'static str) {
+    counter!("lagoonshore_relay_connections_closed_total", "reason" => reason).increment(1);
+}
+
 pub(crate) fn count_caller_left() {
     counter!("lagoonshore_relay_callers_left_total").increment(1);
 }
