Index the instance table by service

Cause: each choice of an instance, and each check for others to try, walked all instances of all services and compared their service names. Change: the table keeps the instances of each service, ordered by name as before. Result: the tests of the table, of peer selection and of the relay pass; no decision changes.

--- a/crates/state/src/instance_table.rs
+++ b/crates/state/src/instance_table.rs
@@ -3,7 +3,10 @@
 use crate::ids::{InstanceName, RegionName, ServiceName, ZoneName};
 
 use slotmap::{SlotMap, new_key_type};
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 new_key_type! {
     /// `InstanceKey` identifies an instance in an [`InstanceTable`].
@@ -43,18 +46,26 @@
 pub struct InstanceTable {
     records: SlotMap<InstanceKey, InstanceRecord>,
     names: BTreeMap<InstanceName, InstanceKey>,
+    /// Instances of each service, ordered by name.
+    services: HashMap<ServiceName, Vec<InstanceKey>>,
 }
 
 impl InstanceTable {
     /// Adds an instance or replaces its record; the key of a known instance stays the same.
     pub fn upsert(&mut self, record: InstanceRecord) -> InstanceKey {
-        if let Some(key) = self.names.get(&record.name) {
-            self.records[*key] = record;
-            return *key;
+        let service = record.service.clone();
+        let Some(&key) = self.names.get(&record.name) else {
+            let name = record.name.clone();
+            let key = self.records.insert(record);
+            self.names.insert(name, key);
+            self.list(key, service);
+            return key;
+        };
+        let known = std::mem::replace(&mut self.records[key], record);
+        if known.service != service {
+            self.unlist(key, &known.service);
+            self.list(key, service);
         }
-        let name = record.name.clone();
-        let key = self.records.insert(record);
-        self.names.insert(name, key);
         key
     }
 
@@ -62,6 +73,7 @@
     pub fn remove(&mut self, key: InstanceKey) -> Option<InstanceRecord> {
         let record = self.records.remove(key)?;
         self.names.remove(&record.name);
+        self.unlist(key, &record.service);
         Some(record)
     }
 
@@ -78,16 +90,33 @@
     }
 
     /// Returns the instances of `service`, ordered by name.
-    pub fn of_service<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = (InstanceKey, &'a InstanceRecord)> {
-        self.iter()
-            .filter(move |(_, record)| record.service == service)
+    pub fn of_service(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = (InstanceKey, &InstanceRecord)> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|key| (*key, &self.records[*key]))
     }
 
     /// Returns all instances, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = (InstanceKey, &InstanceRecord)> {
         self.names.values().map(|key| (*key, &self.records[*key]))
     }
+
+    fn list(&mut self, key: InstanceKey, service: ServiceName) {
+        let records = &self.records;
+        let keys = self.services.entry(service).or_default();
+        let position = keys.partition_point(|other| records[*other].name < records[key].name);
+        keys.insert(position, key);
+    }
+
+    fn unlist(&mut self, key: InstanceKey, service: &str) {
+        let Some(keys) = self.services.get_mut(service) else {
+            return;
+        };
+        keys.retain(|other| *other != key);
+        if keys.is_empty() {
+            self.services.remove(service);
+        }
+    }
 }
