Place requests by expected completion, and let a share leave the zone

Cause: an instance was chosen by requests in progress times a slowness that a sender measured itself and that faded within a second. Requests with little time went to slow upstreams while faster ones had room, and a sender that saw its own instances straggle or fill left the zone with all requests.

Change: replies carry the mean run time of their route at the instance, the time at the node, and the mean time of a slot. The relay draws instances by free capacity, and picks among the drawn by the time that the request has (docs/design/placing.md). Each sender adapts the share of a service's requests that leaves the zone in small steps (docs/design/zone-spill.md); zones.leave_cost_ms sets what leaving has to save. The daemon's choice is as before. A status is recorded after the end of its call, so that the call is not counted as started since.

--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -167,6 +167,18 @@
             .unwrap_or(self.mean_hold_time)
     }
 
+    /// Mean time for which a request of any route holds its slot.
+    #[must_use]
+    pub const fn mean_hold_time(&self) -> Duration {
+        self.mean_hold_time
+    }
+
+    /// Mean time for which a request of `route` holds its slot; `None` before the first one.
+    #[must_use]
+    pub fn known_hold_time(&self, route: RouteId) -> Option<Duration> {
+        self.route_hold_times.get(&route).copied()
+    }
+
     /// Admits, queues or refuses a request that has just arrived.
     pub fn offer(&mut self, now: Instant, request: SlotRequest) -> SlotDecision {
         let is_free = self.in_use < self.limit && self.waiting.is_empty();
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod forwarding;
 pub mod gossip;
 pub mod lifecycle;
+pub mod placing;
 pub mod protection;
 pub mod request;
 pub mod retries;
--- a/crates/coordination/src/routing/candidate_choice.rs
+++ b/crates/coordination/src/routing/candidate_choice.rs
@@ -24,7 +24,8 @@
 impl PeerCandidate<'_> {
     /// Returns `true` if the instance takes calls: it is listed as live, is not ejected, and is not
     /// being probed by another call.
-    fn is_healthy(&self, now: Instant) -> bool {
+    #[must_use]
+    pub fn is_healthy(&self, now: Instant) -> bool {
         let is_available = match self.view.ejection.condition(now) {
             PeerCondition::Healthy => true,
             PeerCondition::Ejected => false,
@@ -35,11 +36,18 @@
 
     /// Returns `true` if the instance is neither full nor a straggler and its failure rate is low.
     fn has_capacity(&self, now: Instant) -> bool {
-        let is_performing = !self.view.is_straggling(now) && !self.view.is_failing(now);
-        is_performing && self.view.utilization(now) < FULL_UTILIZATION
+        self.is_performing(now) && self.view.utilization(now) < FULL_UTILIZATION
     }
 
-    fn is_in_zone(&self, zone: &str) -> bool {
+    /// Returns `true` if the instance is no straggler and its failure rate is low.
+    #[must_use]
+    pub fn is_performing(&self, now: Instant) -> bool {
+        !self.view.is_straggling(now) && !self.view.is_failing(now)
+    }
+
+    /// Returns `true` if the instance is in `zone`.
+    #[must_use]
+    pub fn is_in_zone(&self, zone: &str) -> bool {
         self.record.zone == zone
     }
 }
--- a/crates/coordination/src/routing/mod.rs
+++ b/crates/coordination/src/routing/mod.rs
@@ -14,7 +14,7 @@
 use lagoonshore_state::{
     data_type,
     ids::{InstanceName, RegionName, ZoneName},
-    instance_table::{InstanceKey, InstanceRecord, InstanceTable},
+    instance_table::{InstanceKey, InstanceTable},
 };
 use rand::RngCore;
 use slotmap::SecondaryMap;
@@ -104,11 +104,11 @@
         random: &mut dyn RngCore,
     ) -> Option<InstanceKey> {
         self.track_instances(now, table, service);
-        let listed = self.listed(now, table, service, tried);
+        let listed = self.listed(now, table, service);
+        let listed = listed.filter(|candidate| !tried.contains(&candidate.key));
         let is_in_region =
             |candidate: &PeerCandidate<'_>| candidate.record.region == self.origin.region;
-        let (own_region, other_regions): (Vec<_>, Vec<_>) =
-            listed.into_iter().partition(is_in_region);
+        let (own_region, other_regions): (Vec<_>, Vec<_>) = listed.partition(is_in_region);
         let zone = &self.origin.zone;
         let chosen = candidate_choice::choose(now, zone, own_region, random);
         if chosen.is_some() || scope == RegionScope::OwnRegion {
@@ -117,6 +117,18 @@
         candidate_choice::choose(now, zone, other_regions, random)
     }
 
+    /// Returns the instances of `service` in the node's own region that take new work.
+    pub fn candidates<'a>(
+        &'a mut self,
+        now: Instant,
+        table: &'a InstanceTable,
+        service: &str,
+    ) -> impl Iterator<Item = PeerCandidate<'a>> {
+        self.track_instances(now, table, service);
+        let listed = self.listed(now, table, service);
+        listed.filter(|candidate| candidate.record.region == self.origin.region)
+    }
+
     /// Returns `true` if there is an instance of `service` that may be tried: not the node's own,
     /// not in `tried` and not draining.
     #[must_use]
@@ -285,25 +297,21 @@
         }
     }
 
-    /// Returns the instances that may be tried. A draining instance gets no new work.
+    /// Returns the instances of a service that take new work: not the node's own and not draining.
     fn listed<'a>(
         &'a self,
         now: Instant,
         table: &'a InstanceTable,
-        service: &'a str,
-        tried: &[InstanceKey],
-    ) -> Vec<PeerCandidate<'a>> {
-        let candidate = |(key, record): (InstanceKey, &'a InstanceRecord)| {
-            let view = self.views.get(key)?;
-            Some(PeerCandidate { key, record, view })
-        };
+        service: &str,
+    ) -> impl Iterator<Item = PeerCandidate<'a>> {
         let others = table
             .of_service(service)
-            .filter(|(key, record)| !tried.contains(key) && record.name != self.origin.instance);
-        let candidates = others.filter_map(candidate);
-        candidates
-            .filter(|candidate| !candidate.view.is_draining(now))
-            .collect()
+            .filter(|(_, record)| record.name != self.origin.instance);
+        let candidates = others.filter_map(|(key, record)| {
+            let view = self.views.get(key)?;
+            Some(PeerCandidate { key, record, view })
+        });
+        candidates.filter(move |candidate| !candidate.view.is_draining(now))
     }
 
     fn finish(&mut self, key: InstanceKey) -> Option<&mut PeerView> {
--- a/crates/coordination/src/routing/peer_view.rs
+++ b/crates/coordination/src/routing/peer_view.rs
@@ -17,6 +17,14 @@
 pub const STRAGGLER_SLOWNESS: f64 = 3.0;
 /// Half-life of a reported load.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(500);
+/// Time constant of the mean of reported loads.
+const MEAN_LOAD_TIME: Duration = Duration::from_secs(2);
+/// Least weight of a report in that mean.
+const REPORT_WEIGHT_MIN: f64 = 0.05;
+/// Age at which a report says no more than that mean.
+const REPORT_TTL: Duration = Duration::from_secs(1);
+/// Age of the last report at which the load of a peer counts as unknown.
+const LOAD_TTL: Duration = Duration::from_secs(5);
 /// Time for which a peer counts as full after it refused a call for overload.
 const OVERLOAD_HOLD_TIME: Duration = Duration::from_millis(200);
 /// Weight of one call in the moving average of the failure share.
@@ -43,6 +51,23 @@
     }
 }
 
+impl ReportedLoad {
+    /// Returns the requests at the peer, running and queued.
+    #[must_use]
+    pub fn requests(&self) -> f64 {
+        f64::from(self.in_progress) + f64::from(self.queued)
+    }
+}
+
+/// `LoadEstimate` is the load of a peer by its last report and the calls of this node since then.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadEstimate {
+    /// Requests at the peer, running and queued.
+    pub requests: f64,
+    /// Limit on requests in progress at the peer.
+    pub limit: f64,
+}
+
 /// `PeerView` holds what a node has observed of an instance, and the load that the instance
 /// reported.
 #[derive(Clone, Debug)]
@@ -62,6 +87,10 @@
     smooth_slowness: f64,
     sampled_at: Instant,
     report: Option<(Instant, ReportedLoad)>,
+    /// Calls in progress from this node at the time of the report.
+    reported_own: u32,
+    /// Mean of the reported requests over the last seconds.
+    mean_requests: f64,
     overloaded_at: Option<Instant>,
     failure_share: f64,
     failure_at: Instant,
@@ -84,6 +113,8 @@
             smooth_slowness: 1.0,
             sampled_at: now,
             report: None,
+            reported_own: 0,
+            mean_requests: 0.0,
             overloaded_at: None,
             failure_share: 0.0,
             failure_at: now,
@@ -132,8 +163,8 @@
     /// slowness has decayed, the peer is probed with one call at a time.
     #[must_use]
     pub fn is_straggling(&self, now: Instant) -> bool {
-        let is_probe_due = self.slowness(now) < STRAGGLER_SLOWNESS && self.in_progress == 0;
-        self.is_straggler && !is_probe_due
+        let is_probe_due = || self.in_progress == 0 && self.slowness(now) < STRAGGLER_SLOWNESS;
+        self.is_straggler && !is_probe_due()
     }
 
     /// Returns `true` if the last sample was far above the typical latency, regardless of its age.
@@ -144,7 +175,14 @@
 
     /// Records the load that the peer reported.
     pub fn record_load(&mut self, now: Instant, report: ReportedLoad) {
+        let requests = report.requests();
+        let weight = match self.report {
+            None => 1.0,
+            Some((at, _)) => age_share(now, at, MEAN_LOAD_TIME).max(REPORT_WEIGHT_MIN),
+        };
+        self.mean_requests += weight * (requests - self.mean_requests);
         self.report = Some((now, report));
+        self.reported_own = self.in_progress;
         self.draining_at = report.draining.then_some(now);
     }
 
@@ -160,6 +198,9 @@
     /// Returns the share of recent calls that failed, from 0 to 1.
     #[must_use]
     pub fn failure_share(&self, now: Instant) -> f64 {
+        if self.failure_share <= 0.0 {
+            return 0.0;
+        }
         self.failure_share * decay_factor(now, self.failure_at, FAILURE_HALF_LIFE)
     }
 
@@ -193,7 +234,7 @@
     /// decay. A peer that has just refused a call for overload counts as full.
     #[must_use]
     pub fn utilization(&self, now: Instant) -> f64 {
-        if is_recent(now, self.overloaded_at, OVERLOAD_HOLD_TIME) {
+        if self.is_overloaded(now) {
             return 1.0;
         }
         let limit = self.report.map_or(0, |(_, report)| report.limit);
@@ -203,6 +244,30 @@
         self.requests(now) / f64::from(limit)
     }
 
+    /// Returns `true` if the peer refused a call for overload a moment ago.
+    #[must_use]
+    pub fn is_overloaded(&self, now: Instant) -> bool {
+        is_recent(now, self.overloaded_at, OVERLOAD_HOLD_TIME)
+    }
+
+    /// Returns the load of the peer by its last report, which fades to the mean of the reports as it
+    /// ages; `None` if there is no recent one.
+    #[must_use]
+    pub fn load_estimate(&self, now: Instant) -> Option<LoadEstimate> {
+        let (at, report) = self.report?;
+        if !is_recent(now, Some(at), LOAD_TTL) {
+            return None;
+        }
+        let own = f64::from(self.in_progress);
+        let freshness = 1.0 - age_share(now, at, REPORT_TTL);
+        let reported = self.mean_requests + freshness * (report.requests() - self.mean_requests);
+        let started_since = own - f64::from(self.reported_own);
+        Some(LoadEstimate {
+            requests: (reported + started_since).max(own),
+            limit: f64::from(report.limit.max(1)),
+        })
+    }
+
     /// Returns the cost of one more call: requests at the peer, including this call, times
     /// slowness.
     #[must_use]
@@ -215,8 +280,7 @@
     fn requests(&self, now: Instant) -> f64 {
         let own = f64::from(self.in_progress);
         let reported = self.report.map_or(0.0, |(at, report)| {
-            let requests = f64::from(report.in_progress) + f64::from(report.queued);
-            requests * decay_factor(now, at, REPORT_HALF_LIFE)
+            report.requests() * decay_factor(now, at, REPORT_HALF_LIFE)
         });
         own.max(reported)
     }
@@ -226,6 +290,12 @@
     latency.as_secs_f64() / typical.max(TYPICAL_LATENCY_MIN).as_secs_f64()
 }
 
+/// Returns the age of a value recorded at `then` as a share of `time`, at most 1.
+fn age_share(now: Instant, then: Instant, time: Duration) -> f64 {
+    let age = now.saturating_duration_since(then);
+    (age.as_secs_f64() / time.as_secs_f64()).min(1.0)
+}
+
 /// Returns the weight left of a value recorded at `then`: 0.5 after one `half_life`.
 fn decay_factor(now: Instant, then: Instant, half_life: Duration) -> f64 {
     let age = now.saturating_duration_since(then);
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -135,6 +135,11 @@
         pub departed: Option<UpstreamRun>,
         /// Limit on its rate that the upstream beside the replying node named.
         pub limit: Option<UpstreamLimit>,
+        /// Mean time of the latest runs of the request's route at the upstream, in microseconds; 0 if
+        /// there were none.
+        pub work_micros: u32,
+        /// Time that the request spent at the node and its upstream, in microseconds.
+        pub served_micros: u32,
     }
 
     /// `CallFailure` is the worst failure among the calls of a request; variants are in order of
@@ -181,6 +186,8 @@
         pub limit: u32,
         /// Requests that wait for a slot.
         pub queued: u32,
+        /// Mean time for which a request holds a slot, in microseconds.
+        pub hold_micros: u32,
         /// Milliseconds until the limit on the rate of the upstream allows another request.
         pub rate_wait_ms: u32,
         /// Whether the node is draining.
--- a/crates/relay/src/calling/attempt_record.rs
+++ b/crates/relay/src/calling/attempt_record.rs
@@ -5,7 +5,10 @@
     peer_table::{PeerTable, PeerTarget},
 };
 
-use lagoonshore_coordination::request::{outcome::CallOutcome, request_lifecycle::CallRefusal};
+use lagoonshore_coordination::{
+    forwarding::slot_queue::RouteId,
+    request::{outcome::CallOutcome, request_lifecycle::CallRefusal},
+};
 use lagoonshore_protocol::relay_messages::{DeliveryStatus, RelayReply, RelayResult};
 use lagoonshore_state::instance_table::InstanceKey;
 use std::{net::SocketAddr, time::Duration};
@@ -17,6 +20,7 @@
     peers: &'a PeerTable,
     key: InstanceKey,
     address: SocketAddr,
+    route: RouteId,
     median_latency: Option<Duration>,
     started: Instant,
     is_finished: bool,
@@ -26,6 +30,7 @@
     pub(crate) fn start(
         peers: &'a PeerTable,
         target: &PeerTarget,
+        route: RouteId,
         median_latency: Option<Duration>,
     ) -> Self {
         peers.record_start(target.key);
@@ -33,6 +38,7 @@
             peers,
             key: target.key,
             address: target.address,
+            route,
             median_latency,
             started: Instant::now(),
             is_finished: false,
@@ -53,7 +59,8 @@
                 return elapsed;
             }
         };
-        self.peers.record_status(self.key, self.address, reply.news);
+        self.peers
+            .record_times(self.key, self.route, reply, elapsed);
         if let Some(run) = &reply.departed {
             self.peers.record_departure(self.address, run);
         }
@@ -77,6 +84,8 @@
                     .record_refusal(self.key, CallRefusal { outcome, reason });
             }
         }
+        // The status counts this call no more.
+        self.peers.record_status(self.key, self.address, reply.news);
         elapsed
     }
 }
--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -2,24 +2,36 @@
 
 use super::peer_links::LinkEvent;
 
-use crate::directory::FleetDirectory;
+use crate::{directory::FleetDirectory, events, line_budget::LineBudget, relay_metrics};
 
 use lagoonshore_coordination::{
-    forwarding::zone_health::ZoneHealth,
+    forwarding::{slot_queue::RouteId, zone_health::ZoneHealth},
+    placing::{InstancePlacer, PlacingRequest, ReplyTimes},
     protection::fingerprint::RequestFingerprint,
     request::request_lifecycle::CallRefusal,
     routing::{PeerSelector, PeerSummary, RoutingOrigin, peer_view::ReportedLoad},
 };
-use lagoonshore_protocol::relay_messages::NodeStatus;
-use lagoonshore_settings::RelaySettings;
+use lagoonshore_protocol::relay_messages::{NodeStatus, RelayReply};
+use lagoonshore_settings::{RelaySettings, relay_settings::ZoneSettings};
 use lagoonshore_state::{
-    ids::InstanceName,
+    ids::{InstanceName, ServiceName},
     instance_table::InstanceKey,
     upstream_list::{UpstreamLimit, UpstreamRun},
 };
 use rand::rngs::SmallRng;
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::time::Instant;
+use tracing::info;
+
+/// Log lines about the shares that leave the zone, in one
+/// [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
+const SHARE_LINES_MAX: u32 = 2;
 
 /// `PeerTarget` is the instance selected for an attempt.
 #[derive(Clone, Debug)]
@@ -36,6 +48,8 @@
 pub struct PeerTable {
     directory: Rc<FleetDirectory>,
     selector: RefCell<PeerSelector>,
+    placer: RefCell<InstancePlacer>,
+    share_lines: LineBudget,
     zone_health: RefCell<ZoneHealth>,
     random: RefCell<SmallRng>,
     /// Upstreams that announced their departure in a response, by the peer address of their node.
@@ -57,6 +71,11 @@
         Self {
             directory,
             selector: RefCell::new(PeerSelector::new(origin)),
+            placer: RefCell::new(InstancePlacer::new(
+                settings.zone.clone(),
+                settings.zones.leave_cost,
+            )),
+            share_lines: LineBudget::new(SHARE_LINES_MAX),
             zone_health: RefCell::default(),
             random: RefCell::new(random),
             departed: RefCell::default(),
@@ -64,27 +83,59 @@
         }
     }
 
-    /// Selects an instance of `service` that is not in `tried`, preferring zones that are not
-    /// degraded.
-    pub fn choose(&self, service: &str, tried: &[InstanceKey]) -> Option<PeerTarget> {
-        if !self.zone_health.borrow().is_all_healthy() {
-            let mut avoided = self.degraded_instances(service);
-            avoided.extend_from_slice(tried);
-            if let Some(target) = self.choose_from(service, &avoided) {
-                return Some(target);
-            }
+    /// Applies changed zone settings.
+    pub fn set_zone_settings(&self, zones: ZoneSettings) {
+        self.placer.borrow_mut().set_leave_cost(zones.leave_cost);
+    }
+
+    /// Selects an instance for a request.
+    pub fn choose(&self, request: &PlacingRequest<'_>) -> Option<PeerTarget> {
+        let (now, zone_health) = (Instant::now(), self.zone_health.borrow());
+        let is_all_healthy = zone_health.is_all_healthy();
+        let is_degraded = |zone: &str| !is_all_healthy && zone_health.is_degraded(now, zone);
+        let table = self.directory.instances();
+        let mut selector = self.selector.borrow_mut();
+        let candidates = selector.candidates(now, &table, request.service);
+        let mut random = self.random.borrow_mut();
+        let mut placer = self.placer.borrow_mut();
+        let placement = placer.place(now, request, candidates, is_degraded, &mut *random)?;
+        relay_metrics::count_placed(placement.reason);
+        if let Some(share) = placement.changed_share {
+            self.log_zone_share(request.service, share);
         }
-        self.choose_from(service, tried)
+        let record = table.get(placement.key)?;
+        Some(PeerTarget {
+            key: placement.key,
+            name: record.name.clone(),
+            address: record.peer,
+        })
     }
 
-    /// Selects one of the instances in `among` that are still listed for `service`.
-    pub fn choose_among(&self, service: &str, among: &[InstanceKey]) -> Option<PeerTarget> {
+    /// Selects one of the instances in `among` that are still listed for the service.
+    pub fn choose_among(
+        &self,
+        request: &PlacingRequest<'_>,
+        among: &[InstanceKey],
+    ) -> Option<PeerTarget> {
         let others: Vec<InstanceKey> = {
             let table = self.directory.instances();
-            let listed = table.of_service(service).map(|(key, _)| key);
+            let listed = table.of_service(request.service).map(|(key, _)| key);
             listed.filter(|key| !among.contains(key)).collect()
         };
-        self.choose_from(service, &others)
+        let request = PlacingRequest {
+            tried: &others,
+            ..*request
+        };
+        self.choose(&request)
+    }
+
+    fn log_zone_share(&self, service: &str, share: f64) {
+        if let Some(left_out) = self.share_lines.take() {
+            info!(
+                event = events::ZONE_SHARE_CHANGED,
+                service, share, left_out, "zones: share of the requests that leaves changed"
+            );
+        }
     }
 
     /// Selects the instance of `service` that may run a request again after its quarantine.
@@ -108,28 +159,6 @@
         selector.has_untried(Instant::now(), &table, service, tried)
     }
 
-    /// Instances of `service` in degraded zones.
-    fn degraded_instances(&self, service: &str) -> Vec<InstanceKey> {
-        let (now, zone_health) = (Instant::now(), self.zone_health.borrow());
-        let table = self.directory.instances();
-        let listed = table.of_service(service);
-        let degraded = listed.filter(|(_, record)| zone_health.is_degraded(now, &record.zone));
-        degraded.map(|(key, _)| key).collect()
-    }
-
-    fn choose_from(&self, service: &str, tried: &[InstanceKey]) -> Option<PeerTarget> {
-        let table = self.directory.instances();
-        let mut selector = self.selector.borrow_mut();
-        let mut random = self.random.borrow_mut();
-        let key = selector.choose(Instant::now(), &table, service, tried, &mut *random)?;
-        let record = table.get(key)?;
-        Some(PeerTarget {
-            key,
-            name: record.name.clone(),
-            address: record.peer,
-        })
-    }
-
     /// Records the start of an attempt at an instance.
     pub fn record_start(&self, key: InstanceKey) {
         self.selector.borrow_mut().record_start(key);
@@ -144,6 +173,36 @@
         selector.record_load(key, Instant::now(), report);
     }
 
+    /// Records the times of a reply that came after `elapsed`.
+    pub fn record_times(
+        &self,
+        key: InstanceKey,
+        route: RouteId,
+        reply: &RelayReply,
+        elapsed: Duration,
+    ) {
+        let served = Duration::from_micros(reply.served_micros.into());
+        let times = ReplyTimes {
+            work: (reply.work_micros > 0).then(|| Duration::from_micros(reply.work_micros.into())),
+            hold: Duration::from_micros(reply.news.hold_micros.into()),
+            link: elapsed.saturating_sub(served),
+        };
+        let table = self.directory.instances();
+        let Some(record) = table.get(key) else { return };
+        let mut placer = self.placer.borrow_mut();
+        placer.record_reply(Instant::now(), key, &record.zone, route, times);
+    }
+
+    /// Shares of the requests that leave the zone, by service.
+    #[must_use]
+    pub fn zone_shares(&self) -> BTreeMap<ServiceName, f64> {
+        let placer = self.placer.borrow();
+        let shares = placer.zone_shares();
+        shares
+            .map(|(service, share)| (service.clone(), share))
+            .collect()
+    }
+
     /// Records that a run of the upstream beside the node at `address` announced its departure.
     pub fn record_departure(&self, address: SocketAddr, run: &UpstreamRun) {
         self.directory.announce_departure(run);
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -29,6 +29,7 @@
         retry_allowance::{AllowanceRules, RetryAllowance},
         traffic_split::TrafficSplit,
     },
+    placing::PlacingRequest,
     protection::fingerprint::RequestFingerprint,
     request::outcome::RefusalReason,
 };
@@ -257,17 +258,24 @@
         request: &RoutedRequest,
         progress: &CallProgress,
     ) -> Option<PeerTarget> {
-        let (service, tried) = (&progress.service, &progress.tried);
+        let tried = &progress.tried;
+        let placing = PlacingRequest {
+            service: &progress.service,
+            route: request.route_id(),
+            time: request.time(),
+            tried,
+            is_refused: !tried.is_empty() && progress.reason == RefusalReason::Overload,
+        };
         let attempts = usize::try_from(request.route.attempts).unwrap_or(usize::MAX);
         if tried.len() < INSTANCES_MAX && progress.receivers.len() < attempts {
-            let untried = self.peers.choose(service, tried);
+            let untried = self.peers.choose(&placing);
             if untried.is_some() {
                 return untried;
             }
         }
         let can_retry_rejected = progress.is_rejected && progress.deliveries < REJECTIONS_MAX;
         can_retry_rejected
-            .then(|| self.peers.choose_among(service, &progress.rejected))
+            .then(|| self.peers.choose_among(&placing, &progress.rejected))
             .flatten()
     }
 
@@ -338,7 +346,7 @@
             fingerprint.and_then(|fingerprint| self.server.suspects().report(fingerprint));
         message.crashes = suspect.map_or_else(Vec::new, |suspect| suspect.crashes);
         let median_latency = self.latencies.median(&request.route.name);
-        let record = AttemptRecord::start(&self.peers, target, median_latency);
+        let record = AttemptRecord::start(&self.peers, target, message.kind, median_latency);
         let reply = if target.address == self.peer_address.get() {
             progress.stage = AttemptStage::Sent;
             Ok(self.server.serve(message, request.deadline).await)
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -4,8 +4,6 @@
 
 use lagoonshore_protocol::relay_messages::RelayRequest;
 use lagoonshore_state::{ids::ServiceName, units::whole_millis};
-use siphasher::sip::SipHasher13;
-use std::hash::Hasher;
 use tokio::time::Instant;
 
 /// Share of the route's latency target for which a request may wait at one instance while others
@@ -21,8 +19,7 @@
     origin: &ServiceName,
     has_others: bool,
 ) -> RelayRequest {
-    let elapsed = request.spent + request.received.elapsed();
-    let aim_left = request.route.aim.saturating_sub(elapsed);
+    let aim_left = request.aim_left();
     let is_retry = request
         .parent
         .as_ref()
@@ -49,7 +46,7 @@
             .parent
             .as_ref()
             .map(|parent| parent.nested_calls.calls),
-        kind: route_id(&request.route.name),
+        kind: request.route_id(),
         aim_ms: whole_millis(aim_left),
         wait_ms: whole_millis(max_wait),
         is_returning: !request.spent.is_zero(),
@@ -61,10 +58,3 @@
         limit: None,
     }
 }
-
-/// Id of a route, the same at all nodes.
-fn route_id(route: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(route.as_bytes());
-    hasher.finish()
-}
--- a/crates/relay/src/calling/routed_request.rs
+++ b/crates/relay/src/calling/routed_request.rs
@@ -4,10 +4,13 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
-use lagoonshore_coordination::request::outcome::RefusalReason;
+use lagoonshore_coordination::{
+    forwarding::slot_queue::RouteId, placing::urgency::RequestTime, request::outcome::RefusalReason,
+};
 use lagoonshore_protocol::relay_messages::RelayResponse;
 use lagoonshore_state::{ids::AccountName, route_table::RouteEntry, units::RequestImportance};
-use std::{rc::Rc, time::Duration};
+use siphasher::sip::SipHasher13;
+use std::{hash::Hasher, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// `RoutedRequest` is a request whose route is known.
@@ -58,4 +61,30 @@
         let inherited = self.parent.as_ref().map(|parent| parent.importance);
         inherited.unwrap_or(self.route.importance)
     }
+
+    /// Id of the route, the same at all nodes.
+    #[must_use]
+    pub fn route_id(&self) -> RouteId {
+        let mut hasher = SipHasher13::new();
+        hasher.write(self.route.name.as_bytes());
+        hasher.finish()
+    }
+
+    /// Time left of the route's target latency.
+    #[must_use]
+    pub fn aim_left(&self) -> Duration {
+        let elapsed = self.spent + self.received.elapsed();
+        self.route.aim.saturating_sub(elapsed)
+    }
+
+    /// Time that the request has, by which an instance is chosen for it.
+    #[must_use]
+    pub fn time(&self) -> RequestTime {
+        let until_deadline = self.deadline.saturating_duration_since(Instant::now());
+        RequestTime {
+            left: self.aim_left().min(until_deadline),
+            may_run_once: !self.route.is_idempotent,
+            is_nested: self.parent.is_some(),
+        }
+    }
 }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -60,6 +60,8 @@
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
 pub const PEER_RECONNECTED: u16 = 3302;
+/// The share of the requests for a service that leaves the availability zone changed notably.
+pub const ZONE_SHARE_CHANGED: u16 = 3303;
 /// The local upstream refuses connections.
 pub const UPSTREAM_DOWN: u16 = 3402;
 /// The local upstream accepts connections again.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -233,6 +233,7 @@
             served: self.server.running(),
             upstream_connections: self.server.connections_opened(),
             links: self.links.len(),
+            zone_shares: self.peer_table.zone_shares(),
             instances: state_dump::instances(&self.directory, &self.peer_table),
             routes: self
                 .directory
@@ -273,13 +274,14 @@
         signals::on_reload(reload).context(SignalsSnafu)
     }
 
-    /// Applies reloaded settings. Only the bounds on retries change; addresses, names and memory
+    /// Applies reloaded settings. Only the bounds on retries and the zone settings change; addresses, names and memory
     /// take effect at the next start of the process.
     pub fn apply_settings(&self, settings: &RelaySettings) {
         self.callers
             .forwarder()
             .set_retry_settings(settings.retries);
         self.server.set_retry_settings(settings.retries);
+        self.peer_table.set_zone_settings(settings.zones);
         info!(
             event = events::SETTINGS_RELOADED,
             ratio = settings.retries.ratio,
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms of a node, catalogued in `docs/METRICS-SIDECAR.md`.
 
+use lagoonshore_coordination::placing::ZoneReason;
 use metrics::{counter, histogram};
 use std::time::Duration;
 
@@ -28,6 +29,19 @@
     counter!("lagoonshore_relay_failed_total", "reason" => reason.to_owned()).increment(1);
 }
 
+pub(crate) fn count_placed(reason: ZoneReason) {
+    // Literal labels spare an allocation for each attempt.
+    let counter = match reason {
+        ZoneReason::OwnZone => counter!("lagoonshore_relay_placed_total", "reason" => "own-zone"),
+        ZoneReason::Share => counter!("lagoonshore_relay_placed_total", "reason" => "share"),
+        ZoneReason::Overflow => counter!("lagoonshore_relay_placed_total", "reason" => "overflow"),
+        ZoneReason::NoInstance => {
+            counter!("lagoonshore_relay_placed_total", "reason" => "no-instance")
+        }
+    };
+    counter.increment(1);
+}
+
 pub(crate) fn count_retry(is_counted: bool) {
     let kind = if is_counted { "counted" } else { "free" };
     counter!("lagoonshore_relay_repeats_total", "kind" => kind).increment(1);
--- a/crates/relay/src/serving/slot_limiter.rs
+++ b/crates/relay/src/serving/slot_limiter.rs
@@ -76,6 +76,18 @@
         }
     }
 
+    /// Mean time for which requests of `route` hold their slots; `None` before the first one.
+    #[must_use]
+    pub fn known_hold_time(&self, route: RouteId) -> Option<Duration> {
+        self.inner.borrow().queue.known_hold_time(route)
+    }
+
+    /// Mean time for which requests hold their slots.
+    #[must_use]
+    pub fn mean_hold_time(&self) -> Duration {
+        self.inner.borrow().queue.mean_hold_time()
+    }
+
     /// Applies what a response of the upstream `run` says about its limit on the rate; `received` is
     /// the time of its head. Returns whether the limit changed.
     #[must_use]
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -31,7 +31,10 @@
 };
 use lagoonshore_protocol::relay_messages::{NodeStatus, RelayReply, RelayRequest, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RetrySettings};
-use lagoonshore_state::{ids::ServiceName, units::whole_millis};
+use lagoonshore_state::{
+    ids::ServiceName,
+    units::{whole_micros, whole_millis},
+};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
@@ -178,6 +181,7 @@
             in_use: usage.in_use,
             limit: usage.limit,
             queued: usage.queued,
+            hold_micros: whole_micros(self.limiter.mean_hold_time()),
             rate_wait_ms: whole_millis(self.limiter.rate_wait()),
             is_leaving: self.is_draining.get(),
             version: self.directory.version(),
@@ -199,6 +203,8 @@
 
     /// Runs a request, whose response is of use only before `deadline`.
     pub async fn serve(&self, request: RelayRequest, deadline: Instant) -> RelayReply {
+        let received = Instant::now();
+        let route = request.kind;
         let active = ActiveGuard::new(&self.running);
         self.directory.versions().record_known(request.revision);
         // A sender with an old list means the upstream that had this address before.
@@ -224,6 +230,8 @@
             suspect,
             departed: self.announcements.departed_run(),
             limit: self.announcements.limit(),
+            work_micros: self.limiter.known_hold_time(route).map_or(0, whole_micros),
+            served_micros: whole_micros(received.elapsed()),
         }
     }
 
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -13,7 +13,7 @@
     units::whole_millis,
 };
 use serde::Serialize;
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// `StateDump` is a snapshot of the knowledge and the work of a node.
 #[derive(Debug, Serialize)]
@@ -40,6 +40,8 @@
     pub upstream_connections: u64,
     /// Open links to other nodes.
     pub links: usize,
+    /// Shares of the requests that leave the availability zone, by service.
+    pub zone_shares: BTreeMap<ServiceName, f64>,
     /// Instances in the upstream list.
     pub instances: Vec<InstanceView>,
     /// Routes in force.
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -32,6 +32,8 @@
     pub store: StoreSettings,
     /// Retry limits of the whole fleet.
     pub retries: RetrySettings,
+    /// When requests leave the availability zone of the node.
+    pub zones: ZoneSettings,
     /// Time between the request to stop and the forced kill of the process.
     pub grace_time: Duration,
     /// Shortest time between the end of an upstream and the reuse of its address by another
@@ -104,6 +106,22 @@
     pub window: Duration,
 }
 
+/// `ZoneSettings` says when requests leave the availability zone of the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneSettings {
+    /// Time that a request has to save by leaving the zone. It stands for the price of the bytes
+    /// between zones; the delay of the link is measured and counted in addition.
+    pub leave_cost: Duration,
+}
+
+impl Default for ZoneSettings {
+    fn default() -> Self {
+        Self {
+            leave_cost: LEAVE_COST_DEFAULT,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RelayText {
@@ -119,6 +137,7 @@
     apply_seconds: Option<Spanned<f64>>,
     heartbeat_seconds: Option<Spanned<f64>>,
     repeats: RetryText,
+    zones: Option<ZoneText>,
     grace_seconds: Spanned<f64>,
     address_reuse_seconds: Spanned<f64>,
     memory_mib: Spanned<f64>,
@@ -143,6 +162,14 @@
     window_seconds: Spanned<f64>,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZoneText {
+    leave_cost_ms: Option<Spanned<f64>>,
+}
+
+/// Time that a request has to save by leaving the zone if the settings give none.
+const LEAVE_COST_DEFAULT: Duration = Duration::from_millis(5);
 /// Settle time of the store if the settings give none.
 const SETTLE_TIME_DEFAULT: Duration = Duration::from_secs(3);
 /// Drain time of upstreams if the settings give none.
@@ -189,6 +216,7 @@
             upstream: checker.read_address("upstream", &text.upstream),
             store: read_store(&mut checker, &text),
             retries: read_retries(&mut checker, &text.repeats),
+            zones: read_zones(&mut checker, text.zones.as_ref()),
             grace_time: read_seconds(&mut checker, "grace_seconds", &text.grace_seconds),
             address_reuse_time: read_seconds(
                 &mut checker,
@@ -238,6 +266,15 @@
     }
 }
 
+fn read_zones(checker: &mut ValueChecker, text: Option<&ZoneText>) -> ZoneSettings {
+    let mut settings = ZoneSettings::default();
+    if let Some(cost) = text.and_then(|text| text.leave_cost_ms.as_ref()) {
+        let millis = read_number(checker, "zones.leave_cost_ms", cost);
+        settings.leave_cost = Duration::from_secs_f64(millis / 1000.0);
+    }
+    settings
+}
+
 fn read_number(checker: &mut ValueChecker, key: &str, text: &Spanned<f64>) -> f64 {
     let value = text.value;
     if (0.0..=NUMBER_MAX).contains(&value) {
--- a/crates/state/src/units.rs
+++ b/crates/state/src/units.rs
@@ -8,6 +8,12 @@
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Returns `time` in whole microseconds, saturating at `u32::MAX`; used in messages.
+#[must_use]
+pub fn whole_micros(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
+
 id_type! {
     /// `RequestImportance` orders requests: 0 is the most important, larger values are less
     /// important.
