Explain where a sidecar would send a request

Cause: an operator saw which instance a request went to, not why. Nothing is sent and no state changes. Accounts, quotas and admission beside the upstream are not part of it yet. Result: crates/relay/tests/explain.rs and the tests of the command line pass.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -17,6 +17,7 @@
   lagoonctl state ADDR [--part NAME] [--json] [--watch SECONDS]
   lagoonctl policy ADDR [--json] [--watch SECONDS]
   lagoonctl explain ADDR --service NAME --method METHOD --path PATH [--json]
+  lagoonctl explain ADDR --sidecar --host HOST --path PATH [--json]
   lagoonctl fleet ADDR... [--json] [--watch SECONDS]
   lagoonctl check settings FILE...
   lagoonctl check policy FILE...
@@ -26,7 +27,7 @@
 
   state     state of one node, or one part of that state
   policy    revisions in force at a node, and records that the node refused
-  explain   class and policy that a node would apply to a request
+  explain   class and policy that a node would apply to a request; where a sidecar would send it
   fleet     one line per node; marks revisions older than the newest one seen
   check     checks files offline by the rules that a node applies
 
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,21 +1,20 @@
-//! `lagoonctl explain`: class and policy that a node would apply to a request.
+//! `lagoonctl explain`: class and policy that a node would apply to a request, or where a sidecar would
+//! send it.
 
 use crate::{command, error::Result, node_reader, text_table};
 
 use pico_args::Arguments;
 
-/// Parses the arguments of `explain`: service, method and path of the request, then the node.
+/// Parses the arguments of `explain`: service, method and path of the request, or host and path for a
+/// sidecar; then the node.
 ///
 /// # Errors
 /// [`crate::CliError::Usage`] if an argument is missing or invalid.
 pub fn parse(mut arguments: Arguments) -> Result<Box<dyn Fn() -> Result>> {
-    let service: String = command::parse_required(&mut arguments, "--service")?;
-    let method: String = command::parse_required(&mut arguments, "--method")?;
-    let path: String = command::parse_required(&mut arguments, "--path")?;
+    let page = parse_page(&mut arguments)?;
     let as_json = arguments.contains("--json");
     let address = command::parse_address(arguments)?;
     Ok(Box::new(move || {
-        let page = format!("/explain/{service}/{method}{path}");
         let explanation = node_reader::fetch_blocking(address, &page)?;
         Ok(if as_json {
             format!("{explanation:#}\n")
@@ -24,3 +23,14 @@
         })
     }))
 }
+
+fn parse_page(arguments: &mut Arguments) -> Result<String> {
+    let path: String = command::parse_required(arguments, "--path")?;
+    if arguments.contains("--sidecar") {
+        let host: String = command::parse_required(arguments, "--host")?;
+        return Ok(format!("/explain/{host}{path}"));
+    }
+    let service: String = command::parse_required(arguments, "--service")?;
+    let method: String = command::parse_required(arguments, "--method")?;
+    Ok(format!("/explain/{service}/{method}{path}"))
+}
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -109,6 +109,10 @@
     &["explain", "127.0.0.1:1", "--service", "a", "--method", "GET"],
     "--path is missing; see lagoonctl --help"
 )]
+#[case::no_host(
+    &["explain", "127.0.0.1:1", "--sidecar", "--path", "/doses/17"],
+    "--host is missing; see lagoonctl --help"
+)]
 #[case::zero_interval(
     &["state", "127.0.0.1:1", "--watch", "0"],
     "--watch: expected seconds above 0; see lagoonctl --help"
--- a/crates/coordination/src/placing/mod.rs
+++ b/crates/coordination/src/placing/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod candidate_table;
 pub mod completion;
+pub mod explanation;
 pub mod link_delays;
 pub mod urgency;
 pub mod weighted_draw;
@@ -10,6 +11,7 @@
 pub mod zone_share;
 
 use candidate_table::{CandidateTable, ScoredCandidate};
+use explanation::{CandidateExplanation, PlacingExplanation};
 use link_delays::LinkDelays;
 use urgency::{RequestTime, RequestUrgency};
 use work_times::WorkTimes;
@@ -211,6 +213,32 @@
         self.table.score();
     }
 
+    /// Explains how an instance would be chosen for a request now, and changes nothing.
+    pub fn explain<'a>(
+        &mut self,
+        now: Instant,
+        request: &PlacingRequest<'_>,
+        candidates: impl Iterator<Item = PeerCandidate<'a>>,
+        is_degraded: impl Fn(&str) -> bool,
+    ) -> PlacingExplanation {
+        self.collect(now, request, candidates, is_degraded);
+        let balance = self.table.balance();
+        let reason = self.zone_reason(request, &balance, false);
+        let candidates = self.table.candidates().iter();
+        let is_eligible = |candidate: &ScoredCandidate| {
+            candidate.is_healthy && candidate.is_own_zone == (reason == ZoneReason::OwnZone)
+        };
+        PlacingExplanation {
+            urgency: request.time.urgency(self.table.mean_work_seconds()),
+            reason,
+            zone_share: self.zone_share(request.service),
+            balance,
+            candidates: candidates
+                .map(|candidate| CandidateExplanation::new(candidate, is_eligible(candidate)))
+                .collect(),
+        }
+    }
+
     /// Decides whether a request leaves the zone, and adapts the share that does.
     fn choose_zone(
         &mut self,
@@ -220,6 +248,18 @@
     ) -> ZoneReason {
         let balance = self.table.balance();
         let share = self.step_share(now, request.service, &balance);
+        let is_in_share = share > 0.0 && random.random_bool(share);
+        self.zone_reason(request, &balance, is_in_share)
+    }
+
+    /// Decides whether a request leaves the zone; `is_in_share` says whether it belongs to the share
+    /// that does.
+    fn zone_reason(
+        &self,
+        request: &PlacingRequest<'_>,
+        balance: &ZoneBalance,
+        is_in_share: bool,
+    ) -> ZoneReason {
         if !self.table.has_healthy_in_zone() {
             return ZoneReason::NoInstance;
         }
@@ -230,7 +270,7 @@
         {
             return ZoneReason::Overflow;
         }
-        if share > 0.0 && random.random_bool(share) {
+        if is_in_share {
             return ZoneReason::Share;
         }
         ZoneReason::OwnZone
--- a/crates/coordination/src/placing/urgency.rs
+++ b/crates/coordination/src/placing/urgency.rs
@@ -1,5 +1,6 @@
 //! How much time a request has, compared with the time that it usually takes.
 
+use lagoonshore_state::id_type;
 use std::time::Duration;
 
 /// Ratio of the time of a late run to that of a mean run.
@@ -18,17 +19,18 @@
     pub is_nested: bool,
 }
 
-/// `RequestUrgency` says which of several candidates a request goes to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum RequestUrgency {
-    /// It has little time, or may run only once: the earliest expected completion among many.
-    Short,
-    /// The earliest expected completion of two.
-    Usual,
-    /// It has time to spare: the slowest instance that still completes it in time, so that the
-    /// faster ones stay free for others.
-    Spare,
+id_type! {
+    /// `RequestUrgency` says which of several candidates a request goes to.
+    #[serde(rename_all = "kebab-case")]
+    pub enum RequestUrgency {
+        /// It has little time, or may run only once: the earliest expected completion among many.
+        Short,
+        /// The earliest expected completion of two.
+        Usual,
+        /// It has time to spare: the slowest instance that still completes it in time, so that the
+        /// faster ones stay free for others.
+        Spare,
+    }
 }
 
 impl RequestTime {
--- a/crates/coordination/src/placing/zone_share.rs
+++ b/crates/coordination/src/placing/zone_share.rs
@@ -7,6 +7,7 @@
 //! their shares alike, so the step is small enough for the load to follow within the time that
 //! reports take.
 
+use lagoonshore_state::data_type;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -35,17 +36,19 @@
 /// Longest time that one step accounts for.
 const STEP_TIME_MAX: Duration = Duration::from_millis(500);
 
-/// `ZoneBalance` compares the own zone with the others that can be reached, for one service.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct ZoneBalance {
-    /// Requests that run at the instances of the own zone, as a share of their limits.
-    pub own_load: f64,
-    /// The same for the other zones; `None` if they have no healthy instance.
-    pub other_load: Option<f64>,
-    /// Expected completion in the own zone, in seconds.
-    pub own_seconds: f64,
-    /// Expected completion in the other zones, the link included, in seconds.
-    pub other_seconds: f64,
+data_type! {
+    /// `ZoneBalance` compares the own zone with the others that can be reached, for one service.
+    #[derive(Copy, Default)]
+    pub struct ZoneBalance {
+        /// Requests that run at the instances of the own zone, as a share of their limits.
+        pub own_load: f64,
+        /// The same for the other zones; `None` if they have no healthy instance.
+        pub other_load: Option<f64>,
+        /// Expected completion in the own zone, in seconds.
+        pub own_seconds: f64,
+        /// Expected completion in the other zones, the link included, in seconds.
+        pub other_seconds: f64,
+    }
 }
 
 /// `ZoneShare` is the share of the requests for one service that leaves the zone.
--- a/crates/relay/src/admin_listener.rs
+++ b/crates/relay/src/admin_listener.rs
@@ -1,6 +1,7 @@
-//! The listener for operators: metrics and the state of the node.
+//! The listener for operators: metrics, the state of the node, and where requests would go.
 
 use crate::{
+    explain_page::ExplainPage,
     http1::request_handler::{self, RequestHandler, ServerPhase, ServerRequest, ServerResponse},
     state_dump::StateDump,
 };
@@ -9,26 +10,37 @@
 use futures::future::LocalBoxFuture;
 use lagoonshore_state::route_table::CallerLimits;
 use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Serialize;
 use std::rc::Rc;
 use tokio::sync::watch;
 
+/// Start of the path of an explanation.
+const EXPLAIN_PREFIX: &str = "/explain/";
+/// Body of the response to an unknown path.
+const UNKNOWN_PAGE: &str = "ask for /metrics, /state or /explain/HOST/PATH\n";
+
 /// Reads the current state of the node, once per request.
 pub type StateReader = Box<dyn Fn() -> StateDump>;
 
-/// `AdminListener` answers `GET /metrics` and `GET /state`.
+/// Explains where a request for a host and a target would go; `None` if it has no route.
+pub type ExplainReader = Box<dyn Fn(&str, &str) -> Option<ExplainPage>>;
+
+/// `AdminListener` answers `GET /metrics`, `GET /state` and `GET /explain/HOST/PATH`.
 pub struct AdminListener {
     metrics: PrometheusHandle,
     state: StateReader,
+    explain: ExplainReader,
     phase: watch::Sender<ServerPhase>,
 }
 
 impl AdminListener {
     /// Creates the listener of a node.
     #[must_use]
-    pub fn new(metrics: PrometheusHandle, state: StateReader) -> Self {
+    pub fn new(metrics: PrometheusHandle, state: StateReader, explain: ExplainReader) -> Self {
         Self {
             metrics,
             state,
+            explain,
             phase: watch::channel(ServerPhase::Open).0,
         }
     }
@@ -36,11 +48,25 @@
     fn page(&self, path: &str) -> ServerResponse {
         match path {
             "/metrics" => text_response(200, "text/plain; version=0.0.4", self.metrics.render()),
-            "/state" => match serde_json::to_string_pretty(&(self.state)()) {
-                Ok(text) => text_response(200, "application/json", text),
-                Err(error) => text_response(500, "text/plain", error.to_string()),
+            "/state" => json_response(&(self.state)()),
+            _ => match path.strip_prefix(EXPLAIN_PREFIX) {
+                Some(request) => self.explain_page(request),
+                None => text_response(404, "text/plain", UNKNOWN_PAGE.to_owned()),
             },
-            _ => text_response(404, "text/plain", "ask for /metrics or /state\n".to_owned()),
+        }
+    }
+
+    /// Explains where the request `HOST/PATH` would go.
+    fn explain_page(&self, request: &str) -> ServerResponse {
+        let path_start = request.find('/').unwrap_or(request.len());
+        let (host, target) = request.split_at(path_start);
+        match (self.explain)(host, target) {
+            Some(page) => json_response(&page),
+            None => text_response(
+                404,
+                "application/json",
+                "{\"problem\":\"no route\"}\n".to_owned(),
+            ),
         }
     }
 }
@@ -64,6 +90,13 @@
     }
 }
 
+fn json_response(page: &impl Serialize) -> ServerResponse {
+    match serde_json::to_string_pretty(page) {
+        Ok(text) => text_response(200, "application/json", text),
+        Err(error) => text_response(500, "text/plain", error.to_string()),
+    }
+}
+
 fn text_response(status: u16, content_type: &str, text: String) -> ServerResponse {
     ServerResponse {
         status,
--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -6,7 +6,7 @@
 
 use lagoonshore_coordination::{
     forwarding::{slot_queue::RouteId, zone_health::ZoneHealth},
-    placing::{InstancePlacer, PlacingRequest, ReplyTimes},
+    placing::{InstancePlacer, PlacingRequest, ReplyTimes, explanation::PlacingExplanation},
     protection::fingerprint::RequestFingerprint,
     request::request_lifecycle::CallRefusal,
     routing::{PeerSelector, PeerSummary, RoutingOrigin, peer_view::ReportedLoad},
@@ -111,6 +111,18 @@
         })
     }
 
+    /// Explains how an instance would be selected for a request now.
+    #[must_use]
+    pub fn explain(&self, request: &PlacingRequest<'_>) -> PlacingExplanation {
+        let (now, zone_health) = (Instant::now(), self.zone_health.borrow());
+        let table = self.directory.instances();
+        let mut selector = self.selector.borrow_mut();
+        let candidates = selector.candidates(now, &table, request.service);
+        let mut placer = self.placer.borrow_mut();
+        let is_degraded = |zone: &str| zone_health.is_degraded(now, zone);
+        placer.explain(now, request, candidates, is_degraded)
+    }
+
     /// Selects one of the instances in `among` that are still listed for the service.
     pub fn choose_among(
         &self,
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -9,13 +9,14 @@
     peer_links::{LinkError, PeerLinks},
     peer_table::{PeerTable, PeerTarget},
     request_message,
-    routed_request::{ForwardOutcome, RoutedRequest},
+    routed_request::{self, ForwardOutcome, RoutedRequest},
 };
 
 use crate::{
     active_count::ActiveCount,
     decision_log::{DecisionLog, RequestTrace},
     directory::FleetDirectory,
+    explain_page::{ExplainPage, ServiceChoice},
     header_scheme::HeaderScheme,
     lifecycle::request_cutoff::RequestCutoff,
     serving::{
@@ -29,13 +30,13 @@
         retry_allowance::{AllowanceRules, RetryAllowance},
         traffic_split::TrafficSplit,
     },
-    placing::PlacingRequest,
+    placing::{PlacingRequest, urgency::RequestTime},
     protection::fingerprint::RequestFingerprint,
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest, RelayResponse, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RetrySettings};
-use lagoonshore_state::ids::ServiceName;
+use lagoonshore_state::{ids::ServiceName, route_table::RouteTarget};
 use std::{
     cell::{Cell, RefCell},
     collections::HashSet,
@@ -147,6 +148,34 @@
         self.log.log_no_memory(id, self.links.free_memory());
     }
 
+    /// Explains where a new request would go now; `None` if it has no route.
+    #[must_use]
+    pub fn explain(&self, host: &str, target: &str) -> Option<ExplainPage> {
+        let routes = self.directory.routes();
+        let route = routes.find(host, target)?;
+        let choice = |target: &RouteTarget| {
+            let placing = PlacingRequest {
+                service: &target.service,
+                route: routed_request::route_id(&route.name),
+                time: RequestTime {
+                    left: route.aim.min(route.timeout),
+                    may_run_once: !route.is_idempotent,
+                    is_nested: false,
+                },
+                tried: &[],
+                is_refused: false,
+            };
+            let explanation = self.peers.explain(&placing);
+            let table = self.directory.instances();
+            ServiceChoice::new(target.service.clone(), target.weight, &explanation, &table)
+        };
+        Some(ExplainPage {
+            version: routes.version(),
+            services: route.targets.iter().map(choice).collect(),
+            route: (*route).clone(),
+        })
+    }
+
     /// Forwards a request and returns its outcome.
     pub async fn forward(&self, request: RoutedRequest) -> ForwardOutcome {
         let mut guard = CancellationGuard::new(&self.log, &self.running, &request);
--- a/crates/relay/src/calling/routed_request.rs
+++ b/crates/relay/src/calling/routed_request.rs
@@ -65,9 +65,7 @@
     /// Id of the route, the same at all nodes.
     #[must_use]
     pub fn route_id(&self) -> RouteId {
-        let mut hasher = SipHasher13::new();
-        hasher.write(self.route.name.as_bytes());
-        hasher.finish()
+        route_id(&self.route.name)
     }
 
     /// Time left of the route's target latency.
@@ -88,3 +86,11 @@
         }
     }
 }
+
+/// Returns the id of a route, the same at all nodes.
+#[must_use]
+pub fn route_id(name: &str) -> RouteId {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod error;
 pub mod events;
+pub mod explain_page;
 pub mod header_scheme;
 pub mod http1;
 pub mod lifecycle;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -180,7 +180,11 @@
         let metrics = metrics_recorder::handle();
         let node = Rc::clone(self);
         let state = Box::new(move || node.dump());
-        let listener = Rc::new(AdminListener::new(metrics.clone(), state));
+        let node = Rc::clone(self);
+        let explain = Box::new(move |host: &str, target: &str| {
+            node.callers.forwarder().explain(host, target)
+        });
+        let listener = Rc::new(AdminListener::new(metrics.clone(), state, explain));
         let serving = server::serve(
             admin,
             listener,
