--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -9,13 +9,14 @@
     peer_links::{LinkError, PeerLinks},
     peer_table::{PeerTable, PeerTarget},
     request_message,
-    routed_request::{ForwardOutcome, RoutedRequest},
+    routed_request::{self, ForwardOutcome, RoutedRequest},
 };
 
 use crate::{
     active_count::ActiveCount,
     decision_log::{DecisionLog, RequestTrace},
     directory::FleetDirectory,
+    explain_page::{ExplainPage, ServiceChoice},
     header_scheme::HeaderScheme,
     http1::request_handler::RejectedRequest,
     lifecycle::request_cutoff::RequestCutoff,
@@ -30,12 +31,13 @@
         retry_allowance::{AllowanceRules, RetryAllowance},
         traffic_split::TrafficSplit,
     },
+    placing::{PlacingRequest, urgency::RequestTime},
     protection::fingerprint::RequestFingerprint,
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest, RelayResponse, RelayResult};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RetrySettings};
-use lagoonshore_state::ids::ServiceName;
+use lagoonshore_state::{ids::ServiceName, route_table::RouteTarget};
 use std::{
     cell::{Cell, RefCell},
     collections::HashSet,
@@ -147,6 +149,34 @@
         self.log.log_unread(request, self.links.free_memory());
     }
 
+    /// Explains where a new request would go now; `None` if it has no route.
+    #[must_use]
+    pub fn explain(&self, host: &str, target: &str) -> Option<ExplainPage> {
+        let routes = self.directory.routes();
+        let route = routes.find(host, target)?;
+        let choice = |target: &RouteTarget| {
+            let placing = PlacingRequest {
+                service: &target.service,
+                route: routed_request::route_id(&route.name),
+                time: RequestTime {
+                    left: route.aim.min(route.timeout),
+                    may_run_once: !route.is_idempotent,
+                    is_nested: false,
+                },
+                tried: &[],
+                is_refused: false,
+            };
+            let explanation = self.peers.explain(&placing);
+            let table = self.directory.instances();
+            ServiceChoice::new(target.service.clone(), target.weight, &explanation, &table)
+        };
+        Some(ExplainPage {
+            version: routes.version(),
+            services: route.targets.iter().map(choice).collect(),
+            route: (*route).clone(),
+        })
+    }
+
     /// Forwards a request and returns its outcome.
     pub async fn forward(&self, request: RoutedRequest) -> ForwardOutcome {
         let mut guard = CancellationGuard::new(&self.log, &self.running, &request);
@@ -258,17 +288,24 @@
         request: &RoutedRequest,
         progress: &CallProgress,
     ) -> Option<PeerTarget> {
-        let (service, tried) = (&progress.service, &progress.tried);
+        let tried = &progress.tried;
+        let placing = PlacingRequest {
+            service: &progress.service,
+            route: request.route_id(),
+            time: request.time(),
+            tried,
+            is_refused: !tried.is_empty() && progress.reason == RefusalReason::Overload,
+        };
         let attempts = usize::try_from(request.route.attempts).unwrap_or(usize::MAX);
         if tried.len() < INSTANCES_MAX && progress.receivers.len() < attempts {
-            let untried = self.peers.choose(service, tried);
+            let untried = self.peers.choose(&placing);
             if untried.is_some() {
                 return untried;
             }
         }
         let can_retry_rejected = progress.is_rejected && progress.deliveries < REJECTIONS_MAX;
         can_retry_rejected
-            .then(|| self.peers.choose_among(service, &progress.rejected))
+            .then(|| self.peers.choose_among(&placing, &progress.rejected))
             .flatten()
     }
 
@@ -339,7 +376,7 @@
             fingerprint.and_then(|fingerprint| self.server.suspects().report(fingerprint));
         message.crashes = suspect.map_or_else(Vec::new, |suspect| suspect.crashes);
         let median_latency = self.latencies.median(&request.route.name);
-        let record = AttemptRecord::start(&self.peers, target, median_latency);
+        let record = AttemptRecord::start(&self.peers, target, message.kind, median_latency);
         let reply = if target.address == self.peer_address.get() {
             progress.stage = AttemptStage::Sent;
             Ok(self.server.serve(message, request.deadline).await)
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -215,7 +215,11 @@
         let metrics = metrics_recorder::handle();
         let node = Rc::clone(self);
         let state = Box::new(move || node.dump());
-        let listener = Rc::new(AdminListener::new(metrics.clone(), state));
+        let node = Rc::clone(self);
+        let explain = Box::new(move |host: &str, target: &str| {
+            node.callers.forwarder().explain(host, target)
+        });
+        let listener = Rc::new(AdminListener::new(metrics.clone(), state, explain));
         let serving = server::serve(
             admin,
             listener,
@@ -281,6 +285,7 @@
             links: self.links.len(),
             caller_connections: self.caller_connections.get(),
             memory: self.budget.report(),
+            zone_shares: self.peer_table.zone_shares(),
             instances: state_dump::instances(&self.directory, &self.peer_table),
             quotas: self.quota_dump(),
             routes: self
@@ -334,13 +339,14 @@
         signals::on_reload(reload).context(SignalsSnafu)
     }
 
-    /// Applies reloaded settings. Only the bounds on retries change; addresses, names and memory
+    /// Applies reloaded settings. Only the bounds on retries and the zone settings change; addresses, names and memory
     /// take effect at the next start of the process.
     pub fn apply_settings(&self, settings: &RelaySettings) {
         self.callers
             .forwarder()
             .set_retry_settings(settings.retries);
         self.server.set_retry_settings(settings.retries);
+        self.peer_table.set_zone_settings(settings.zones);
         info!(
             event = events::SETTINGS_RELOADED,
             ratio = settings.retries.ratio,
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -15,7 +15,7 @@
 };
 use lagoonshore_transport::memory_report::MemoryReport;
 use serde::Serialize;
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// `StateDump` is a snapshot of the knowledge and the work of a node.
 #[derive(Debug, Serialize)]
@@ -46,6 +46,8 @@
     pub caller_connections: u32,
     /// Who holds the memory of messages.
     pub memory: MemoryReport,
+    /// Shares of the requests that leave the availability zone, by service.
+    pub zone_shares: BTreeMap<ServiceName, f64>,
     /// Instances in the upstream list.
     pub instances: Vec<InstanceView>,
     /// Quotas of accounts; `None` in a fleet without accounts.
