Refuse keys without a proof that the document was the newest within the bound

Cause: a node that is cut off, or whose store is silent, went on with the keys of its last document for as long as that lasted, so that a key that was taken away went on working there.

Change: where the settings bound the use of such keys, every check of a key needs a proof that the document in force was the newest at most that long ago: a read of the store, counted from its start, or the report of another node with its age and the time on the way. Ages also count suspensions. Without a proof a key gets 503 with Retry-After, never 401; open routes and calls of running requests go on. An unknown key gets 401 only from a document that was current a moment ago. Watchers read every fifth of the bound and pass the proof on at once; a node whose proof is half as old as the bound asks others, zone by zone. The state dump shows accounts with fingerprints of their keys and the age of the proof. Nothing of this runs while no document has accounts.

--- a/crates/coordination/src/forwarding/caller_access.rs
+++ b/crates/coordination/src/forwarding/caller_access.rs
@@ -5,6 +5,8 @@
 //! proves nothing where that request is not known, because callers choose their ids: such a request is
 //! refused, but not for good, since it may be a call that began before the node restarted.
 
+use super::document_proof::DocumentFreshness;
+
 use lagoonshore_state::{
     account::{AccountEntry, AccountKey},
     route_table::{RouteEntry, RouteTable},
@@ -38,6 +40,8 @@
 pub enum AccessRefusal {
     /// No account of the document in force holds the key, or there is none.
     UnknownKey,
+    /// The document in force may have been replaced, so that it says nothing of keys.
+    StaleKeys,
     /// The request may be a call, and the request that made it is not known.
     UnknownParent,
 }
@@ -48,13 +52,15 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::UnknownKey => "unknown key",
+            Self::StaleKeys => "stale keys",
             Self::UnknownParent => "unknown parent",
         }
     }
 }
 
 /// Decides about a request of `route` that is not a call of a running request; returns its account, if
-/// it has one. A key is checked on every route, and needed except on those that anyone may use.
+/// it has one. A key is checked on every route, and needed except on those that anyone may use. A document
+/// that is not current refuses no key for good, because a newer one may hold it.
 ///
 /// # Errors
 /// [`AccessRefusal`] if the request may not run.
@@ -63,17 +69,24 @@
     route: &RouteEntry,
     key: &PresentedKey,
     parent: CallParent,
+    freshness: DocumentFreshness,
 ) -> Result<Option<Rc<AccountEntry>>, AccessRefusal> {
-    if !routes.has_accounts() {
+    if !routes.has_accounts() || parent == CallParent::Running {
         return Ok(None);
     }
-    match key {
-        PresentedKey::Single(key) => {
-            let account = routes.account_of_key(key);
-            account.cloned().map(Some).ok_or(AccessRefusal::UnknownKey)
-        }
-        PresentedKey::Absent if route.is_anonymous || parent == CallParent::Running => Ok(None),
-        PresentedKey::Absent if parent == CallParent::Unknown => Err(AccessRefusal::UnknownParent),
-        PresentedKey::Absent | PresentedKey::Unusable => Err(AccessRefusal::UnknownKey),
+    let account = match key {
+        PresentedKey::Single(key) => routes.account_of_key(key).cloned(),
+        PresentedKey::Absent | PresentedKey::Unusable => None,
+    };
+    let is_keyless = *key == PresentedKey::Absent;
+    if route.is_anonymous && (is_keyless || freshness != DocumentFreshness::Current) {
+        return Ok(account);
+    }
+    match (freshness, account) {
+        (DocumentFreshness::Stale, _) => Err(AccessRefusal::StaleKeys),
+        (_, Some(account)) => Ok(Some(account)),
+        _ if is_keyless && parent == CallParent::Unknown => Err(AccessRefusal::UnknownParent),
+        (DocumentFreshness::Aging, None) => Err(AccessRefusal::StaleKeys),
+        (DocumentFreshness::Current, None) => Err(AccessRefusal::UnknownKey),
     }
 }
--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -4,8 +4,10 @@
 pub mod arrival_budget;
 pub mod caller_access;
 pub mod circuit_breaker;
+pub mod document_proof;
 pub mod link_check;
 pub mod pending_removals;
+pub mod proof_sources;
 pub mod rate_limiter;
 pub mod read_schedule;
 pub mod retry_allowance;
--- a/crates/coordination/src/forwarding/read_schedule.rs
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -57,6 +57,8 @@
 #[derive(Debug)]
 pub struct ReadSchedule {
     short_wait: Duration,
+    /// Bound on the wait of short watches that others depend on.
+    wait_max: Option<Duration>,
     pause: Duration,
     /// Whether the next read must return at once.
     is_immediate: bool,
@@ -74,6 +76,7 @@
             short_wait: settle_time
                 .saturating_sub(reserve)
                 .clamp(SHORT_WAIT_MIN, LONG_WAIT),
+            wait_max: None,
             pause: PAUSE_MIN,
             is_immediate: false,
             responded_at: None,
@@ -86,6 +89,11 @@
         self.short_wait
     }
 
+    /// Bounds the wait of short watches, if other nodes need their responses more often.
+    pub const fn set_wait_max(&mut self, wait_max: Option<Duration>) {
+        self.wait_max = wait_max;
+    }
+
     /// Returns whether the next read returns at once, so that nothing can be gained by abandoning it.
     #[must_use]
     pub const fn is_immediate(&self) -> bool {
@@ -144,7 +152,8 @@
                 let paused = self
                     .responded_at
                     .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-                self.short_wait.saturating_sub(paused).max(WAIT_MIN)
+                let wait = self.wait_max.unwrap_or(LONG_WAIT).min(self.short_wait);
+                wait.saturating_sub(paused).max(WAIT_MIN)
             }
             WatchLength::Long => LONG_WAIT,
         };
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -4,6 +4,7 @@
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
+    forwarding::document_proof::ProofReport,
     protection::{crash_set::CrashReport, suspects::SuspectReport},
     request::outcome::RefusalReason,
 };
@@ -170,6 +171,10 @@
         pub version: DocumentVersion,
         /// Time since the last read of the store that succeeded, in milliseconds.
         pub read_age_ms: u32,
+        /// Time for which the watcher held the call, in milliseconds.
+        pub held_ms: u32,
+        /// Proof that its document was the newest, if the keys of callers need one.
+        pub proof: Option<ProofReport>,
     }
 
     /// `NodeStatus` is the load and version of a node; each of its replies carries one.
--- a/crates/relay/src/access_gate.rs
+++ b/crates/relay/src/access_gate.rs
@@ -1,10 +1,14 @@
 //! Lets a request of a caller in by its key, or as a call of the local upstream; see
 //! [`caller_access`](lagoonshore_coordination::forwarding::caller_access).
 
-use crate::serving::running_table::{RunningRequest, RunningTable};
+use crate::{
+    directory::FleetDirectory,
+    serving::running_table::{RunningRequest, RunningTable},
+};
 
-use lagoonshore_coordination::forwarding::caller_access::{
-    self, AccessRefusal, CallParent, PresentedKey,
+use lagoonshore_coordination::forwarding::{
+    caller_access::{self, AccessRefusal, CallParent, PresentedKey},
+    document_proof::DocumentFreshness,
 };
 use lagoonshore_state::{
     ids::AccountName,
@@ -23,6 +27,7 @@
 /// `AccessGate` checks the keys of callers.
 pub(crate) struct AccessGate {
     call_separator: char,
+    directory: Rc<FleetDirectory>,
     running_table: Rc<RunningTable>,
 }
 
@@ -48,9 +53,14 @@
 }
 
 impl AccessGate {
-    pub(crate) const fn new(call_separator: char, running_table: Rc<RunningTable>) -> Self {
+    pub(crate) const fn new(
+        call_separator: char,
+        directory: Rc<FleetDirectory>,
+        running_table: Rc<RunningTable>,
+    ) -> Self {
         Self {
             call_separator,
+            directory,
             running_table,
         }
     }
@@ -69,7 +79,13 @@
             None if id.contains(self.call_separator) => CallParent::Unknown,
             None => CallParent::None,
         };
-        let account = caller_access::check_key(routes, route, key, origin).map_err(denial)?;
+        let freshness = if routes.has_accounts() {
+            self.directory.proofs().freshness()
+        } else {
+            DocumentFreshness::Current
+        };
+        let account = caller_access::check_key(routes, route, key, origin, freshness)
+            .map_err(|refusal| self.denial(refusal))?;
         if let Some(parent) = parent {
             return Ok(AdmittedCaller {
                 account: parent.account.clone(),
@@ -84,6 +100,19 @@
         })
     }
 
+    fn denial(&self, refusal: AccessRefusal) -> AccessDenial {
+        let (status, retry_after) = match refusal {
+            AccessRefusal::UnknownKey => (UNAUTHORIZED, None),
+            AccessRefusal::StaleKeys => (UNAVAILABLE, self.directory.proofs().retry_after()),
+            AccessRefusal::UnknownParent => (UNAVAILABLE, Some(PARENT_RETRY_AFTER)),
+        };
+        AccessDenial {
+            status,
+            retry_after,
+            reason: refusal.as_str(),
+        }
+    }
+
     /// Running request that makes the call `id`. Calls carry no key, so in a fleet with accounts a
     /// request with a key is none, whatever its id.
     fn parent_of(
@@ -98,15 +127,3 @@
         self.running_table.parent_of(id, self.call_separator)
     }
 }
-
-const fn denial(refusal: AccessRefusal) -> AccessDenial {
-    let (status, retry_after) = match refusal {
-        AccessRefusal::UnknownKey => (UNAUTHORIZED, None),
-        AccessRefusal::UnknownParent => (UNAVAILABLE, Some(PARENT_RETRY_AFTER)),
-    };
-    AccessDenial {
-        status,
-        retry_after,
-        reason: refusal.as_str(),
-    }
-}
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -60,10 +60,11 @@
         log: Rc<DecisionLog>,
         forwarder: RequestForwarder,
     ) -> Self {
+        let fleet = Rc::clone(&directory);
         Self {
             scheme,
             directory,
-            gate: AccessGate::new(scheme.call_separator, running_table),
+            gate: AccessGate::new(scheme.call_separator, fleet, running_table),
             log,
             forwarder,
             time_limits: RefCell::default(),
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -2,15 +2,21 @@
 
 use crate::{
     events,
-    store_view::{known_versions::KnownVersions, store_health::StoreHealth},
+    store_view::{
+        document_proofs::DocumentProofs, known_versions::KnownVersions, store_health::StoreHealth,
+    },
 };
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    forwarding::{read_schedule::WatchLength, store_watchers},
+    forwarding::{
+        document_proof::{ClockReading, ProofBounds},
+        read_schedule::WatchLength,
+        store_watchers,
+    },
     protection::{fingerprint::RequestFingerprint, trial_choice},
 };
-use lagoonshore_protocol::relay_messages::FleetSnapshot;
+use lagoonshore_protocol::relay_messages::{FleetSnapshot, StoreView};
 use lagoonshore_state::{
     ids::{DocumentVersion, RegionName},
     instance_table::{InstanceKey, InstanceRecord, InstanceState, InstanceTable},
@@ -48,6 +54,7 @@
     refused_count: Cell<u64>,
     versions: KnownVersions,
     store: StoreHealth,
+    proofs: DocumentProofs,
     changes: watch::Sender<u64>,
 }
 
@@ -67,10 +74,32 @@
             refused_count: Cell::new(0),
             versions: KnownVersions::default(),
             store: StoreHealth::default(),
+            proofs: DocumentProofs::default(),
             changes: watch::channel(0).0,
         }
     }
 
+    /// Proof that the document in force was the newest one a short time ago.
+    #[must_use]
+    pub const fn proofs(&self) -> &DocumentProofs {
+        &self.proofs
+    }
+
+    /// Bounds of that proof; `None` if no caller needs a key, or keys need no proof.
+    #[must_use]
+    pub fn proof_bounds(&self) -> Option<ProofBounds> {
+        let has_accounts = self.routes.borrow().has_accounts();
+        self.proofs.bounds().filter(|_| has_accounts)
+    }
+
+    /// Records what the node at `address` tells of the store, in the answer to a call that began at
+    /// `called`.
+    pub fn record_view(&self, address: SocketAddr, called: ClockReading, view: &StoreView) {
+        self.versions.record_known(view.revision);
+        self.versions.record_document(address, view.version);
+        self.proofs.record_view(called, view, self.version());
+    }
+
     /// Sets the port at which all nodes listen for peers.
     pub fn set_peer_port(&self, port: u16) {
         self.peer_port.set(port);
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -40,6 +40,10 @@
 pub const WATCH_ABANDONED: u16 = 3113;
 /// A watcher tells this node of changes of the store, or no longer does.
 pub const WATCHER_CHANGED: u16 = 3114;
+/// The proof of the document in force is too old: requests with keys are refused.
+pub const PROOF_STALE: u16 = 3115;
+/// The proof of the document in force is new enough again.
+pub const PROOF_RENEWED: u16 = 3116;
 /// A request was refused; it did not run.
 pub const REQUEST_REFUSED: u16 = 3201;
 /// A request got no complete response; it may have run.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -22,15 +22,19 @@
     peer_listener::PeerListener,
     serving::upstream_server::UpstreamServer,
     state_dump::{self, StateDump},
-    store_view::store_follower::StoreFollower,
+    store_view::{proof_seeker::ProofSeeker, store_follower::StoreFollower},
 };
 
 use actix_rt::net::TcpListener;
 use lagoonshore_coordination::{
+    forwarding::document_proof::ProofBounds,
     gossip::report_spread::{self, REPORT_INTERVAL},
     protection::suspects::SuspectReport,
 };
-use lagoonshore_settings::{RelaySettings, relay_settings::RelayListenSettings};
+use lagoonshore_settings::{
+    RelaySettings,
+    relay_settings::{RelayListenSettings, StoreSettings},
+};
 use lagoonshore_state::upstream_list::{UpstreamLimit, UpstreamRun};
 use lagoonshore_transport::{
     http_listener, memory_budget::MemoryBudget, metrics_recorder, signals,
@@ -92,6 +96,7 @@
         })?;
         let region = settings.region.clone();
         let directory = Rc::new(FleetDirectory::new(settings.upstream, region));
+        directory.proofs().set_bounds(proof_bounds(&settings.store));
         let log = Rc::new(DecisionLog::default());
         let random = SmallRng::seed_from_u64(seed);
         let peer_table = Rc::new(PeerTable::new(&settings, Rc::clone(&directory), random));
@@ -196,6 +201,8 @@
         let (directory, links) = (Rc::clone(&self.directory), Rc::clone(&self.links));
         let follower = StoreFollower::new(&self.settings.store, directory, links);
         actix_rt::spawn(follower.run());
+        let (directory, links) = (Rc::clone(&self.directory), Rc::clone(&self.links));
+        actix_rt::spawn(ProofSeeker::new(directory, links, bound.peers).run());
         info!(
             event = events::RELAY_STARTED,
             node = %self.settings.node, service = %self.settings.service,
@@ -241,6 +248,7 @@
                 .into_iter()
                 .cloned()
                 .collect(),
+            accounts: state_dump::accounts(&self.directory),
         }
     }
 
@@ -326,6 +334,14 @@
     memory.saturating_mul(BYTES_PER_MIB) / MESSAGE_MEMORY_DIVISOR
 }
 
+/// Bounds of the proof that keys need, if the settings ask for one.
+fn proof_bounds(store: &StoreSettings) -> Option<ProofBounds> {
+    store.revocation_time.map(|revocation| ProofBounds {
+        revocation,
+        apply: store.apply_time,
+    })
+}
+
 fn bound_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
     // If the bound address is unavailable, the requested one is reported.
     listener.local_addr().unwrap_or(asked)
--- a/crates/relay/src/peer_listener.rs
+++ b/crates/relay/src/peer_listener.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     calling::peer_link, directory::FleetDirectory, serving::upstream_server::UpstreamServer,
+    store_view::document_proofs::read_clocks,
 };
 
 use actix_rt::net::TcpListener;
@@ -49,6 +50,18 @@
     }
 }
 
+impl PeerListener {
+    /// Waits for something that the nodes that follow this one should know at once: a newer revision
+    /// than `seen`, or a newer proof of the document if keys need one.
+    async fn wait_for_news(&self, seen: u64) {
+        let is_proof_needed = self.directory.proof_bounds().is_some();
+        tokio::select! {
+            () = self.directory.versions().wait_for_newer(seen) => {}
+            () = self.directory.proofs().wait_for_renewal(), if is_proof_needed => {}
+        }
+    }
+}
+
 impl RelayService for PeerListener {
     async fn relay(self, context: Context, request: RelayRequest) -> RelayReply {
         let deadline = tarpc_link::deadline_of(&context);
@@ -63,12 +76,17 @@
         let versions = self.directory.versions();
         versions.record_known(seen);
         let wait = Duration::from_millis(wait_ms.into());
+        let started = read_clocks();
         // Without a change, the answer shows that the node is alive and reads the store.
-        let _ = tokio::time::timeout(wait, versions.wait_for_newer(seen)).await;
+        let _ = tokio::time::timeout(wait, self.wait_for_news(seen)).await;
+        let version = self.directory.version();
+        let bounds = self.directory.proof_bounds();
         StoreView {
             revision: versions.known_revision(),
-            version: self.directory.version(),
+            version,
             read_age_ms: whole_millis(self.directory.store().read_age()),
+            held_ms: whole_millis(read_clocks().shortest_since(started)),
+            proof: bounds.and_then(|_| self.directory.proofs().report(version)),
         }
     }
 
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -7,13 +7,14 @@
 use compact_str::CompactString;
 use lagoonshore_coordination::routing::PeerSummary;
 use lagoonshore_state::{
-    ids::{DocumentVersion, InstanceName, ServiceName, ZoneName},
+    account::{AccountEntry, AccountQuota},
+    ids::{AccountName, DocumentVersion, InstanceName, ServiceName, ZoneName},
     instance_table::InstanceState,
     route_table::RouteEntry,
-    units::whole_millis,
+    units::{RequestImportance, whole_millis},
 };
 use serde::Serialize;
-use std::net::SocketAddr;
+use std::{net::SocketAddr, rc::Rc};
 
 /// `StateDump` is a snapshot of the knowledge and the work of a node.
 #[derive(Debug, Serialize)]
@@ -44,6 +45,59 @@
     pub instances: Vec<InstanceView>,
     /// Routes in force.
     pub routes: Vec<RouteEntry>,
+    /// Client accounts, if callers need a key.
+    pub accounts: Option<AccountsPart>,
+}
+
+/// `AccountsPart` shows the client accounts, and whether their keys let callers in.
+#[derive(Debug, Serialize)]
+pub struct AccountsPart {
+    /// Time since the document in force was last known to be the newest, in milliseconds; `None` if that
+    /// was never known.
+    pub proof_age_ms: Option<u32>,
+    /// Time after which keys are refused without a newer proof, in milliseconds; `None` for never.
+    pub proof_age_max_ms: Option<u32>,
+    /// All accounts, by name.
+    pub entries: Vec<AccountView>,
+}
+
+/// `AccountView` shows one account.
+#[derive(Debug, Serialize)]
+pub struct AccountView {
+    /// Name of the account.
+    pub name: AccountName,
+    /// Fingerprints of its keys.
+    pub keys: Vec<String>,
+    /// Importance of its requests.
+    pub importance: Option<RequestImportance>,
+    /// Quota over all nodes.
+    pub quota: Option<AccountQuota>,
+}
+
+/// Returns the client accounts; `None` if callers need no key.
+#[must_use]
+pub fn accounts(directory: &FleetDirectory) -> Option<AccountsPart> {
+    let routes = directory.routes();
+    if !routes.has_accounts() {
+        return None;
+    }
+    let proofs = directory.proofs();
+    let bounds = proofs.bounds();
+    let view = |account: &Rc<AccountEntry>| AccountView {
+        name: account.name.clone(),
+        keys: account
+            .keys
+            .iter()
+            .map(|key| key.fingerprint().to_string())
+            .collect(),
+        importance: account.importance,
+        quota: account.quota,
+    };
+    Some(AccountsPart {
+        proof_age_ms: proofs.age().map(whole_millis),
+        proof_age_max_ms: bounds.map(|bounds| whole_millis(bounds.revocation)),
+        entries: routes.accounts().into_iter().map(view).collect(),
+    })
 }
 
 /// `StorePart` shows what the node knows of the store, and since when.
--- a/crates/relay/src/store_view/store_follower.rs
+++ b/crates/relay/src/store_view/store_follower.rs
@@ -1,6 +1,8 @@
 //! Follows a watcher of the store; see
 //! [`store_watchers`](lagoonshore_coordination::forwarding::store_watchers).
 
+use super::document_proofs::read_clocks;
+
 use crate::{calling::peer_links::PeerLinks, directory::FleetDirectory};
 
 use lagoonshore_coordination::forwarding::{
@@ -58,11 +60,11 @@
     async fn follow(&self, address: SocketAddr) -> bool {
         let versions = self.directory.versions();
         let seen = versions.known_revision();
+        let called = read_clocks();
         let Ok(view) = self.links.store_view(address, seen, self.schedule).await else {
             return false;
         };
-        versions.record_known(view.revision);
-        versions.record_document(address, view.version);
+        self.directory.record_view(address, called, &view);
         let read_age = Duration::from_millis(view.read_age_ms.into());
         if read_age > self.schedule.read_age_max {
             return false;
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -71,6 +71,9 @@
     pub apply_time: Duration,
     /// Interval at which upstreams renew their entries.
     pub heartbeat_interval: Duration,
+    /// Time after which a key that was taken away must not work at any node; `None` if nodes without
+    /// contact to others may go on.
+    pub revocation_time: Option<Duration>,
 }
 
 impl StoreSettings {
@@ -83,6 +86,7 @@
             drain_time: DRAIN_TIME_DEFAULT,
             apply_time: APPLY_TIME_DEFAULT,
             heartbeat_interval: HEARTBEAT_INTERVAL_DEFAULT,
+            revocation_time: None,
         }
     }
 
@@ -118,6 +122,8 @@
     drain_seconds: Option<Spanned<f64>>,
     apply_seconds: Option<Spanned<f64>>,
     heartbeat_seconds: Option<Spanned<f64>>,
+    revocation_strict: Option<Spanned<bool>>,
+    revocation_seconds: Option<Spanned<f64>>,
     repeats: RetryText,
     grace_seconds: Spanned<f64>,
     address_reuse_seconds: Spanned<f64>,
@@ -153,6 +159,9 @@
 const HEARTBEAT_INTERVAL_DEFAULT: Duration = Duration::from_millis(1500);
 /// Largest duration accepted for a setting, in seconds.
 const SECONDS_MAX: f64 = 3600.0;
+/// Shortest bound on the use of keys that were taken away, in seconds. Nodes have to read the store
+/// several times within it.
+const REVOCATION_SECONDS_MIN: f64 = 1.0;
 /// Largest number accepted for a setting.
 const NUMBER_MAX: f64 = 1_000_000.0;
 
@@ -227,9 +236,34 @@
     if let Some(seconds) = &text.heartbeat_seconds {
         settings.heartbeat_interval = read_seconds(checker, "heartbeat_seconds", seconds);
     }
+    settings.revocation_time = read_revocation(checker, text);
     settings
 }
 
+/// Reads the bound on the use of keys that were taken away, which needs both of its settings.
+fn read_revocation(checker: &mut ValueChecker, text: &RelayText) -> Option<Duration> {
+    let is_strict = text.revocation_strict.as_ref()?;
+    if !is_strict.value {
+        return None;
+    }
+    let key = "revocation_seconds";
+    let expected = "a number of seconds from 1 to 3600";
+    let Some(seconds) = &text.revocation_seconds else {
+        checker.add_error(is_strict.referenced, key, "nothing", expected);
+        return None;
+    };
+    if (REVOCATION_SECONDS_MIN..=SECONDS_MAX).contains(&seconds.value) {
+        return Some(Duration::from_secs_f64(seconds.value));
+    }
+    checker.add_error(
+        seconds.referenced,
+        key,
+        &seconds.value.to_string(),
+        expected,
+    );
+    None
+}
+
 fn read_retries(checker: &mut ValueChecker, text: &RetryText) -> RetrySettings {
     RetrySettings {
         ratio: read_number(checker, "repeats.ratio", &text.ratio),
