--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -66,10 +66,11 @@
         forwarder: RequestForwarder,
         quotas: Rc<QuotaGate>,
     ) -> Self {
+        let fleet = Rc::clone(&directory);
         Self {
             scheme,
             directory,
-            gate: AccessGate::new(scheme.call_separator, running_table),
+            gate: AccessGate::new(scheme.call_separator, fleet, running_table),
             log,
             forwarder,
             quotas,
