--- a/crates/coordination/tests/document_proof.rs
+++ b/crates/coordination/tests/document_proof.rs
@@ -228,6 +228,9 @@
                     let took = millis(random.random_range(0..3000));
                     let node = &mut nodes[index];
                     let started = reading(node, now);
+                    if random.random_bool(0.3) {
+                        published.push(now + took.mul_f64(random.random()));
+                    }
                     now += took;
                     node.version = node.version.max(newest);
                     let ended = reading(node, now);
--- a/crates/relay/tests/caller_keys.rs
+++ b/crates/relay/tests/caller_keys.rs
@@ -10,7 +10,7 @@
 };
 use rstest::rstest;
 use std::time::Duration;
-use support::{CallerResponse, TestFleet, ask, document, route};
+use support::{CallerResponse, TestFleet, ask, ask_raw, document, route};
 
 const GOOD: &str = "Authorization: Bearer key-of-ann\r\n";
 
@@ -132,6 +132,32 @@
     assert_eq!(request(&fleet, "/a/x", "r2", GOOD).await.status, 200);
 }
 
+#[rstest]
+#[case::blank_before_the_colon("Authorization : Bearer key-of-ann\r\n", "", 400)]
+#[case::folded("X-Other: a\r\n Authorization: Bearer key-of-ann\r\n", "", 400)]
+#[case::trailer_only("", "Authorization: Bearer key-of-ann\r\n", 401)]
+#[case::trailer_too(GOOD, "Authorization: Bearer key-of-ann\r\naccount: bob\r\n", 200)]
+#[actix_rt::test]
+async fn a_key_elsewhere_than_in_a_field_of_the_head_is_neither_used_nor_passed_on(
+    #[case] fields: &str,
+    #[case] trailers: &str,
+    #[case] status: u16,
+) {
+    let fleet = fleet().await;
+    let request = format!(
+        "POST /a/ok HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nConnection: close\r\n{fields}\
+         Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n{trailers}\r\n"
+    );
+    let response = ask_raw(fleet.members[0].listen.callers, request.as_bytes()).await;
+    let expected = format!("HTTP/1.1 {status} ");
+    assert!(response.starts_with(&expected), "{response}");
+    let heads = heads(&fleet);
+    assert!(
+        !heads.contains("key-of-ann") && !heads.contains("bob"),
+        "{heads}"
+    );
+}
+
 #[actix_rt::test]
 async fn the_name_of_the_account_is_never_that_of_the_caller() {
     let fleet = fleet().await;
