Read pipelined requests that have begun to arrive while memory is short

While memory was short, a pipelined request whose head or body had begun was not parsed until the requests before it were answered, though its bytes were read; its time without progress ran on.

Change: only requests that have not begun to arrive are held back.

--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -183,7 +183,6 @@
         let next_timeout = self.next_check();
         let read_ahead_max = self.read_ahead_max();
         let is_receiving = self.partial.is_some();
-        let is_within_request = is_receiving || self.receiving_since.is_some();
         let Self {
             stream,
             pending,
@@ -195,7 +194,7 @@
             ..
         } = self;
         let ahead = input.len() + self.discarded_bytes;
-        let can_read = ahead < read_ahead_max || is_within_request;
+        let can_read = ahead < read_ahead_max;
         let can_respond = output.is_accepting();
         let next_response = async {
             match pending.front_mut() {
--- a/crates/relay/src/http1/server_connection/receiving.rs
+++ b/crates/relay/src/http1/server_connection/receiving.rs
@@ -21,10 +21,9 @@
 
 /// Most requests of one connection that are handled concurrently.
 const PIPELINED_REQUESTS_MAX: usize = 32;
-/// Unparsed input, in bytes, above which reading pauses until responses are written. It does not
-/// pause within a request.
+/// Unparsed input, in bytes, above which reading pauses until responses are written.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
-/// The same while memory is short.
+/// The same between requests while memory is short.
 const READ_AHEAD_BYTES_SHORT: usize = 4 * 1024;
 /// Memory of a request in progress beside its head and body, in bytes.
 const REQUEST_BYTES: usize = 16 * 1024;
@@ -42,7 +41,7 @@
 impl<H: RequestHandler> ServerConnection<H> {
     /// Parses the complete requests in the input and starts them; `false` closes the connection.
     pub(super) fn parse_requests(&mut self) -> bool {
-        while !self.is_input_closed && self.may_start_request() {
+        while !self.is_input_closed && self.may_receive() {
             if self.partial.is_none() && !self.parse_head() {
                 break;
             }
@@ -64,19 +63,23 @@
         true
     }
 
-    /// Returns whether another request may be started. Pipelined ones wait while memory is short.
-    fn may_start_request(&self) -> bool {
+    /// Returns whether a request may be received. Pipelined ones wait while memory is short, unless they
+    /// have begun to arrive.
+    fn may_receive(&self) -> bool {
         let pending = self.pending.len();
-        pending == 0 || (pending < PIPELINED_REQUESTS_MAX && !self.limits.budget.is_short())
+        let has_begun = pending == 0 || self.receiving_since.is_some();
+        has_begun || (pending < PIPELINED_REQUESTS_MAX && !self.limits.budget.is_short())
     }
 
-    /// Unparsed input, in bytes, above which reading pauses.
+    /// Unparsed input, in bytes, above which reading pauses. It does not pause within a body.
     pub(super) fn read_ahead_max(&self) -> usize {
-        if self.limits.budget.is_short() {
-            READ_AHEAD_BYTES_SHORT
-        } else {
-            READ_AHEAD_BYTES
+        if self.partial.is_some() {
+            return usize::MAX;
         }
+        if self.receiving_since.is_none() && self.limits.budget.is_short() {
+            return READ_AHEAD_BYTES_SHORT;
+        }
+        READ_AHEAD_BYTES
     }
 
     /// Parses a head from the input; `false` if none is complete or valid.
--- a/crates/relay/tests/open_clients.rs
+++ b/crates/relay/tests/open_clients.rs
@@ -64,3 +64,33 @@
     assert_eq!(fleet.members[0].upstream.ids(), ["other"]);
     assert_eq!(fleet.members[0].node.dump().memory.given_up, 1);
 }
+
+/// Guards against a pipelined body that is not read to its end because memory became short meanwhile.
+#[actix_rt::test]
+async fn a_pipelined_request_that_has_begun_is_read_to_its_end() {
+    let fleet = start_fleet().await;
+    let address = fleet.members[0].listen.callers;
+    let mut stream = TcpStream::connect(address).await.expect("an open listener");
+    let head = |path: &str, id: &str, length: usize| {
+        format!(
+            "POST {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nTime-Limit-Ms: 9000\r\n\
+             Content-Length: {length}\r\n\r\n"
+        )
+    };
+    let body = vec![b'x'; 1_000_000];
+    let start = head("/once/slow", "first", 0) + &head("/once/ok", "second", body.len());
+    stream.write_all(start.as_bytes()).await.expect("sent");
+    stream.write_all(&body[..1000]).await.expect("sent");
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let holder = upload(&fleet, "holder", 1).await;
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    stream.write_all(&body[1000..]).await.expect("sent");
+    let mut text = String::new();
+    while text.matches("HTTP/1.1 200 ").count() < 2 {
+        let mut bytes = vec![0; 4096];
+        let read = stream.read(&mut bytes).await.expect("a response");
+        assert!(read > 0, "{text}");
+        text += &String::from_utf8_lossy(&bytes[..read]);
+    }
+    drop(holder);
+}
