--- a/crates/coordination/tests/placing.rs
+++ b/crates/coordination/tests/placing.rs
@@ -47,6 +47,14 @@
     }
 }
 
+fn little_time(_: &mut SmallRng) -> RequestTime {
+    RequestTime {
+        left: 2 * WORK,
+        may_run_once: false,
+        is_nested: false,
+    }
+}
+
 fn mixed_time(random: &mut SmallRng) -> RequestTime {
     if random.random_bool(0.4) {
         short_time(random)
@@ -116,3 +124,26 @@
     let queue = fastest.queue_sum / fastest.samples;
     assert!(queue < 0.1 * slots, "{queue}");
 }
+
+/// Half of the runs on the slowest instances take longer than these requests have; one in fifty may be
+/// late.
+#[rstest]
+fn requests_with_little_time_end_in_time_while_fast_instances_have_room(
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut model = model(seed);
+    let rate = 0.5 * capacity();
+    model.play(rate, LEARNING_TIME, little_time, |_, _| ());
+    model.latencies.clear();
+    model.play(rate, MEASURED_TIME, little_time, |_, _| ());
+    let late = model
+        .latencies
+        .iter()
+        .filter(|latency| **latency > 2 * WORK);
+    let late = late.count();
+    assert!(
+        late * 50 < model.latencies.len(),
+        "{late} of {}",
+        model.latencies.len()
+    );
+}
