Retry budget: important chains and those nearest their end first, quota by earlier windows

Cause: an upstream's retry budget was spent in the order of arrival. When every upstream of a deep service rejects about half of what arrives, the budget of a window lasts a second or two and goes to chains that fail at a later call; ranks knew only the highest importance and the calls made before. The quota of a window also fell with the calls that the failing chains did not make, although the operators' rule counts the requests of the window before, or of the one half a window earlier, if they are more.

Change: retries rank by importance, then by the calls that their chain still has to make, which nodes learn from complete runs and pass down with each call. Ranks above are expected to go on at the rate of the last second for three seconds; lower ones get what is left. `repeats.earlier_windows` lets the quota follow earlier requests; each retry is also checked against the windows that end later.

First attempts need no budget, so more chains complete if all may begin.

Existing tests got the new fields of the types and no other change.

--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -2,12 +2,15 @@
 //! how many retries the fleet may send.
 
 pub mod arrival_budget;
+pub mod call_needs;
 pub mod circuit_breaker;
 pub mod link_check;
 pub mod pending_removals;
 pub mod rate_limiter;
 pub mod read_schedule;
+pub mod request_history;
 pub mod retry_allowance;
+pub mod retry_priority;
 pub mod retry_quota;
 pub mod route_limiter;
 pub mod sliding_window;
--- a/crates/coordination/src/forwarding/retry_allowance.rs
+++ b/crates/coordination/src/forwarding/retry_allowance.rs
@@ -97,6 +97,7 @@
             ratio,
             slack,
             window,
+            ..
         } = rules.quota;
         let slack = slack / f64::from(self.nodes);
         // A service without requests still has its share of the slack.
--- a/crates/coordination/src/forwarding/retry_quota.rs
+++ b/crates/coordination/src/forwarding/retry_quota.rs
@@ -11,6 +11,9 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Duration,
+    /// Whether the requests of the window before, or of the one that began half a window earlier,
+    /// count in place of those of the window if they are more.
+    pub counts_earlier: bool,
 }
 
 impl Default for RetryQuota {
@@ -19,6 +22,7 @@
             ratio: 0.1,
             slack: 0.0,
             window: Duration::from_secs(10),
+            counts_earlier: false,
         }
     }
 }
--- a/crates/coordination/src/forwarding/sliding_window.rs
+++ b/crates/coordination/src/forwarding/sliding_window.rs
@@ -56,4 +56,18 @@
         let within = buckets.filter(move |bucket| bucket.since + window >= now);
         within.map(|bucket| &bucket.counts)
     }
+
+    /// Buckets that lie within the window that ended `age` before `now`. Their sum is never above
+    /// the count of that window.
+    pub fn within_earlier(
+        &self,
+        now: Instant,
+        window: Duration,
+        age: Duration,
+    ) -> impl Iterator<Item = &T> {
+        let buckets = self.buckets.iter();
+        let within = buckets
+            .filter(move |bucket| bucket.since + window + age >= now && bucket.until + age <= now);
+        within.map(|bucket| &bucket.counts)
+    }
 }
--- a/crates/coordination/tests/arrival_budget.rs
+++ b/crates/coordination/tests/arrival_budget.rs
@@ -1,8 +1,7 @@
 //! Budget of the retries at one upstream, and the quota of the fleet that follows from it.
 
 use lagoonshore_coordination::forwarding::{
-    arrival_budget::{ArrivalBudget, RetryPriority},
-    retry_quota::RetryQuota,
+    arrival_budget::ArrivalBudget, retry_priority::RetryPriority, retry_quota::RetryQuota,
 };
 use lagoonshore_state::units::RequestImportance;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -12,6 +11,7 @@
 const MOST_IMPORTANT: RetryPriority = RetryPriority {
     importance: RequestImportance(0),
     calls_before: None,
+    calls_left: None,
 };
 const WINDOW: Duration = Duration::from_secs(10);
 const TICK: Duration = Duration::from_millis(20);
@@ -21,6 +21,7 @@
         ratio: 0.2,
         slack: 48.0,
         window: WINDOW,
+        counts_earlier: false,
     }
 }
 
@@ -36,6 +37,7 @@
     RetryPriority {
         importance: RequestImportance(2),
         calls_before: Some(calls),
+        calls_left: None,
     }
 }
 
@@ -245,3 +247,82 @@
         "seed {seed}: at most {peak} of the quota is used"
     );
 }
+
+/// Guards against a service that gets more retries than its quota when requests of earlier windows
+/// count, while requests arrive at its upstreams unevenly, stop at times, and nodes restart.
+#[test]
+fn a_service_stays_within_its_quota_when_earlier_windows_count() {
+    let quota = RetryQuota {
+        counts_earlier: true,
+        ..quota()
+    };
+    for seed in 0..8 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let start = Instant::now();
+        let new_budget = |now| {
+            let mut budget = ArrivalBudget::new(now, quota);
+            budget.set_upstreams(now, 4);
+            budget
+        };
+        let mut nodes: Vec<_> = (0..4)
+            .map(|_| SimulatedNode {
+                budget: new_budget(start),
+                rate: 0,
+            })
+            .collect();
+        let mut arrivals: Vec<(u32, u32)> = Vec::new();
+        for tick in 0..3000_u32 {
+            let now = start + TICK * tick;
+            if tick % 100 == 0 {
+                let is_quiet = random.random_bool(0.2);
+                for node in &mut nodes {
+                    let rate = random.random_range(0..20);
+                    node.rate = if is_quiet { 0 } else { rate };
+                }
+            }
+            if random.random_bool(0.002) {
+                nodes[random.random_range(0..4)].budget = new_budget(now);
+            }
+            let (mut requests, mut retries) = (0, 0);
+            for node in &mut nodes {
+                for _ in 0..node.rate {
+                    node.budget.record_request(now);
+                    requests += 1;
+                }
+                while node.budget.spend(now, MOST_IMPORTANT) {
+                    retries += 1;
+                }
+            }
+            arrivals.push((requests, retries));
+        }
+        assert_within_earlier_quota(&arrivals, seed);
+    }
+}
+
+/// The quota counts the requests of the window, of the one before, or of the one that began half a
+/// window earlier, whichever has most.
+fn assert_within_earlier_quota(arrivals: &[(u32, u32)], seed: u64) {
+    let ticks = usize::try_from(WINDOW.as_millis() / TICK.as_millis())
+        .expect("the ratio of two constants fits in usize");
+    let requests_until = |end: usize| -> u32 {
+        let window = &arrivals[end.saturating_sub(ticks)..end];
+        window.iter().map(|tick| tick.0).sum()
+    };
+    let mut peak = 0.0_f64;
+    for end in ticks..arrivals.len() {
+        let retries = &arrivals[end - ticks..end];
+        let retries: u32 = retries.iter().map(|tick| tick.1).sum();
+        let ends = [end, end - ticks / 2, end - ticks];
+        let requests = ends.map(requests_until).into_iter().max();
+        let quota = 0.2 * f64::from(requests.unwrap_or_default()) + 48.0;
+        peak = peak.max(f64::from(retries) / quota);
+        assert!(
+            f64::from(retries) <= quota,
+            "seed {seed}: {retries} retries, quota {quota}"
+        );
+    }
+    assert!(
+        peak > 0.6,
+        "seed {seed}: at most {peak} of the quota is used"
+    );
+}
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -83,6 +83,7 @@
             ratio: 0.2,
             slack: 48.0,
             window: WINDOW,
+            counts_earlier: false,
         },
         own_share: 1.0,
         common_share: 0.5,
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -48,6 +48,9 @@
         pub is_idempotent: bool,
         /// Number of calls that the parent request made before this one; `None` without a parent.
         pub calls_before: Option<u32>,
+        /// Number of calls that the chain still has to make, this one included, as learnt from earlier
+        /// runs; `None` without a parent, or if there were none.
+        pub calls_left: Option<u32>,
         /// Id of the route: a hash of its name, the same at all nodes. Hold times of slots,
         /// admission limits and circuit breakers are kept for each route.
         pub kind: u64,
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -2,6 +2,8 @@
 
 use super::{call_progress::CallProgress, peer_table::PeerTarget, routed_request::RoutedRequest};
 
+use crate::serving::running_table::RunningRequest;
+
 use lagoonshore_protocol::relay_messages::RelayRequest;
 use lagoonshore_state::{ids::ServiceName, units::whole_millis};
 use siphasher::sip::SipHasher13;
@@ -49,6 +51,7 @@
             .parent
             .as_ref()
             .map(|parent| parent.nested_calls.calls),
+        calls_left: request.parent.as_ref().and_then(RunningRequest::calls_left),
         kind: route_id(&request.route.name),
         aim_ms: whole_millis(aim_left),
         wait_ms: whole_millis(max_wait),
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -5,7 +5,7 @@
 
 use crate::{events, line_budget::LineBudget, relay_metrics};
 
-use lagoonshore_coordination::forwarding::arrival_budget::RetryPriority;
+use lagoonshore_coordination::forwarding::retry_priority::RetryPriority;
 use lagoonshore_protocol::relay_messages::{NodeStatus, RelayResponse};
 use lagoonshore_state::units::whole_millis;
 use std::time::Duration;
@@ -141,6 +141,7 @@
             request = id,
             importance = priority.importance.0,
             calls_before = priority.calls_before,
+            calls_left = priority.calls_left,
             left_out,
             "request: retry refused, budget exhausted"
         );
--- a/crates/relay/src/serving/retry_gate.rs
+++ b/crates/relay/src/serving/retry_gate.rs
@@ -3,8 +3,7 @@
 use crate::decision_log::DecisionLog;
 
 use lagoonshore_coordination::forwarding::{
-    arrival_budget::{ArrivalBudget, RetryPriority},
-    retry_quota::RetryQuota,
+    arrival_budget::ArrivalBudget, retry_priority::RetryPriority, retry_quota::RetryQuota,
 };
 use lagoonshore_protocol::relay_messages::RelayRequest;
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RetrySettings};
@@ -49,6 +48,7 @@
         let priority = RetryPriority {
             importance: request.importance,
             calls_before: request.calls_before,
+            calls_left: request.calls_left,
         };
         let is_admitted = self.budget.borrow_mut().spend(Instant::now(), priority);
         if !is_admitted {
@@ -82,5 +82,6 @@
         ratio: retries.ratio,
         slack: retries.slack,
         window: retries.window,
+        counts_earlier: retries.counts_earlier,
     }
 }
--- a/crates/relay/src/serving/route_gate.rs
+++ b/crates/relay/src/serving/route_gate.rs
@@ -105,6 +105,10 @@
             is_nested: request.is_nested(),
         }
     }
+
+    pub(crate) const fn route(&self) -> RouteId {
+        self.route
+    }
 }
 
 impl Drop for RoutePermit<'_> {
--- a/crates/relay/src/serving/running_table.rs
+++ b/crates/relay/src/serving/running_table.rs
@@ -16,10 +16,25 @@
     pub account: Option<AccountName>,
     /// Whether the request is a retry, or a call of a run that is one.
     pub is_retry: bool,
+    /// Calls that it is expected to make in total, nested ones included; `None` if unknown.
+    pub calls_expected: Option<u32>,
+    /// Calls that the chain is expected to make after this request.
+    pub calls_after: u32,
     /// Totals of the calls that it made so far.
     pub nested_calls: CallTotals,
 }
 
+impl RunningRequest {
+    /// Calls that the chain still has to make, the next one of this request included; `None` if
+    /// unknown.
+    #[must_use]
+    pub fn calls_left(&self) -> Option<u32> {
+        let expected = self.calls_expected?;
+        let own = expected.saturating_sub(self.nested_calls.calls).max(1);
+        Some(own.saturating_add(self.calls_after))
+    }
+}
+
 /// `CallTotals` sums up the nested calls of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CallTotals {
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -25,14 +25,23 @@
 };
 
 use lagoonshore_coordination::{
-    forwarding::slot_queue::{SlotRank, SlotRequest},
+    forwarding::{
+        call_needs::CallNeeds,
+        slot_queue::{SlotRank, SlotRequest},
+    },
     protection::fingerprint::RequestFingerprint,
     request::outcome::RefusalReason,
 };
-use lagoonshore_protocol::relay_messages::{NodeStatus, RelayReply, RelayRequest, RelayResult};
+use lagoonshore_protocol::relay_messages::{
+    CallFailure, NodeStatus, RelayReply, RelayRequest, RelayResult,
+};
 use lagoonshore_settings::{ControlMode, RelaySettings, relay_settings::RetrySettings};
 use lagoonshore_state::{ids::ServiceName, units::whole_millis};
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// Slots that are assumed until the upstream is listed.
@@ -59,6 +68,7 @@
     retry_gate: Rc<RetryGate>,
     exchange: UpstreamExchange,
     running_table: Rc<RunningTable>,
+    call_needs: RefCell<CallNeeds>,
     is_draining: Cell<bool>,
     is_refusing: Cell<bool>,
     running: ActiveCount,
@@ -112,6 +122,7 @@
             retry_gate,
             exchange,
             running_table: Rc::default(),
+            call_needs: RefCell::default(),
             is_draining: Cell::new(false),
             is_refusing: Cell::new(false),
             running: ActiveCount::default(),
@@ -282,12 +293,7 @@
         }
         self.retry_gate.record_arrival(&request);
         let summary = RunSummary::of(&request);
-        let running = RunningRequest {
-            importance: request.importance,
-            account: request.account.clone(),
-            is_retry: request.is_repeat,
-            ..RunningRequest::default()
-        };
+        let running = self.running_request(&request);
         let entry = self.running_table.insert(&request.id, running);
         let result = tokio::select! {
             biased;
@@ -298,11 +304,38 @@
         totals.wait += nested_calls.wait;
         totals.calls = nested_calls.calls;
         totals.worst_failure = nested_calls.worst_failure;
+        self.record_need(&summary, nested_calls, &result);
         self.route_gate.record_run(&summary, nested_calls, &result);
         drop(route_permit);
         result
     }
 
+    fn running_request(&self, request: &RelayRequest) -> RunningRequest {
+        let calls_expected = self.call_needs.borrow().expected_calls(request.kind);
+        let own_calls = calls_expected.unwrap_or_default();
+        let calls_left = request.calls_left.unwrap_or_default();
+        RunningRequest {
+            importance: request.importance,
+            account: request.account.clone(),
+            is_retry: request.is_repeat,
+            calls_expected,
+            calls_after: calls_left.saturating_sub(own_calls.saturating_add(1)),
+            nested_calls: CallTotals::default(),
+        }
+    }
+
+    /// Learns how many calls a route needs from a run that was served completely.
+    fn record_need(&self, request: &RunSummary, nested_calls: CallTotals, result: &RelayResult) {
+        let is_complete = match result {
+            RelayResult::Answered(response) => !response.is_failure(),
+            RelayResult::Refused(_) => false,
+        };
+        if is_complete && nested_calls.worst_failure == CallFailure::None {
+            let mut call_needs = self.call_needs.borrow_mut();
+            call_needs.record_run(request.route(), nested_calls.calls);
+        }
+    }
+
     /// Admits a request that is not quarantined. After its quarantine it runs once at a time, and only
     /// on the instance that all nodes choose for that.
     fn admit_suspect(
--- a/crates/relay/tests/memory.rs
+++ b/crates/relay/tests/memory.rs
@@ -98,6 +98,7 @@
         account: None,
         is_idempotent: false,
         calls_before: None,
+        calls_left: None,
         kind: 1,
         aim_ms: 1000,
         wait_ms: 1000,
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -30,6 +30,7 @@
         account: None,
         is_idempotent: true,
         calls_before: None,
+        calls_left: None,
         kind: 1,
         aim_ms: 1000,
         wait_ms: 1000,
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -26,6 +26,7 @@
         account: None,
         is_idempotent: false,
         calls_before: None,
+        calls_left: None,
         kind: 1,
         aim_ms: 1000,
         wait_ms: 0,
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -102,6 +102,8 @@
     pub slack: f64,
     /// Length of the window.
     pub window: Duration,
+    /// Whether the requests of earlier windows count if they are more.
+    pub counts_earlier: bool,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -141,6 +143,7 @@
     ratio: Spanned<f64>,
     slack: Spanned<f64>,
     window_seconds: Spanned<f64>,
+    earlier_windows: Option<bool>,
 }
 
 /// Settle time of the store if the settings give none.
@@ -235,6 +238,7 @@
         ratio: read_number(checker, "repeats.ratio", &text.ratio),
         slack: read_number(checker, "repeats.slack", &text.slack),
         window: read_seconds(checker, "repeats.window_seconds", &text.window_seconds),
+        counts_earlier: text.earlier_windows.unwrap_or(false),
     }
 }
 
