Report requests that never left a queue as not run

Cause: a request that waited for a slot beside another upstream until its deadline was refused there at the same moment at which its sender gave up, so the sender answered 504 although nothing had been sent. That is why clearing the stage of an attempt changes nothing: the sender can't know.

Change: it leaves the queue 20 ms before its deadline, and the refusal arrives in time: 503.

Evidence: the new test gets 504 without the change, 503 with it.

--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -51,6 +51,10 @@
 /// Most requests of one route, running and waiting, in multiples of the slots.
 const ROUTE_REQUESTS_PER_SLOT: u32 = 3;
 
+/// Time before the deadline at which a request leaves the queue unsent, so that its sender still
+/// learns that it has not run.
+const REPLY_TIME: Duration = Duration::from_millis(20);
+
 /// A request may not run now, because it crashed upstreams.
 struct Quarantined;
 
@@ -386,6 +390,7 @@
         }
         let now = Instant::now();
         let aim = now + Duration::from_millis(request.aim_ms.into());
+        let deadline = deadline.checked_sub(REPLY_TIME).unwrap_or(deadline);
         let slot_request = SlotRequest {
             rank: SlotRank {
                 is_new: !request.is_nested(),
