Share slots between client accounts while requests wait

Cause: slots were assigned by importance and deadline only, so that a surge of one account took the slots of the others in proportion.

Change: the queue for slots counts the recent slot time of each account. New requests of one that had more than the mean wait behind those of the others, within one importance. Calls of running requests keep their place, and requests without an account are not compared.

Existing tests of the queue got the new field and no other change.

--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of the forwarding path: which requests get a slot, which service takes a request, and
 //! how many retries the fleet may send.
 
+pub mod account_shares;
 pub mod arrival_budget;
 pub mod call_needs;
 pub mod circuit_breaker;
--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -6,9 +6,13 @@
 //! A request is refused on arrival if its expected wait is longer than it may wait, so that its
 //! caller learns at once when to retry. Waiting requests are ordered by rank, then by the time by
 //! which they must start. Among requests of the same importance, calls made by requests that
-//! already run precede new ones: refusing such a call would waste the work of its parent.
+//! already run precede new ones: refusing such a call would waste the work of its parent. Among new
+//! ones, those of client accounts that had no more than their share of the slots go first.
 
-use super::rate_limiter::RateLimiter;
+use super::{
+    account_shares::{AccountKey, AccountShares, ShareExcess},
+    rate_limiter::RateLimiter,
+};
 
 use lagoonshore_state::units::RequestImportance;
 
@@ -46,6 +50,8 @@
     pub rank: SlotRank,
     /// Route of the request.
     pub route: RouteId,
+    /// Client account that sent it, if it has one.
+    pub account: Option<AccountKey>,
     /// Time by which the request should have completed.
     pub finish_by: Instant,
     /// Longest time that the request may wait in this queue.
@@ -72,7 +78,14 @@
     pub refused: Vec<(TicketId, Duration)>,
 }
 
-type QueueKey = (SlotRank, Instant, TicketId);
+type QueueKey = (SlotRank, ShareExcess, Instant, TicketId);
+
+/// `WaitingRequest` is what is counted when a waiting request is admitted.
+#[derive(Clone, Copy, Debug)]
+struct WaitingRequest {
+    route: RouteId,
+    account: Option<AccountKey>,
+}
 
 /// `SlotQueue` assigns the slots of one upstream to requests.
 #[derive(Debug)]
@@ -80,7 +93,8 @@
     limit: u32,
     in_use: u32,
     rate: RateLimiter,
-    waiting: BTreeMap<QueueKey, RouteId>,
+    shares: AccountShares,
+    waiting: BTreeMap<QueueKey, WaitingRequest>,
     queue_keys: HashMap<TicketId, QueueKey>,
     next_ticket: TicketId,
     mean_hold_time: Duration,
@@ -95,6 +109,7 @@
             limit: limit.max(1),
             in_use: 0,
             rate: RateLimiter::new(now),
+            shares: AccountShares::default(),
             waiting: BTreeMap::new(),
             queue_keys: HashMap::new(),
             next_ticket: 0,
@@ -140,7 +155,13 @@
     /// Expected wait of a new request of `rank`.
     #[must_use]
     pub fn expected_wait(&self, now: Instant, rank: SlotRank) -> Duration {
-        let ahead = self.waiting.keys().filter(|(other, ..)| *other <= rank);
+        self.wait_of(now, rank, ShareExcess::MAX)
+    }
+
+    fn wait_of(&self, now: Instant, rank: SlotRank, excess: ShareExcess) -> Duration {
+        let position = (rank, excess);
+        let waiting = self.waiting.keys();
+        let ahead = waiting.filter(|(other, excess, ..)| (*other, *excess) <= position);
         let ahead = ahead.count();
         let slot_wait = if self.in_use < self.limit && self.waiting.is_empty() {
             Duration::ZERO
@@ -171,20 +192,29 @@
     pub fn offer(&mut self, now: Instant, request: SlotRequest) -> SlotDecision {
         let is_free = self.in_use < self.limit && self.waiting.is_empty();
         if is_free && self.rate.try_take(now) {
-            self.in_use += 1;
+            self.start(now, request.route, request.account);
             return SlotDecision::Admitted;
         }
         let hold_time = self.hold_time(request.route);
         let start_by = request.finish_by.checked_sub(hold_time).unwrap_or(now);
         let start_by = start_by.min(now + request.wait_max);
-        let expected_wait = self.expected_wait(now, request.rank);
+        let excess = if request.rank.is_new {
+            self.shares.excess(now, request.account)
+        } else {
+            0
+        };
+        let expected_wait = self.wait_of(now, request.rank, excess);
         if now + expected_wait > start_by {
             return SlotDecision::Refused(expected_wait);
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let key = (request.rank, start_by, ticket);
-        self.waiting.insert(key, request.route);
+        let key = (request.rank, excess, start_by, ticket);
+        let waiting = WaitingRequest {
+            route: request.route,
+            account: request.account,
+        };
+        self.waiting.insert(key, waiting);
         self.queue_keys.insert(ticket, key);
         SlotDecision::Queued(ticket)
     }
@@ -220,34 +250,44 @@
         let mut change = SlotChange::default();
         self.refuse_expired(now, &mut change);
         while self.in_use < self.limit && !self.waiting.is_empty() && self.rate.try_take(now) {
-            let Some(((_, _, ticket), _)) = self.waiting.pop_first() else {
+            let Some(((.., ticket), waiting)) = self.waiting.pop_first() else {
                 break;
             };
             self.queue_keys.remove(&ticket);
-            self.in_use += 1;
+            self.start(now, waiting.route, waiting.account);
             change.admitted.push(ticket);
         }
         change
     }
 
+    fn start(&mut self, now: Instant, route: RouteId, account: Option<AccountKey>) {
+        self.in_use += 1;
+        let slot_time = self.hold_time(route);
+        self.shares.record(now, account, slot_time);
+    }
+
     fn refuse_expired(&mut self, now: Instant, change: &mut SlotChange) {
         let expired = self
             .waiting
             .keys()
-            .filter(|(_, start_by, _)| *start_by < now);
+            .filter(|(_, _, start_by, _)| *start_by < now);
         let expired: Vec<QueueKey> = expired.copied().collect();
         for key in expired {
-            let (rank, _, ticket) = key;
+            let (rank, excess, _, ticket) = key;
             self.waiting.remove(&key);
             self.queue_keys.remove(&ticket);
-            change.refused.push((ticket, self.expected_wait(now, rank)));
+            let wait = self.wait_of(now, rank, excess);
+            change.refused.push((ticket, wait));
         }
     }
 
     /// Earliest time at which a waiting request must be refused.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.waiting.keys().map(|(_, start_by, _)| *start_by).min()
+        self.waiting
+            .keys()
+            .map(|(_, _, start_by, _)| *start_by)
+            .min()
     }
 
     fn wait_behind(&self, ahead: usize) -> Duration {
--- a/crates/coordination/tests/rate_limiter.rs
+++ b/crates/coordination/tests/rate_limiter.rs
@@ -163,6 +163,7 @@
             is_new,
         },
         route: 1,
+        account: None,
         finish_by: now + Duration::from_secs(2),
         wait_max: Duration::from_secs(2),
     }
--- a/crates/coordination/tests/slot_queue.rs
+++ b/crates/coordination/tests/slot_queue.rs
@@ -22,6 +22,7 @@
     SlotRequest {
         rank,
         route: 1,
+        account: None,
         finish_by,
         wait_max: Duration::from_secs(10),
     }
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -2,12 +2,10 @@
 
 use super::{call_progress::CallProgress, peer_table::PeerTarget, routed_request::RoutedRequest};
 
-use crate::serving::running_table::RunningRequest;
+use crate::{serving::running_table::RunningRequest, stable_hash};
 
 use lagoonshore_protocol::relay_messages::RelayRequest;
 use lagoonshore_state::{ids::ServiceName, units::whole_millis};
-use siphasher::sip::SipHasher13;
-use std::hash::Hasher;
 use tokio::time::Instant;
 
 /// Share of the route's latency target for which a request may wait at one instance while others
@@ -52,7 +50,7 @@
             .as_ref()
             .map(|parent| parent.nested_calls.calls),
         calls_left: request.parent.as_ref().and_then(RunningRequest::calls_left),
-        kind: route_id(&request.route.name),
+        kind: stable_hash::hash_name(&request.route.name),
         aim_ms: whole_millis(aim_left),
         wait_ms: whole_millis(max_wait),
         is_returning: !request.spent.is_zero(),
@@ -64,10 +62,3 @@
         limit: None,
     }
 }
-
-/// Id of a route, the same at all nodes.
-fn route_id(route: &str) -> u64 {
-    let mut hasher = SipHasher13::new();
-    hasher.write(route.as_bytes());
-    hasher.finish()
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peer_listener;
 pub mod relay_metrics;
 pub mod serving;
+mod stable_hash;
 pub mod state_dump;
 pub mod store_view;
 mod suspect_log;
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -20,7 +20,7 @@
     header_scheme::HeaderScheme,
     http1::{memory_budget::MemoryBudget, pool::ConnectionPool},
     lifecycle::request_cutoff::RequestCutoff,
-    relay_metrics,
+    relay_metrics, stable_hash,
     suspect_tracker::{self, SuspectStatus, SuspectTracker, TrialGuard},
 };
 
@@ -397,6 +397,7 @@
                 importance: request.importance,
             },
             route: request.kind,
+            account: request.account.as_deref().map(stable_hash::hash_name),
             finish_by: if request.is_nested() {
                 deadline
             } else {
