--- a/crates/relay/src/calling/routed_request.rs
+++ b/crates/relay/src/calling/routed_request.rs
@@ -1,6 +1,6 @@
 //! A request with its route, and its outcome.
 
-use crate::serving::running_table::RunningRequest;
+use crate::{serving::running_table::RunningRequest, stable_hash};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -9,8 +9,7 @@
 };
 use lagoonshore_protocol::relay_messages::RelayResponse;
 use lagoonshore_state::{ids::AccountName, route_table::RouteEntry, units::RequestImportance};
-use siphasher::sip::SipHasher13;
-use std::{hash::Hasher, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// `RoutedRequest` is a request whose route is known.
@@ -85,7 +84,5 @@
 /// Returns the id of a route, the same at all nodes.
 #[must_use]
 pub fn route_id(name: &str) -> RouteId {
-    let mut hasher = SipHasher13::new();
-    hasher.write(name.as_bytes());
-    hasher.finish()
+    stable_hash::hash_name(name)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod quota;
 pub mod relay_metrics;
 pub mod serving;
+mod stable_hash;
 pub mod state_dump;
 pub mod store_view;
 mod suspect_log;
