Let the setting of descriptors go before what the operating system shows

Cause: the lower of the setting and of the limit in /proc/self/limits was used. Where a process runs under a supervisor that keeps its own count, that file shows a limit that does not bind it, and the node let in one connection of callers and one of the upstream. Change: the setting, where there is one, is used alone; the operating system is asked only without it.

--- a/crates/relay/src/process_limits.rs
+++ b/crates/relay/src/process_limits.rs
@@ -14,16 +14,19 @@
 
 /// Returns what the process may use.
 pub(crate) fn of_process(settings: &RelaySettings) -> ProcessLimits {
-    let text = std::fs::read_to_string(LIMITS_FILE).ok();
-    let allowed = text.as_deref().and_then(descriptors_in);
-    let known = [settings.callers.descriptors, allowed];
-    let descriptors = known.into_iter().flatten().min();
+    let descriptors = settings.callers.descriptors.or_else(allowed_descriptors);
     ProcessLimits {
         descriptors: descriptors.unwrap_or(DESCRIPTORS_DEFAULT),
         memory_bytes: u64::from(settings.memory_mib) * BYTES_PER_MIB,
     }
 }
 
+/// Descriptors that the operating system allows.
+fn allowed_descriptors() -> Option<u32> {
+    let text = std::fs::read_to_string(LIMITS_FILE).ok()?;
+    descriptors_in(&text)
+}
+
 /// The lower limit on descriptors in the text of [`LIMITS_FILE`]; `None` if there is no number.
 fn descriptors_in(text: &str) -> Option<u32> {
     let line = text
