Count what is held beside a body in chunks before its first byte

Cause: found by reading. The fields of a request in chunks with an empty body were not counted, so that pipelined ones escaped the limit on them.

Change: what is held beside a body is counted when its head is read.

--- a/crates/relay/src/http1/body.rs
+++ b/crates/relay/src/http1/body.rs
@@ -87,14 +87,17 @@
         })
     }
 
-    /// Reads the body into `memory`; a body of known length is counted at once.
+    /// Reads the body into `memory`. A body of known length is counted at once, and so is what is held
+    /// beside a body.
     ///
     /// # Errors
     /// [`BodyError::NoMemory`] if there is no memory for it.
     pub fn with_memory(mut self, mut memory: BodyMemory) -> Result<Self, BodyError> {
-        if let BodyFraming::Length(length) = self.framing {
-            memory.reserve(length)?;
-        }
+        let known_bytes = match self.framing {
+            BodyFraming::Length(length) => length,
+            BodyFraming::Chunked | BodyFraming::UntilClose => 0,
+        };
+        memory.reserve(known_bytes)?;
         self.memory = memory;
         Ok(self)
     }
--- a/crates/relay/src/http1/connection_table.rs
+++ b/crates/relay/src/http1/connection_table.rs
@@ -43,9 +43,9 @@
     Idle(Instant),
     /// It receives a request.
     Receiving(ArrivalProgress),
-    /// Requests are in progress, or their responses are being written.
+    /// Requests are in progress, their responses are being written, or it was told to give up its place.
     Busy,
-    /// It was told to give up its place, or discards input before it closes, since this time.
+    /// It discards input before it closes, since this time.
     Closing(Instant),
 }
 
--- a/crates/transport/tests/body_memory.rs
+++ b/crates/transport/tests/body_memory.rs
@@ -99,3 +99,18 @@
     given_up.notified().await;
     assert_eq!(request.keep(), Err(MemoryError));
 }
+
+/// Guards against fields of a request that are held and not counted, because its body is empty.
+#[tokio::test(start_paused = true)]
+async fn what_is_held_beside_an_empty_body_is_counted() {
+    let budget = MemoryBudget::new(BUDGET_BYTES);
+    let share = budget.request_share().with_beside(10 * 1024);
+    let mut body = BodyMemory::arriving(share, caller(1), Arc::default());
+    body.reserve(0).expect("memory");
+    let counted = 10 * 1024 - UNCOUNTED_BYTES;
+    assert_eq!(BUDGET_BYTES - budget.free(), counted);
+    let bytes = body.finish();
+    assert_eq!(BUDGET_BYTES - budget.free(), counted);
+    drop(bytes);
+    assert_eq!(budget.free(), BUDGET_BYTES);
+}
