Rank retries by account and by route

Cause: retries have four levels of importance, and the importance of a request with an account is combined from two ranks, the account's in the upper half. All requests of accounts below the highest rank shared the last level, so that the retry budget no longer told routes apart; the allowance of senders counted none of them as of the highest importance. Change: three levels of accounts, with four levels of routes in each; the allowance goes by the rank of the route.

--- a/crates/coordination/src/forwarding/arrival_budget.rs
+++ b/crates/coordination/src/forwarding/arrival_budget.rs
@@ -54,7 +54,7 @@
 }
 
 /// `RetryCounts` counts the retries of one bucket of the window.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RetryCounts {
     /// Retries that asked for admission, by rank.
     requested: [u32; RANK_COUNT],
@@ -66,6 +66,17 @@
     sent: u32,
 }
 
+impl Default for RetryCounts {
+    fn default() -> Self {
+        Self {
+            requested: [0; RANK_COUNT],
+            granted: [0; RANK_COUNT],
+            forced: 0,
+            sent: 0,
+        }
+    }
+}
+
 impl ArrivalBudget {
     /// Creates the budget of a process that has just started.
     #[must_use]
--- a/crates/coordination/src/forwarding/retry_allowance.rs
+++ b/crates/coordination/src/forwarding/retry_allowance.rs
@@ -109,7 +109,7 @@
         let (requests, retries) = recent.fold((0, 0), |(requests, retries), counts| {
             (requests + counts.requests, retries + counts.retries)
         });
-        let is_common = importance > RequestImportance(0);
+        let is_common = importance.route_rank() > 0;
         let share = if is_common { rules.common_share } else { 1.0 };
         let allowed = rules.own_share * share * (ratio * f64::from(requests) + slack);
         if f64::from(retries) + f64::from(cost) > allowed {
--- a/crates/coordination/src/forwarding/retry_priority.rs
+++ b/crates/coordination/src/forwarding/retry_priority.rs
@@ -4,8 +4,12 @@
 
 /// Number of retry ranks; higher ranks take precedence.
 pub const RANK_COUNT: usize = IMPORTANCE_RANKS * NEED_RANKS;
-/// Levels of importance that are told apart; all less important ones share the last.
-const IMPORTANCE_RANKS: usize = 4;
+/// Levels of importance that are told apart.
+const IMPORTANCE_RANKS: usize = ACCOUNT_LEVELS * ROUTE_LEVELS;
+/// Ranks of accounts that are told apart; all less important ones share the last.
+const ACCOUNT_LEVELS: usize = 3;
+/// Ranks of routes that are told apart within one rank of accounts; the last is shared as well.
+const ROUTE_LEVELS: usize = 4;
 /// Ranks within one importance, by the calls that are still to be made.
 const NEED_RANKS: usize = CALLS_LEFT_LIMITS.len() + 1;
 /// Most calls left of each rank but the last, which has no limit.
@@ -34,8 +38,10 @@
         let calls_left = self.calls_left.unwrap_or_else(|| self.assumed_calls_left());
         let limits = CALLS_LEFT_LIMITS.iter();
         let need = limits.take_while(|limit| calls_left > **limit).count();
-        let importance = usize::from(self.importance.0).min(IMPORTANCE_RANKS - 1);
-        (IMPORTANCE_RANKS - 1 - importance) * NEED_RANKS + NEED_RANKS - 1 - need
+        let account = usize::from(self.importance.account_rank()).min(ACCOUNT_LEVELS - 1);
+        let route = usize::from(self.importance.route_rank()).min(ROUTE_LEVELS - 1);
+        let level = account * ROUTE_LEVELS + route;
+        (IMPORTANCE_RANKS - 1 - level) * NEED_RANKS + NEED_RANKS - 1 - need
     }
 
     fn assumed_calls_left(self) -> u32 {
--- a/crates/state/src/units.rs
+++ b/crates/state/src/units.rs
@@ -46,6 +46,19 @@
         Self((high << Self::RANK_BITS) | low)
     }
 
+    /// Returns the rank of the account in a combined importance; 0 in a fleet without accounts whose
+    /// routes have ranks below 16.
+    #[must_use]
+    pub const fn account_rank(self) -> u8 {
+        self.0 >> Self::RANK_BITS
+    }
+
+    /// Returns the rank of the route in a combined importance.
+    #[must_use]
+    pub const fn route_rank(self) -> u8 {
+        self.0 & Self::RANK_MAX
+    }
+
     /// Returns `true` if `self` is strictly more important than `other`.
     #[must_use]
     pub const fn outranks(self, other: Self) -> bool {
