Expect the new number of the event for denied keys

Cause: the merge of two parts gave the event of a refusal for a key the number 3211, since 3209 names refused connections now; the test of key secrecy still waited for 3209 in the log and failed. Change: the test expects 3211, as strictly as before.

--- a/crates/relay/tests/key_secrecy.rs
+++ b/crates/relay/tests/key_secrecy.rs
@@ -76,7 +76,7 @@
     let two = format!("{HEAD}{unknown}");
     assert_eq!(request(member, "r4", &two).await.status, 401);
     let lines = String::from_utf8_lossy(&buffer.0.lock().expect("no panic")).into_owned();
-    for event in ["3101", "3209"] {
+    for event in ["3101", "3211"] {
         assert!(lines.contains(event), "{lines}");
     }
     let state = serde_json::to_string(&member.node.dump()).expect("JSON");
