Count a wait that ends with the time of a request as a timeout

Cause: since requests leave the queue shortly before their deadline, a call that waited to the end of its time was refused as overload. Its parent took that for a lack of slots, and the limit on the parent's route fell, so that its node refused requests with half of its slots free.

--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -329,16 +329,13 @@
         if progress.tried.is_empty() {
             return true;
         }
+        let time_left = request.deadline.saturating_duration_since(Instant::now());
+        if time_left < RETRY_TIME_MIN {
+            return false;
+        }
         let is_counted = progress.deliveries > 0;
-        if is_counted {
-            let time_left = request.deadline.saturating_duration_since(Instant::now());
-            let is_late = time_left < RETRY_TIME_MIN;
-            if is_late {
-                return false;
-            }
-            if !self.can_retry_calls(request, progress) {
-                return false;
-            }
+        if is_counted && !self.can_retry_calls(request, progress) {
+            return false;
         }
         let trace = trace(request, progress);
         self.log
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -304,6 +304,10 @@
         };
         let permit = match acquired {
             Ok(permit) => permit,
+            // At the end of its time a request has timed out; only an earlier refusal counts as overload.
+            Err(_) if deadline.saturating_duration_since(Instant::now()) <= REPLY_TIME => {
+                return refusal(RefusalReason::Timeout, Duration::ZERO);
+            }
             Err(wait) => return refusal(RefusalReason::Overload, wait),
         };
         totals.wait = queued_at.elapsed();
