Reduce the counted memory of complete responses to their length

Cause: only bodies of requests that arrive were reduced once complete. A response of unknown length kept the capacity that it had grown to, and counted it until its caller had read it.

Evidence: a response of 300 KiB in pieces counted 712,704 bytes in the new test's run before the change; in a larger budget or body limit the capacity goes up to 2 MiB.

Change: the memory of every counted body is shrunk, and its share with it, when the body is complete.

--- a/crates/transport/src/body_memory.rs
+++ b/crates/transport/src/body_memory.rs
@@ -152,25 +152,28 @@
         }
     }
 
-    /// Keeps the memory of a body that is complete: it is not given up for others any more.
+    /// Keeps the memory of a body that is complete: it is not given up for others any more. Memory that
+    /// is counted is reduced to what the body needs.
     ///
     /// # Errors
     /// [`MemoryError`] if it was given up before.
     pub fn keep(&mut self) -> Result<(), MemoryError> {
         if let BodyPlace::Arriving { body, .. } = &self.place {
             let removed = body.budget.arrivals().lock().remove(body.key);
-            let Arrival {
-                mut bytes,
-                mut share,
-                ..
-            } = removed.ok_or(MemoryError)?;
-            bytes.shrink_to_fit();
-            share.reduce_to(bytes.len());
+            let Arrival { bytes, share, .. } = removed.ok_or(MemoryError)?;
             self.place = BodyPlace::Kept {
                 bytes,
                 share: Some(share),
             };
         }
+        if let BodyPlace::Kept {
+            bytes,
+            share: Some(share),
+        } = &mut self.place
+        {
+            bytes.shrink_to_fit();
+            share.reduce_to(bytes.len());
+        }
         Ok(())
     }
 
--- a/crates/transport/tests/body_memory.rs
+++ b/crates/transport/tests/body_memory.rs
@@ -89,6 +89,24 @@
     assert_eq!(BUDGET_BYTES - budget.free(), 80_000 - UNCOUNTED_BYTES);
 }
 
+/// Guards against responses of unknown length that count the room to grow until they are delivered.
+#[test]
+fn a_complete_response_counts_its_length() {
+    let budget = MemoryBudget::new(4 * BUDGET_BYTES);
+    let mut body = BodyMemory::counted(budget.share());
+    for _ in 0..75 {
+        write(&mut body, 4 * 1024).expect("memory");
+    }
+    let bytes = body.finish();
+    assert_eq!(bytes.len(), 300 * 1024);
+    assert_eq!(
+        4 * BUDGET_BYTES - budget.free(),
+        300 * 1024 - UNCOUNTED_BYTES
+    );
+    drop(bytes);
+    assert_eq!(budget.free(), 4 * BUDGET_BYTES);
+}
+
 /// A response, for which work was done, takes the memory of a request that keeps its pace.
 #[tokio::test(start_paused = true)]
 async fn a_response_goes_before_requests_that_arrive() {
