Let large bodies of unknown length grow by a factor of two

Cause: the capacity grew by a factor of eight at any size, so that a chunked body of 17 MiB claimed 64 MiB: it was refused, or others were given up, for memory that it never needed.

Evidence: the new test fails before the change.

Change: capacities grow by eight up to 2 MiB, and by two above.

--- a/crates/transport/src/body_memory.rs
+++ b/crates/transport/src/body_memory.rs
@@ -17,9 +17,13 @@
 
 /// Least capacity of a body of unknown length, in bytes.
 const GROWTH_BYTES_MIN: usize = 4 * 1024;
-/// Factor by which its capacity grows. A few sizes far apart leave few gaps between the bodies in the memory
-/// of the process.
+/// Factor by which its capacity grows up to [`LARGE_CAPACITY_BYTES`]. A few sizes far apart leave few gaps
+/// between the bodies in the memory of the process.
 const GROWTH_FACTOR: usize = 8;
+/// Capacity from which it grows by [`LARGE_GROWTH_FACTOR`], in bytes.
+const LARGE_CAPACITY_BYTES: usize = 2 * 1024 * 1024;
+/// Factor by which a large capacity grows. Others would lose memory that such a body may never need.
+const LARGE_GROWTH_FACTOR: usize = 2;
 
 /// `MemoryError` says that there is no memory for a body, or that its memory was given to others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,7 +212,9 @@
     /// Capacity for at least `needed` bytes that leaves room to grow.
     fn grown_capacity(&self, needed: usize) -> Result<usize, MemoryError> {
         let capacity = self.capacity()?;
-        let grown = GROWTH_FACTOR * capacity;
+        let grown = (GROWTH_FACTOR * capacity)
+            .min(LARGE_CAPACITY_BYTES)
+            .max(LARGE_GROWTH_FACTOR * capacity);
         Ok(grown.max(needed).max(GROWTH_BYTES_MIN))
     }
 }
--- a/crates/transport/tests/body_memory.rs
+++ b/crates/transport/tests/body_memory.rs
@@ -89,6 +89,24 @@
     assert_eq!(BUDGET_BYTES - budget.free(), 80_000 - UNCOUNTED_BYTES);
 }
 
+/// Guards against a large body that claims many times what it needs, and is refused for it.
+#[tokio::test(start_paused = true)]
+async fn a_large_growing_body_claims_at_most_twice_its_length() {
+    const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
+    const PIECE_BYTES: usize = 16 * 1024;
+    const LARGE_CAPACITY_BYTES: usize = 2 * 1024 * 1024;
+    let budget = MemoryBudget::new(BODY_BYTES_MAX);
+    let (mut body, _) = arriving(&budget, 1);
+    for _ in 0..17 * 1024 * 1024 / PIECE_BYTES {
+        let written = body.write_with(PIECE_BYTES, BODY_BYTES_MAX, |target| {
+            target.extend(std::iter::repeat_n(b'x', PIECE_BYTES));
+        });
+        written.expect("memory");
+        let held = BODY_BYTES_MAX - budget.free() + UNCOUNTED_BYTES;
+        assert!(held <= LARGE_CAPACITY_BYTES || held < 2 * body.len());
+    }
+}
+
 /// Guards against responses of unknown length that count the room to grow until they are delivered.
 #[test]
 fn a_complete_response_counts_its_length() {
