Bound the pace below which a request arrives too slowly

Cause: the pace was a sixteenth of what a body holds, whatever that is. A chunked body of one byte a second kept its pace for ever, so that such bodies never gave way; a body of 64 MiB had to receive 4 MiB a second, so that uploads which share a slow link were all given up for others.

Evidence: two of the four cases of the new test fail before the change.

Change: the part that has to arrive in a second is at least 512 bytes and at most 256 KiB. It matters, as before, only for the order in which bodies are given up while memory or places are short.

No crowd of whole processes sends trickled chunks yet.

--- a/crates/coordination/src/protection/arrival_progress.rs
+++ b/crates/coordination/src/protection/arrival_progress.rs
@@ -11,6 +11,10 @@
 const PACE_TIME: Duration = Duration::from_secs(1);
 /// That part, as a divisor of the bytes held.
 const PACE_DIVISOR: usize = 16;
+/// Least size of that part, in bytes; without it, one byte a second would do for a body that holds little.
+const PACE_BYTES_MIN: usize = 512;
+/// Largest size of that part, in bytes. Large bodies that share a slow link cannot do more.
+const PACE_BYTES_MAX: usize = 256 * 1024;
 
 /// `ArrivalLimits` bounds the time that the body of a request may take to arrive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,7 +58,8 @@
         self.latest = now;
         self.received += bytes;
         self.pace_bytes += bytes;
-        if self.pace_bytes >= held / PACE_DIVISOR {
+        let needed = (held / PACE_DIVISOR).clamp(PACE_BYTES_MIN, PACE_BYTES_MAX);
+        if self.pace_bytes >= needed {
             self.pace_start = now;
             self.pace_bytes = 0;
         }
--- a/crates/coordination/tests/room_sharing.rs
+++ b/crates/coordination/tests/room_sharing.rs
@@ -106,6 +106,27 @@
     assert_eq!(progress.received(), 40_000);
 }
 
+/// Guards against a pace that is next to nothing for small bodies, and out of reach for large ones.
+#[rstest]
+#[case::trickled_chunks(1, 2, true)]
+#[case::small_body(600, 8 * 1024, false)]
+#[case::large_body_on_a_slow_link(300 * 1024, 64 * 1024 * 1024, false)]
+#[case::large_body_that_trickles(2 * 1024, 64 * 1024 * 1024, true)]
+fn the_pace_has_bounds(
+    #[case] bytes_per_second: usize,
+    #[case] held: usize,
+    #[case] is_slow: bool,
+) {
+    let start = Instant::now();
+    let mut progress = ArrivalProgress::new(start);
+    let mut now = start;
+    for _ in 0..10 {
+        now += Duration::from_secs(1);
+        progress.record(now, bytes_per_second, held);
+    }
+    assert_eq!(progress.slow_since(now).is_some(), is_slow);
+}
+
 #[test]
 fn work_that_was_taken_on_goes_before_requests_that_arrive() {
     let rows = [
