Keep bodies that would free no memory

Cause: bodies of which nothing is counted were given up when they were slow, although others gained nothing by it; and a message was refused when memory became free between two looks.

Evidence: by reading; small bodies hold less than the bytes of a message that are never counted.

Change: the table of arriving bodies offers only those that hold something counted, and a claim that misses nothing is tried again.

Measured: the tests of the transport crate pass.

--- a/crates/transport/src/arrival_table.rs
+++ b/crates/transport/src/arrival_table.rs
@@ -49,12 +49,18 @@
         self.given_up.load(Ordering::Relaxed)
     }
 
-    /// Gives up bodies until `claim` fits, other than that of `asking`; returns whether it did. Their
-    /// memory is free when this returns.
+    /// Gives up bodies until `claim` fits, other than that of `asking`; returns whether it does. Their
+    /// memory is free when this returns. Bodies of which nothing is counted would free nothing.
     pub(crate) fn make_room(&self, claim: RoomClaim, asking: Option<ArrivalKey>) -> bool {
+        if claim.missing == 0 {
+            // Memory became free in the meantime.
+            return true;
+        }
         let now = Instant::now();
         let mut arrivals = self.lock();
-        let others = arrivals.iter().filter(|(key, _)| Some(*key) != asking);
+        let others = arrivals
+            .iter()
+            .filter(|(key, arrival)| Some(*key) != asking && arrival.share.bytes() > 0);
         let holders: Vec<RoomHolder<ArrivalKey>> = others
             .map(|(key, arrival)| arrival.holder(key, now))
             .collect();
--- a/crates/transport/tests/body_memory.rs
+++ b/crates/transport/tests/body_memory.rs
@@ -89,6 +89,22 @@
     assert_eq!(BUDGET_BYTES - budget.free(), 80_000 - UNCOUNTED_BYTES);
 }
 
+/// Guards against small bodies that are given up although none of their memory is counted.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_frees_nothing_is_not_given_up() {
+    let budget = MemoryBudget::new(BUDGET_BYTES);
+    let (mut small, _) = arriving(&budget, 1);
+    write(&mut small, 100).expect("memory");
+    let (mut stopped, given_up) = arriving(&budget, 1);
+    stopped.reserve(LARGE_BYTES).expect("memory");
+    tokio::time::advance(Duration::from_secs(2)).await;
+    let (mut other, _) = arriving(&budget, 1);
+    other.reserve(LARGE_BYTES).expect("memory of the large one");
+    given_up.notified().await;
+    assert_eq!(budget.report().given_up, 1);
+    small.keep().expect("kept");
+}
+
 /// Guards against a large body that claims many times what it needs, and is refused for it.
 #[tokio::test(start_paused = true)]
 async fn a_large_growing_body_claims_at_most_twice_its_length() {
