Keep a body that arrives from giving way to its own connection's input

Cause: each read counted its input although the memory of the body into which it moves is reserved. While memory was used up, that refused the body with 503, or gave up other bodies, and possibly this one, for bytes that are counted twice.

Evidence: by reading; no test shows it before the change.

Change: input is counted only outside a body, and once more after a body ends, for what follows it. Others get their turn before a read in place of after it, so that nothing uncounted waits meanwhile. The parser of requests returns nothing, since it never closed the connection.

--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -141,7 +141,8 @@
     /// Serves the connection until it is closed.
     pub(crate) async fn serve(mut self) {
         loop {
-            if !self.parse_requests() || !self.write_some() {
+            self.parse_requests();
+            if !self.write_some() {
                 return;
             }
             let is_done = self.pending.is_empty() && self.output.is_empty();
@@ -157,10 +158,11 @@
             self.place.set(self.activity());
             match self.next_event().await {
                 ConnectionEvent::Readable => {
+                    // Input is parsed and counted before others get their turn.
+                    self.end_turn().await;
                     if !self.read_some() {
                         return;
                     }
-                    self.end_turn().await;
                 }
                 ConnectionEvent::BodyGivenUp => self.refuse_body(BodyError::NoMemory),
                 ConnectionEvent::PlaceGivenUp => {
--- a/crates/relay/src/http1/server_connection/receiving.rs
+++ b/crates/relay/src/http1/server_connection/receiving.rs
@@ -39,8 +39,8 @@
 }
 
 impl<H: RequestHandler> ServerConnection<H> {
-    /// Parses the complete requests in the input and starts them; `false` closes the connection.
-    pub(super) fn parse_requests(&mut self) -> bool {
+    /// Parses the complete requests in the input and starts them.
+    pub(super) fn parse_requests(&mut self) {
         while !self.is_input_closed && self.may_receive() {
             if self.partial.is_none() && !self.parse_head() {
                 break;
@@ -60,7 +60,7 @@
         }
         self.input_pool.compact(&mut self.input);
         self.input_memory.reduce_to(self.input.len());
-        true
+        self.count_unparsed();
     }
 
     /// Returns whether a request may be received. Pipelined ones wait while memory is short, unless they
@@ -183,14 +183,24 @@
         }
     }
 
-    /// Counts input that was read. Input after the last request is discarded.
+    /// Records input that was read. Input after the last request is discarded.
     fn count_input(&mut self, read: usize) {
         self.idle_since = Instant::now();
         self.reads_in_turn += 1;
         if self.is_input_closed {
             self.discarded_bytes += read;
             self.input.clear();
-        } else if !self.input_memory.extend_to(self.input.len()) {
+        }
+        self.count_unparsed();
+    }
+
+    /// Counts the unparsed input between bodies. Within a body, whose memory is reserved, input moves into it
+    /// at once, and must not take the memory of that body.
+    fn count_unparsed(&mut self) {
+        if self.is_input_closed || self.partial.is_some() {
+            return;
+        }
+        if !self.input_memory.extend_to(self.input.len()) {
             self.refuse_unread(503, RejectionReason::NoMemory);
         }
     }
