Let connections that gave up their places end before others are accepted

Cause: the accept loop did not yield after it took the place of another connection, so that all accepts of one turn were made before any of these connections had ended; those beyond 16 were closed, and logged as if all were in use.

Evidence: by reading; no test shows it before the change.

Change: the loop yields once after a place was given up, and once more before it refuses a connection.

Measured: the tests of lagoonshore-relay pass, but for no_key_is_logged_or_shown of key_secrecy, which fails without the change as well.

--- a/crates/relay/src/http1/server.rs
+++ b/crates/relay/src/http1/server.rs
@@ -58,7 +58,7 @@
             actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let Some(guard) = take_place(&table, address.ip(), &limits, &log) else {
+        let Some(guard) = find_place(&table, address.ip(), &limits, &log).await else {
             continue;
         };
         let parts = ConnectionParts {
@@ -75,19 +75,27 @@
     }
 }
 
-/// Takes a place for a connection of `caller`; `None` if there is none.
-fn take_place(
+/// Finds a place for a connection of `caller`; `None` if there is none.
+async fn find_place(
     table: &Rc<ConnectionTable>,
     caller: IpAddr,
     limits: &ServerLimits,
     log: &ConnectionLog,
 ) -> Option<PlaceGuard> {
-    let Some((guard, given_up)) = table.take_place(caller, limits.connections) else {
+    let mut place = table.take_place(caller, limits.connections);
+    if place.is_none() {
+        // Connections that gave up their places may still have to end.
+        tokio::task::yield_now().await;
+        place = table.take_place(caller, limits.connections);
+    }
+    let Some((guard, given_up)) = place else {
         log.log_refused(caller, limits.connections);
         return None;
     };
     if let Some(given_up) = given_up {
         log.log_given_up(given_up, caller, limits.connections);
+        // The one that gave up its place ends before others are accepted.
+        tokio::task::yield_now().await;
     }
     Some(guard)
 }
