Read nothing further behind a response that closes the connection

Cause: a request that was partly received stayed after the response before it had announced the close; when it became late, a second response followed.

Evidence: by reading; no test shows it before the change.

Change: what is incomplete is dropped with such a response. Input is then discarded for as long as for a body that is refused, so that the caller can read the response.

--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -306,7 +306,9 @@
         let response = response.unwrap_or_else(|_| self.reject(502, RejectionReason::Failed, ""));
         let is_last = self.pending.is_empty();
         let closes = pending.closes || (is_last && self.is_closing());
-        self.is_input_closed |= closes;
+        if closes {
+            self.stop_receiving();
+        }
         self.output.push(response, closes, pending.is_head);
         self.idle_since = Instant::now();
     }
--- a/crates/relay/src/http1/server_connection/refusing.rs
+++ b/crates/relay/src/http1/server_connection/refusing.rs
@@ -44,10 +44,7 @@
         if !id.is_empty() {
             self.discard_time = BODY_DISCARD_TIME;
         }
-        self.receiving_since = None;
-        self.partial = None;
-        self.input.clear();
-        self.is_input_closed = true;
+        self.stop_receiving();
         self.pending.push_back(PendingResponse {
             task: actix_rt::spawn(std::future::ready(response)),
             closes: true,
@@ -55,6 +52,16 @@
         });
     }
 
+    /// Drops a request that is not complete, and reads no further one.
+    pub(super) fn stop_receiving(&mut self) {
+        if self.partial.take().is_some() {
+            self.discard_time = BODY_DISCARD_TIME;
+        }
+        self.receiving_since = None;
+        self.input.clear();
+        self.is_input_closed = true;
+    }
+
     pub(super) fn reject(&self, status: u16, reason: RejectionReason, id: &str) -> ServerResponse {
         self.handler.reject(RejectedRequest {
             status,
