--- a/crates/transport/tests/body_memory.rs
+++ b/crates/transport/tests/body_memory.rs
@@ -89,6 +89,58 @@
     assert_eq!(BUDGET_BYTES - budget.free(), 80_000 - UNCOUNTED_BYTES);
 }
 
+/// Guards against small bodies that are given up although none of their memory is counted.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_frees_nothing_is_not_given_up() {
+    let budget = MemoryBudget::new(BUDGET_BYTES);
+    let (mut small, _) = arriving(&budget, 1);
+    write(&mut small, 100).expect("memory");
+    let (mut stopped, given_up) = arriving(&budget, 1);
+    stopped.reserve(LARGE_BYTES).expect("memory");
+    tokio::time::advance(Duration::from_secs(2)).await;
+    let (mut other, _) = arriving(&budget, 1);
+    other.reserve(LARGE_BYTES).expect("memory of the large one");
+    given_up.notified().await;
+    assert_eq!(budget.report().given_up, 1);
+    small.keep().expect("kept");
+}
+
+/// Guards against a large body that claims many times what it needs, and is refused for it.
+#[tokio::test(start_paused = true)]
+async fn a_large_growing_body_claims_at_most_twice_its_length() {
+    const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
+    const PIECE_BYTES: usize = 16 * 1024;
+    const LARGE_CAPACITY_BYTES: usize = 2 * 1024 * 1024;
+    let budget = MemoryBudget::new(BODY_BYTES_MAX);
+    let (mut body, _) = arriving(&budget, 1);
+    for _ in 0..17 * 1024 * 1024 / PIECE_BYTES {
+        let written = body.write_with(PIECE_BYTES, BODY_BYTES_MAX, |target| {
+            target.extend(std::iter::repeat_n(b'x', PIECE_BYTES));
+        });
+        written.expect("memory");
+        let held = BODY_BYTES_MAX - budget.free() + UNCOUNTED_BYTES;
+        assert!(held <= LARGE_CAPACITY_BYTES || held < 2 * body.len());
+    }
+}
+
+/// Guards against responses of unknown length that count the room to grow until they are delivered.
+#[test]
+fn a_complete_response_counts_its_length() {
+    let budget = MemoryBudget::new(4 * BUDGET_BYTES);
+    let mut body = BodyMemory::counted(budget.share());
+    for _ in 0..75 {
+        write(&mut body, 4 * 1024).expect("memory");
+    }
+    let bytes = body.finish();
+    assert_eq!(bytes.len(), 300 * 1024);
+    assert_eq!(
+        4 * BUDGET_BYTES - budget.free(),
+        300 * 1024 - UNCOUNTED_BYTES
+    );
+    drop(bytes);
+    assert_eq!(budget.free(), 4 * BUDGET_BYTES);
+}
+
 /// A response, for which work was done, takes the memory of a request that keeps its pace.
 #[tokio::test(start_paused = true)]
 async fn a_response_goes_before_requests_that_arrive() {
