Keep the bucket of a counter when a former counter is forgotten

Cause: a counter was rebuilt whenever the time from which its node may count changed. When a node that counted before was forgotten, that time fell back to an old one, and the rebuilt bucket counted its refill from there: it was full.

Evidence: a new test drains the bucket, lets the former counter be forgotten and takes again; with the old comparison 100 tokens came in a second for a rate of 10.

Change: `AccountCounter::renew` starts anew only upon a later time. The model of the fleet calls it as well.

--- a/crates/coordination/src/quota/account_counter.rs
+++ b/crates/coordination/src/quota/account_counter.rs
@@ -64,6 +64,15 @@
         self.since
     }
 
+    /// Applies the time from which the node may count. After a later one than before the counter starts
+    /// anew: another node counted in the meantime. An earlier one only means that a node which counted
+    /// before has been forgotten.
+    pub fn renew(&mut self, now: Instant, since: Instant) {
+        if self.since < since {
+            *self = Self::new(now, since, self.bucket.part());
+        }
+    }
+
     /// Applies a changed quota or number of zones.
     pub fn set_part(&mut self, now: Instant, part: QuotaPart) {
         self.bucket.set_part(now, part);
--- /dev/null
+++ b/crates/coordination/tests/quota_counters.rs
@@ -0,0 +1,74 @@
+//! Counters of quotas after changes of the list of nodes.
+
+use lagoonshore_coordination::quota::{
+    account_counter::AccountCounter,
+    counter_choice::{CounterChoice, MEMBER_HOLD, SETTLE_TIME},
+    quota_rules::QuotaPart,
+};
+use lagoonshore_state::ids::ZoneName;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use tokio::time::Instant;
+
+const ACCOUNT: &str = "account";
+const ZONE: &str = "a";
+const PART: QuotaPart = QuotaPart {
+    rate: 10.0,
+    capacity: 100.0,
+};
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 700))
+}
+
+fn list(places: &[(&str, u8)]) -> BTreeSet<(ZoneName, SocketAddr)> {
+    let places = places.iter();
+    places
+        .map(|(zone, last)| (ZoneName::from(*zone), address(*last)))
+        .collect()
+}
+
+/// Returns the counter among two nodes, and the node that counts after it.
+fn ranked(now: Instant) -> (u8, u8) {
+    let mut choice = CounterChoice::default();
+    choice.apply_list(now, &list(&[(ZONE, 1), (ZONE, 2)]));
+    if choice.counter(now, ACCOUNT, ZONE) == Some(address(1)) {
+        (1, 2)
+    } else {
+        (2, 1)
+    }
+}
+
+#[test]
+fn forgetting_a_former_counter_fills_no_bucket() {
+    let start = Instant::now();
+    let (former, own) = ranked(start);
+    let mut choice = CounterChoice::default();
+    choice.apply_list(start, &list(&[(ZONE, former), (ZONE, own)]));
+    let unlisted = start + Duration::from_secs(100);
+    choice.apply_list(unlisted, &list(&[(ZONE, own)]));
+
+    let taken_over = unlisted + MEMBER_HOLD + SETTLE_TIME;
+    let since = choice.counting_since(taken_over, ACCOUNT, ZONE, address(own));
+    assert_eq!(since, Some(taken_over));
+    let mut counter = AccountCounter::new(taken_over, taken_over, PART);
+
+    let later = unlisted + Duration::from_mins(10);
+    counter.take(later, PART.capacity);
+    choice.apply_list(later, &list(&[(ZONE, own)]));
+    let since = choice.counting_since(later, ACCOUNT, ZONE, address(own));
+    assert!(since < Some(taken_over), "the former counter is forgotten");
+    counter.renew(later, since.expect("it counts"));
+
+    let second = later + Duration::from_secs(1);
+    let taken = counter.take(second, PART.capacity);
+    assert!(taken <= PART.rate, "{taken} tokens in a second");
+}
+
+#[test]
+fn a_counter_that_was_replaced_starts_empty() {
+    let now = Instant::now();
+    let mut counter = AccountCounter::new(now, now, PART);
+    let full = now + Duration::from_mins(1);
+    counter.renew(full, full);
+    assert!(counter.take(full, PART.capacity) < 1.0);
+}
--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -504,9 +504,8 @@
         let zones = choice.zone_count(now, RULES.zone_hold());
         let part = RULES.zone_part(node.quota, zones);
         let known = node.counter.take();
-        let mut counter = known
-            .filter(|known| known.since() == since)
-            .unwrap_or_else(|| AccountCounter::new(now, since, part));
+        let mut counter = known.unwrap_or_else(|| AccountCounter::new(now, since, part));
+        counter.renew(now, since);
         counter.set_part(now, part);
         node.counter = Some(counter);
         true
--- a/crates/relay/src/quota/quota_counters.rs
+++ b/crates/relay/src/quota/quota_counters.rs
@@ -127,10 +127,7 @@
                 counter: AccountCounter::new(now, duty.since, duty.part),
                 loan: None,
             });
-        // Another node counted in the meantime, so that what this one remembers does not hold.
-        if entry.counter.since() != duty.since {
-            entry.counter = AccountCounter::new(now, duty.since, duty.part);
-        }
+        entry.counter.renew(now, duty.since);
         entry.counter.set_part(now, duty.part);
         Some(decide(&mut entry.counter, now))
     }
