Keep the quota part of a lost zone until its nodes have stopped admitting

Cause: a zone that had vanished from the list lost its part after two windows, whatever the settings said of nodes without contact. Its nodes may admit for longer, or for good, while the other zones already share its part.

Evidence: the hold was two windows by its code; the review derived the excess.

Change: the hold is the bound of the proof of freshness and two windows; without `revocation_strict` a zone keeps its part as long as nodes remember it. The time at which a zone vanished is kept apart from its members, which are forgotten earlier.

--- a/crates/coordination/src/quota/counter_choice.rs
+++ b/crates/coordination/src/quota/counter_choice.rs
@@ -25,6 +25,9 @@
 #[derive(Debug, Default)]
 pub struct CounterChoice {
     zones: BTreeMap<ZoneName, BTreeMap<SocketAddr, ZoneMember>>,
+    /// Each zone that had nodes, with the time at which the last one was no longer listed; `None` while
+    /// it has some.
+    vanished_at: BTreeMap<ZoneName, Option<Instant>>,
     is_started: bool,
 }
 
@@ -72,6 +75,7 @@
             };
             members.insert(*address, member);
         }
+        self.record_zones(now, listed);
         self.is_started |= !listed.is_empty();
     }
 
@@ -92,6 +96,16 @@
         self.zones.retain(|_, members| !members.is_empty());
     }
 
+    /// Records which zones have listed nodes.
+    fn record_zones(&mut self, now: Instant, listed: &BTreeSet<(ZoneName, SocketAddr)>) {
+        for vanished in self.vanished_at.values_mut() {
+            vanished.get_or_insert(now);
+        }
+        for (zone, _) in listed {
+            self.vanished_at.insert(zone.clone(), None);
+        }
+    }
+
     /// Returns the counter of `account` in `zone`; `None` if the zone has no node.
     #[must_use]
     pub fn counter(&self, now: Instant, account: &str, zone: &str) -> Option<SocketAddr> {
@@ -135,15 +149,12 @@
     }
 
     /// Number of zones among which quotas are divided: those with listed nodes, and those that had some
-    /// less than `hold` ago.
+    /// less than `hold` ago, or ever without a `hold`.
     #[must_use]
-    pub fn zone_count(&self, now: Instant, hold: Duration) -> u32 {
-        let is_counted = |member: &ZoneMember| {
-            let unlisted = member.unlisted_at;
-            unlisted.is_none_or(|unlisted| now < unlisted + hold)
-        };
-        let zones = self.zones.values();
-        let counted = zones.filter(|members| members.values().any(is_counted));
+    pub fn zone_count(&self, now: Instant, hold: Option<Duration>) -> u32 {
+        let is_held = |vanished: Instant| hold.is_none_or(|hold| now < vanished + hold);
+        let zones = self.vanished_at.values();
+        let counted = zones.filter(|vanished| vanished.is_none_or(is_held));
         u32::try_from(counted.count()).unwrap_or(u32::MAX)
     }
 
--- a/crates/coordination/src/quota/quota_rules.rs
+++ b/crates/coordination/src/quota/quota_rules.rs
@@ -14,7 +14,7 @@
 const PREFETCH_SHARE: f64 = 0.5;
 /// Fewest tokens that a bucket can hold; with less no request would ever pass.
 const CAPACITY_MIN: f64 = 1.0;
-/// Windows for which a zone that is no longer listed keeps its part.
+/// Windows for which a zone keeps its part after its nodes have stopped admitting.
 const ZONE_HOLD_WINDOWS: u32 = 2;
 
 /// `QuotaRules` bounds the requests of an account: in any `window` no more than
@@ -27,6 +27,9 @@
     pub overage: f64,
     /// Requests by which a window may exceed it besides.
     pub slack: f64,
+    /// Time after which a node without contact to others admits no requests of accounts; `None` if it
+    /// may go on.
+    pub proof_life: Option<Duration>,
 }
 
 /// `QuotaPart` is the part of a quota that one zone holds.
@@ -51,10 +54,12 @@
         self.token_life().mul_f64(PREFETCH_SHARE)
     }
 
-    /// Time for which a zone that is no longer listed keeps its part.
+    /// Time for which a zone that is no longer listed keeps its part; `None` if it keeps it for good,
+    /// since its nodes may still admit requests.
     #[must_use]
-    pub fn zone_hold(&self) -> Duration {
-        self.window * ZONE_HOLD_WINDOWS
+    pub fn zone_hold(&self) -> Option<Duration> {
+        let proof_life = self.proof_life?;
+        Some(proof_life + self.window * ZONE_HOLD_WINDOWS)
     }
 
     /// Part of each of `zones` zones.
--- a/crates/coordination/tests/quota_counters.rs
+++ b/crates/coordination/tests/quota_counters.rs
@@ -3,7 +3,7 @@
 use lagoonshore_coordination::quota::{
     account_counter::AccountCounter,
     counter_choice::{CounterChoice, MEMBER_HOLD, SETTLE_TIME},
-    quota_rules::QuotaPart,
+    quota_rules::{QuotaPart, QuotaRules},
 };
 use lagoonshore_state::ids::ZoneName;
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
@@ -72,3 +72,34 @@
     counter.renew(full, full);
     assert!(counter.take(full, PART.capacity) < 1.0);
 }
+
+/// Zones that count `after` one of three was last listed.
+fn zones_counted(proof_life: Option<Duration>, after: Duration) -> u32 {
+    let rules = QuotaRules {
+        window: Duration::from_secs(5),
+        overage: 0.25,
+        slack: 20.0,
+        proof_life,
+    };
+    let start = Instant::now();
+    let mut choice = CounterChoice::default();
+    choice.apply_list(start, &list(&[("a", 1), ("b", 2), ("c", 3)]));
+    let rest = list(&[("a", 1), ("b", 2)]);
+    choice.apply_list(start, &rest);
+    choice.apply_list(start + after, &rest);
+    choice.zone_count(start + after, rules.zone_hold())
+}
+
+#[test]
+fn a_lost_zone_keeps_its_part_while_its_nodes_may_admit() {
+    let proof_life = Some(Duration::from_mins(2));
+    let window = Duration::from_secs(5);
+    let proof_end = Duration::from_mins(2);
+    assert_eq!(zones_counted(proof_life, proof_end + window), 3);
+    assert_eq!(zones_counted(proof_life, proof_end + window * 2), 2);
+}
+
+#[test]
+fn a_lost_zone_keeps_its_part_for_good_if_its_nodes_may_go_on() {
+    assert_eq!(zones_counted(None, Duration::from_hours(24)), 3);
+}
--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -33,6 +33,7 @@
     window: Duration::from_secs(5),
     overage: 0.25,
     slack: 20.0,
+    proof_life: Some(PROOF_LIFE),
 };
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/relay/src/quota/fleet_counters.rs
+++ b/crates/relay/src/quota/fleet_counters.rs
@@ -40,7 +40,7 @@
     pub fn new(settings: &RelaySettings, directory: Rc<FleetDirectory>) -> Self {
         Self {
             zone: settings.zone.clone(),
-            rules: quota_rules(settings.quotas),
+            rules: quota_rules(settings),
             own_address: Cell::new(settings.listen.peers),
             directory,
             choice: RefCell::default(),
@@ -130,10 +130,16 @@
     }
 }
 
-const fn quota_rules(settings: QuotaSettings) -> QuotaRules {
+const fn quota_rules(settings: &RelaySettings) -> QuotaRules {
+    let QuotaSettings {
+        window,
+        overage,
+        slack,
+    } = settings.quotas;
     QuotaRules {
-        window: settings.window,
-        overage: settings.overage,
-        slack: settings.slack,
+        window,
+        overage,
+        slack,
+        proof_life: settings.store.revocation_time,
     }
 }
