Ask a silent counter again when there is no other to ask

Cause: a counter that missed one deadline was left out for 500 ms, also if no other could be asked, so that all requests of its accounts got 503 for that time. An answer that came in the meantime did not end it.

Evidence: the new test of the selection fails if the case without others is taken out.

Change: `SilentCounters` selects the counters to ask: those that answered, or all if none did. Any answer ends the avoidance. The model of the fleet uses it too.

--- a/crates/coordination/src/quota/mod.rs
+++ b/crates/coordination/src/quota/mod.rs
@@ -8,5 +8,6 @@
 pub mod counter_choice;
 pub mod demand_meter;
 pub mod quota_rules;
+pub mod silent_counters;
 pub mod token_bucket;
 pub mod token_hand;
--- a/crates/coordination/tests/quota_counters.rs
+++ b/crates/coordination/tests/quota_counters.rs
@@ -4,6 +4,7 @@
     account_counter::AccountCounter,
     counter_choice::{CounterChoice, MEMBER_HOLD, SETTLE_TIME},
     quota_rules::{QuotaPart, QuotaRules},
+    silent_counters::SilentCounters,
 };
 use lagoonshore_state::ids::ZoneName;
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
@@ -103,3 +104,27 @@
 fn a_lost_zone_keeps_its_part_for_good_if_its_nodes_may_go_on() {
     assert_eq!(zones_counted(None, Duration::from_hours(24)), 3);
 }
+
+#[test]
+fn a_silent_counter_is_avoided_while_others_can_be_asked() {
+    let now = Instant::now();
+    let mut silent = SilentCounters::default();
+    silent.record_silence(now, address(1));
+    let both = vec![address(1), address(2)];
+    assert_eq!(silent.select(now, both.clone()), [address(2)]);
+    silent.record_answer(address(1));
+    assert_eq!(silent.select(now, both.clone()), both);
+}
+
+#[test]
+fn silent_counters_are_asked_if_there_are_no_others() {
+    let now = Instant::now();
+    let mut silent = SilentCounters::default();
+    let both = vec![address(1), address(2)];
+    for counter in &both {
+        silent.record_silence(now, *counter);
+    }
+    assert_eq!(silent.select(now, both.clone()), both);
+    let only = vec![address(1)];
+    assert_eq!(silent.select(now, only.clone()), only);
+}
--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -3,7 +3,7 @@
 
 use lagoonshore_coordination::quota::{
     account_counter::AccountCounter, counter_choice::CounterChoice, quota_rules::QuotaRules,
-    token_hand::TokenHand,
+    silent_counters::SilentCounters, token_hand::TokenHand,
 };
 use lagoonshore_state::{account::AccountQuota, ids::ZoneName};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -22,8 +22,6 @@
 const WAIT_MAX: Duration = Duration::from_millis(100);
 /// Time after which a node goes on to the next counter.
 const ASK_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time for which a counter that did not answer is not asked.
-const AVOID_TIME: Duration = Duration::from_millis(500);
 /// Time that all loans of one ask may take.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(30);
 /// Time after which a node that is cut off admits nothing more, since its keys may be revoked.
@@ -102,7 +100,7 @@
     ask: Option<OpenAsk>,
     loan: Option<OpenLoan>,
     pending: Vec<PendingGrant>,
-    avoided: BTreeMap<usize, Instant>,
+    silent: SilentCounters,
     is_down: bool,
     cut_since: Option<Instant>,
 }
@@ -177,7 +175,7 @@
                 ask: None,
                 loan: None,
                 pending: Vec::new(),
-                avoided: BTreeMap::new(),
+                silent: SilentCounters::default(),
                 is_down: false,
                 cut_since: None,
             });
@@ -346,11 +344,9 @@
         let zone = zone_name(node.zone);
         let own = node.choice.counter(now, ACCOUNT, &zone);
         let others = node.choice.other_counters(now, ACCOUNT, &zone);
-        let targets = own.into_iter().chain(others);
-        let targets = targets.map(index_of);
-        let is_avoided =
-            |target: &usize| node.avoided.get(target).is_some_and(|until| now < *until);
-        let mut targets: Vec<usize> = targets.filter(|target| !is_avoided(target)).collect();
+        let targets = own.into_iter().chain(others).collect();
+        let targets = node.silent.select(now, targets).into_iter();
+        let mut targets: Vec<usize> = targets.map(index_of).collect();
         targets.reverse();
         self.serial += 1;
         self.nodes[index].ask = Some(OpenAsk {
@@ -382,6 +378,18 @@
         self.send(index, target, message);
     }
 
+    /// Records whether the counter that `index` asked has answered.
+    fn record_answer(&mut self, index: usize, counter: usize, is_answered: bool) {
+        let now = self.local(index);
+        let counter = self.nodes[counter].address;
+        let silent = &mut self.nodes[index].silent;
+        if is_answered {
+            silent.record_answer(counter);
+        } else {
+            silent.record_silence(now, counter);
+        }
+    }
+
     fn expire(&mut self, index: usize) {
         let now = self.local(index);
         let node = &mut self.nodes[index];
@@ -389,7 +397,8 @@
         if let Some(ask) = &node.ask
             && now >= ask.sent_at + ASK_TIMEOUT
         {
-            node.avoided.insert(ask.asked, now + AVOID_TIME);
+            let asked = ask.asked;
+            self.record_answer(index, asked, false);
             self.ask_next(index);
         }
         let node = &self.nodes[index];
@@ -460,6 +469,7 @@
             Message::NotCounter { ask } => {
                 let is_open = |open: &OpenAsk| open.id == ask && open.asked == from;
                 if self.nodes[to].ask.as_ref().is_some_and(is_open) {
+                    self.record_answer(to, from, true);
                     self.ask_next(to);
                 }
             }
@@ -624,6 +634,8 @@
             return;
         };
         let sent_at = open.sent_at;
+        self.record_answer(index, from, true);
+        let node = &mut self.nodes[index];
         node.ask = None;
         let hand = &mut node.hand;
         hand.add(now, sent_at, tokens as u32, short_for, &RULES);
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -8,7 +8,10 @@
 use crate::calling::peer_links::{LinkError, PeerLinks};
 
 use lagoonshore_coordination::{
-    quota::token_hand::{QuotaToken, TokenHand},
+    quota::{
+        silent_counters::SilentCounters,
+        token_hand::{QuotaToken, TokenHand},
+    },
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant};
@@ -27,8 +30,6 @@
 const WAIT_MAX: Duration = Duration::from_millis(250);
 /// Time after which a node goes on to the next counter.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which a counter that did not answer is not asked.
-const AVOID_TIME: Duration = Duration::from_millis(500);
 /// Time for which requests are refused after no counter answered, and after which their callers may return.
 const UNANSWERED_TIME: Duration = Duration::from_millis(100);
 /// Accounts whose tokens are kept before those of idle ones are dropped.
@@ -44,8 +45,7 @@
     links: Rc<PeerLinks>,
     log: Rc<QuotaLog>,
     hands: RefCell<HashMap<AccountName, Rc<AccountHand>>>,
-    /// Counters that did not answer, with the time until which they are not asked.
-    avoided: RefCell<HashMap<SocketAddr, Instant>>,
+    silent: RefCell<SilentCounters>,
 }
 
 /// `AccountHand` is what this node holds of the quota of one account.
@@ -116,7 +116,7 @@
             links,
             log,
             hands: RefCell::default(),
-            avoided: RefCell::default(),
+            silent: RefCell::default(),
         })
     }
 
@@ -266,11 +266,7 @@
     }
 
     async fn ask_counters(&self, entry: &AccountHand) -> bool {
-        let candidates = self.fleet.candidates(Instant::now(), &entry.account);
-        for address in candidates {
-            if self.is_avoided(address) {
-                continue;
-            }
+        for address in self.askable_counters(&entry.account) {
             let asked_at = Instant::now();
             let rules = self.fleet.rules();
             let waiting = entry.waiting.get();
@@ -280,14 +276,15 @@
                 wanted,
                 is_loan: false,
             };
-            match self.send(address, ask, asked_at + ASK_TIMEOUT).await {
+            let answer = self.send(address, ask, asked_at + ASK_TIMEOUT).await;
+            self.record_answer(address, answer.as_ref().err());
+            match answer {
                 Ok(TokenGrant::Granted { tokens, short_ms }) => {
                     let short_for = Duration::from_millis(short_ms.into());
                     entry.add(asked_at, tokens, short_for, &self.fleet);
                     return true;
                 }
-                Ok(TokenGrant::NotCounter) => {}
-                Err(error) => self.avoid(address, error),
+                Ok(TokenGrant::NotCounter) | Err(_) => {}
             }
         }
         false
@@ -305,18 +302,21 @@
         Ok(self.counters.serve(ask).await)
     }
 
-    fn is_avoided(&self, address: SocketAddr) -> bool {
-        let avoided = self.avoided.borrow();
-        let until = avoided.get(&address);
-        until.is_some_and(|until| Instant::now() < *until)
+    /// Returns the counters of `account` to ask, in their order.
+    fn askable_counters(&self, account: &AccountName) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let candidates = self.fleet.candidates(now, account);
+        self.silent.borrow().select(now, candidates)
     }
 
-    fn avoid(&self, address: SocketAddr, error: LinkError) {
-        let now = Instant::now();
-        let mut avoided = self.avoided.borrow_mut();
-        avoided.retain(|_, until| now < *until);
-        avoided.insert(address, now + AVOID_TIME);
-        self.log.log_unanswered(address, error);
+    fn record_answer(&self, address: SocketAddr, error: Option<&LinkError>) {
+        let mut silent = self.silent.borrow_mut();
+        let Some(error) = error else {
+            silent.record_answer(address);
+            return;
+        };
+        silent.record_silence(Instant::now(), address);
+        self.log.log_unanswered(address, *error);
     }
 }
 
