Wait for a token until the deadline of the request, and for no quota that is gone

Cause: a request waited for a token for its full time also when its caller had given up before; and one that waited while a newer document took the quota away was refused with 503, since no node counts for it.

Change: `admit` takes the deadline of the request. A request that waits is admitted without a token once the document in force gives its account no quota.

Tests: the existing calls of `admit` pass a deadline 10 s ahead; what they check is as before.

--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -176,7 +176,7 @@
             _ => None,
         };
         match account {
-            Some(account) => self.quotas.admit(account).await,
+            Some(account) => self.quotas.admit(account, request.deadline).await,
             None => Ok(None),
         }
     }
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -120,14 +120,15 @@
         })
     }
 
-    /// Admits a request of `account`, after a short wait for a token if this node holds none. `None` if
-    /// the account has no quota.
+    /// Admits a request of `account`, after a short wait for a token if this node holds none, but not
+    /// beyond its `deadline`. `None` if the account has no quota.
     ///
     /// # Errors
     /// [`QuotaRefusal`] if the quota is used up, or if no counter answers.
     pub async fn admit(
         self: &Rc<Self>,
         account: &AccountEntry,
+        deadline: Instant,
     ) -> Result<Option<QuotaPermit>, QuotaRefusal> {
         if account.quota.is_none() || self.control == ControlMode::PassThrough {
             return Ok(None);
@@ -136,9 +137,13 @@
         let now = Instant::now();
         entry.used_at.set(now);
         entry.hand.borrow_mut().record_request(now);
-        let token = match entry.take() {
-            Some(token) => token,
-            None => self.wait_for_token(&entry).await?,
+        let in_hand = entry.take();
+        let token = match in_hand {
+            Some(token) => Some(token),
+            None => self.wait_for_token(&entry, deadline).await?,
+        };
+        let Some(token) = token else {
+            return Ok(None);
         };
         let rules = self.fleet.rules();
         let is_low = entry.hand.borrow_mut().is_low(Instant::now(), rules);
@@ -174,18 +179,23 @@
         views.collect()
     }
 
+    /// Waits for a token; `None` if a newer document gives the account no quota.
     async fn wait_for_token(
         self: &Rc<Self>,
         entry: &Rc<AccountHand>,
-    ) -> Result<QuotaToken, QuotaRefusal> {
-        let until = Instant::now() + WAIT_MAX;
+        deadline: Instant,
+    ) -> Result<Option<QuotaToken>, QuotaRefusal> {
+        let until = deadline.min(Instant::now() + WAIT_MAX);
         let waiting = WaitingGuard::new(entry);
         loop {
             if let Some(token) = entry.take() {
-                return Ok(token);
+                return Ok(Some(token));
+            }
+            if self.fleet.quota(&entry.account).is_none() {
+                return Ok(None);
             }
             let now = Instant::now();
-            if now < entry.unanswered_until.get() {
+            if now >= until || now < entry.unanswered_until.get() {
                 return Err(self.refuse_unanswered(entry));
             }
             if !entry.hand.borrow().can_ask(now) {
--- a/crates/relay/tests/quotas.rs
+++ b/crates/relay/tests/quotas.rs
@@ -14,6 +14,7 @@
     time::Duration,
 };
 use support::TestFleet;
+use tokio::time::Instant;
 
 /// A rate at which the buckets fill within the time of a message.
 const AMPLE_RATE: f64 = 1e6;
@@ -33,6 +34,11 @@
     }
 }
 
+/// Deadline of a request with ample time.
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
 /// Two nodes in each of three zones, with one account.
 async fn fleet(rate: f64) -> TestFleet {
     let zones = ["z1", "z2", "z3"];
@@ -66,7 +72,7 @@
 async fn until_quotas_are_known(node: &RelayNode, account: &AccountEntry) {
     loop {
         // The answer does not matter: the request makes the node look for its counter.
-        let _ = node.quota_gate().admit(account).await;
+        let _ = node.quota_gate().admit(account, soon()).await;
         let quotas = node.dump().quotas.expect("accounts");
         if quotas.hands.iter().any(|hand| hand.counter.is_some()) {
             return;
@@ -103,7 +109,7 @@
     for member in &fleet.members {
         let gate = member.node.quota_gate();
         for _ in 0..20 {
-            let admitted = gate.admit(&account(AMPLE_RATE)).await;
+            let admitted = gate.admit(&account(AMPLE_RATE), soon()).await;
             assert!(admitted.is_ok_and(|permit| permit.is_some()));
         }
     }
@@ -115,7 +121,7 @@
     until_counted(&fleet).await;
     for member in &fleet.members {
         let gate = member.node.quota_gate();
-        let refusal = gate.admit(&account(SCANT_RATE)).await.err();
+        let refusal = gate.admit(&account(SCANT_RATE), soon()).await.err();
         let refusal = refusal.expect("no tokens yet");
         assert_eq!(refusal.reason, RefusalReason::QuotaExceeded);
         assert_eq!(refusal.reason.status(), 429);
@@ -131,7 +137,7 @@
     let gate = fleet.members[0].node.quota_gate();
     let (mut admitted, mut refused) = (0, 0);
     for _ in 0..100_000 {
-        match gate.admit(&account(SCANT_RATE)).await {
+        match gate.admit(&account(SCANT_RATE), soon()).await {
             Ok(_) => admitted += 1,
             Err(_) => refused += 1,
         }
@@ -164,7 +170,7 @@
     }
     let gate = fleet.members[0].node.quota_gate();
     for account in &accounts {
-        let admitted = gate.admit(account).await;
+        let admitted = gate.admit(account, soon()).await;
         assert!(admitted.is_ok_and(|permit| permit.is_some()));
     }
     let quotas = fleet.members[0].node.dump().quotas.expect("accounts");
@@ -200,7 +206,11 @@
     let fleet = fleet(AMPLE_RATE).await;
     until_counted(&fleet).await;
     let gate = fleet.members[0].node.quota_gate();
-    let admitted = gate.admit(&account(AMPLE_RATE)).await.ok().flatten();
+    let admitted = gate
+        .admit(&account(AMPLE_RATE), soon())
+        .await
+        .ok()
+        .flatten();
     let held = |fleet: &TestFleet| {
         fleet.members[0]
             .node
@@ -222,12 +232,44 @@
         ..account(1.0)
     };
     let gate = fleet.members[0].node.quota_gate();
-    let admitted = gate.admit(&unlimited).await;
+    let admitted = gate.admit(&unlimited, soon()).await;
     assert!(admitted.is_ok_and(|permit| permit.is_none()));
     let quotas = fleet.members[0].node.dump().quotas.expect("accounts");
     assert!(quotas.hands.is_empty() && quotas.counters.is_empty());
 }
 
+#[actix_rt::test]
+async fn a_request_whose_quota_was_removed_is_admitted() {
+    let fleet = fleet(AMPLE_RATE).await;
+    until_counted(&fleet).await;
+    let unlimited = AccountEntry {
+        quota: None,
+        ..account(1.0)
+    };
+    publish_accounts(&fleet, 2, &[unlimited]);
+    let gate = fleet.members[0].node.quota_gate();
+    // The request was read under the document before.
+    let admitted = gate.admit(&named_account("t", AMPLE_RATE), soon()).await;
+    assert!(admitted.is_ok_and(|permit| permit.is_none()));
+}
+
+#[actix_rt::test]
+async fn a_request_waits_for_a_token_until_its_deadline_at_most() {
+    let fleet = TestFleet::start(&[("a", "z1"), ("a", "z2")]).await;
+    publish_accounts(
+        &fleet,
+        1,
+        &[account(AMPLE_RATE), named_account("u", AMPLE_RATE)],
+    );
+    until_counted(&fleet).await;
+    let gate = fleet.members[0].node.quota_gate();
+    let late = gate
+        .admit(&named_account("u", AMPLE_RATE), Instant::now())
+        .await;
+    let refusal = late.err().expect("no token in hand");
+    assert_eq!(refusal.reason, RefusalReason::QuotaUnknown);
+}
+
 #[actix_rt::test]
 async fn a_caller_over_its_quota_is_told_when_to_return_and_nothing_runs() {
     let fleet = TestFleet::start(&[("a", "z1"), ("a", "z2")]).await;
