Tell short nodes at least 1 ms, keep fields of fleets without accounts, name denials apart

Cause: four small faults. A wait below 1 ms was sent as 0, which says that nothing is missing. A caller's field with the name of the account was dropped also in fleets without accounts, where the credentials are relayed. Lines about denied keys used up those about failures. An account named `other` shared its metric with the rest.

Evidence: the two new tests fail on the code before. The log lines and the label have no test of their own.

Change: the wait is 1 ms at least; the field goes the way of the credentials; denials have 5 lines a window of their own; the label of the rest holds a blank, which no account has in its name.

--- a/crates/coordination/src/quota/account_counter.rs
+++ b/crates/coordination/src/quota/account_counter.rs
@@ -11,6 +11,9 @@
 
 /// Least and longest pause after a loan that did not suffice.
 const LOAN_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+/// Least time after which a node that got too few tokens may ask again; messages hold whole
+/// milliseconds, and zero means that nothing is missing.
+const TURN_MIN: Duration = Duration::from_millis(1);
 /// Longest time after which a node that got too few tokens may ask again.
 const TURN_MAX: Duration = Duration::from_millis(200);
 /// Smallest loan, in tokens, that is asked for; fractions of the bucket complete it.
@@ -127,7 +130,7 @@
     pub fn next_turn(&mut self, now: Instant, missing: f64) -> Duration {
         let rate = self.bucket.part().rate;
         let turn = Duration::try_from_secs_f64(missing / rate).unwrap_or(TURN_MAX);
-        let after = self.next_turn.max(now) + turn.min(TURN_MAX);
+        let after = self.next_turn.max(now) + turn.clamp(TURN_MIN, TURN_MAX);
         self.next_turn = after.min(now + TURN_MAX);
         self.next_turn - now
     }
--- a/crates/coordination/tests/quota_counters.rs
+++ b/crates/coordination/tests/quota_counters.rs
@@ -74,6 +74,17 @@
     assert!(counter.take(full, PART.capacity) < 1.0);
 }
 
+#[test]
+fn a_node_that_got_too_few_tokens_is_always_told_to_wait() {
+    let now = Instant::now();
+    let part = QuotaPart {
+        rate: 1e6,
+        capacity: 1.0,
+    };
+    let mut counter = AccountCounter::new(now, now, part);
+    assert!(counter.next_turn(now, 1.0) >= Duration::from_millis(1));
+}
+
 /// Zones that count `after` one of three was last listed.
 fn zones_counted(proof_life: Option<Duration>, after: Duration) -> u32 {
     let rules = QuotaRules {
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -18,7 +18,9 @@
 const FAILURE_LINES_MAX: u32 = 25;
 /// Lines about routine decisions in one [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
 const ROUTINE_LINES_MAX: u32 = 1;
-
+/// Lines about requests that were refused for their keys, in one
+/// [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
+const DENIED_LINES_MAX: u32 = 5;
 /// Lines about requests that were not read to their end, in one
 /// [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
 const UNREAD_LINES_MAX: u32 = 10;
@@ -47,6 +49,7 @@
 pub struct DecisionLog {
     failures: LineBudget,
     routine: LineBudget,
+    denied: LineBudget,
     unread: LineBudget,
 }
 
@@ -55,6 +58,7 @@
         Self {
             failures: LineBudget::new(FAILURE_LINES_MAX),
             routine: LineBudget::new(ROUTINE_LINES_MAX),
+            denied: LineBudget::new(DENIED_LINES_MAX),
             unread: LineBudget::new(UNREAD_LINES_MAX),
         }
     }
@@ -89,7 +93,7 @@
     /// Logs that the request `id` was refused for its key.
     pub(crate) fn log_denied(&self, id: &str, route: &str, denial: &AccessDenial) {
         relay_metrics::count_refused(denial.reason);
-        let Some(left_out) = self.failures.take() else {
+        let Some(left_out) = self.denied.take() else {
             return;
         };
         info!(
--- a/crates/relay/src/header_scheme.rs
+++ b/crates/relay/src/header_scheme.rs
@@ -45,10 +45,17 @@
             self.time_limit,
             self.expected_instance,
             self.origin_service,
-            self.credentials,
-            self.account,
         ]
         .iter()
         .any(|own| name.eq_ignore_ascii_case(own))
+            || self.is_about_accounts(name)
+    }
+
+    /// Returns whether the field says which account calls. In a fleet without accounts it is a matter
+    /// between the caller and the upstream.
+    #[must_use]
+    pub fn is_about_accounts(&self, name: &str) -> bool {
+        let fields = [self.credentials, self.account];
+        fields.iter().any(|own| name.eq_ignore_ascii_case(own))
     }
 }
--- a/crates/relay/src/http1/credentials.rs
+++ b/crates/relay/src/http1/credentials.rs
@@ -8,10 +8,10 @@
 use lagoonshore_state::account::{AccountKey, KEY_BYTES_MAX};
 use std::fmt;
 
-/// `RequestCredentials` holds the credentials fields of a request, apart from the fields to relay.
+/// `RequestCredentials` holds the fields of a request that say which account calls, apart from the fields to relay.
 #[derive(Clone)]
 pub struct RequestCredentials {
-    /// Key that the fields hold.
+    /// Key that the credentials hold.
     pub key: PresentedKey,
     /// The fields as received, each terminated by CRLF. They are relayed only in a fleet without
     /// accounts, where they belong to the upstream.
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -121,7 +121,7 @@
     let summary = FieldSummary::of(parsed.headers)?;
     let is_http10 = parsed.version == Some(0);
     let credentials = relayed_fields(parsed.headers, &summary, |name| {
-        !name.eq_ignore_ascii_case(scheme.credentials)
+        !scheme.is_about_accounts(name)
     });
     let head = RequestHead {
         method: parsed.method.unwrap_or_default().into(),
--- a/crates/relay/src/quota/quota_log.rs
+++ b/crates/relay/src/quota/quota_log.rs
@@ -13,8 +13,8 @@
 const LINES_MAX: u32 = 5;
 /// Accounts that are named in metrics; the others are counted together.
 const NAMED_ACCOUNTS_MAX: usize = 32;
-/// Label of the accounts that are counted together.
-const OTHER_ACCOUNTS: &str = "other";
+/// Label of the accounts that are counted together. No account has this name, since names hold no blanks.
+const OTHER_ACCOUNTS: &str = "other accounts";
 
 /// `QuotaLog` counts decisions on quotas and logs them.
 pub struct QuotaLog {
--- a/crates/relay/tests/caller_keys.rs
+++ b/crates/relay/tests/caller_keys.rs
@@ -211,6 +211,15 @@
     assert!(heads(&fleet).contains("Authorization: Bearer key-of-ann\r\n"));
 }
 
+#[actix_rt::test]
+async fn without_accounts_the_field_with_their_name_belongs_to_the_upstream() {
+    let fleet = fleet().await;
+    publish(&fleet, &document(2, &routes()));
+    let response = request(&fleet, "/a/x", "r1", "Account: ann\r\n").await;
+    assert_eq!(response.status, 200);
+    assert!(heads(&fleet).contains("Account: ann\r\n"));
+}
+
 #[actix_rt::test]
 async fn an_id_like_that_of_a_call_lets_nobody_in() {
     let fleet = fleet().await;
