Keep the counter of an account whose quota is taken away for a moment

Cause: the counter was forgotten with the document that took the quota away. One that gave it back within the window started a counter whose bucket counts its refill from long ago, and so was full again.

Change: such a counter is kept for two windows.

--- a/crates/relay/src/quota/quota_counters.rs
+++ b/crates/relay/src/quota/quota_counters.rs
@@ -12,6 +12,8 @@
 
 /// Time that all loans for one ask may take.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(60);
+/// Windows for which the counter of an account that lost its quota is kept, in case it gets it back.
+const KEPT_WINDOWS: u32 = 2;
 /// Tokens below which nothing is left to borrow.
 const TOKENS_MIN: f64 = 1e-6;
 
@@ -27,6 +29,8 @@
     counter: AccountCounter,
     /// Present while a loan is asked for; notified at its end.
     loan: Option<Rc<Notify>>,
+    /// Time at which the account lost its quota; `None` while it has one.
+    ended_at: Option<Instant>,
 }
 
 impl QuotaCounters {
@@ -74,17 +78,29 @@
         }
     }
 
-    /// Forgets the counters of accounts that have no quota any more.
+    /// Forgets the counters of accounts that have had no quota for some time. Until then they are kept:
+    /// a new counter may have a full bucket.
     pub fn apply_directory_change(&self) {
+        let now = Instant::now();
+        let kept_time = self.fleet.rules().window * KEPT_WINDOWS;
         let mut entries = self.entries.borrow_mut();
-        entries.retain(|account, _| self.fleet.quota(account).is_some());
+        entries.retain(|account, entry| {
+            if self.fleet.quota(account).is_some() {
+                entry.ended_at = None;
+                return true;
+            }
+            let ended_at = entry.ended_at.get_or_insert(now);
+            now < *ended_at + kept_time
+        });
     }
 
     /// Returns the counters for operators.
     pub(crate) fn views(&self) -> Vec<CounterView> {
         let now = Instant::now();
         let mut entries = self.entries.borrow_mut();
-        let views = entries.iter_mut().map(|(account, entry)| {
+        let counting = entries.iter_mut();
+        let counting = counting.filter(|(_, entry)| entry.ended_at.is_none());
+        let views = counting.map(|(account, entry)| {
             let (tokens, part) = entry.counter.stock(now);
             CounterView {
                 account: account.clone(),
@@ -126,6 +142,7 @@
             .or_insert_with(|| CounterEntry {
                 counter: AccountCounter::new(now, duty.since, duty.part),
                 loan: None,
+                ended_at: None,
             });
         entry.counter.renew(now, duty.since);
         entry.counter.set_part(now, duty.part);
--- a/crates/relay/tests/quotas.rs
+++ b/crates/relay/tests/quotas.rs
@@ -253,6 +253,32 @@
     assert!(admitted.is_ok_and(|permit| permit.is_none()));
 }
 
+/// Tokens that the counters of the fleet have granted.
+fn granted(fleet: &TestFleet) -> f64 {
+    let dumps = fleet
+        .members
+        .iter()
+        .filter_map(|member| member.node.dump().quotas);
+    let counters = dumps.flat_map(|quotas| quotas.counters);
+    counters.map(|counter| counter.totals.granted).sum()
+}
+
+#[actix_rt::test]
+async fn a_quota_that_is_removed_and_added_again_starts_no_new_counter() {
+    let fleet = fleet(AMPLE_RATE).await;
+    until_counted(&fleet).await;
+    let gate = fleet.members[0].node.quota_gate();
+    let admitted = gate.admit(&account(AMPLE_RATE), soon()).await;
+    assert!(admitted.is_ok_and(|permit| permit.is_some()));
+    let before = granted(&fleet);
+    publish_accounts(&fleet, 2, &[]);
+    // The nodes apply each of the documents.
+    actix_rt::time::sleep(Duration::from_millis(20)).await;
+    publish(&fleet, 3, AMPLE_RATE);
+    actix_rt::time::sleep(Duration::from_millis(20)).await;
+    assert!(granted(&fleet) >= before && before > 0.0);
+}
+
 #[actix_rt::test]
 async fn a_request_waits_for_a_token_until_its_deadline_at_most() {
     let fleet = TestFleet::start(&[("a", "z1"), ("a", "z2")]).await;
