--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -2,7 +2,10 @@
 //! messages, and clocks that differ in rate.
 
 use lagoonshore_coordination::quota::{
-    account_counter::AccountCounter, counter_choice::CounterChoice, quota_rules::QuotaRules,
+    account_counter::{AccountCounter, lender_deadline},
+    counter_choice::CounterChoice,
+    quota_rules::QuotaRules,
+    silent_counters::SilentCounters,
     token_hand::TokenHand,
 };
 use lagoonshore_state::{account::AccountQuota, ids::ZoneName};
@@ -22,8 +25,6 @@
 const WAIT_MAX: Duration = Duration::from_millis(100);
 /// Time after which a node goes on to the next counter.
 const ASK_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time for which a counter that did not answer is not asked.
-const AVOID_TIME: Duration = Duration::from_millis(500);
 /// Time that all loans of one ask may take.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(30);
 /// Time after which a node that is cut off admits nothing more, since its keys may be revoked.
@@ -33,6 +34,7 @@
     window: Duration::from_secs(5),
     overage: 0.25,
     slack: 20.0,
+    proof_life: Some(PROOF_LIFE),
 };
 
 #[derive(Clone, Copy, Debug)]
@@ -87,6 +89,8 @@
     asked: f64,
     got: f64,
     ends_at: Instant,
+    /// Time by which the lender that was asked last has to answer.
+    lender_until: Instant,
 }
 
 struct ModelNode {
@@ -101,7 +105,7 @@
     ask: Option<OpenAsk>,
     loan: Option<OpenLoan>,
     pending: Vec<PendingGrant>,
-    avoided: BTreeMap<usize, Instant>,
+    silent: SilentCounters,
     is_down: bool,
     cut_since: Option<Instant>,
 }
@@ -176,7 +180,7 @@
                 ask: None,
                 loan: None,
                 pending: Vec::new(),
-                avoided: BTreeMap::new(),
+                silent: SilentCounters::default(),
                 is_down: false,
                 cut_since: None,
             });
@@ -345,11 +349,9 @@
         let zone = zone_name(node.zone);
         let own = node.choice.counter(now, ACCOUNT, &zone);
         let others = node.choice.other_counters(now, ACCOUNT, &zone);
-        let targets = own.into_iter().chain(others);
-        let targets = targets.map(index_of);
-        let is_avoided =
-            |target: &usize| node.avoided.get(target).is_some_and(|until| now < *until);
-        let mut targets: Vec<usize> = targets.filter(|target| !is_avoided(target)).collect();
+        let targets = own.into_iter().chain(others).collect();
+        let targets = node.silent.select(now, targets).into_iter();
+        let mut targets: Vec<usize> = targets.map(index_of).collect();
         targets.reverse();
         self.serial += 1;
         self.nodes[index].ask = Some(OpenAsk {
@@ -381,6 +383,18 @@
         self.send(index, target, message);
     }
 
+    /// Records whether the counter that `index` asked has answered.
+    fn record_answer(&mut self, index: usize, counter: usize, is_answered: bool) {
+        let now = self.local(index);
+        let counter = self.nodes[counter].address;
+        let silent = &mut self.nodes[index].silent;
+        if is_answered {
+            silent.record_answer(counter);
+        } else {
+            silent.record_silence(now, counter);
+        }
+    }
+
     fn expire(&mut self, index: usize) {
         let now = self.local(index);
         let node = &mut self.nodes[index];
@@ -388,12 +402,14 @@
         if let Some(ask) = &node.ask
             && now >= ask.sent_at + ASK_TIMEOUT
         {
-            node.avoided.insert(ask.asked, now + AVOID_TIME);
+            let asked = ask.asked;
+            self.record_answer(index, asked, false);
             self.ask_next(index);
         }
         let node = &self.nodes[index];
-        if node.loan.as_ref().is_some_and(|loan| now >= loan.ends_at) {
-            self.finish_loan(index);
+        let is_silent = |loan: &OpenLoan| now >= loan.lender_until;
+        if node.loan.as_ref().is_some_and(is_silent) {
+            self.ask_for_loan(index);
         }
     }
 
@@ -459,6 +475,7 @@
             Message::NotCounter { ask } => {
                 let is_open = |open: &OpenAsk| open.id == ask && open.asked == from;
                 if self.nodes[to].ask.as_ref().is_some_and(is_open) {
+                    self.record_answer(to, from, true);
                     self.ask_next(to);
                 }
             }
@@ -504,9 +521,8 @@
         let zones = choice.zone_count(now, RULES.zone_hold());
         let part = RULES.zone_part(node.quota, zones);
         let known = node.counter.take();
-        let mut counter = known
-            .filter(|known| known.since() == since)
-            .unwrap_or_else(|| AccountCounter::new(now, since, part));
+        let mut counter = known.unwrap_or_else(|| AccountCounter::new(now, since, part));
+        counter.renew(now, since);
         counter.set_part(now, part);
         node.counter = Some(counter);
         true
@@ -541,13 +557,15 @@
         };
         let zone = zone_name(node.zone);
         let others = node.choice.other_counters(now, ACCOUNT, &zone);
+        let others = others.into_iter();
         self.serial += 1;
         node.loan = Some(OpenLoan {
             id: self.serial,
-            others: others.into_iter().map(index_of).collect(),
+            others: others.map(index_of).collect(),
             asked: amount,
             got: 0.0,
             ends_at: now + LOAN_TIMEOUT,
+            lender_until: now,
         });
         self.ask_for_loan(index);
     }
@@ -555,10 +573,12 @@
     fn ask_for_loan(&mut self, index: usize) {
         self.serial += 1;
         let serial = self.serial;
+        let now = self.local(index);
         let Some(loan) = self.nodes[index].loan.as_mut() else {
             return;
         };
         let wanted = loan.asked - loan.got;
+        loan.lender_until = lender_deadline(now, loan.ends_at, loan.others.len());
         if wanted > 1e-9
             && let Some(lender) = loan.others.pop()
         {
@@ -624,6 +644,8 @@
             return;
         };
         let sent_at = open.sent_at;
+        self.record_answer(index, from, true);
+        let node = &mut self.nodes[index];
         node.ask = None;
         let hand = &mut node.hand;
         hand.add(now, sent_at, tokens as u32, short_for, &RULES);
