Name account hashes apart from keys, and mend comments that a reader trips over

Cause: reading the code of client accounts, quotas, placing and open clients as a newcomer.

Evidence: clippy of the workspace with all targets and warnings denied, formatter, and documentation with warnings denied pass; before, the documentation of `coordination` ended with three errors. Tests of coordination, state, transport and relay: 452 passed, none failed, none ignored (69 results, one run); after that run's build only comments and pages changed. Tests of the other crates and of the platform were not run.

--- a/crates/coordination/src/forwarding/arrival_budget.rs
+++ b/crates/coordination/src/forwarding/arrival_budget.rs
@@ -6,11 +6,11 @@
 //! of the slack, the service as a whole stays within its quota, and the nodes need not exchange
 //! their counts.
 //!
-//! The load that it answers: an upstream that rejects a large share of its requests for longer than
+//! It is made for this load: an upstream that rejects a large share of its requests for longer than
 //! the budget lasts. Chains of several calls need all of them, so a budget that is spent in the
 //! order of arrival is used up by chains that fail later. Retries of more important chains, and of
 //! those that are nearer to their end, are therefore expected to go on at their current rate for
-//! [`PLANNED_TIME`], and others get only what those are not expected to need.
+//! `PLANNED_TIME`, and others get only what those are not expected to need.
 
 use super::{
     request_history::RequestHistory,
--- a/crates/coordination/src/forwarding/caller_access.rs
+++ b/crates/coordination/src/forwarding/caller_access.rs
@@ -1,6 +1,6 @@
 //! Decides whether a request of a caller may run, by its key.
 //!
-//! Answers a load of requests with keys that are unknown, withdrawn or missing. The calls of an upstream
+//! Requests may come with keys that are unknown, withdrawn or missing. The calls of an upstream
 //! carry no key; they inherit the account of the running request that makes them. The id of a call
 //! proves nothing where that request is not known, because callers choose their ids: such a request is
 //! refused, but not for good, since it may be a call that began before the node restarted.
@@ -38,7 +38,7 @@
 /// `AccessRefusal` is the reason why a request may not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AccessRefusal {
-    /// No account of the document in force holds the key, or there is none.
+    /// No account of the document in force holds the key, or the request has none.
     UnknownKey,
     /// The document in force may have been replaced, so that it says nothing of keys.
     StaleKeys,
--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -10,7 +10,7 @@
 //! ones, those of client accounts that had no more than their share of the slots go first.
 
 use super::{
-    account_shares::{AccountKey, AccountShares, ShareExcess},
+    account_shares::{AccountHash, AccountShares, ShareExcess},
     rate_limiter::RateLimiter,
 };
 
@@ -51,7 +51,7 @@
     /// Route of the request.
     pub route: RouteId,
     /// Client account that sent it, if it has one.
-    pub account: Option<AccountKey>,
+    pub account: Option<AccountHash>,
     /// Time by which the request should have completed.
     pub finish_by: Instant,
     /// Longest time that the request may wait in this queue.
@@ -84,7 +84,7 @@
 #[derive(Clone, Copy, Debug)]
 struct WaitingRequest {
     route: RouteId,
-    account: Option<AccountKey>,
+    account: Option<AccountHash>,
 }
 
 /// `SlotQueue` assigns the slots of one upstream to requests.
@@ -272,7 +272,7 @@
         change
     }
 
-    fn start(&mut self, now: Instant, route: RouteId, account: Option<AccountKey>) {
+    fn start(&mut self, now: Instant, route: RouteId, account: Option<AccountHash>) {
         self.in_use += 1;
         let slot_time = self.hold_time(route);
         self.shares.record(now, account, slot_time);
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 //! passed in by the caller; nothing in this crate performs I/O.
 
 pub mod admission;
+mod age_weights;
 pub mod at_most_once;
 pub mod error;
 pub mod forwarding;
--- a/crates/coordination/src/placing/candidate_table.rs
+++ b/crates/coordination/src/placing/candidate_table.rs
@@ -103,6 +103,7 @@
     other_requests: f64,
 }
 
+/// `MeanSum` collects values for their mean.
 #[derive(Clone, Copy, Debug, Default)]
 struct MeanSum {
     sum: f64,
@@ -186,38 +187,32 @@
     /// Returns whether any candidate is healthy.
     #[must_use]
     pub fn has_healthy(&self) -> bool {
-        self.candidates.iter().any(|candidate| candidate.is_healthy)
+        self.healthy().next().is_some()
     }
 
     /// Returns whether any candidate in the zone of the sender is healthy.
     #[must_use]
     pub fn has_healthy_in_zone(&self) -> bool {
-        let mut healthy = self
-            .candidates
-            .iter()
-            .filter(|candidate| candidate.is_healthy);
-        healthy.any(|candidate| candidate.is_own_zone)
+        self.healthy().any(|candidate| candidate.is_own_zone)
     }
 
     /// Returns whether a healthy candidate in the zone of the sender has a free slot.
     #[must_use]
     pub fn has_free_slot_in_zone(&self) -> bool {
-        let mut healthy = self
-            .candidates
-            .iter()
-            .filter(|candidate| candidate.is_healthy);
-        healthy.any(|candidate| candidate.is_own_zone && candidate.load.utilization() < 1.0)
+        self.healthy()
+            .any(|candidate| candidate.is_own_zone && candidate.load.utilization() < 1.0)
+    }
+
+    fn healthy(&self) -> impl Iterator<Item = &ScoredCandidate> {
+        let candidates = self.candidates.iter();
+        candidates.filter(|candidate| candidate.is_healthy)
     }
 
     /// Compares the zone of the sender with the others.
     #[must_use]
     pub fn balance(&self) -> ZoneBalance {
         let (mut own, mut other) = (ZoneTotals::default(), ZoneTotals::default());
-        for candidate in self
-            .candidates
-            .iter()
-            .filter(|candidate| candidate.is_healthy)
-        {
+        for candidate in self.healthy() {
             let totals = if candidate.is_own_zone {
                 &mut own
             } else {
@@ -256,6 +251,7 @@
     }
 }
 
+/// Sums over the healthy candidates of the own zone, or of the others.
 #[derive(Debug, Default)]
 struct ZoneTotals {
     requests: f64,
@@ -278,7 +274,7 @@
         (self.limit > 0.0).then(|| self.requests / self.limit)
     }
 
-    /// Mean expected completion over the instances, by their weights.
+    /// Mean expected completion over the instances, by their weights, in seconds.
     fn mean_seconds(&self) -> f64 {
         if self.weight > 0.0 {
             return self.weighted_seconds / self.weight;
--- a/crates/coordination/src/placing/link_delays.rs
+++ b/crates/coordination/src/placing/link_delays.rs
@@ -1,5 +1,7 @@
 //! Delay of the links to other availability zones.
 
+use crate::age_weights;
+
 use lagoonshore_state::ids::ZoneName;
 
 use std::time::Duration;
@@ -45,8 +47,6 @@
         let Some(known) = self.zones.iter().find(|known| known.zone == zone) else {
             return 0.0;
         };
-        let age = now.saturating_duration_since(known.sampled_at);
-        let age_share = age.as_secs_f64() / DELAY_TTL.as_secs_f64();
-        known.seconds * (1.0 - age_share).max(0.0)
+        known.seconds * (1.0 - age_weights::age_share(now, known.sampled_at, DELAY_TTL))
     }
 }
--- a/crates/coordination/src/placing/work_times.rs
+++ b/crates/coordination/src/placing/work_times.rs
@@ -3,7 +3,7 @@
 //! Each reply carries the mean time of the latest runs of its route at the instance, over the
 //! requests of all senders. A sender therefore knows the speed of an instance after a single reply.
 
-use crate::forwarding::slot_queue::RouteId;
+use crate::{age_weights, forwarding::slot_queue::RouteId};
 
 use lagoonshore_state::instance_table::InstanceKey;
 use slotmap::SecondaryMap;
@@ -101,7 +101,6 @@
 
     /// Returns the age of the report as a share of `time`, at most 1.
     fn age_share(&self, now: Instant, time: Duration) -> f64 {
-        let age = now.saturating_duration_since(self.reported_at);
-        (age.as_secs_f64() / time.as_secs_f64()).min(1.0)
+        age_weights::age_share(now, self.reported_at, time)
     }
 }
--- a/crates/coordination/src/placing/zone_share.rs
+++ b/crates/coordination/src/placing/zone_share.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 /// Utilization of the own zone above which the share grows.
-pub const OWN_LOAD_MAX: f64 = 0.9;
+const OWN_LOAD_MAX: f64 = 0.9;
 /// Utilization of the own zone below which the share shrinks.
 const OWN_LOAD_LOW: f64 = 0.8;
 /// Utilization up to which other zones take requests; the rest is kept for their own callers.
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Returns the share: 0, or from [`SHARE_MIN`] to [`SHARE_MAX`].
+    /// Returns the share: 0, or from `SHARE_MIN` to `SHARE_MAX`.
     #[must_use]
     pub const fn share(&self) -> f64 {
         if self.share < SHARE_MIN {
@@ -132,14 +132,15 @@
         if saved <= 0.0 {
             return -REDUCTION_MIN;
         }
-        let excess = (self.own_load - OWN_LOAD_MAX).max(0.0);
         if saved < leave_cost.as_secs_f64() {
             return 0.0;
         }
+        let excess = (self.own_load - OWN_LOAD_MAX).max(0.0);
         GROWTH_GAIN * excess
     }
 }
 
+/// Returns the reduction of the share per second.
 fn reduction(free_load: f64) -> f64 {
     REDUCTION_MIN + REDUCTION_GAIN * free_load
 }
--- a/crates/coordination/src/protection/connection_bound.rs
+++ b/crates/coordination/src/protection/connection_bound.rs
@@ -2,7 +2,7 @@
 
 /// Descriptors that are left to files and listeners.
 const FILE_DESCRIPTORS: u32 = 200;
-/// Part of the other descriptors that connections of callers may use, as a fraction. The rest is for
+/// Part of the other descriptors that connections of callers may use: numerator and denominator. The rest is for
 /// other nodes and the upstream.
 const CALLER_PART: (u32, u32) = (13, 20);
 /// The same for connections to the upstream.
--- a/crates/coordination/src/quota/quota_rules.rs
+++ b/crates/coordination/src/quota/quota_rules.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-/// Share of the overrun time that a token lives, counted from the request for it.
+/// Share of [`QuotaRules::overrun_time`] that a token lives, counted from the request for it.
 const LIFE_SHARE: f64 = 0.4;
 /// Share of the overrun time for which the rate is held in buckets beside the burst.
 const STOCK_SHARE: f64 = 0.2;
@@ -74,7 +74,7 @@
         }
     }
 
-    /// Time of the rate that a window may exceed the quota by.
+    /// Time for which the rate may run beyond the window.
     fn overrun_time(&self) -> Duration {
         self.window.mul_f64(self.overage)
     }
--- a/crates/coordination/src/quota/token_hand.rs
+++ b/crates/coordination/src/quota/token_hand.rs
@@ -5,7 +5,8 @@
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
-/// Longest time after which a refused caller is asked to return; later ones share these times.
+/// Longest time after which a refused caller is asked to return; a caller whose turn would be later
+/// gets that of the first one.
 const RETURN_MAX: Duration = Duration::from_secs(1);
 /// Least time after which a refused caller is asked to return.
 const RETURN_MIN: Duration = Duration::from_millis(50);
--- a/crates/coordination/src/routing/peer_view.rs
+++ b/crates/coordination/src/routing/peer_view.rs
@@ -2,6 +2,8 @@
 
 use super::ejection::EjectionState;
 
+use crate::age_weights::{age_share, decay_factor};
+
 use lagoonshore_state::data_type;
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::Instant;
@@ -290,18 +292,6 @@
     latency.as_secs_f64() / typical.max(TYPICAL_LATENCY_MIN).as_secs_f64()
 }
 
-/// Returns the age of a value recorded at `then` as a share of `time`, at most 1.
-fn age_share(now: Instant, then: Instant, time: Duration) -> f64 {
-    let age = now.saturating_duration_since(then);
-    (age.as_secs_f64() / time.as_secs_f64()).min(1.0)
-}
-
-/// Returns the weight left of a value recorded at `then`: 0.5 after one `half_life`.
-fn decay_factor(now: Instant, then: Instant, half_life: Duration) -> f64 {
-    let age = now.saturating_duration_since(then);
-    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
-}
-
 fn is_recent(now: Instant, then: Option<Instant>, hold_time: Duration) -> bool {
     then.is_some_and(|then| now.saturating_duration_since(then) < hold_time)
 }
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -314,11 +314,7 @@
     fn record_first_attempt(&self, now: Instant, request: &RoutedRequest, service: &ServiceName) {
         let mut allowance = self.allowance.borrow_mut();
         allowance.record_request(now, service);
-        if request
-            .parent
-            .as_ref()
-            .is_some_and(|parent| parent.is_retry)
-        {
+        if request.has_retried_parent() {
             allowance.record_retry(now, service);
         }
     }
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -22,10 +22,7 @@
     has_others: bool,
 ) -> RelayRequest {
     let aim_left = request.aim_left();
-    let is_retry = request
-        .parent
-        .as_ref()
-        .is_some_and(|parent| parent.is_retry);
+    let is_retry = request.has_retried_parent();
     let is_resent = progress.deliveries > 0;
     let max_wait = if has_others {
         request.route.aim.mul_f64(FIRST_WAIT_SHARE)
--- a/crates/relay/src/calling/routed_request.rs
+++ b/crates/relay/src/calling/routed_request.rs
@@ -62,6 +62,13 @@
         route_id(&self.route.name)
     }
 
+    /// Returns whether a retried request makes this call.
+    #[must_use]
+    pub fn has_retried_parent(&self) -> bool {
+        let parent = self.parent.as_ref();
+        parent.is_some_and(|parent| parent.is_retry)
+    }
+
     /// Time left of the route's target latency.
     #[must_use]
     pub fn aim_left(&self) -> Duration {
--- a/crates/relay/src/http1/connection_table.rs
+++ b/crates/relay/src/http1/connection_table.rs
@@ -57,8 +57,8 @@
 }
 
 impl ConnectionTable {
-    /// Takes a place for a connection of `caller`, of which there are `connections_max`; `None` if all
-    /// are in use and none is given up. Returns the address that gave up its place as well, if one did.
+    /// Takes one of `connections_max` places for a connection of `caller`; `None` if all are in use and
+    /// none is given up. Returns the address that gave up its place as well, if one did.
     pub(crate) fn take_place(
         self: &Rc<Self>,
         caller: IpAddr,
--- a/crates/relay/src/quota/mod.rs
+++ b/crates/relay/src/quota/mod.rs
@@ -1,6 +1,7 @@
 //! Quotas of client accounts: the gate for requests, and the counters; see
 //! [`quota`](lagoonshore_coordination::quota).
 
+mod account_hand;
 pub mod fleet_counters;
 pub mod quota_counters;
 pub mod quota_gate;
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -1,30 +1,24 @@
 //! Admits the requests of an account by the tokens that this node has taken from its counter.
 
 use super::{
-    fleet_counters::FleetCounters, quota_counters::QuotaCounters, quota_log::QuotaLog,
+    account_hand::{AccountHand, WaitingGuard},
+    fleet_counters::FleetCounters,
+    quota_counters::QuotaCounters,
+    quota_log::QuotaLog,
     quota_view::HandView,
 };
 
 use crate::calling::peer_links::{LinkError, PeerLinks};
 
 use lagoonshore_coordination::{
-    quota::{
-        silent_counters::SilentCounters,
-        token_hand::{QuotaToken, TokenHand},
-    },
+    quota::{silent_counters::SilentCounters, token_hand::QuotaToken},
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant};
 use lagoonshore_settings::ControlMode;
 use lagoonshore_state::{account::AccountEntry, ids::AccountName};
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
-use tokio::{sync::Notify, time::Instant};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::Instant;
 
 /// Longest time that a request waits for a token.
 const WAIT_MAX: Duration = Duration::from_millis(250);
@@ -48,18 +42,6 @@
     silent: RefCell<SilentCounters>,
 }
 
-/// `AccountHand` is what this node holds of the quota of one account.
-struct AccountHand {
-    account: AccountName,
-    hand: RefCell<TokenHand>,
-    waiting: Cell<u32>,
-    is_asking: Cell<bool>,
-    used_at: Cell<Instant>,
-    /// Time until which requests are refused because no counter answered.
-    unanswered_until: Cell<Instant>,
-    answered: Notify,
-}
-
 /// `QuotaPermit` is the admission of one request. Dropping it spends its token.
 pub struct QuotaPermit {
     entry: Rc<AccountHand>,
@@ -77,28 +59,12 @@
 /// `QuotaRefusal` says why a request was not admitted, and when its caller may return.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuotaRefusal {
-    /// Reason.
+    /// Whether the quota is used up, or no counter answered.
     pub reason: RefusalReason,
-    /// Time after which the quota allows a request of this caller.
+    /// Time after which the caller may return.
     pub retry_after: Duration,
 }
 
-/// Counts a request that waits.
-struct WaitingGuard<'a>(&'a AccountHand);
-
-impl<'a> WaitingGuard<'a> {
-    fn new(entry: &'a AccountHand) -> Self {
-        entry.waiting.set(entry.waiting.get() + 1);
-        Self(entry)
-    }
-}
-
-impl Drop for WaitingGuard<'_> {
-    fn drop(&mut self) {
-        self.0.waiting.set(self.0.waiting.get() - 1);
-    }
-}
-
 impl QuotaGate {
     /// Creates the gate of a node.
     #[must_use]
@@ -244,15 +210,7 @@
         if hands.len() >= HANDS_MAX {
             hands.retain(|_, entry| now < entry.used_at.get() + IDLE_TIME);
         }
-        let entry = Rc::new(AccountHand {
-            account: account.clone(),
-            hand: RefCell::new(TokenHand::new(now)),
-            waiting: Cell::new(0),
-            is_asking: Cell::new(false),
-            used_at: Cell::new(now),
-            unanswered_until: Cell::new(now),
-            answered: Notify::new(),
-        });
+        let entry = Rc::new(AccountHand::new(now, account.clone()));
         hands.insert(account.clone(), Rc::clone(&entry));
         entry
     }
@@ -329,17 +287,3 @@
         self.log.log_unanswered(address, *error);
     }
 }
-
-impl AccountHand {
-    fn take(&self) -> Option<QuotaToken> {
-        self.hand.borrow_mut().take(Instant::now())
-    }
-
-    // Tokens that nodes get are whole, and few.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    fn add(&self, asked_at: Instant, tokens: f64, short_for: Duration, fleet: &FleetCounters) {
-        let mut hand = self.hand.borrow_mut();
-        let (now, rules) = (Instant::now(), fleet.rules());
-        hand.add(now, asked_at, tokens as u32, short_for, rules);
-    }
-}
--- a/crates/relay/src/store_view/proof_seeker.rs
+++ b/crates/relay/src/store_view/proof_seeker.rs
@@ -21,7 +21,8 @@
     directory: Rc<FleetDirectory>,
     links: Rc<PeerLinks>,
     own_address: SocketAddr,
-    attempts: Cell<usize>,
+    /// Number of questions so far.
+    questions: Cell<usize>,
 }
 
 impl ProofSeeker {
@@ -34,7 +35,7 @@
             directory,
             links,
             own_address,
-            attempts: Cell::new(0),
+            questions: Cell::new(0),
         }
     }
 
@@ -61,10 +62,10 @@
 
     /// Asks one node for its proof.
     async fn ask(&self) {
-        let attempt = self.attempts.get();
-        self.attempts.set(attempt.wrapping_add(1));
+        let question = self.questions.get();
+        self.questions.set(question.wrapping_add(1));
         let Some(address) =
-            proof_sources::choose_source(self.peers().into_iter(), attempt, &mut rand::rng())
+            proof_sources::choose_source(self.peers().into_iter(), question, &mut rand::rng())
         else {
             return;
         };
--- a/crates/state/src/key_index.rs
+++ b/crates/state/src/key_index.rs
@@ -17,7 +17,8 @@
 /// nothing of the keys that are held, since a caller cannot know which hash a guess has.
 #[derive(Clone, Default)]
 pub struct KeyIndex {
-    secret: KeyHash,
+    /// Key of the hash function.
+    secret: [u64; 2],
     accounts: HashMap<KeyHash, Rc<AccountEntry>>,
 }
 
--- a/crates/transport/src/arrival_table.rs
+++ b/crates/transport/src/arrival_table.rs
@@ -49,7 +49,7 @@
         self.given_up.load(Ordering::Relaxed)
     }
 
-    /// Gives up bodies until `claim` fits, other than that of `asking`; returns whether it does. Their
+    /// Gives up bodies other than that of `asking` until `claim` fits; returns whether it does. Their
     /// memory is free when this returns. Bodies of which nothing is counted would free nothing.
     pub(crate) fn make_room(&self, claim: RoomClaim, asking: Option<ArrivalKey>) -> bool {
         if claim.missing == 0 {
--- a/crates/transport/src/memory_budget.rs
+++ b/crates/transport/src/memory_budget.rs
@@ -23,6 +23,10 @@
 const SMALL_BYTES: usize = 64 * 1024;
 /// Part of the memory that is left to others by large responses, and by small requests.
 const RESERVE_DIVISOR: usize = 16;
+/// Quarters of the memory of which fewer are free while it is short.
+const SHORT_QUARTERS: usize = 3;
+/// The same while it is nearly used up.
+const NEARLY_USED_UP_QUARTERS: usize = 1;
 
 /// `MemoryBudget` is the memory that the messages of a process share, in bytes.
 #[derive(Clone, Debug)]
@@ -92,13 +96,13 @@
     /// Returns whether messages hold so much of the memory that others have to hold back.
     #[must_use]
     pub fn is_short(&self) -> bool {
-        self.free() < self.state.total / 4 * 3
+        self.free() < self.state.total / 4 * SHORT_QUARTERS
     }
 
     /// Returns whether large requests find no memory, or soon will not.
     #[must_use]
     pub fn is_nearly_used_up(&self) -> bool {
-        self.free() < self.state.total / 4
+        self.free() < self.state.total / 4 * NEARLY_USED_UP_QUARTERS
     }
 
     /// Shows who holds the memory.
