--- a/crates/coordination/src/quota/account_counter.rs
+++ b/crates/coordination/src/quota/account_counter.rs
@@ -11,6 +11,9 @@
 
 /// Least and longest pause after a loan that did not suffice.
 const LOAN_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+/// Least time after which a node that got too few tokens may ask again; messages hold whole
+/// milliseconds, and zero means that nothing is missing.
+const TURN_MIN: Duration = Duration::from_millis(1);
 /// Longest time after which a node that got too few tokens may ask again.
 const TURN_MAX: Duration = Duration::from_millis(200);
 /// Smallest loan, in tokens, that is asked for; fractions of the bucket complete it.
@@ -64,6 +67,15 @@
         self.since
     }
 
+    /// Applies the time from which the node may count. After a later one than before the counter starts
+    /// anew: another node counted in the meantime. An earlier one only means that a node which counted
+    /// before has been forgotten.
+    pub fn renew(&mut self, now: Instant, since: Instant) {
+        if self.since < since {
+            *self = Self::new(now, since, self.bucket.part());
+        }
+    }
+
     /// Applies a changed quota or number of zones.
     pub fn set_part(&mut self, now: Instant, part: QuotaPart) {
         self.bucket.set_part(now, part);
@@ -118,7 +130,7 @@
     pub fn next_turn(&mut self, now: Instant, missing: f64) -> Duration {
         let rate = self.bucket.part().rate;
         let turn = Duration::try_from_secs_f64(missing / rate).unwrap_or(TURN_MAX);
-        let after = self.next_turn.max(now) + turn.min(TURN_MAX);
+        let after = self.next_turn.max(now) + turn.clamp(TURN_MIN, TURN_MAX);
         self.next_turn = after.min(now + TURN_MAX);
         self.next_turn - now
     }
@@ -140,3 +152,12 @@
         self.totals
     }
 }
+
+/// Returns the time by which the first of `lenders` has to answer, so that each of them has an equal part
+/// of the time until `deadline`.
+#[must_use]
+pub fn lender_deadline(now: Instant, deadline: Instant, lenders: usize) -> Instant {
+    let left = deadline.saturating_duration_since(now);
+    let parts = u32::try_from(lenders.max(1)).unwrap_or(u32::MAX);
+    now + left / parts
+}
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -8,7 +8,10 @@
 use crate::calling::peer_links::{LinkError, PeerLinks};
 
 use lagoonshore_coordination::{
-    quota::token_hand::{QuotaToken, TokenHand},
+    quota::{
+        silent_counters::SilentCounters,
+        token_hand::{QuotaToken, TokenHand},
+    },
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant};
@@ -27,8 +30,6 @@
 const WAIT_MAX: Duration = Duration::from_millis(250);
 /// Time after which a node goes on to the next counter.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which a counter that did not answer is not asked.
-const AVOID_TIME: Duration = Duration::from_millis(500);
 /// Time for which requests are refused after no counter answered, and after which their callers may return.
 const UNANSWERED_TIME: Duration = Duration::from_millis(100);
 /// Accounts whose tokens are kept before those of idle ones are dropped.
@@ -44,8 +45,7 @@
     links: Rc<PeerLinks>,
     log: Rc<QuotaLog>,
     hands: RefCell<HashMap<AccountName, Rc<AccountHand>>>,
-    /// Counters that did not answer, with the time until which they are not asked.
-    avoided: RefCell<HashMap<SocketAddr, Instant>>,
+    silent: RefCell<SilentCounters>,
 }
 
 /// `AccountHand` is what this node holds of the quota of one account.
@@ -116,18 +116,19 @@
             links,
             log,
             hands: RefCell::default(),
-            avoided: RefCell::default(),
+            silent: RefCell::default(),
         })
     }
 
-    /// Admits a request of `account`, after a short wait for a token if this node holds none. `None` if
-    /// the account has no quota.
+    /// Admits a request of `account`, after a short wait for a token if this node holds none, but not
+    /// beyond its `deadline`. `None` if the account has no quota.
     ///
     /// # Errors
     /// [`QuotaRefusal`] if the quota is used up, or if no counter answers.
     pub async fn admit(
         self: &Rc<Self>,
         account: &AccountEntry,
+        deadline: Instant,
     ) -> Result<Option<QuotaPermit>, QuotaRefusal> {
         if account.quota.is_none() || self.control == ControlMode::PassThrough {
             return Ok(None);
@@ -136,9 +137,13 @@
         let now = Instant::now();
         entry.used_at.set(now);
         entry.hand.borrow_mut().record_request(now);
-        let token = match entry.take() {
-            Some(token) => token,
-            None => self.wait_for_token(&entry).await?,
+        let in_hand = entry.take();
+        let token = match in_hand {
+            Some(token) => Some(token),
+            None => self.wait_for_token(&entry, deadline).await?,
+        };
+        let Some(token) = token else {
+            return Ok(None);
         };
         let rules = self.fleet.rules();
         let is_low = entry.hand.borrow_mut().is_low(Instant::now(), rules);
@@ -174,18 +179,23 @@
         views.collect()
     }
 
+    /// Waits for a token; `None` if a newer document gives the account no quota.
     async fn wait_for_token(
         self: &Rc<Self>,
         entry: &Rc<AccountHand>,
-    ) -> Result<QuotaToken, QuotaRefusal> {
-        let until = Instant::now() + WAIT_MAX;
+        deadline: Instant,
+    ) -> Result<Option<QuotaToken>, QuotaRefusal> {
+        let until = deadline.min(Instant::now() + WAIT_MAX);
         let waiting = WaitingGuard::new(entry);
         loop {
             if let Some(token) = entry.take() {
-                return Ok(token);
+                return Ok(Some(token));
+            }
+            if self.fleet.quota(&entry.account).is_none() {
+                return Ok(None);
             }
             let now = Instant::now();
-            if now < entry.unanswered_until.get() {
+            if now >= until || now < entry.unanswered_until.get() {
                 return Err(self.refuse_unanswered(entry));
             }
             if !entry.hand.borrow().can_ask(now) {
@@ -266,11 +276,7 @@
     }
 
     async fn ask_counters(&self, entry: &AccountHand) -> bool {
-        let candidates = self.fleet.candidates(Instant::now(), &entry.account);
-        for address in candidates {
-            if self.is_avoided(address) {
-                continue;
-            }
+        for address in self.askable_counters(&entry.account) {
             let asked_at = Instant::now();
             let rules = self.fleet.rules();
             let waiting = entry.waiting.get();
@@ -280,14 +286,15 @@
                 wanted,
                 is_loan: false,
             };
-            match self.send(address, ask, asked_at + ASK_TIMEOUT).await {
+            let answer = self.send(address, ask, asked_at + ASK_TIMEOUT).await;
+            self.record_answer(address, answer.as_ref().err());
+            match answer {
                 Ok(TokenGrant::Granted { tokens, short_ms }) => {
                     let short_for = Duration::from_millis(short_ms.into());
                     entry.add(asked_at, tokens, short_for, &self.fleet);
                     return true;
                 }
-                Ok(TokenGrant::NotCounter) => {}
-                Err(error) => self.avoid(address, error),
+                Ok(TokenGrant::NotCounter) | Err(_) => {}
             }
         }
         false
@@ -305,18 +312,21 @@
         Ok(self.counters.serve(ask).await)
     }
 
-    fn is_avoided(&self, address: SocketAddr) -> bool {
-        let avoided = self.avoided.borrow();
-        let until = avoided.get(&address);
-        until.is_some_and(|until| Instant::now() < *until)
+    /// Returns the counters of `account` to ask, in their order.
+    fn askable_counters(&self, account: &AccountName) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let candidates = self.fleet.candidates(now, account);
+        self.silent.borrow().select(now, candidates)
     }
 
-    fn avoid(&self, address: SocketAddr, error: LinkError) {
-        let now = Instant::now();
-        let mut avoided = self.avoided.borrow_mut();
-        avoided.retain(|_, until| now < *until);
-        avoided.insert(address, now + AVOID_TIME);
-        self.log.log_unanswered(address, error);
+    fn record_answer(&self, address: SocketAddr, error: Option<&LinkError>) {
+        let mut silent = self.silent.borrow_mut();
+        let Some(error) = error else {
+            silent.record_answer(address);
+            return;
+        };
+        silent.record_silence(Instant::now(), address);
+        self.log.log_unanswered(address, *error);
     }
 }
 
--- a/crates/transport/src/body_memory.rs
+++ b/crates/transport/src/body_memory.rs
@@ -17,9 +17,13 @@
 
 /// Least capacity of a body of unknown length, in bytes.
 const GROWTH_BYTES_MIN: usize = 4 * 1024;
-/// Factor by which its capacity grows. A few sizes far apart leave few gaps between the bodies in the memory
-/// of the process.
+/// Factor by which its capacity grows up to [`LARGE_CAPACITY_BYTES`]. A few sizes far apart leave few gaps
+/// between the bodies in the memory of the process.
 const GROWTH_FACTOR: usize = 8;
+/// Capacity from which it grows by [`LARGE_GROWTH_FACTOR`], in bytes.
+const LARGE_CAPACITY_BYTES: usize = 2 * 1024 * 1024;
+/// Factor by which a large capacity grows. Others would lose memory that such a body may never need.
+const LARGE_GROWTH_FACTOR: usize = 2;
 
 /// `MemoryError` says that there is no memory for a body, or that its memory was given to others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,25 +156,28 @@
         }
     }
 
-    /// Keeps the memory of a body that is complete: it is not given up for others any more.
+    /// Keeps the memory of a body that is complete: it is not given up for others any more. Memory that
+    /// is counted is reduced to what the body needs.
     ///
     /// # Errors
     /// [`MemoryError`] if it was given up before.
     pub fn keep(&mut self) -> Result<(), MemoryError> {
         if let BodyPlace::Arriving { body, .. } = &self.place {
             let removed = body.budget.arrivals().lock().remove(body.key);
-            let Arrival {
-                mut bytes,
-                mut share,
-                ..
-            } = removed.ok_or(MemoryError)?;
-            bytes.shrink_to_fit();
-            share.reduce_to(bytes.len());
+            let Arrival { bytes, share, .. } = removed.ok_or(MemoryError)?;
             self.place = BodyPlace::Kept {
                 bytes,
                 share: Some(share),
             };
         }
+        if let BodyPlace::Kept {
+            bytes,
+            share: Some(share),
+        } = &mut self.place
+        {
+            bytes.shrink_to_fit();
+            share.reduce_to(bytes.len());
+        }
         Ok(())
     }
 
@@ -205,7 +212,9 @@
     /// Capacity for at least `needed` bytes that leaves room to grow.
     fn grown_capacity(&self, needed: usize) -> Result<usize, MemoryError> {
         let capacity = self.capacity()?;
-        let grown = GROWTH_FACTOR * capacity;
+        let grown = (GROWTH_FACTOR * capacity)
+            .min(LARGE_CAPACITY_BYTES)
+            .max(LARGE_GROWTH_FACTOR * capacity);
         Ok(grown.max(needed).max(GROWTH_BYTES_MIN))
     }
 }
