Recognise returns by what was refused, and let late ones wait

Cause: a request counted as a return if its deadline was shorter than the longest one of its route. All callers that a route refused came back after 250 ms. A return past its target got a slot only if one was free at once.

Change: the refusing node keeps fingerprints of the refused until their returns are overdue. A late return waits behind requests in time until its deadline.

--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -7,11 +7,13 @@
 //! caller learns at once when to retry. Waiting requests are ordered by rank, then by the time by
 //! which they must start. Among requests of the same importance, calls made by requests that
 //! already run precede new ones: refusing such a call would waste the work of its parent. Among new
-//! ones, those of client accounts that had no more than their share of the slots go first.
+//! ones, those that can complete within their target latency go first, and among these, those of
+//! client accounts that had no more than their share of the slots.
 
 use super::{
     account_shares::{AccountHash, AccountShares, ShareExcess},
     rate_limiter::RateLimiter,
+    wait_plan::{WaitClass, WaitPlan, WaitTimes},
 };
 
 use lagoonshore_state::units::RequestImportance;
@@ -54,6 +56,9 @@
     pub account: Option<AccountHash>,
     /// Time by which the request should have completed.
     pub finish_by: Instant,
+    /// Time until which a later response is of use, if the request may wait that long behind those
+    /// that can complete in time.
+    pub late_by: Option<Instant>,
     /// Longest time that the request may wait in this queue.
     pub wait_max: Duration,
 }
@@ -78,13 +83,17 @@
     pub refused: Vec<(TicketId, Duration)>,
 }
 
-type QueueKey = (SlotRank, ShareExcess, Instant, TicketId);
+/// Order of the waiting requests, without the times by which they must start.
+type QueuePosition = (SlotRank, WaitClass, ShareExcess);
+type QueueKey = (QueuePosition, Instant, TicketId);
 
 /// `WaitingRequest` is what is counted when a waiting request is admitted.
 #[derive(Clone, Copy, Debug)]
 struct WaitingRequest {
     route: RouteId,
     account: Option<AccountHash>,
+    /// Plan that it follows once it can only complete late.
+    late: Option<WaitPlan>,
 }
 
 /// `SlotQueue` assigns the slots of one upstream to requests.
@@ -141,6 +150,17 @@
         self.waiting.len()
     }
 
+    /// Number of waiting requests that can complete within their target latency.
+    #[must_use]
+    pub fn queued_in_time(&self) -> usize {
+        self.waiting.len() - self.queued_late()
+    }
+
+    fn queued_late(&self) -> usize {
+        let keys = self.waiting.keys();
+        keys.filter(|key| is_late(key)).count()
+    }
+
     /// Limit on the rate of requests.
     #[must_use]
     pub const fn rate(&self) -> &RateLimiter {
@@ -155,14 +175,12 @@
     /// Expected wait of a new request of `rank`.
     #[must_use]
     pub fn expected_wait(&self, now: Instant, rank: SlotRank) -> Duration {
-        self.wait_of(now, rank, ShareExcess::MAX)
+        self.wait_of(now, (rank, WaitClass::InTime, ShareExcess::MAX))
     }
 
-    fn wait_of(&self, now: Instant, rank: SlotRank, excess: ShareExcess) -> Duration {
-        let position = (rank, excess);
+    fn wait_of(&self, now: Instant, position: QueuePosition) -> Duration {
         let waiting = self.waiting.keys();
-        let ahead = waiting.filter(|(other, excess, ..)| (*other, *excess) <= position);
-        let ahead = ahead.count();
+        let ahead = waiting.filter(|(other, ..)| *other <= position).count();
         let slot_wait = if self.in_use < self.limit && self.waiting.is_empty() {
             Duration::ZERO
         } else {
@@ -207,28 +225,53 @@
             self.start(now, request.route, request.account);
             return SlotDecision::Admitted;
         }
-        let hold_time = self.hold_time(request.route);
-        let start_by = request.finish_by.checked_sub(hold_time).unwrap_or(now);
-        let start_by = start_by.min(now + request.wait_max);
+        let times = WaitTimes {
+            finish_by: request.finish_by,
+            late_by: request.late_by,
+            wait_until: now + request.wait_max,
+            hold_time: self.hold_time(request.route),
+        };
+        let late = times.late(now);
+        let decision = self.enqueue(now, &request, times.in_time(now), late);
+        match (decision, late) {
+            (SlotDecision::Refused(_), Some(late)) => self.enqueue(now, &request, late, None),
+            _ => decision,
+        }
+    }
+
+    /// Queues a request by `plan` unless its expected wait is longer. It follows `late` afterwards.
+    fn enqueue(
+        &mut self,
+        now: Instant,
+        request: &SlotRequest,
+        plan: WaitPlan,
+        late: Option<WaitPlan>,
+    ) -> SlotDecision {
         let excess = if request.rank.is_new {
             self.shares.excess(now, request.account)
         } else {
             0
         };
-        let expected_wait = self.wait_of(now, request.rank, excess);
-        if now + expected_wait > start_by {
+        let position = (request.rank, plan.class, excess);
+        let expected_wait = self.wait_of(now, position);
+        if now + expected_wait > plan.start_by {
             return SlotDecision::Refused(expected_wait);
         }
         let ticket = self.next_ticket;
         self.next_ticket += 1;
-        let key = (request.rank, excess, start_by, ticket);
         let waiting = WaitingRequest {
             route: request.route,
             account: request.account,
+            late,
         };
+        self.insert((position, plan.start_by, ticket), waiting);
+        SlotDecision::Queued(ticket)
+    }
+
+    fn insert(&mut self, key: QueueKey, waiting: WaitingRequest) {
+        let (.., ticket) = key;
         self.waiting.insert(key, waiting);
         self.queue_keys.insert(ticket, key);
-        SlotDecision::Queued(ticket)
     }
 
     /// Removes a waiting request whose caller disconnected.
@@ -278,28 +321,65 @@
         self.shares.record(now, account, slot_time);
     }
 
+    /// Refuses the requests that cannot start in time any more. Those that can still complete before
+    /// their deadlines move behind the ones that can complete within the target.
     fn refuse_expired(&mut self, now: Instant, change: &mut SlotChange) {
-        let expired = self
-            .waiting
-            .keys()
-            .filter(|(_, _, start_by, _)| *start_by < now);
-        let expired: Vec<QueueKey> = expired.copied().collect();
+        let waiting = self.waiting.keys().enumerate();
+        let expired = waiting.filter(|(ahead, key)| self.is_expired(now, *ahead, key));
+        let expired: Vec<QueueKey> = expired.map(|(_, key)| *key).collect();
         for key in expired {
-            let (rank, excess, _, ticket) = key;
-            self.waiting.remove(&key);
+            let (position, _, ticket) = key;
             self.queue_keys.remove(&ticket);
-            let wait = self.wait_of(now, rank, excess);
-            change.refused.push((ticket, wait));
+            if let Some(waiting) = self.waiting.remove(&key)
+                && let Some(wait) = self.postpone(now, position, ticket, waiting)
+            {
+                change.refused.push((ticket, wait));
+            }
         }
     }
 
+    /// Makes a request follow its plan for a late completion; returns its expected wait if it has
+    /// none that can be met.
+    fn postpone(
+        &mut self,
+        now: Instant,
+        position: QueuePosition,
+        ticket: TicketId,
+        waiting: WaitingRequest,
+    ) -> Option<Duration> {
+        let Some(plan) = waiting.late else {
+            return Some(self.wait_of(now, position));
+        };
+        let (rank, _, excess) = position;
+        let position = (rank, plan.class, excess);
+        let wait = self.wait_of(now, position);
+        if now + wait > plan.start_by {
+            return Some(wait);
+        }
+        let waiting = WaitingRequest {
+            late: None,
+            ..waiting
+        };
+        self.insert((position, plan.start_by, ticket), waiting);
+        None
+    }
+
+    /// Returns whether a request with `ahead` others before it can no longer start in time. A late one
+    /// is given up as soon as that is expected, so that its caller does not wait in vain.
+    fn is_expired(&self, now: Instant, ahead: usize, key: &QueueKey) -> bool {
+        let (_, start_by, _) = *key;
+        let expected_wait = if is_late(key) {
+            self.wait_behind(ahead)
+        } else {
+            Duration::ZERO
+        };
+        start_by < now + expected_wait
+    }
+
     /// Earliest time at which a waiting request must be refused.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.waiting
-            .keys()
-            .map(|(_, _, start_by, _)| *start_by)
-            .min()
+        self.waiting.keys().map(|(_, start_by, _)| *start_by).min()
     }
 
     fn wait_behind(&self, ahead: usize) -> Duration {
@@ -314,3 +394,8 @@
 fn moving_average(known: Duration, sample: Duration) -> Duration {
     known.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
 }
+
+const fn is_late(key: &QueueKey) -> bool {
+    let ((_, class, _), _, _) = key;
+    matches!(class, WaitClass::Late)
+}
--- a/crates/coordination/tests/account_shares.rs
+++ b/crates/coordination/tests/account_shares.rs
@@ -51,6 +51,7 @@
         route: 1,
         account: has_accounts.then_some(account),
         finish_by: now + AIM,
+        late_by: None,
         wait_max: AIM,
     }
 }
--- a/crates/coordination/tests/rate_limiter.rs
+++ b/crates/coordination/tests/rate_limiter.rs
@@ -165,6 +165,7 @@
         route: 1,
         account: None,
         finish_by: now + Duration::from_secs(2),
+        late_by: None,
         wait_max: Duration::from_secs(2),
     }
 }
--- a/crates/coordination/tests/slot_queue.rs
+++ b/crates/coordination/tests/slot_queue.rs
@@ -24,6 +24,7 @@
         route: 1,
         account: None,
         finish_by,
+        late_by: None,
         wait_max: Duration::from_secs(10),
     }
 }
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -23,21 +23,22 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
-use lagoonshore_coordination::request::outcome::RefusalReason;
+use lagoonshore_coordination::{
+    forwarding::return_table::{RefusedAttempt, ReturnTable},
+    protection::fingerprint::{self, RequestFingerprint},
+    request::outcome::RefusalReason,
+};
 use lagoonshore_state::route_table::{CallerLimits, RouteEntry, RouteTable};
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     fmt::Write,
     rc::Rc,
     time::Duration,
 };
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 /// `Retry-After` of a node that does not know the fleet yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Routes whose longest time limit is kept.
-const TRACKED_ROUTES_MAX: usize = 2048;
 /// `Retry-After` of a node that is about to exit.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -49,7 +50,7 @@
     log: Rc<DecisionLog>,
     forwarder: RequestForwarder,
     quotas: Rc<QuotaGate>,
-    time_limits: RefCell<HashMap<CompactString, Duration>>,
+    returns: RefCell<ReturnTable>,
     phase: watch::Sender<ServerPhase>,
     is_refusing: Cell<bool>,
 }
@@ -74,7 +75,7 @@
             log,
             forwarder,
             quotas,
-            time_limits: RefCell::default(),
+            returns: RefCell::default(),
             phase: watch::channel(ServerPhase::Open).0,
             is_refusing: Cell::new(false),
         }
@@ -122,10 +123,6 @@
             Err(denial) => return self.denial_response(&id, &route, denial),
         };
         let limit = head.time_limit.unwrap_or(route.timeout);
-        let spent = match caller.parent {
-            Some(_) => Duration::ZERO,
-            None => self.time_spent(&route, limit),
-        };
         let RequestHead {
             method,
             target,
@@ -138,7 +135,7 @@
         } else {
             joined(fields, &credentials.fields)
         };
-        let request = RoutedRequest {
+        let mut request = RoutedRequest {
             id: id.clone(),
             version: routes.version(),
             method,
@@ -148,16 +145,20 @@
             account: caller.account,
             importance: caller.importance,
             parent: caller.parent,
-            spent,
+            spent: Duration::ZERO,
             received,
             deadline: received + limit.min(route.timeout),
             route,
         };
+        request.spent = self.time_spent(&request);
         let permit = match self.admit(&routes, &request).await {
             Ok(permit) => permit,
             Err(refusal) => return self.quota_response(&id, refusal),
         };
-        let outcome = self.forwarder.forward(request).await;
+        let outcome = self.forwarder.forward(&request).await;
+        if let ForwardOutcome::NotRun(_, Some(retry_after)) = outcome {
+            self.expect_return(&request, retry_after);
+        }
         if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
             permit.give_back();
         }
@@ -181,17 +182,31 @@
         }
     }
 
-    /// Returns the time that a caller had spent on a request before this attempt. Callers of a route
-    /// start with the same time limit and send what is left of it with each retry, so the
-    /// difference from the longest limit of the route is the time already spent.
-    fn time_spent(&self, route: &RouteEntry, limit: Duration) -> Duration {
-        let mut limits = self.time_limits.borrow_mut();
-        if limits.len() >= TRACKED_ROUTES_MAX {
-            limits.clear();
+    /// Returns the time that a caller had spent on a request before this attempt, if the node refused
+    /// it before and its return is due.
+    fn time_spent(&self, request: &RoutedRequest) -> Duration {
+        let now = Instant::now();
+        let mut returns = self.returns.borrow_mut();
+        if request.parent.is_some() || returns.is_empty(now) {
+            return Duration::ZERO;
+        }
+        let first_received = returns.take_return(now, fingerprint_of(request));
+        first_received.map_or(Duration::ZERO, |first| request.received - first)
+    }
+
+    /// Records that the caller of a request was told to come back. The calls of a running request are not
+    /// compared with earlier ones.
+    fn expect_return(&self, request: &RoutedRequest, retry_after: Duration) {
+        if request.parent.is_some() {
+            return;
         }
-        let longest = limits.entry(route.name.clone()).or_insert(limit);
-        *longest = limit.max(*longest);
-        longest.saturating_sub(limit)
+        let attempt = RefusedAttempt {
+            first_received: request.received - request.spent,
+            deadline: request.deadline,
+            retry_after,
+        };
+        let mut returns = self.returns.borrow_mut();
+        returns.record_refusal(Instant::now(), fingerprint_of(request), attempt);
     }
 
     fn to_response(&self, id: &CompactString, outcome: ForwardOutcome) -> ServerResponse {
@@ -262,6 +277,18 @@
 }
 
 /// Returns `fields` followed by `more`.
+/// Fingerprint of a request and its account, by which its return is recognised.
+fn fingerprint_of(request: &RoutedRequest) -> RequestFingerprint {
+    let account = request.account.as_deref().unwrap_or_default();
+    let RoutedRequest {
+        method,
+        target,
+        body,
+        ..
+    } = request;
+    fingerprint::of_request(None, account, method, target, body)
+}
+
 fn joined(fields: Bytes, more: &[u8]) -> Bytes {
     if more.is_empty() {
         return fields;
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -178,14 +178,14 @@
     }
 
     /// Forwards a request and returns its outcome.
-    pub async fn forward(&self, request: RoutedRequest) -> ForwardOutcome {
-        let mut guard = CancellationGuard::new(&self.log, &self.running, &request);
+    pub async fn forward(&self, request: &RoutedRequest) -> ForwardOutcome {
+        let mut guard = CancellationGuard::new(&self.log, &self.running, request);
         let Some(service) = self.split.borrow_mut().choose(&request.route) else {
             guard.mark_finished();
             return ForwardOutcome::NotRun(RefusalReason::NoInstance, None);
         };
         let mut progress = CallProgress::new(service);
-        let attempts = self.try_instances(&request, &mut progress);
+        let attempts = self.try_instances(request, &mut progress);
         let attempts = tokio::time::timeout_at(request.deadline, attempts);
         let result = tokio::select! {
             biased;
@@ -198,8 +198,8 @@
             Ok(None) => progress.finish(),
             Err(reason) => progress.finish_interrupted(reason),
         };
-        self.log_outcome(&request, &progress, &outcome);
-        self.record_nested_call(&request, &progress, &outcome);
+        self.log_outcome(request, &progress, &outcome);
+        self.record_nested_call(request, &progress, &outcome);
         outcome
     }
 
@@ -473,6 +473,7 @@
         route: &request.route.name,
         version: request.version,
         elapsed: request.received.elapsed(),
+        spent: request.spent,
         instance: &progress.last_instance,
         load: progress.load,
     }
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -38,6 +38,8 @@
     pub version: u64,
     /// Time since the request was received.
     pub elapsed: Duration,
+    /// Time that the caller spent on earlier attempts; zero for the first one.
+    pub spent: Duration,
     /// Upstream that the request was last sent to; empty if it was sent to none.
     pub instance: &'a str,
     /// Load that the node beside that upstream reported with its last reply.
@@ -79,6 +81,7 @@
             version = trace.version,
             instance = trace.instance,
             elapsed_ms = whole_millis(trace.elapsed),
+            spent_ms = whole_millis(trace.spent),
             retry_ms = whole_millis(retry_after),
             in_use = trace.load.in_use,
             limit = trace.load.limit,
--- a/crates/relay/src/serving/route_gate.rs
+++ b/crates/relay/src/serving/route_gate.rs
@@ -18,9 +18,6 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-/// Time after which a caller may retry when nested calls have to wait.
-const LIMIT_RETRY_AFTER: Duration = Duration::from_millis(250);
-
 /// `RouteGate` decides which new requests may run on one upstream.
 #[derive(Debug, Default)]
 pub(crate) struct RouteGate {
@@ -32,6 +29,7 @@
 pub(crate) struct RoutePermit<'a> {
     gate: &'a RouteGate,
     route: RouteId,
+    acquired_at: Instant,
 }
 
 impl RouteGate {
@@ -46,13 +44,16 @@
         limit_max: u32,
     ) -> Result<RoutePermit<'_>, Duration> {
         let (route, is_returning) = (request.kind, request.is_returning);
+        let now = Instant::now();
         let mut breaker = self.breaker.borrow_mut();
-        breaker.admit(Instant::now(), route, is_returning)?;
+        breaker.admit(now, route, is_returning)?;
         let mut limiter = self.limiter.borrow_mut();
-        if !limiter.try_acquire(route, limit_max, is_returning) {
-            return Err(LIMIT_RETRY_AFTER);
-        }
-        Ok(RoutePermit { gate: self, route })
+        limiter.try_acquire(now, route, limit_max, is_returning)?;
+        Ok(RoutePermit {
+            gate: self,
+            route,
+            acquired_at: now,
+        })
     }
 
     /// Records a finished run and the totals of its nested calls.
@@ -113,7 +114,8 @@
 
 impl Drop for RoutePermit<'_> {
     fn drop(&mut self) {
-        self.gate.limiter.borrow_mut().release(self.route);
+        let mut limiter = self.gate.limiter.borrow_mut();
+        limiter.release(self.route, self.acquired_at.elapsed());
     }
 }
 
--- a/crates/relay/src/serving/slot_limiter.rs
+++ b/crates/relay/src/serving/slot_limiter.rs
@@ -36,7 +36,7 @@
     pub in_use: u32,
     /// Number of slots.
     pub limit: u32,
-    /// Requests in the queue.
+    /// Requests in the queue that can complete within their target latency.
     pub queued: u32,
 }
 
@@ -72,7 +72,7 @@
         SlotUsage {
             in_use: state.queue.in_use(),
             limit: state.queue.limit(),
-            queued: u32::try_from(state.queue.queued()).unwrap_or(u32::MAX),
+            queued: u32::try_from(state.queue.queued_in_time()).unwrap_or(u32::MAX),
         }
     }
 
@@ -158,7 +158,8 @@
             AcquireDecision::Refused(wait) => return Err(wait),
             AcquireDecision::Waiting(waiting) => waiting,
         };
-        waiting.wait(request.finish_by).await
+        let latest = request.late_by.unwrap_or(request.finish_by);
+        waiting.wait(latest).await
     }
 
     fn enqueue(&self, request: SlotRequest) -> AcquireDecision {
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -424,6 +424,7 @@
             } else {
                 aim.min(deadline)
             },
+            late_by: (request.is_returning && !request.is_nested()).then_some(deadline),
             wait_max: Duration::from_millis(request.wait_ms.into()),
         };
         let permit = self.limiter.acquire(slot_request).await;
