--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -25,4 +25,5 @@
 pub mod store_watchers;
 pub mod traffic_split;
 pub mod wait_plan;
+mod waiting_list;
 pub mod zone_health;
--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -14,14 +14,12 @@
     account_shares::{AccountHash, AccountShares, ShareExcess},
     rate_limiter::RateLimiter,
     wait_plan::{WaitClass, WaitPlan, WaitTimes},
+    waiting_list::{QueueKey, QueuePosition, WaitingList, WaitingRequest},
 };
 
 use lagoonshore_state::units::RequestImportance;
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
 /// Weight of a new sample in the moving averages of hold times.
@@ -83,19 +81,6 @@
     pub refused: Vec<(TicketId, Duration)>,
 }
 
-/// Order of the waiting requests, without the times by which they must start.
-type QueuePosition = (SlotRank, WaitClass, ShareExcess);
-type QueueKey = (QueuePosition, Instant, TicketId);
-
-/// `WaitingRequest` is what is counted when a waiting request is admitted.
-#[derive(Clone, Copy, Debug)]
-struct WaitingRequest {
-    route: RouteId,
-    account: Option<AccountHash>,
-    /// Plan that it follows once it can only complete late.
-    late: Option<WaitPlan>,
-}
-
 /// `SlotQueue` assigns the slots of one upstream to requests.
 #[derive(Debug)]
 pub struct SlotQueue {
@@ -103,9 +88,7 @@
     in_use: u32,
     rate: RateLimiter,
     shares: AccountShares,
-    waiting: BTreeMap<QueueKey, WaitingRequest>,
-    queue_keys: HashMap<TicketId, QueueKey>,
-    next_ticket: TicketId,
+    waiting: WaitingList,
     mean_hold_time: Duration,
     route_hold_times: HashMap<RouteId, Duration>,
 }
@@ -119,9 +102,7 @@
             in_use: 0,
             rate: RateLimiter::new(now),
             shares: AccountShares::default(),
-            waiting: BTreeMap::new(),
-            queue_keys: HashMap::new(),
-            next_ticket: 0,
+            waiting: WaitingList::default(),
             mean_hold_time: HOLD_TIME_INITIAL,
             route_hold_times: HashMap::new(),
         }
@@ -153,12 +134,7 @@
     /// Number of waiting requests that can complete within their target latency.
     #[must_use]
     pub fn queued_in_time(&self) -> usize {
-        self.waiting.len() - self.queued_late()
-    }
-
-    fn queued_late(&self) -> usize {
-        let keys = self.waiting.keys();
-        keys.filter(|key| is_late(key)).count()
+        self.waiting.len() - self.waiting.late_count()
     }
 
     /// Limit on the rate of requests.
@@ -175,12 +151,16 @@
     /// Expected wait of a new request of `rank`.
     #[must_use]
     pub fn expected_wait(&self, now: Instant, rank: SlotRank) -> Duration {
-        self.wait_of(now, (rank, WaitClass::InTime, ShareExcess::MAX))
+        let position = QueuePosition {
+            rank,
+            class: WaitClass::InTime,
+            excess: ShareExcess::MAX,
+        };
+        self.wait_of(now, position)
     }
 
     fn wait_of(&self, now: Instant, position: QueuePosition) -> Duration {
-        let waiting = self.waiting.keys();
-        let ahead = waiting.filter(|(other, ..)| *other <= position).count();
+        let ahead = self.waiting.ahead_of(position);
         let slot_wait = if self.in_use < self.limit && self.waiting.is_empty() {
             Duration::ZERO
         } else {
@@ -252,33 +232,26 @@
         } else {
             0
         };
-        let position = (request.rank, plan.class, excess);
+        let position = QueuePosition {
+            rank: request.rank,
+            class: plan.class,
+            excess,
+        };
         let expected_wait = self.wait_of(now, position);
         if now + expected_wait > plan.start_by {
             return SlotDecision::Refused(expected_wait);
         }
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
         let waiting = WaitingRequest {
             route: request.route,
             account: request.account,
             late,
         };
-        self.insert((position, plan.start_by, ticket), waiting);
-        SlotDecision::Queued(ticket)
-    }
-
-    fn insert(&mut self, key: QueueKey, waiting: WaitingRequest) {
-        let (.., ticket) = key;
-        self.waiting.insert(key, waiting);
-        self.queue_keys.insert(ticket, key);
+        SlotDecision::Queued(self.waiting.push(position, plan.start_by, waiting))
     }
 
     /// Removes a waiting request whose caller disconnected.
     pub fn cancel(&mut self, ticket: TicketId) {
-        if let Some(key) = self.queue_keys.remove(&ticket) {
-            self.waiting.remove(&key);
-        }
+        self.waiting.remove(ticket);
     }
 
     /// Records how long a request of `route` held its slot.
@@ -305,10 +278,9 @@
         let mut change = SlotChange::default();
         self.refuse_expired(now, &mut change);
         while self.in_use < self.limit && !self.waiting.is_empty() && self.rate.try_take(now) {
-            let Some(((.., ticket), waiting)) = self.waiting.pop_first() else {
+            let Some((ticket, waiting)) = self.waiting.pop_first() else {
                 break;
             };
-            self.queue_keys.remove(&ticket);
             self.start(now, waiting.route, waiting.account);
             change.admitted.push(ticket);
         }
@@ -328,12 +300,10 @@
         let expired = waiting.filter(|(ahead, key)| self.is_expired(now, *ahead, key));
         let expired: Vec<QueueKey> = expired.map(|(_, key)| *key).collect();
         for key in expired {
-            let (position, _, ticket) = key;
-            self.queue_keys.remove(&ticket);
-            if let Some(waiting) = self.waiting.remove(&key)
-                && let Some(wait) = self.postpone(now, position, ticket, waiting)
+            if let Some(waiting) = self.waiting.remove(key.ticket)
+                && let Some(wait) = self.postpone(now, key, waiting)
             {
-                change.refused.push((ticket, wait));
+                change.refused.push((key.ticket, wait));
             }
         }
     }
@@ -343,43 +313,47 @@
     fn postpone(
         &mut self,
         now: Instant,
-        position: QueuePosition,
-        ticket: TicketId,
+        key: QueueKey,
         waiting: WaitingRequest,
     ) -> Option<Duration> {
         let Some(plan) = waiting.late else {
-            return Some(self.wait_of(now, position));
+            return Some(self.wait_of(now, key.position));
+        };
+        let position = QueuePosition {
+            class: plan.class,
+            ..key.position
         };
-        let (rank, _, excess) = position;
-        let position = (rank, plan.class, excess);
         let wait = self.wait_of(now, position);
         if now + wait > plan.start_by {
             return Some(wait);
         }
+        let key = QueueKey {
+            position,
+            start_by: plan.start_by,
+            ..key
+        };
         let waiting = WaitingRequest {
             late: None,
             ..waiting
         };
-        self.insert((position, plan.start_by, ticket), waiting);
+        self.waiting.insert(key, waiting);
         None
     }
 
     /// Returns whether a request with `ahead` others before it can no longer start in time. A late one
     /// is given up as soon as that is expected, so that its caller does not wait in vain.
     fn is_expired(&self, now: Instant, ahead: usize, key: &QueueKey) -> bool {
-        let (_, start_by, _) = *key;
-        let expected_wait = if is_late(key) {
-            self.wait_behind(ahead)
-        } else {
-            Duration::ZERO
+        let expected_wait = match key.position.class {
+            WaitClass::InTime => Duration::ZERO,
+            WaitClass::Late => self.wait_behind(ahead),
         };
-        start_by < now + expected_wait
+        key.start_by < now + expected_wait
     }
 
     /// Earliest time at which a waiting request must be refused.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.waiting.keys().map(|(_, start_by, _)| *start_by).min()
+        self.waiting.keys().map(|key| key.start_by).min()
     }
 
     fn wait_behind(&self, ahead: usize) -> Duration {
@@ -394,8 +368,3 @@
 fn moving_average(known: Duration, sample: Duration) -> Duration {
     known.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT)
 }
-
-const fn is_late(key: &QueueKey) -> bool {
-    let ((_, class, _), _, _) = key;
-    matches!(class, WaitClass::Late)
-}
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -17,6 +17,7 @@
         },
     },
     quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
+    relay_metrics,
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
 };
 
@@ -156,6 +157,9 @@
             Err(refusal) => return self.quota_response(&id, refusal),
         };
         let outcome = self.forwarder.forward(&request).await;
+        if !request.spent.is_zero() {
+            relay_metrics::count_return(outcome.as_str());
+        }
         if let ForwardOutcome::NotRun(_, Some(retry_after)) = outcome {
             self.expect_return(&request, retry_after);
         }
--- a/crates/relay/src/calling/routed_request.rs
+++ b/crates/relay/src/calling/routed_request.rs
@@ -55,6 +55,18 @@
     Unknown(RefusalReason),
 }
 
+impl ForwardOutcome {
+    /// Name of the outcome in metrics.
+    #[must_use]
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(..) => "refused",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 impl RoutedRequest {
     /// Id of the route, the same at all nodes.
     #[must_use]
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -25,6 +25,10 @@
     counter!("lagoonshore_relay_refused_total", "reason" => reason.to_owned()).increment(1);
 }
 
+pub(crate) fn count_return(outcome: &'static str) {
+    counter!("lagoonshore_relay_returns_total", "outcome" => outcome).increment(1);
+}
+
 pub(crate) fn count_proof(source: &'static str) {
     counter!("lagoonshore_relay_document_proofs_total", "source" => source).increment(1);
 }
