Tell no caller to come back when its target cannot be met

Callers came back after a third of their time, most too late for their targets, and the table looked for them sooner, since it took the timeout of the route for the time that the caller has.

Change: a promise allows for the run within the target; the table uses the time limit of the caller.

--- a/crates/coordination/src/forwarding/return_schedule.rs
+++ b/crates/coordination/src/forwarding/return_schedule.rs
@@ -13,8 +13,6 @@
 const PROMISED_SHARE: f64 = 0.5;
 /// Least time after which a caller is told to come back.
 const RETURN_MIN: Duration = Duration::from_millis(100);
-/// Longest time for which room is promised.
-const RETURN_MAX: Duration = Duration::from_secs(2);
 /// Time for which the room of a return is kept before and after its due time.
 const KEPT_TIME: Duration = Duration::from_millis(100);
 
@@ -26,8 +24,15 @@
 
 impl ReturnSchedule {
     /// Promises room to a refused caller where `limit` requests run, each for `hold_time`. Returns the time
-    /// after which the caller should come back. No room is promised if that is too far ahead.
-    pub fn promise(&mut self, now: Instant, limit: f64, hold_time: Duration) -> Duration {
+    /// after which the caller should come back: not later than `target_left` allows it to complete
+    /// within its target latency. No room is promised to one whose turn comes later.
+    pub fn promise(
+        &mut self,
+        now: Instant,
+        limit: f64,
+        hold_time: Duration,
+        target_left: Duration,
+    ) -> Duration {
         self.forget_lapsed(now);
         let interval = hold_time.div_f64(limit.max(1.0) * PROMISED_SHARE);
         let earliest = now + RETURN_MIN;
@@ -36,10 +41,11 @@
             .back()
             .map_or(earliest, |last| earliest.max(*last + interval));
         let wait = due.saturating_duration_since(now);
-        if wait <= RETURN_MAX {
+        let latest = target_left.saturating_sub(hold_time).max(RETURN_MIN);
+        if wait <= latest {
             self.due.push_back(due);
         }
-        wait.min(RETURN_MAX)
+        wait.min(latest)
     }
 
     /// Number of returns for which room is kept now.
--- a/crates/coordination/src/forwarding/return_table.rs
+++ b/crates/coordination/src/forwarding/return_table.rs
@@ -30,8 +30,8 @@
 pub struct RefusedAttempt {
     /// Time at which the first attempt was received.
     pub first_received: Instant,
-    /// Deadline of the request.
-    pub deadline: Instant,
+    /// Time until which its caller waits.
+    pub caller_deadline: Instant,
     /// Time after which its caller was told to come back.
     pub retry_after: Duration,
 }
@@ -65,7 +65,7 @@
         attempt: RefusedAttempt,
     ) {
         self.forget_overdue(now);
-        let time_left = attempt.deadline.saturating_duration_since(now);
+        let time_left = attempt.caller_deadline.saturating_duration_since(now);
         if self.order.len() >= RETURNS_MAX || time_left.is_zero() {
             return;
         }
--- a/crates/coordination/src/forwarding/route_limiter.rs
+++ b/crates/coordination/src/forwarding/route_limiter.rs
@@ -56,7 +56,7 @@
 impl RouteLimiter {
     /// Admits a request of `route` if the limit allows one more; `limit_max` caps the limit. While
     /// callers that were refused are due back, a share of the limit is kept for them
-    /// (`is_returning`).
+    /// (`is_returning`). `target_left` is the time that the request has left of its target latency.
     ///
     /// # Errors
     /// Time after which the caller should come back.
@@ -66,6 +66,7 @@
         route: RouteId,
         limit_max: u32,
         is_returning: bool,
+        target_left: Duration,
     ) -> Result<(), Duration> {
         if self.routes.len() >= ROUTES_MAX && !self.routes.contains_key(&route) {
             self.routes.retain(|_, state| state.running > 0);
@@ -78,7 +79,8 @@
         state.limit = state.limit.min(limit_max).max(LIMIT_MIN);
         let usable_limit = state.usable_limit(now, is_returning);
         if f64::from(state.running) + 1.0 > usable_limit {
-            return Err(state.returns.promise(now, state.limit, state.hold_time));
+            let (limit, hold_time) = (state.limit, state.hold_time);
+            return Err(state.returns.promise(now, limit, hold_time, target_left));
         }
         if is_returning {
             state.returns.record_return(now);
--- a/crates/coordination/tests/forwarding.rs
+++ b/crates/coordination/tests/forwarding.rs
@@ -179,7 +179,7 @@
     let mut at_end = Vec::new();
     for step in 0..300_u64 {
         let now = start + Duration::from_millis(step * 50);
-        while limiter.try_acquire(now, 7, 80, false).is_ok() {
+        while limiter.try_acquire(now, 7, 80, false, AIM).is_ok() {
             running += 1;
         }
         let wait = if running > 10 {
@@ -215,7 +215,7 @@
     let now = Instant::now();
     let mut limiter = RouteLimiter::default();
     for route in [1, 2] {
-        assert_eq!(limiter.try_acquire(now, route, 50, false), Ok(()));
+        assert_eq!(limiter.try_acquire(now, route, 50, false, AIM), Ok(()));
     }
     for step in 0..50_u64 {
         limiter.record_wait(now + Duration::from_millis(step * 200), 1, AIM, AIM);
@@ -226,7 +226,8 @@
 
 /// Admits requests of one route until one is refused, and returns their number.
 fn admit_all(limiter: &mut RouteLimiter, now: Instant, is_returning: bool) -> usize {
-    let admitted = (0..100).take_while(|_| limiter.try_acquire(now, 1, 20, is_returning).is_ok());
+    let admitted =
+        (0..100).take_while(|_| limiter.try_acquire(now, 1, 20, is_returning, AIM).is_ok());
     admitted.count()
 }
 
@@ -240,7 +241,7 @@
         "none was refused"
     );
     for _ in 0..10 {
-        assert!(limiter.try_acquire(start, 1, 20, false).is_err());
+        assert!(limiter.try_acquire(start, 1, 20, false, AIM).is_err());
     }
     for _ in 0..20 {
         limiter.release(1, RUN_TIME);
--- a/crates/coordination/tests/return_schedule.rs
+++ b/crates/coordination/tests/return_schedule.rs
@@ -10,6 +10,7 @@
 const TICK: Duration = Duration::from_millis(10);
 const LIMIT: u32 = 20;
 const RUN_TIME: Duration = Duration::from_millis(200);
+const AIM: Duration = Duration::from_millis(1500);
 const USUAL_DEMAND: f64 = 0.7;
 const SURGE_DEMAND: f64 = 1.8;
 const SURGE_START: usize = 200;
@@ -22,7 +23,7 @@
     let now = Instant::now();
     let mut schedule = ReturnSchedule::default();
     let waits: Vec<Duration> = (0..20)
-        .map(|_| schedule.promise(now, f64::from(LIMIT), RUN_TIME))
+        .map(|_| schedule.promise(now, f64::from(LIMIT), RUN_TIME, AIM))
         .collect();
     let interval = RUN_TIME / (LIMIT / 2);
     assert!(
@@ -35,15 +36,26 @@
 fn room_is_kept_only_while_returns_are_due() {
     let start = Instant::now();
     let mut schedule = ReturnSchedule::default();
-    let wait = schedule.promise(start, f64::from(LIMIT), RUN_TIME);
+    let wait = schedule.promise(start, f64::from(LIMIT), RUN_TIME, AIM);
     let due = start + wait;
     assert_eq!(schedule.expected(due), 1);
     assert_eq!(schedule.expected(due + Duration::from_millis(200)), 0);
-    let wait = schedule.promise(due, f64::from(LIMIT), RUN_TIME);
+    let wait = schedule.promise(due, f64::from(LIMIT), RUN_TIME, AIM);
     schedule.record_return(due + wait);
     assert_eq!(schedule.expected(due + wait), 0);
 }
 
+#[test]
+fn no_caller_is_told_to_come_back_when_its_target_cannot_be_met() {
+    let now = Instant::now();
+    let mut schedule = ReturnSchedule::default();
+    for _ in 0..1000 {
+        let wait = schedule.promise(now, f64::from(LIMIT), RUN_TIME, AIM);
+        assert!(wait + RUN_TIME <= AIM, "{wait:?}");
+    }
+    assert!(schedule.expected(now + AIM) < 100);
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct CallerCounts {
     admitted: u32,
@@ -61,7 +73,7 @@
 
 impl RouteModel {
     fn send(&mut self, now: Instant, is_returning: bool) {
-        match self.limiter.try_acquire(now, 1, LIMIT, is_returning) {
+        match self.limiter.try_acquire(now, 1, LIMIT, is_returning, AIM) {
             Ok(()) => {
                 self.counts.admitted += 1;
                 *self.ends.entry(now + RUN_TIME).or_default() += 1;
--- a/crates/coordination/tests/return_table.rs
+++ b/crates/coordination/tests/return_table.rs
@@ -12,7 +12,7 @@
 fn refused(now: Instant) -> RefusedAttempt {
     RefusedAttempt {
         first_received: now,
-        deadline: now + TIME_LIMIT,
+        caller_deadline: now + TIME_LIMIT,
         retry_after: RETRY_AFTER,
     }
 }
@@ -60,7 +60,7 @@
     let start = Instant::now();
     let mut table = ReturnTable::default();
     let attempt = RefusedAttempt {
-        deadline: start + RETRY_AFTER,
+        caller_deadline: start + RETRY_AFTER,
         ..refused(start)
     };
     table.record_refusal(start, REQUEST, attempt);
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -161,7 +161,7 @@
             relay_metrics::count_return(outcome.as_str());
         }
         if let ForwardOutcome::NotRun(_, Some(retry_after)) = outcome {
-            self.expect_return(&request, retry_after);
+            self.expect_return(&request, received + limit, retry_after);
         }
         if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
             permit.give_back();
@@ -200,13 +200,18 @@
 
     /// Records that the caller of a request was told to come back. The calls of a running request are not
     /// compared with earlier ones.
-    fn expect_return(&self, request: &RoutedRequest, retry_after: Duration) {
+    fn expect_return(
+        &self,
+        request: &RoutedRequest,
+        caller_deadline: Instant,
+        retry_after: Duration,
+    ) {
         if request.parent.is_some() {
             return;
         }
         let attempt = RefusedAttempt {
             first_received: request.received - request.spent,
-            deadline: request.deadline,
+            caller_deadline,
             retry_after,
         };
         let mut returns = self.returns.borrow_mut();
--- a/crates/relay/src/serving/route_gate.rs
+++ b/crates/relay/src/serving/route_gate.rs
@@ -48,7 +48,8 @@
         let mut breaker = self.breaker.borrow_mut();
         breaker.admit(now, route, is_returning)?;
         let mut limiter = self.limiter.borrow_mut();
-        limiter.try_acquire(now, route, limit_max, is_returning)?;
+        let target_left = Duration::from_millis(request.aim_ms.into());
+        limiter.try_acquire(now, route, limit_max, is_returning, target_left)?;
         Ok(RoutePermit {
             gate: self,
             route,
