--- a/crates/coordination/src/forwarding/mod.rs
+++ b/crates/coordination/src/forwarding/mod.rs
@@ -16,7 +16,6 @@
 pub mod retry_allowance;
 pub mod retry_priority;
 pub mod retry_quota;
-pub mod return_schedule;
 pub mod return_table;
 pub mod route_limiter;
 pub mod sliding_window;
--- a/crates/coordination/src/forwarding/route_limiter.rs
+++ b/crates/coordination/src/forwarding/route_limiter.rs
@@ -8,7 +8,7 @@
 //! Algorithms for Congestion Avoidance in Computer Networks", 1989), with the waiting time of calls
 //! as the congestion signal.
 
-use super::{return_schedule::ReturnSchedule, slot_queue::RouteId};
+use super::slot_queue::RouteId;
 
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
@@ -28,12 +28,8 @@
 const INCREASE: f64 = 0.25;
 /// Lowest limit, in requests: some always run, so that an improvement is noticed.
 const LIMIT_MIN: f64 = 2.0;
-/// Share of the limit that first attempts may use while callers that were refused are due back.
+/// Share of the limit that first attempts may use.
 const FIRST_ATTEMPT_SHARE: f64 = 0.85;
-/// Time for which a request is assumed to run before the first one ended.
-const HOLD_TIME_INITIAL: Duration = Duration::from_millis(100);
-/// Weight of a new sample in the moving average of the time for which requests run.
-const HOLD_SAMPLE_WEIGHT: f64 = 0.1;
 /// Largest number of routes that are tracked.
 const ROUTES_MAX: usize = 256;
 
@@ -49,25 +45,12 @@
     running: u32,
     wait_share: f64,
     last_decrease: Option<Instant>,
-    hold_time: Duration,
-    returns: ReturnSchedule,
 }
 
 impl RouteLimiter {
-    /// Admits a request of `route` if the limit allows one more; `limit_max` caps the limit. While
-    /// callers that were refused are due back, a share of the limit is kept for them
-    /// (`is_returning`). `target_left` is the time that the request has left of its target latency.
-    ///
-    /// # Errors
-    /// Time after which the caller should come back.
-    pub fn try_acquire(
-        &mut self,
-        now: Instant,
-        route: RouteId,
-        limit_max: u32,
-        is_returning: bool,
-        target_left: Duration,
-    ) -> Result<(), Duration> {
+    /// Admits a request of `route` if the limit allows one more; `limit_max` caps the limit. A
+    /// share of the limit is reserved for callers that retry after a refusal (`is_returning`).
+    pub fn try_acquire(&mut self, route: RouteId, limit_max: u32, is_returning: bool) -> bool {
         if self.routes.len() >= ROUTES_MAX && !self.routes.contains_key(&route) {
             self.routes.retain(|_, state| state.running > 0);
         }
@@ -77,24 +60,23 @@
             .entry(route)
             .or_insert_with(|| RouteState::new(limit_max));
         state.limit = state.limit.min(limit_max).max(LIMIT_MIN);
-        let usable_limit = state.usable_limit(now, is_returning);
+        let share = if is_returning {
+            1.0
+        } else {
+            FIRST_ATTEMPT_SHARE
+        };
+        let usable_limit = (state.limit * share).max(LIMIT_MIN);
         if f64::from(state.running) + 1.0 > usable_limit {
-            let (limit, hold_time) = (state.limit, state.hold_time);
-            return Err(state.returns.promise(now, limit, hold_time, target_left));
-        }
-        if is_returning {
-            state.returns.record_return(now);
+            return false;
         }
         state.running += 1;
-        Ok(())
+        true
     }
 
-    /// Records the end of a request that was admitted `held` ago.
-    pub fn release(&mut self, route: RouteId, held: Duration) {
+    /// Records the end of an admitted request.
+    pub fn release(&mut self, route: RouteId) {
         if let Some(state) = self.routes.get_mut(&route) {
             state.running = state.running.saturating_sub(1);
-            state.hold_time = state.hold_time.mul_f64(1.0 - HOLD_SAMPLE_WEIGHT)
-                + held.mul_f64(HOLD_SAMPLE_WEIGHT);
         }
     }
 
@@ -125,25 +107,12 @@
 }
 
 impl RouteState {
-    fn new(limit: f64) -> Self {
+    const fn new(limit: f64) -> Self {
         Self {
             limit,
             running: 0,
             wait_share: 0.0,
             last_decrease: None,
-            hold_time: HOLD_TIME_INITIAL,
-            returns: ReturnSchedule::default(),
-        }
-    }
-
-    /// Limit for a first attempt or a return.
-    #[allow(clippy::cast_precision_loss)]
-    fn usable_limit(&mut self, now: Instant, is_returning: bool) -> f64 {
-        if is_returning {
-            return self.limit;
         }
-        let expected = self.returns.expected(now) as f64;
-        let kept = expected.min(self.limit * (1.0 - FIRST_ATTEMPT_SHARE));
-        (self.limit - kept).max(LIMIT_MIN)
     }
 }
--- a/crates/relay/src/serving/route_gate.rs
+++ b/crates/relay/src/serving/route_gate.rs
@@ -18,6 +18,9 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
+/// Time after which a caller may retry when nested calls have to wait.
+const LIMIT_RETRY_AFTER: Duration = Duration::from_millis(250);
+
 /// `RouteGate` decides which new requests may run on one upstream.
 #[derive(Debug, Default)]
 pub(crate) struct RouteGate {
@@ -29,7 +32,6 @@
 pub(crate) struct RoutePermit<'a> {
     gate: &'a RouteGate,
     route: RouteId,
-    acquired_at: Instant,
 }
 
 impl RouteGate {
@@ -44,17 +46,13 @@
         limit_max: u32,
     ) -> Result<RoutePermit<'_>, Duration> {
         let (route, is_returning) = (request.kind, request.is_returning);
-        let now = Instant::now();
         let mut breaker = self.breaker.borrow_mut();
-        breaker.admit(now, route, is_returning)?;
+        breaker.admit(Instant::now(), route, is_returning)?;
         let mut limiter = self.limiter.borrow_mut();
-        let target_left = Duration::from_millis(request.aim_ms.into());
-        limiter.try_acquire(now, route, limit_max, is_returning, target_left)?;
-        Ok(RoutePermit {
-            gate: self,
-            route,
-            acquired_at: now,
-        })
+        if !limiter.try_acquire(route, limit_max, is_returning) {
+            return Err(LIMIT_RETRY_AFTER);
+        }
+        Ok(RoutePermit { gate: self, route })
     }
 
     /// Records a finished run and the totals of its nested calls.
@@ -115,8 +113,7 @@
 
 impl Drop for RoutePermit<'_> {
     fn drop(&mut self) {
-        let mut limiter = self.gate.limiter.borrow_mut();
-        limiter.release(self.route, self.acquired_at.elapsed());
+        self.gate.limiter.borrow_mut().release(self.route);
     }
 }
 
