--- a/crates/coordination/tests/late_returns.rs
+++ b/crates/coordination/tests/late_returns.rs
@@ -22,8 +22,8 @@
 /// Requests per tick; the upstream can run one.
 const USUAL_DEMAND: f64 = 0.7;
 const SURGE_DEMAND: f64 = 1.8;
-const SURGE_START: usize = 200;
-const ARRIVALS_END: usize = 800;
+const SURGE_START: u32 = 200;
+const TICKS: u32 = 1100;
 
 #[derive(Clone, Copy, Debug)]
 struct ModelCaller {
@@ -32,40 +32,23 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct ServedCounts {
+struct CallerCounts {
     in_time: u32,
-    late: u32,
     refused_again: u32,
 }
 
 struct UpstreamModel {
     queue: SlotQueue,
-    returns_wait: bool,
+    can_wait_late: bool,
     waiting: HashMap<TicketId, ModelCaller>,
     running: BTreeMap<Instant, Vec<ModelCaller>>,
     returns: BTreeMap<Instant, Vec<ModelCaller>>,
-    counts: ServedCounts,
+    counts: CallerCounts,
 }
 
 impl UpstreamModel {
-    fn new(now: Instant, returns_wait: bool) -> Self {
-        let mut queue = SlotQueue::new(now, SLOTS);
-        queue.record_hold_time(1, HOLD_TIME);
-        for _ in 0..100 {
-            queue.record_hold_time(1, HOLD_TIME);
-        }
-        Self {
-            queue,
-            returns_wait,
-            waiting: HashMap::new(),
-            running: BTreeMap::new(),
-            returns: BTreeMap::new(),
-            counts: ServedCounts::default(),
-        }
-    }
-
     fn send(&mut self, now: Instant, caller: ModelCaller) {
-        let deadline = caller.first_sent + TIME_LIMIT;
+        let can_wait_late = caller.is_returning && self.can_wait_late;
         let request = SlotRequest {
             rank: SlotRank {
                 importance: RequestImportance(1),
@@ -74,7 +57,7 @@
             route: 1,
             account: None,
             finish_by: (caller.first_sent + AIM).max(now),
-            late_by: (caller.is_returning && self.returns_wait).then_some(deadline),
+            late_by: can_wait_late.then_some(caller.first_sent + TIME_LIMIT),
             wait_max: TIME_LIMIT,
         };
         match self.queue.offer(now, request) {
@@ -87,76 +70,65 @@
     }
 
     fn start(&mut self, now: Instant, caller: ModelCaller) {
-        let ending = self.running.entry(now + HOLD_TIME).or_default();
-        ending.push(caller);
+        let end = now + HOLD_TIME;
+        self.counts.in_time += u32::from(end <= caller.first_sent + AIM + TICK);
+        assert!(end <= caller.first_sent + TIME_LIMIT + TICK);
+        self.running.entry(end).or_default().push(caller);
     }
 
-    fn refuse(&mut self, now: Instant, caller: ModelCaller, wait: Duration) {
+    fn refuse(&mut self, now: Instant, mut caller: ModelCaller, wait: Duration) {
         if caller.is_returning {
             self.counts.refused_again += 1;
             return;
         }
+        caller.is_returning = true;
         let time_left = caller.first_sent + TIME_LIMIT - now;
-        let returns = self
-            .returns
-            .entry(now + wait.min(time_left / 3))
-            .or_default();
-        returns.push(ModelCaller {
-            is_returning: true,
-            ..caller
-        });
+        let due = now + wait.min(time_left / 3);
+        self.returns.entry(due).or_default().push(caller);
     }
 
     fn advance(&mut self, now: Instant) {
-        while let Some(ending) = self.running.first_entry()
-            && *ending.key() <= now
-        {
-            for caller in ending.remove() {
-                self.count(now, caller);
-                let change = self.queue.release(now);
-                for ticket in change.admitted {
-                    let caller = self.waiting.remove(&ticket).expect("it waits");
-                    self.start(now, caller);
-                }
-                for (ticket, wait) in change.refused {
-                    let caller = self.waiting.remove(&ticket).expect("it waits");
-                    self.refuse(now, caller, wait);
-                }
+        for _ in take_until(&mut self.running, now) {
+            let change = self.queue.release(now);
+            for ticket in change.admitted {
+                let caller = self.waiting.remove(&ticket).expect("it waits");
+                self.start(now, caller);
             }
-        }
-        while let Some(due) = self.returns.first_entry()
-            && *due.key() <= now
-        {
-            for caller in due.remove() {
-                self.send(now, caller);
+            for (ticket, wait) in change.refused {
+                let caller = self.waiting.remove(&ticket).expect("it waits");
+                self.refuse(now, caller, wait);
             }
         }
-    }
-
-    fn count(&mut self, now: Instant, caller: ModelCaller) {
-        let latency = now - caller.first_sent;
-        assert!(latency <= TIME_LIMIT + TICK, "{latency:?}");
-        if latency <= AIM + TICK {
-            self.counts.in_time += 1;
-        } else {
-            self.counts.late += 1;
+        for caller in take_until(&mut self.returns, now) {
+            self.send(now, caller);
         }
     }
 }
 
-fn play(surge_ticks: usize, returns_wait: bool) -> ServedCounts {
-    let surge = SURGE_START..SURGE_START + surge_ticks;
+fn take_until(callers: &mut BTreeMap<Instant, Vec<ModelCaller>>, now: Instant) -> Vec<ModelCaller> {
+    let later = callers.split_off(&(now + Duration::from_nanos(1)));
+    let due = std::mem::replace(callers, later);
+    due.into_values().flatten().collect()
+}
+
+fn play(surge_ticks: u32, can_wait_late: bool) -> CallerCounts {
     let start = Instant::now();
-    let mut model = UpstreamModel::new(start, returns_wait);
+    let mut queue = SlotQueue::new(start, SLOTS);
+    (0..100).for_each(|_| queue.record_hold_time(1, HOLD_TIME));
+    let mut model = UpstreamModel {
+        queue,
+        can_wait_late,
+        waiting: HashMap::new(),
+        running: BTreeMap::new(),
+        returns: BTreeMap::new(),
+        counts: CallerCounts::default(),
+    };
     let mut demand = 0.0;
-    for tick in 0..ARRIVALS_END + 300 {
-        let now = start + TICK * u32::try_from(tick).expect("few ticks");
+    for tick in 0..TICKS {
+        let now = start + TICK * tick;
         model.advance(now);
-        demand += match tick {
-            _ if surge.contains(&tick) => SURGE_DEMAND,
-            _ if tick < ARRIVALS_END => USUAL_DEMAND,
-            _ => 0.0,
-        };
+        let is_surge = (SURGE_START..SURGE_START + surge_ticks).contains(&tick);
+        demand += if is_surge { SURGE_DEMAND } else { USUAL_DEMAND };
         while demand >= 1.0 {
             demand -= 1.0;
             let caller = ModelCaller {
@@ -175,7 +147,7 @@
 #[case::short_surge(100, 0.5)]
 #[case::long_surge(200, 0.8)]
 fn late_returns_get_the_slots_that_others_leave(
-    #[case] surge_ticks: usize,
+    #[case] surge_ticks: u32,
     #[case] refused_share_max: f64,
 ) {
     let (refused, waiting) = (play(surge_ticks, false), play(surge_ticks, true));
