Break the circle of modules around the daemon's node

Cause: node used the state types of distribution, protection and serving, whose other modules use node; protection and lifecycle, serving and calling, and observation and distribution used each other as well.

Change: the parts of a node (admission_gate, exclusive_gate, gossip_state, keyed_executions, node_protection, refused_record) stand below node and do not know it. KeyedExecutions gets the members of its service passed in (HomeMembers) in place of the whole node. The probe of the upstream moved to lifecycle, the event numbers to the crate root.

Modules of the crate and what they use, before: calling -> node, protection, serving distribution -> lifecycle, node, observation, protection error -> - lifecycle -> node, observation, protection listeners -> calling, distribution, node, observation, protection, serving node -> distribution, error, protection, serving node_process -> distribution, error, lifecycle, listeners, node, observation, protection observation -> distribution, node, serving protection -> lifecycle, node, observation serving -> calling, lifecycle, node, observation, protection after, without a circle: calling -> node, protection distribution -> events, lifecycle, node, protection error -> - events -> - lifecycle -> events, node listeners -> calling, distribution, node, observation, protection, serving node -> error node_process -> distribution, error, events, lifecycle, listeners, node, protection observation -> node protection -> events, lifecycle, node serving -> calling, lifecycle, node, observation, protection

Tests: three files changed in their imports and one included path only.

--- a/crates/daemon/src/calling/bound_call.rs
+++ b/crates/daemon/src/calling/bound_call.rs
@@ -7,9 +7,8 @@
         hedged_call, refusals,
         routed_call::{self, RoutedCall},
     },
-    node::SharedNode,
+    node::{SharedNode, keyed_executions::home_unreachable},
     protection::suspect_gate,
-    serving::keyed_executions::home_unreachable,
 };
 
 use compact_str::CompactString;
--- a/crates/daemon/src/distribution/digest_exchange.rs
+++ b/crates/daemon/src/distribution/digest_exchange.rs
@@ -1,9 +1,7 @@
 //! Exchanges digests with peers and pulls the records and lists that a peer holds in a newer
 //! version.
 
-use crate::{
-    distribution::policy_offers, node::SharedNode, observation::events, protection::crash_response,
-};
+use crate::{distribution::policy_offers, events, node::SharedNode, protection::crash_response};
 
 use lagoonshore_coordination::gossip::policy_digest::RecordVersion;
 use lagoonshore_protocol::messages::{
@@ -50,7 +48,7 @@
     let mut members = members.borrow_mut();
     members.merge_self_report(Instant::now(), &mut table.borrow_mut(), digest.sender);
     drop(members);
-    node.executions.observe_members(node);
+    node.observe_members();
     own_digest(node)
 }
 
@@ -98,7 +96,7 @@
     let expired = members.remove_expired(Instant::now(), &mut node.instances.borrow_mut());
     drop(members);
     if !expired.is_empty() {
-        node.executions.observe_members(node);
+        node.observe_members();
     }
     for instance in expired {
         info!(event = events::MEMBER_EXPIRED, %instance, "membership: instance expired");
@@ -209,7 +207,7 @@
             let mut table = node.instances.borrow_mut();
             members.apply_list(Instant::now(), &mut table, &version, instances);
             drop((members, table));
-            node.executions.observe_members(&node);
+            node.observe_members();
         }
     }
 }
--- a/crates/daemon/src/distribution/platform_watch.rs
+++ b/crates/daemon/src/distribution/platform_watch.rs
@@ -1,9 +1,7 @@
 //! Reads the platform. A node that is chosen as watcher uses long blocking queries. The others read
 //! once at their start, then rarely, and when no peer delivers a change.
 
-use crate::{
-    distribution::policy_offers, lifecycle::node_lifecycle, node::SharedNode, observation::events,
-};
+use crate::{distribution::policy_offers, events, lifecycle::node_lifecycle, node::SharedNode};
 
 use lagoonshore_coordination::gossip::{platform_watchers, policy_digest::ListVersion};
 use lagoonshore_state::{
@@ -153,7 +151,7 @@
     let mut table = node.instances.borrow_mut();
     members.apply_list(Instant::now(), &mut table, version, listed);
     drop((members, table));
-    node.executions.observe_members(node);
+    node.observe_members();
 }
 
 fn update_platform_state(node: &SharedNode, failure: Option<&TransportError>) {
@@ -162,7 +160,7 @@
     platform.failures += u64::from(failure.is_some());
     let before = platform.reachable.replace(failure.is_none());
     drop(platform);
-    node.executions.observe_members(node);
+    node.observe_members();
     match failure {
         Some(cause) if before != Some(false) => {
             warn!(event = events::PLATFORM_UNREACHABLE, %cause, "platform: cannot be read");
--- a/crates/daemon/src/distribution/policy_offers.rs
+++ b/crates/daemon/src/distribution/policy_offers.rs
@@ -1,13 +1,19 @@
 //! Accepts offers of policy records from the platform and from peers, puts newer ones in force and
 //! reports refused ones.
 
-use crate::{node::SharedNode, observation::events};
+use crate::{
+    events,
+    node::{
+        SharedNode,
+        refused_record::{RefusalKind, RefusedRecord},
+    },
+};
 
 use lagoonshore_coordination::gossip::policy_digest::RecordVersion;
 use lagoonshore_protocol::{ProtocolError, record};
 use lagoonshore_state::{
-    StateError, id_type,
-    ids::{PolicyRevision, ServiceName},
+    StateError,
+    ids::ServiceName,
     policy_set::{self, OfferOutcome, PolicySource},
 };
 use std::collections::BTreeSet;
@@ -16,36 +22,6 @@
 /// Metric that counts refused offers, by service.
 const REFUSED_METRIC: &str = "lagoonshore_policy_refused_total";
 
-id_type! {
-    /// `RefusalKind` says why an offer was refused.
-    #[serde(rename_all = "kebab-case")]
-    pub enum RefusalKind {
-        /// The record cannot be parsed or has values out of range.
-        Malformed,
-        /// The record has a schema that this program does not know.
-        UnknownSchema,
-        /// The revision is older than the one in force.
-        Older,
-        /// The revision is in force with different content.
-        Conflict,
-    }
-}
-
-/// `RefusedRecord` describes the last refused offer of a policy record.
-#[derive(Clone, Debug, serde::Serialize)]
-pub struct RefusedRecord {
-    /// Why the offer was refused.
-    pub verdict: RefusalKind,
-    /// Error text, with line and column where known.
-    pub message: String,
-    /// Whether the offer came from the platform or from a peer.
-    pub source: PolicySource,
-    /// Revision that stays in force, if any.
-    pub in_force: Option<PolicyRevision>,
-    /// Number of offers in a row with the same error.
-    pub times: u64,
-}
-
 struct OfferError {
     verdict: RefusalKind,
     message: String,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod calling;
 pub mod distribution;
 pub mod error;
+pub mod events;
 pub mod lifecycle;
 pub mod listeners;
 pub mod node;
--- a/crates/daemon/src/lifecycle/mod.rs
+++ b/crates/daemon/src/lifecycle/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod node_lifecycle;
 pub mod planned_stop;
+pub mod upstream_probe;
--- a/crates/daemon/src/lifecycle/node_lifecycle.rs
+++ b/crates/daemon/src/lifecycle/node_lifecycle.rs
@@ -1,6 +1,6 @@
 //! Moves the node through its lifecycle and publishes changes to the nodes that call it.
 
-use crate::{node::SharedNode, observation::events, protection::upstream_probe};
+use crate::{events, lifecycle::upstream_probe, node::SharedNode};
 
 use lagoonshore_coordination::{
     lifecycle::{
--- a/crates/daemon/src/lifecycle/planned_stop.rs
+++ b/crates/daemon/src/lifecycle/planned_stop.rs
@@ -1,6 +1,6 @@
 //! The planned stop of a node.
 
-use crate::{lifecycle::node_lifecycle, node::SharedNode, observation::events};
+use crate::{events, lifecycle::node_lifecycle, node::SharedNode};
 
 use lagoonshore_coordination::lifecycle::drain_state::DrainCause;
 use std::time::Duration;
--- a/crates/daemon/src/listeners/outbound_listener.rs
+++ b/crates/daemon/src/listeners/outbound_listener.rs
@@ -3,7 +3,6 @@
 use crate::{
     calling::{call_router, refusals, routed_call::RoutedCall},
     node::SharedNode,
-    serving::keyed_executions,
 };
 
 use compact_str::CompactString;
@@ -78,7 +77,8 @@
         crashes: Vec::new(),
     };
     if !class.idempotent {
-        keyed_executions::set_call_key(&node, &mut request, context.child_key);
+        node.executions
+            .set_call_key(&mut request, context.child_key);
     }
     let call = RoutedCall {
         request,
--- a/crates/daemon/src/serving/keyed_executions.rs
+++ b/crates/daemon/src/node/keyed_executions.rs
@@ -1,7 +1,5 @@
 //! State of a node for running keyed requests at most once.
 
-use crate::node::{Node, SharedNode};
-
 use compact_str::CompactString;
 use lagoonshore_coordination::{
     at_most_once::{
@@ -13,7 +11,7 @@
     },
     request::{
         outcome::{CallOutcome, RefusalReason},
-        request_lifecycle::CallRefusal,
+        request_lifecycle::{CallRefusal, RequestLifecycle},
     },
 };
 use lagoonshore_protocol::{
@@ -52,6 +50,16 @@
     incarnation: IncarnationId,
 }
 
+/// `HomeMembers` are the instances among which the home of a caller-made key is chosen.
+pub(crate) struct HomeMembers {
+    /// The node's own instance.
+    pub(crate) own: InstanceName,
+    /// All instances of the node's own service, including its own.
+    pub(crate) names: BTreeSet<InstanceName>,
+    /// Whether the platform can confirm them.
+    pub(crate) is_confirmed: bool,
+}
+
 /// `LedgerPart` is the part of the state dump about keyed executions.
 #[derive(Serialize)]
 pub struct LedgerPart {
@@ -102,11 +110,10 @@
 
     /// Records the members of the service, from which the home of a caller-made key is chosen, and
     /// whether the platform can confirm them.
-    pub fn observe_members(&self, node: &Node) {
-        let members = members(node).into_iter().collect();
-        let confirmed = node.platform.borrow().reachable == Some(true);
+    pub(crate) fn observe_members(&self, members: &HomeMembers) {
+        let names = members.names.iter().cloned().collect();
         let mut hold_down = self.hold_down.borrow_mut();
-        hold_down.observe(Instant::now(), members, confirmed);
+        hold_down.observe(Instant::now(), names, members.is_confirmed);
     }
 
     /// Collects the part of the state dump.
@@ -142,21 +149,24 @@
         Ok(self.key_claim(request, BOUND_TAG, key))
     }
 
-    /// Builds the claim of a request for which this node may be the home.
+    /// Builds the claim of a request for which this node may be the home; `members` are read for a
+    /// caller-made key.
     ///
     /// # Errors
     /// The reason why the request cannot run here.
     pub(crate) fn home_claim(
         &self,
-        node: &Node,
         request: &CallRequest,
         text: &str,
+        members: impl FnOnce() -> HomeMembers,
     ) -> Result<KeyClaim, CallRefusal> {
         let claim = self.key_claim(request, HOME_TAG, text);
         match IdempotencyKey::parse(text) {
             None => Err(not_run(RefusalReason::BadRequest)),
             Some(IdempotencyKey::Offered(key)) => self.offered_claim(claim, &key),
-            Some(IdempotencyKey::CallerMade(key)) => Ok(self.caller_made_claim(node, claim, &key)),
+            Some(IdempotencyKey::CallerMade(key)) => {
+                Ok(self.caller_made_claim(claim, &key, &members()))
+            }
         }
     }
 
@@ -172,10 +182,9 @@
         }
     }
 
-    fn caller_made_claim(&self, node: &Node, claim: KeyClaim, key: &str) -> KeyClaim {
-        self.observe_members(node);
-        let members = members(node);
-        let is_home = key_home::choose(key, &members) == Some(&node.settings.instance);
+    fn caller_made_claim(&self, claim: KeyClaim, key: &str, members: &HomeMembers) -> KeyClaim {
+        self.observe_members(members);
+        let is_home = key_home::choose(key, &members.names) == Some(&members.own);
         let can_run = is_home && self.hold_down.borrow().can_run(Instant::now(), None);
         KeyClaim {
             start_refusal: (!can_run).then_some(RefusalReason::KeyRequired),
@@ -183,6 +192,28 @@
         }
     }
 
+    /// Sets the key of a non-idempotent call: the one given by the upstream, else one derived from the
+    /// parent request, else a random one.
+    pub(crate) fn set_call_key(&self, request: &mut CallRequest, derived: Option<CompactString>) {
+        let own =
+            headers::find(&request.headers, headers::IDEMPOTENCY_KEY).map(CompactString::from);
+        let is_own = own.is_some();
+        let key = own.or(derived).unwrap_or_else(|| self.draw_key());
+        if !is_own {
+            let field = HeaderField::new(headers::IDEMPOTENCY_KEY, &key);
+            request.headers.push(field);
+        }
+        let key = compact_str::format_compact!("{} {key}", request.service);
+        // The executor is set when the call is sent.
+        request.key = Some(ExecutionKey::Bound { key, executor: 0 });
+    }
+
+    /// Draws a random key.
+    fn draw_key(&self) -> CompactString {
+        let draw = self.random.borrow_mut().next_u64();
+        compact_str::format_compact!("lc1:{:016x}{draw:016x}", self.incarnation)
+    }
+
     fn key_claim(&self, request: &CallRequest, tag: &[u8], key: &str) -> KeyClaim {
         let issuer = self.issuer.borrow();
         let CallRequest {
@@ -197,37 +228,6 @@
     }
 }
 
-/// Names of all instances of the node's own service, including the node's own.
-pub(crate) fn members(node: &Node) -> BTreeSet<InstanceName> {
-    let table = node.instances.borrow();
-    let listed = table.of_service(&node.settings.service);
-    let listed = listed.map(|(_, record)| record.name.clone());
-    listed.chain([node.settings.instance.clone()]).collect()
-}
-
-/// Sets the key of a non-idempotent call: the one given by the upstream, else one derived from the
-/// parent request, else a random one.
-pub(crate) fn set_call_key(
-    node: &SharedNode,
-    request: &mut CallRequest,
-    derived: Option<CompactString>,
-) {
-    let own = headers::find(&request.headers, headers::IDEMPOTENCY_KEY).map(CompactString::from);
-    let is_own = own.is_some();
-    let drawn = || {
-        let draw = node.executions.random.borrow_mut().next_u64();
-        compact_str::format_compact!("lc1:{:016x}{draw:016x}", node.incarnation)
-    };
-    let key = own.or(derived).unwrap_or_else(drawn);
-    if !is_own {
-        let field = HeaderField::new(headers::IDEMPOTENCY_KEY, &key);
-        request.headers.push(field);
-    }
-    let key = compact_str::format_compact!("{} {key}", request.service);
-    // The executor is set when the call is sent.
-    request.key = Some(ExecutionKey::Bound { key, executor: 0 });
-}
-
 pub(crate) const fn home_unreachable() -> CallRefusal {
     CallRefusal {
         outcome: CallOutcome::Unknown,
@@ -236,5 +236,5 @@
 }
 
 const fn not_run(reason: RefusalReason) -> CallRefusal {
-    crate::calling::refusals::on_arrival(reason)
+    RequestLifecycle::arrived().refuse(reason)
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -1,12 +1,23 @@
-//! State that the listeners and tasks of one node share.
+//! State that the listeners and tasks of one node share. Its parts know neither the node nor the
+//! modules that work on it.
 
-use crate::{
-    distribution::{gossip_state::GossipState, policy_offers::RefusedRecord},
-    error::{DaemonError, Result},
-    protection::node_protection::NodeProtection,
-    serving::{admission_gate::AdmissionGate, keyed_executions::KeyedExecutions},
+pub mod admission_gate;
+pub mod exclusive_gate;
+pub mod gossip_state;
+pub mod keyed_executions;
+pub mod node_protection;
+pub mod refused_record;
+
+use self::{
+    admission_gate::AdmissionGate,
+    gossip_state::GossipState,
+    keyed_executions::{HomeMembers, KeyedExecutions},
+    node_protection::NodeProtection,
+    refused_record::RefusedRecord,
 };
 
+use crate::error::{DaemonError, Result};
+
 use lagoonshore_coordination::{
     admission::{level_table::LevelTable, refusal_counters::RefusalCounters},
     lifecycle::{drain::DrainControl, readiness::ReadinessState},
@@ -166,6 +177,23 @@
         self.gossip.evaluate_readiness(&policies, &table) == ReadinessState::Ready
     }
 
+    /// Instances of the node's own service, among which the home of a caller-made key is chosen.
+    pub(crate) fn home_members(&self) -> HomeMembers {
+        let (table, own) = (self.instances.borrow(), &self.settings.instance);
+        let listed = table.of_service(&self.settings.service);
+        let listed = listed.map(|(_, record)| record.name.clone());
+        HomeMembers {
+            own: own.clone(),
+            names: listed.chain([own.clone()]).collect(),
+            is_confirmed: self.platform.borrow().reachable == Some(true),
+        }
+    }
+
+    /// Records a change of the members, or of whether the platform confirms them.
+    pub(crate) fn observe_members(&self) {
+        self.executions.observe_members(&self.home_members());
+    }
+
     /// Hash of an opaque caller id, equal on all nodes; random if the caller gives none.
     #[must_use]
     pub fn caller_hash(&self, caller: Option<&str>) -> CallerHash {
--- a/crates/daemon/src/protection/node_protection.rs
+++ b/crates/daemon/src/node/node_protection.rs
@@ -1,6 +1,6 @@
 //! State of the protection of a node's upstream and of a planned stop.
 
-use crate::protection::exclusive_gate::ExclusiveGate;
+use super::exclusive_gate::ExclusiveGate;
 
 use lagoonshore_coordination::{
     lifecycle::pause_detector::PauseDetector,
--- a/crates/daemon/src/node_process.rs
+++ b/crates/daemon/src/node_process.rs
@@ -3,10 +3,10 @@
 use crate::{
     distribution::{digest_exchange, platform_watch},
     error::{Result, SignalsSnafu},
+    events,
     lifecycle::{node_lifecycle, planned_stop},
     listeners::{admin_listener, inbound_listener, outbound_listener, peer_listener::PeerListener},
     node::{Node, SharedNode},
-    observation::events,
     protection::health_probe,
 };
 
--- a/crates/daemon/src/observation/mod.rs
+++ b/crates/daemon/src/observation/mod.rs
@@ -1,6 +1,5 @@
-//! Observability: log events, metrics, state dump and request explanations.
+//! Observability: logging, metrics, state dump and request explanations.
 
-pub mod events;
 pub mod explanation;
 pub mod logging;
 pub mod node_metrics;
--- a/crates/daemon/src/observation/state_dump.rs
+++ b/crates/daemon/src/observation/state_dump.rs
@@ -1,10 +1,11 @@
 //! The dump of a node's state, in a stable order, without bodies and idempotency keys.
 
 use crate::{
-    distribution::{gossip_state::DistributionCounters, policy_offers::RefusedRecord},
-    node::{Node, PlatformState},
+    node::{
+        Node, PlatformState, gossip_state::DistributionCounters, keyed_executions::LedgerPart,
+        refused_record::RefusedRecord,
+    },
     observation::protection_dump::{self, SuspectsPart, UpstreamPart},
-    serving::keyed_executions::LedgerPart,
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/src/protection/crash_response.rs
+++ b/crates/daemon/src/protection/crash_response.rs
@@ -1,7 +1,7 @@
 //! Counts the requests that were in progress when the upstream crashed and reports them to other
 //! nodes.
 
-use crate::{node::SharedNode, observation::events, protection::upstream_probe};
+use crate::{events, lifecycle::upstream_probe, node::SharedNode};
 
 use futures::future::join_all;
 use lagoonshore_coordination::protection::{
--- a/crates/daemon/src/protection/health_probe.rs
+++ b/crates/daemon/src/protection/health_probe.rs
@@ -1,10 +1,10 @@
 //! Probes the health endpoint of the upstream and applies changes of its health.
 
 use crate::{
-    lifecycle::node_lifecycle,
+    events,
+    lifecycle::{node_lifecycle, upstream_probe::probe},
     node::SharedNode,
-    observation::events,
-    protection::{crash_response, upstream_probe::probe},
+    protection::crash_response,
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/src/protection/suspect_gate.rs
+++ b/crates/daemon/src/protection/suspect_gate.rs
@@ -1,6 +1,6 @@
 //! Decides by the crash suspects whether and how a request may run.
 
-use crate::{node::SharedNode, protection::exclusive_gate::RunPermit};
+use crate::node::{SharedNode, exclusive_gate::RunPermit};
 
 use lagoonshore_coordination::{
     protection::{
--- a/crates/daemon/src/serving/dispatched_request.rs
+++ b/crates/daemon/src/serving/dispatched_request.rs
@@ -1,6 +1,9 @@
 //! A request at the upstream, from its dispatch to its end.
 
-use crate::{node::SharedNode, observation::node_metrics, serving::admission_gate::SlotPermit};
+use crate::{
+    node::{SharedNode, admission_gate::SlotPermit},
+    observation::node_metrics,
+};
 
 use lagoonshore_coordination::{
     at_most_once::child_timer::ChildTimer,
--- a/crates/daemon/src/serving/keyed_ingress.rs
+++ b/crates/daemon/src/serving/keyed_ingress.rs
@@ -3,11 +3,8 @@
 
 use crate::{
     calling::refusals,
-    node::SharedNode,
-    serving::{
-        keyed_executions::{self, home_unreachable},
-        keyed_server,
-    },
+    node::{SharedNode, keyed_executions::home_unreachable},
+    serving::keyed_server,
 };
 
 use bytes::Bytes;
@@ -122,7 +119,7 @@
 }
 
 fn caller_made_home(node: &SharedNode, key: &str) -> InstanceName {
-    let members = keyed_executions::members(node);
-    let home = key_home::choose(key, &members);
-    home.unwrap_or(&node.settings.instance).clone()
+    let members = node.home_members();
+    let home = key_home::choose(key, &members.names);
+    home.unwrap_or(&members.own).clone()
 }
--- a/crates/daemon/src/serving/keyed_server.rs
+++ b/crates/daemon/src/serving/keyed_server.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     calling::{call_router, routed_call::RoutedCall},
-    node::SharedNode,
+    node::{SharedNode, keyed_executions::RunReceiver},
     protection::suspect_gate,
-    serving::{keyed_executions::RunReceiver, request_server},
+    serving::request_server,
 };
 
 use lagoonshore_coordination::{
@@ -52,7 +52,10 @@
     deadline: Instant,
 ) -> CallReply {
     let claim = match &key {
-        ExecutionKey::Home(key) => node.executions.home_claim(node, &request, key),
+        ExecutionKey::Home(key) => {
+            let members = || node.home_members();
+            node.executions.home_claim(&request, key, members)
+        }
         ExecutionKey::Bound { key, executor } => {
             node.executions.bound_claim(&request, key, *executor)
         }
--- a/crates/daemon/src/serving/request_server.rs
+++ b/crates/daemon/src/serving/request_server.rs
@@ -3,13 +3,10 @@
 use crate::{
     calling::refusals,
     lifecycle::node_lifecycle,
-    node::SharedNode,
+    node::{SharedNode, admission_gate::SlotPermit, exclusive_gate::RunPermit},
     observation::node_metrics,
-    protection::{exclusive_gate::RunPermit, suspect_gate},
-    serving::{
-        admission_gate::SlotPermit, dispatch_tracker::DispatchTracker,
-        dispatched_request::DispatchedRequest,
-    },
+    protection::suspect_gate,
+    serving::{dispatch_tracker::DispatchTracker, dispatched_request::DispatchedRequest},
 };
 
 use lagoonshore_coordination::{
--- a/crates/daemon/tests/event_catalogue.rs
+++ b/crates/daemon/tests/event_catalogue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 const CODE: &str = concat!(
-    include_str!("../src/observation/events.rs"),
+    include_str!("../src/events.rs"),
     include_str!("../../relay/src/events.rs")
 );
 const CATALOGUE: &str = include_str!("../../../docs/EVENTS.md");
--- a/crates/daemon/tests/exclusive_gate.rs
+++ b/crates/daemon/tests/exclusive_gate.rs
@@ -4,7 +4,7 @@
 //! request, would otherwise block all other requests without running themselves.
 
 use lagoonshore_coordination::request::outcome::RefusalReason;
-use lagoonshore_daemon::protection::exclusive_gate::{ExclusiveGate, RunPermit};
+use lagoonshore_daemon::node::exclusive_gate::{ExclusiveGate, RunPermit};
 use std::time::Duration;
 use tokio::time::Instant;
 
--- a/crates/daemon/tests/policy_between_nodes.rs
+++ b/crates/daemon/tests/policy_between_nodes.rs
@@ -6,8 +6,9 @@
 mod support;
 
 use futures::future::LocalBoxFuture;
-use lagoonshore_daemon::distribution::{
-    digest_exchange, platform_watch, policy_offers::RefusalKind,
+use lagoonshore_daemon::{
+    distribution::{digest_exchange, platform_watch},
+    node::refused_record::RefusalKind,
 };
 use lagoonshore_state::instance_table::InstanceRecord;
 use lagoonshore_transport::{
