One type for the moving averages

Cause: the formula of the exponentially weighted mean stood in five modules of the coordination layer.

Change: MovingAverage holds the mean and records a sample by its weight; call_needs, route_limiter, link_delays, work_times and peer_view use it. The arithmetic is the same, in the same order. The means of slot_queue, over durations and with another rounding, stay as they are.

--- a/crates/coordination/src/error.rs
+++ b/crates/coordination/src/error.rs
@@ -8,7 +8,7 @@
 /// `CoordinationError` is returned when a decision cannot be made.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum CoordinationError {
-    /// The state layer rejected the change.
+    /// The state layer refused the change.
     #[snafu(display("{source}"), context(false))]
     State {
         /// Error of the state layer.
--- a/crates/coordination/src/forwarding/call_needs.rs
+++ b/crates/coordination/src/forwarding/call_needs.rs
@@ -2,6 +2,8 @@
 
 use super::slot_queue::RouteId;
 
+use crate::moving_average::MovingAverage;
+
 use std::collections::HashMap;
 
 /// Weight of a new sample in the moving averages.
@@ -13,7 +15,7 @@
 /// do not count, since they end before they have made all their calls.
 #[derive(Debug, Default)]
 pub struct CallNeeds {
-    routes: HashMap<RouteId, f64>,
+    routes: HashMap<RouteId, MovingAverage>,
 }
 
 impl CallNeeds {
@@ -21,19 +23,20 @@
     pub fn record_run(&mut self, route: RouteId, calls: u32) {
         let calls = f64::from(calls);
         if let Some(known) = self.routes.get_mut(&route) {
-            *known += SAMPLE_WEIGHT * (calls - *known);
+            known.record(calls, SAMPLE_WEIGHT);
             return;
         }
         if self.routes.len() >= ROUTES_MAX {
             self.routes.clear();
         }
-        self.routes.insert(route, calls);
+        self.routes.insert(route, MovingAverage::new(calls));
     }
 
     /// Calls that a request of `route` is expected to make; `None` until one has run completely.
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn expected_calls(&self, route: RouteId) -> Option<u32> {
-        self.routes.get(&route).map(|calls| calls.round() as u32)
+        let known = self.routes.get(&route);
+        known.map(|calls| calls.mean().round() as u32)
     }
 }
--- a/crates/coordination/src/forwarding/route_limiter.rs
+++ b/crates/coordination/src/forwarding/route_limiter.rs
@@ -10,6 +10,8 @@
 
 use super::slot_queue::RouteId;
 
+use crate::moving_average::MovingAverage;
+
 use std::{collections::HashMap, time::Duration};
 use tokio::time::Instant;
 
@@ -43,7 +45,7 @@
 struct RouteState {
     limit: f64,
     running: u32,
-    wait_share: f64,
+    wait_share: MovingAverage,
     last_decrease: Option<Instant>,
 }
 
@@ -86,15 +88,16 @@
             return;
         };
         let share = wait.as_secs_f64() / aim.as_secs_f64().max(0.001);
-        state.wait_share += SAMPLE_WEIGHT * (share.min(2.0) - state.wait_share);
+        state.wait_share.record(share.min(2.0), SAMPLE_WEIGHT);
+        let wait_share = state.wait_share.mean();
         let can_decrease = state
             .last_decrease
             .is_none_or(|decreased| now - decreased >= DECREASE_PAUSE);
-        if state.wait_share > WAIT_SHARE_MAX && can_decrease {
+        if wait_share > WAIT_SHARE_MAX && can_decrease {
             let in_use = f64::from(state.running + 1);
             state.limit = (state.limit.min(in_use) * DECREASE_FACTOR).max(LIMIT_MIN);
             state.last_decrease = Some(now);
-        } else if state.wait_share < WAIT_SHARE_LOW {
+        } else if wait_share < WAIT_SHARE_LOW {
             state.limit += INCREASE;
         }
     }
@@ -111,7 +114,7 @@
         Self {
             limit,
             running: 0,
-            wait_share: 0.0,
+            wait_share: MovingAverage::new(0.0),
             last_decrease: None,
         }
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod forwarding;
 pub mod gossip;
 pub mod lifecycle;
+mod moving_average;
 pub mod placing;
 pub mod protection;
 pub mod quota;
--- a/crates/coordination/src/placing/link_delays.rs
+++ b/crates/coordination/src/placing/link_delays.rs
@@ -1,6 +1,6 @@
 //! Delay of the links to other availability zones.
 
-use crate::age_weights;
+use crate::{age_weights, moving_average::MovingAverage};
 
 use lagoonshore_state::ids::ZoneName;
 
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 struct LinkDelay {
     zone: ZoneName,
-    seconds: f64,
+    seconds: MovingAverage,
     sampled_at: Instant,
 }
 
@@ -30,13 +30,13 @@
     pub fn record(&mut self, now: Instant, zone: &ZoneName, delay: Duration) {
         let sample = delay.as_secs_f64();
         if let Some(known) = self.zones.iter_mut().find(|known| known.zone == *zone) {
-            known.seconds += SAMPLE_WEIGHT * (sample - known.seconds);
+            known.seconds.record(sample, SAMPLE_WEIGHT);
             known.sampled_at = now;
             return;
         }
         self.zones.push(LinkDelay {
             zone: zone.clone(),
-            seconds: sample,
+            seconds: MovingAverage::new(sample),
             sampled_at: now,
         });
     }
@@ -47,6 +47,7 @@
         let Some(known) = self.zones.iter().find(|known| known.zone == zone) else {
             return 0.0;
         };
-        known.seconds * (1.0 - age_weights::age_share(now, known.sampled_at, DELAY_TTL))
+        let age_share = age_weights::age_share(now, known.sampled_at, DELAY_TTL);
+        known.seconds.mean() * (1.0 - age_share)
     }
 }
--- a/crates/coordination/src/placing/work_times.rs
+++ b/crates/coordination/src/placing/work_times.rs
@@ -3,7 +3,7 @@
 //! Each reply carries the mean time of the latest runs of its route at the instance, over the
 //! requests of all senders. A sender therefore knows the speed of an instance after a single reply.
 
-use crate::{age_weights, forwarding::slot_queue::RouteId};
+use crate::{age_weights, forwarding::slot_queue::RouteId, moving_average::MovingAverage};
 
 use lagoonshore_state::instance_table::InstanceKey;
 use slotmap::SecondaryMap;
@@ -35,7 +35,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct WorkEstimate {
-    lasting_seconds: f64,
+    lasting_seconds: MovingAverage,
     reported_seconds: f64,
     reported_at: Instant,
 }
@@ -76,7 +76,7 @@
 impl WorkEstimate {
     const fn new(now: Instant, seconds: f64) -> Self {
         Self {
-            lasting_seconds: seconds,
+            lasting_seconds: MovingAverage::new(seconds),
             reported_seconds: seconds,
             reported_at: now,
         }
@@ -84,7 +84,7 @@
 
     fn update(&mut self, now: Instant, seconds: f64) {
         let weight = self.age_share(now, LASTING_TIME).max(REPORT_WEIGHT_MIN);
-        self.lasting_seconds += weight * (seconds - self.lasting_seconds);
+        self.lasting_seconds.record(seconds, weight);
         self.reported_seconds = seconds;
         self.reported_at = now;
     }
@@ -92,7 +92,8 @@
     /// Returns the latest report, which fades to the lasting estimate as it ages.
     fn seconds(&self, now: Instant) -> f64 {
         let freshness = 1.0 - self.age_share(now, REPORT_TTL);
-        self.lasting_seconds + freshness * (self.reported_seconds - self.lasting_seconds)
+        let lasting_seconds = self.lasting_seconds.mean();
+        lasting_seconds + freshness * (self.reported_seconds - lasting_seconds)
     }
 
     fn is_expired(&self, now: Instant) -> bool {
--- a/crates/coordination/src/routing/peer_view.rs
+++ b/crates/coordination/src/routing/peer_view.rs
@@ -2,7 +2,10 @@
 
 use super::ejection::EjectionState;
 
-use crate::age_weights::{age_share, decay_factor};
+use crate::{
+    age_weights::{age_share, decay_factor},
+    moving_average::MovingAverage,
+};
 
 use lagoonshore_state::data_type;
 use std::{net::SocketAddr, time::Duration};
@@ -86,13 +89,13 @@
     pub warming_since: Instant,
     is_straggler: bool,
     slowness: f64,
-    smooth_slowness: f64,
+    smooth_slowness: MovingAverage,
     sampled_at: Instant,
     report: Option<(Instant, ReportedLoad)>,
     /// Calls in progress from this node at the time of the report.
     reported_own: u32,
     /// Mean of the reported requests over the last seconds.
-    mean_requests: f64,
+    mean_requests: MovingAverage,
     overloaded_at: Option<Instant>,
     failure_share: f64,
     failure_at: Instant,
@@ -112,11 +115,11 @@
             warming_since: now,
             is_straggler: false,
             slowness: 1.0,
-            smooth_slowness: 1.0,
+            smooth_slowness: MovingAverage::new(1.0),
             sampled_at: now,
             report: None,
             reported_own: 0,
-            mean_requests: 0.0,
+            mean_requests: MovingAverage::new(0.0),
             overloaded_at: None,
             failure_share: 0.0,
             failure_at: now,
@@ -133,7 +136,7 @@
         let current = self.slowness(now);
         let weight = if sample > current { 1.0 } else { SAMPLE_WEIGHT };
         self.slowness = current + weight * (sample - current);
-        self.smooth_slowness += SAMPLE_WEIGHT * (sample - self.smooth_slowness);
+        self.smooth_slowness.record(sample, SAMPLE_WEIGHT);
         self.is_straggler = sample >= STRAGGLER_SLOWNESS;
         self.sampled_at = now;
     }
@@ -158,7 +161,7 @@
     /// Returns the moving average of slowness over the last responses, regardless of their age.
     #[must_use]
     pub const fn smooth_slowness(&self) -> f64 {
-        self.smooth_slowness
+        self.smooth_slowness.mean()
     }
 
     /// Returns `true` if the last sample was far above the typical latency. Once the recorded
@@ -182,7 +185,7 @@
             None => 1.0,
             Some((at, _)) => age_share(now, at, MEAN_LOAD_TIME).max(REPORT_WEIGHT_MIN),
         };
-        self.mean_requests += weight * (requests - self.mean_requests);
+        self.mean_requests.record(requests, weight);
         self.report = Some((now, report));
         self.reported_own = self.in_progress;
         self.draining_at = report.draining.then_some(now);
@@ -262,7 +265,8 @@
         }
         let own = f64::from(self.in_progress);
         let freshness = 1.0 - age_share(now, at, REPORT_TTL);
-        let reported = self.mean_requests + freshness * (report.requests() - self.mean_requests);
+        let mean_requests = self.mean_requests.mean();
+        let reported = mean_requests + freshness * (report.requests() - mean_requests);
         let started_since = own - f64::from(self.reported_own);
         Some(LoadEstimate {
             requests: (reported + started_since).max(own),
