Split the relay's settings by job

Change: relay_text.rs has the layout, settings_reader.rs reads the settings, number_reader.rs reads numbers within their bounds; the types stay. Errors and their order are the same; no test changed.

--- a/crates/settings/src/relay_settings/mod.rs
+++ b/crates/settings/src/relay_settings/mod.rs
@@ -1,18 +1,38 @@
 //! Settings of a forwarding node.
 
+mod number_reader;
+mod relay_text;
+mod settings_reader;
+
+use self::relay_text::RelayText;
+
 use crate::{
     error::{self, Result, UnreadableSnafu},
     node_settings::{ControlMode, LogLevel},
-    settings_text::SpannedText,
     value_check::ValueChecker,
 };
 
 use compact_str::CompactString;
-use serde::Deserialize;
-use serde_saphyr::Spanned;
 use snafu::ResultExt;
 use std::{net::SocketAddr, path::Path, time::Duration};
 
+/// Time that a request has to save by leaving the zone if the settings give none.
+const LEAVE_COST_DEFAULT: Duration = Duration::from_millis(5);
+/// Settle time of the store if the settings give none.
+const SETTLE_TIME_DEFAULT: Duration = Duration::from_secs(3);
+/// Drain time of upstreams if the settings give none.
+const DRAIN_TIME_DEFAULT: Duration = Duration::from_secs(2);
+/// Time after which a document is in force if the settings give none.
+const APPLY_TIME_DEFAULT: Duration = Duration::from_secs(2);
+/// Interval of the heartbeats of upstreams if the settings give none.
+const HEARTBEAT_INTERVAL_DEFAULT: Duration = Duration::from_millis(1500);
+/// Concurrent connections of callers if the settings give none.
+const CALLER_CONNECTIONS_DEFAULT: u32 = 2500;
+/// Time that a body may take to arrive if the settings give none.
+const BODY_TIME_DEFAULT: Duration = Duration::from_secs(30);
+/// Received bytes of a body that allow one second more, if the settings give none.
+const BODY_RATE_DEFAULT: u32 = 16 * 1024;
+
 /// `RelaySettings` holds the identity of a node, its addresses and its limits.
 #[derive(Clone, Debug)]
 pub struct RelaySettings {
@@ -178,97 +198,6 @@
     }
 }
 
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RelayText {
-    node: SpannedText,
-    service: SpannedText,
-    zone: SpannedText,
-    region: SpannedText,
-    listen: ListenText,
-    upstream: SpannedText,
-    store: SpannedText,
-    settle_seconds: Option<Spanned<f64>>,
-    drain_seconds: Option<Spanned<f64>>,
-    apply_seconds: Option<Spanned<f64>>,
-    heartbeat_seconds: Option<Spanned<f64>>,
-    revocation_strict: Option<Spanned<bool>>,
-    revocation_seconds: Option<Spanned<f64>>,
-    repeats: RetryText,
-    quota: Option<QuotaText>,
-    zones: Option<ZoneText>,
-    grace_seconds: Spanned<f64>,
-    address_reuse_seconds: Spanned<f64>,
-    memory_mib: Spanned<f64>,
-    descriptors: Option<Spanned<f64>>,
-    caller_connections: Option<Spanned<f64>>,
-    body_seconds: Option<Spanned<f64>>,
-    body_bytes_per_second: Option<Spanned<f64>>,
-    log: Option<SpannedText>,
-    control: Option<SpannedText>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ListenText {
-    callers: SpannedText,
-    ready: SpannedText,
-    peers: SpannedText,
-    admin: SpannedText,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RetryText {
-    ratio: Spanned<f64>,
-    slack: Spanned<f64>,
-    window_seconds: Spanned<f64>,
-    earlier_windows: Option<bool>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct QuotaText {
-    window_seconds: Spanned<f64>,
-    overage: Spanned<f64>,
-    slack: Spanned<f64>,
-}
-
-/// Least overage of quotas. With less, tokens would expire before a node can use them.
-const QUOTA_OVERAGE_MIN: f64 = 0.05;
-/// Largest overage of quotas.
-const QUOTA_OVERAGE_MAX: f64 = 10.0;
-
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct ZoneText {
-    leave_cost_ms: Option<Spanned<f64>>,
-}
-
-/// Time that a request has to save by leaving the zone if the settings give none.
-const LEAVE_COST_DEFAULT: Duration = Duration::from_millis(5);
-/// Settle time of the store if the settings give none.
-const SETTLE_TIME_DEFAULT: Duration = Duration::from_secs(3);
-/// Drain time of upstreams if the settings give none.
-const DRAIN_TIME_DEFAULT: Duration = Duration::from_secs(2);
-/// Time after which a document is in force if the settings give none.
-const APPLY_TIME_DEFAULT: Duration = Duration::from_secs(2);
-/// Interval of the heartbeats of upstreams if the settings give none.
-const HEARTBEAT_INTERVAL_DEFAULT: Duration = Duration::from_millis(1500);
-/// Concurrent connections of callers if the settings give none.
-const CALLER_CONNECTIONS_DEFAULT: u32 = 2500;
-/// Time that a body may take to arrive if the settings give none.
-const BODY_TIME_DEFAULT: Duration = Duration::from_secs(30);
-/// Received bytes of a body that allow one second more, if the settings give none.
-const BODY_RATE_DEFAULT: u32 = 16 * 1024;
-/// Largest duration accepted for a setting, in seconds.
-const SECONDS_MAX: f64 = 3600.0;
-/// Shortest bound on the use of keys that were taken away, in seconds. Nodes have to read the store
-/// several times within it.
-const REVOCATION_SECONDS_MIN: f64 = 1.0;
-/// Largest number accepted for a setting.
-const NUMBER_MAX: f64 = 1_000_000.0;
-
 impl RelaySettings {
     /// Reads settings from the file at `path`.
     ///
@@ -287,179 +216,7 @@
         let text: RelayText =
             serde_saphyr::from_str(text).map_err(|error| error::syntax_error(&error))?;
         let mut checker = ValueChecker::default();
-        let listen = &text.listen;
-        let settings = Self {
-            node: checker.read_name("node", &text.node),
-            service: checker.read_name("service", &text.service),
-            zone: checker.read_name("zone", &text.zone),
-            region: checker.read_name("region", &text.region),
-            listen: RelayListenSettings {
-                callers: checker.read_address("listen.callers", &listen.callers),
-                ready: checker.read_address("listen.ready", &listen.ready),
-                peers: checker.read_address("listen.peers", &listen.peers),
-                admin: checker.read_address("listen.admin", &listen.admin),
-            },
-            upstream: checker.read_address("upstream", &text.upstream),
-            store: read_store(&mut checker, &text),
-            retries: read_retries(&mut checker, &text.repeats),
-            quotas: read_quotas(&mut checker, text.quota.as_ref()),
-            zones: read_zones(&mut checker, text.zones.as_ref()),
-            grace_time: read_seconds(&mut checker, "grace_seconds", &text.grace_seconds),
-            address_reuse_time: read_seconds(
-                &mut checker,
-                "address_reuse_seconds",
-                &text.address_reuse_seconds,
-            ),
-            memory_mib: read_whole_number(&mut checker, "memory_mib", &text.memory_mib),
-            callers: read_callers(&mut checker, &text),
-            log: checker.read_choice(
-                "log",
-                text.log.as_ref(),
-                &crate::node_settings::LOG_LEVELS,
-                "error, warn, info, debug or trace",
-            ),
-            control: checker.read_choice(
-                "control",
-                text.control.as_ref(),
-                &crate::node_settings::CONTROL_MODES,
-                "enforce or pass-through",
-            ),
-        };
+        let settings = settings_reader::read(&mut checker, &text);
         checker.finish(settings)
     }
 }
-
-fn read_store(checker: &mut ValueChecker, text: &RelayText) -> StoreSettings {
-    let mut settings = StoreSettings::new(checker.read_address("store", &text.store));
-    if let Some(seconds) = &text.settle_seconds {
-        settings.settle_time = read_seconds(checker, "settle_seconds", seconds);
-    }
-    if let Some(seconds) = &text.drain_seconds {
-        settings.drain_time = read_seconds(checker, "drain_seconds", seconds);
-    }
-    if let Some(seconds) = &text.apply_seconds {
-        settings.apply_time = read_seconds(checker, "apply_seconds", seconds);
-    }
-    if let Some(seconds) = &text.heartbeat_seconds {
-        settings.heartbeat_interval = read_seconds(checker, "heartbeat_seconds", seconds);
-    }
-    settings.revocation_time = read_revocation(checker, text);
-    settings
-}
-
-fn read_callers(checker: &mut ValueChecker, text: &RelayText) -> CallerSettings {
-    let mut settings = CallerSettings::default();
-    if let Some(count) = &text.descriptors {
-        settings.descriptors = Some(read_whole_number(checker, "descriptors", count));
-    }
-    if let Some(count) = &text.caller_connections {
-        settings.connections = read_whole_number(checker, "caller_connections", count);
-    }
-    if let Some(seconds) = &text.body_seconds {
-        settings.body_time = read_seconds(checker, "body_seconds", seconds);
-    }
-    if let Some(rate) = &text.body_bytes_per_second {
-        settings.body_bytes_per_second = read_whole_number(checker, "body_bytes_per_second", rate);
-    }
-    settings
-}
-
-/// Reads the bound on the use of keys that were taken away, which needs both of its settings.
-fn read_revocation(checker: &mut ValueChecker, text: &RelayText) -> Option<Duration> {
-    let is_strict = text.revocation_strict.as_ref()?;
-    if !is_strict.value {
-        return None;
-    }
-    let key = "revocation_seconds";
-    let expected = "a number of seconds from 1 to 3600";
-    let Some(seconds) = &text.revocation_seconds else {
-        checker.add_error(is_strict.referenced, key, "nothing", expected);
-        return None;
-    };
-    if (REVOCATION_SECONDS_MIN..=SECONDS_MAX).contains(&seconds.value) {
-        return Some(Duration::from_secs_f64(seconds.value));
-    }
-    checker.add_error(
-        seconds.referenced,
-        key,
-        &seconds.value.to_string(),
-        expected,
-    );
-    None
-}
-
-fn read_retries(checker: &mut ValueChecker, text: &RetryText) -> RetrySettings {
-    RetrySettings {
-        ratio: read_number(checker, "repeats.ratio", &text.ratio),
-        slack: read_number(checker, "repeats.slack", &text.slack),
-        window: read_seconds(checker, "repeats.window_seconds", &text.window_seconds),
-        counts_earlier: text.earlier_windows.unwrap_or(false),
-    }
-}
-
-fn read_quotas(checker: &mut ValueChecker, text: Option<&QuotaText>) -> QuotaSettings {
-    let Some(text) = text else {
-        return QuotaSettings::default();
-    };
-    let overage = &text.overage;
-    if !(QUOTA_OVERAGE_MIN..=QUOTA_OVERAGE_MAX).contains(&overage.value) {
-        let found = overage.value.to_string();
-        let expected = "a number from 0.05 to 10";
-        checker.add_error(overage.referenced, "quota.overage", &found, expected);
-    }
-    QuotaSettings {
-        window: read_seconds(checker, "quota.window_seconds", &text.window_seconds),
-        overage: overage.value,
-        slack: read_number(checker, "quota.slack", &text.slack),
-    }
-}
-
-fn read_zones(checker: &mut ValueChecker, text: Option<&ZoneText>) -> ZoneSettings {
-    let mut settings = ZoneSettings::default();
-    if let Some(cost) = text.and_then(|text| text.leave_cost_ms.as_ref()) {
-        let millis = read_number(checker, "zones.leave_cost_ms", cost);
-        settings.leave_cost = Duration::from_secs_f64(millis / 1000.0);
-    }
-    settings
-}
-
-fn read_number(checker: &mut ValueChecker, key: &str, text: &Spanned<f64>) -> f64 {
-    let value = text.value;
-    if (0.0..=NUMBER_MAX).contains(&value) {
-        return value;
-    }
-    let found = value.to_string();
-    checker.add_error(text.referenced, key, &found, "a number from 0 to 1000000");
-    0.0
-}
-
-fn read_seconds(checker: &mut ValueChecker, key: &str, text: &Spanned<f64>) -> Duration {
-    let value = text.value;
-    if value > 0.0 && value <= SECONDS_MAX {
-        return Duration::from_secs_f64(value);
-    }
-    let found = value.to_string();
-    checker.add_error(
-        text.referenced,
-        key,
-        &found,
-        "a number of seconds above 0, at most 3600",
-    );
-    Duration::ZERO
-}
-
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn read_whole_number(checker: &mut ValueChecker, key: &str, text: &Spanned<f64>) -> u32 {
-    let value = text.value;
-    if (1.0..=NUMBER_MAX).contains(&value) && value.fract() == 0.0 {
-        return value as u32;
-    }
-    let found = value.to_string();
-    checker.add_error(
-        text.referenced,
-        key,
-        &found,
-        "a whole number from 1 to 1000000",
-    );
-    0
-}
