Split the relay's serving, forwarding, links and directory by job

Messages are encoded by position, so that nodes of both builds understand each other. No behaviour changed.

Tests: three files renamed the field kind of a request to route.

--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    forwarding::document_proof::ProofReport,
+    forwarding::{document_proof::ProofReport, slot_queue::RouteId},
     protection::{crash_set::CrashReport, suspects::SuspectReport},
     request::outcome::RefusalReason,
 };
@@ -54,7 +54,7 @@
         pub calls_left: Option<u32>,
         /// Id of the route: a hash of its name, the same at all nodes. Hold times of slots,
         /// admission limits and circuit breakers are kept for each route.
-        pub kind: u64,
+        pub route: RouteId,
         /// Time left of the route's target latency, in milliseconds; a response within it has its full
         /// value.
         pub aim_ms: u32,
@@ -126,13 +126,13 @@
         /// Result of the request.
         pub result: RelayResult,
         /// Status of the replying node.
-        pub news: NodeStatus,
+        pub status: NodeStatus,
         /// Time that the request and its calls waited for slots, in milliseconds.
         pub wait_ms: u32,
         /// Number of calls made for the request, those of nested calls included.
         pub calls: u32,
         /// Worst failure among these calls.
-        pub trouble: CallFailure,
+        pub worst_failure: CallFailure,
         /// Crashes of the request that the replying node knows of.
         pub suspect: Option<SuspectReport>,
         /// Run of the upstream beside the replying node that announced its departure in a response.
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -1,7 +1,7 @@
 //! The listener for callers on the instance and for the calls of its upstream.
 
 use crate::{
-    access_gate::{AccessDenial, AccessGate, UNAUTHORIZED},
+    access_gate::{AccessDenial, AccessGate, AdmittedCaller},
     calling::{
         request_forwarder::RequestForwarder,
         routed_request::{ForwardOutcome, RoutedRequest},
@@ -16,28 +16,22 @@
             ServerResponse,
         },
     },
+    node_response::NodeResponse,
     quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
+    time_limit_table::TimeLimitTable,
 };
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_state::route_table::{CallerLimits, RouteEntry, RouteTable};
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    fmt::Write,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::sync::watch;
 
 /// `Retry-After` of a node that does not know the fleet yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Routes whose longest time limit is kept.
-const TRACKED_ROUTES_MAX: usize = 2048;
 /// `Retry-After` of a node that is about to exit.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -49,7 +43,7 @@
     log: Rc<DecisionLog>,
     forwarder: RequestForwarder,
     quotas: Rc<QuotaGate>,
-    time_limits: RefCell<HashMap<CompactString, Duration>>,
+    time_limits: TimeLimitTable,
     phase: watch::Sender<ServerPhase>,
     is_refusing: Cell<bool>,
 }
@@ -74,7 +68,7 @@
             log,
             forwarder,
             quotas,
-            time_limits: RefCell::default(),
+            time_limits: TimeLimitTable::default(),
             phase: watch::channel(ServerPhase::Open).0,
             is_refusing: Cell::new(false),
         }
@@ -97,54 +91,91 @@
     }
 
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
-        let ServerRequest {
-            head,
-            body,
-            received,
-        } = request;
-        let id = head.id.clone().unwrap_or_default();
+        let id = request.head.id.clone().unwrap_or_default();
+        match self.forward(&id, request).await {
+            Ok(outcome) => self.to_response(&id, outcome),
+            Err(response) => response,
+        }
+    }
+
+    /// Forwards a request that may run.
+    ///
+    /// # Errors
+    /// The response to a request that is not forwarded.
+    async fn forward(
+        &self,
+        id: &CompactString,
+        request: ServerRequest,
+    ) -> Result<ForwardOutcome, ServerResponse> {
+        self.check_open(id)?;
+        let routes = self.directory.routes();
+        let route = self.find_route(&routes, id, &request.head)?;
+        let key = &request.head.credentials.key;
+        let caller = self
+            .gate
+            .admit(&routes, &route, id, key)
+            .map_err(|denial| self.denial_response(id, &route, denial))?;
+        let request = self.routed_request(&routes, route, id, caller, request);
+        let admitted = self.admit(&routes, &request).await;
+        let permit = admitted.map_err(|refusal| self.quota_response(id, refusal))?;
+        let outcome = self.forwarder.forward(request).await;
+        if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
+            permit.give_back();
+        }
+        Ok(outcome)
+    }
+
+    /// Refuses a request without an id, and every request before the exit of the process.
+    fn check_open(&self, id: &CompactString) -> Result<(), ServerResponse> {
         if id.is_empty() {
-            return self.node_response(&id, 400, None, "no request id");
+            return Err(self.node_response(id, 400, None, "no request id"));
         }
         if self.is_refusing.get() {
-            return self.node_response(&id, 503, Some(STOPPING_RETRY_AFTER), "draining");
+            return Err(self.node_response(id, 503, Some(STOPPING_RETRY_AFTER), "draining"));
         }
-        let routes = self.directory.routes();
+        Ok(())
+    }
+
+    fn find_route(
+        &self,
+        routes: &RouteTable,
+        id: &CompactString,
+        head: &RequestHead,
+    ) -> Result<Rc<RouteEntry>, ServerResponse> {
         if routes.version() == 0 {
-            return self.node_response(&id, 503, Some(STARTING_RETRY_AFTER), "starting");
+            return Err(self.node_response(id, 503, Some(STARTING_RETRY_AFTER), "starting"));
         }
-        let Some(route) = routes.find(&head.host, &head.target) else {
-            return self.node_response(&id, 404, None, "no route");
-        };
-        let key = &head.credentials.key;
-        let caller = match self.gate.admit(&routes, &route, &id, key) {
-            Ok(caller) => caller,
-            Err(denial) => return self.denial_response(&id, &route, denial),
-        };
+        let route = routes.find(&head.host, &head.target);
+        route.ok_or_else(|| self.node_response(id, 404, None, "no route"))
+    }
+
+    /// Builds the request to forward.
+    fn routed_request(
+        &self,
+        routes: &RouteTable,
+        route: Rc<RouteEntry>,
+        id: &CompactString,
+        caller: AdmittedCaller,
+        request: ServerRequest,
+    ) -> RoutedRequest {
+        let (head, received) = (request.head, request.received);
         let limit = head.time_limit.unwrap_or(route.timeout);
         let spent = match caller.parent {
             Some(_) => Duration::ZERO,
-            None => self.time_spent(&route, limit),
+            None => self.time_limits.time_spent(&route, limit),
         };
-        let RequestHead {
-            method,
-            target,
-            fields,
-            credentials,
-            ..
-        } = head;
         let fields = if routes.has_accounts() {
-            fields
+            head.fields
         } else {
-            joined(fields, &credentials.fields)
+            joined(head.fields, &head.credentials.fields)
         };
-        let request = RoutedRequest {
+        RoutedRequest {
             id: id.clone(),
             version: routes.version(),
-            method,
-            target,
+            method: head.method,
+            target: head.target,
             fields,
-            body,
+            body: request.body,
             account: caller.account,
             importance: caller.importance,
             parent: caller.parent,
@@ -152,16 +183,7 @@
             received,
             deadline: received + limit.min(route.timeout),
             route,
-        };
-        let permit = match self.admit(&routes, &request).await {
-            Ok(permit) => permit,
-            Err(refusal) => return self.quota_response(&id, refusal),
-        };
-        let outcome = self.forwarder.forward(request).await;
-        if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
-            permit.give_back();
         }
-        self.to_response(&id, outcome)
     }
 
     /// Counts a request against the quota of its account. Calls of a running request were counted with the
@@ -181,19 +203,6 @@
         }
     }
 
-    /// Returns the time that a caller had spent on a request before this attempt. Callers of a route
-    /// start with the same time limit and send what is left of it with each retry, so the
-    /// difference from the longest limit of the route is the time already spent.
-    fn time_spent(&self, route: &RouteEntry, limit: Duration) -> Duration {
-        let mut limits = self.time_limits.borrow_mut();
-        if limits.len() >= TRACKED_ROUTES_MAX {
-            limits.clear();
-        }
-        let longest = limits.entry(route.name.clone()).or_insert(limit);
-        *longest = limit.max(*longest);
-        longest.saturating_sub(limit)
-    }
-
     fn to_response(&self, id: &CompactString, outcome: ForwardOutcome) -> ServerResponse {
         match outcome {
             ForwardOutcome::Answered(response) => ServerResponse {
@@ -214,6 +223,22 @@
         }
     }
 
+    fn node_response(
+        &self,
+        id: &str,
+        status: u16,
+        retry_after: Option<Duration>,
+        reason: &str,
+    ) -> ServerResponse {
+        let response = NodeResponse {
+            id,
+            status,
+            retry_after,
+            reason,
+        };
+        response.to_server_response(self.scheme)
+    }
+
     fn quota_response(&self, id: &str, refusal: QuotaRefusal) -> ServerResponse {
         let QuotaRefusal {
             reason,
@@ -231,34 +256,6 @@
         self.log.log_denied(id, &route.name, &denial);
         self.node_response(id, denial.status, denial.retry_after, denial.reason)
     }
-
-    /// Creates a response of the node itself, as opposed to one of an upstream.
-    fn node_response(
-        &self,
-        id: &str,
-        status: u16,
-        retry_after: Option<Duration>,
-        reason: &str,
-    ) -> ServerResponse {
-        let mut fields = BytesMut::with_capacity(128);
-        // Writing to a buffer in memory cannot fail.
-        if !id.is_empty() {
-            let _ = write!(fields, "{}: {id}\r\n", self.scheme.request_id);
-        }
-        if let Some(retry_after) = retry_after {
-            let _ = write!(fields, "Retry-After: {:.3}\r\n", retry_after.as_secs_f64());
-        }
-        if status == UNAUTHORIZED {
-            let _ = write!(fields, "WWW-Authenticate: {}\r\n", self.scheme.key_scheme);
-        }
-        let _ = write!(fields, "Lagoonshore-Reason: {reason}\r\n");
-        fields.put_slice(b"Content-Type: text/plain\r\n");
-        ServerResponse {
-            status,
-            fields: fields.freeze(),
-            body: Bytes::copy_from_slice(reason.as_bytes()),
-        }
-    }
 }
 
 /// Returns `fields` followed by `more`.
--- a/crates/relay/src/calling/attempt_record.rs
+++ b/crates/relay/src/calling/attempt_record.rs
@@ -85,7 +85,8 @@
             }
         }
         // The status counts this call no more.
-        self.peers.record_status(self.key, self.address, reply.news);
+        self.peers
+            .record_status(self.key, self.address, reply.status);
         elapsed
     }
 }
--- a/crates/relay/src/calling/call_progress.rs
+++ b/crates/relay/src/calling/call_progress.rs
@@ -1,6 +1,7 @@
 //! State of one request across its attempts at different instances.
 
 use super::{
+    peer_links::LinkError,
     peer_table::PeerTarget,
     routed_request::{ForwardOutcome, RoutedRequest},
 };
@@ -84,6 +85,15 @@
         }
     }
 
+    /// Records that no reply to an attempt arrived.
+    pub(crate) fn record_link_error(&mut self, error: LinkError) {
+        match error {
+            LinkError::Connect => self.reason = RefusalReason::UpstreamUnreachable,
+            LinkError::Lost => self.record_lost(RefusalReason::ConnectionLost),
+            LinkError::TimedOut => self.record_lost(RefusalReason::Timeout),
+        }
+    }
+
     /// Records the start of an attempt at `target`.
     pub(crate) fn start_attempt(&mut self, target: &PeerTarget) {
         self.current = Some(target.key);
--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -196,7 +196,7 @@
         let served = Duration::from_micros(reply.served_micros.into());
         let times = ReplyTimes {
             work: (reply.work_micros > 0).then(|| Duration::from_micros(reply.work_micros.into())),
-            hold: Duration::from_micros(reply.news.hold_micros.into()),
+            hold: Duration::from_micros(reply.status.hold_micros.into()),
             link: elapsed.saturating_sub(served),
         };
         let table = self.directory.instances();
--- a/crates/relay/src/calling/request_message.rs
+++ b/crates/relay/src/calling/request_message.rs
@@ -46,7 +46,7 @@
             .as_ref()
             .map(|parent| parent.nested_calls.calls),
         calls_left: request.parent.as_ref().and_then(RunningRequest::calls_left),
-        kind: request.route_id(),
+        route: request.route_id(),
         aim_ms: whole_millis(aim_left),
         wait_ms: whole_millis(max_wait),
         is_returning: !request.spent.is_zero(),
--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -1,27 +1,24 @@
 //! A node's view of the fleet: the document in force and the upstream list.
 
-use crate::{
-    events,
-    store_view::{
-        document_proofs::DocumentProofs, known_versions::KnownVersions, store_health::StoreHealth,
-    },
+mod documents;
+mod upstreams;
+mod watchers;
+
+use crate::store_view::{
+    document_proofs::DocumentProofs, known_versions::KnownVersions, store_health::StoreHealth,
 };
 
 use compact_str::CompactString;
 use lagoonshore_coordination::{
-    forwarding::{
-        document_proof::{ClockReading, ProofBounds},
-        read_schedule::WatchLength,
-        store_watchers,
-    },
+    forwarding::document_proof::{ClockReading, ProofBounds},
     protection::{fingerprint::RequestFingerprint, trial_choice},
 };
-use lagoonshore_protocol::relay_messages::{FleetSnapshot, StoreView};
+use lagoonshore_protocol::relay_messages::StoreView;
 use lagoonshore_state::{
     ids::{DocumentVersion, RegionName},
     instance_table::{InstanceKey, InstanceRecord, InstanceState, InstanceTable},
     route_table::{FleetDocument, RouteTable},
-    upstream_list::{UpstreamList, UpstreamRecord, UpstreamRun},
+    upstream_list::{UpstreamList, UpstreamRecord},
 };
 use std::{
     cell::{Cell, Ref, RefCell},
@@ -29,7 +26,6 @@
     rc::Rc,
 };
 use tokio::sync::watch;
-use tracing::{info, warn};
 
 /// Where a document came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,135 +101,6 @@
         self.peer_port.set(port);
     }
 
-    /// Puts a document in force if it is newer than the current one; returns whether it was.
-    pub fn apply_document(&self, document: FleetDocument, source: DocumentSource) -> bool {
-        let held = self.version();
-        if document.version <= held {
-            return false;
-        }
-        info!(
-            event = events::DOCUMENT_IN_FORCE,
-            version = document.version,
-            held,
-            routes = document.routes.len(),
-            ?source,
-            "document: in force"
-        );
-        let document = Rc::new(document);
-        let table = RouteTable::new((*document).clone());
-        self.routes.replace(Rc::new(table));
-        self.document.replace(Some(document));
-        self.notify_change();
-        true
-    }
-
-    /// Returns the document and the upstream list, for a node that has just started; `None` before
-    /// the first document.
-    #[must_use]
-    pub fn snapshot(&self) -> Option<FleetSnapshot> {
-        let document = (*self.document()?).clone();
-        let upstreams = self.upstreams.borrow();
-        Some(FleetSnapshot {
-            document,
-            upstreams: upstreams.iter().cloned().collect(),
-        })
-    }
-
-    /// Merges the document and upstream list of another node if no document is in force yet.
-    /// Once the store is read, its data takes precedence.
-    pub fn merge_snapshot(&self, snapshot: FleetSnapshot) {
-        if self.version() > 0 {
-            return;
-        }
-        for record in snapshot.upstreams {
-            self.upsert_upstream(record);
-        }
-        self.apply_document(snapshot.document, DocumentSource::Peer);
-        self.mark_list_read();
-    }
-
-    /// Logs and counts an invalid document; the one in force stays. `revision` is that of the store.
-    pub fn refuse_document(&self, revision: u64, error: &str) {
-        self.refused_count.set(self.refused_count.get() + 1);
-        let held = self.version();
-        warn!(
-            event = events::DOCUMENT_REFUSED,
-            revision,
-            held,
-            fault = error,
-            "document: refused"
-        );
-    }
-
-    /// Adds or updates an upstream, unless a newer revision of it is known.
-    pub fn upsert_upstream(&self, record: UpstreamRecord) {
-        let name = record.name.clone();
-        let revision = record.revision;
-        if !self.upstreams.borrow_mut().upsert(record) {
-            return;
-        }
-        let Some(entry) = self.instance_record(&name) else {
-            return;
-        };
-        let state = entry.state;
-        info!(
-            event = events::UPSTREAM_LISTED,
-            instance = %name, service = %entry.service, ?state, revision, "upstream: listed"
-        );
-        self.instances.borrow_mut().upsert(entry);
-        self.notify_change();
-    }
-
-    /// Records that a run announced its departure in a response.
-    pub fn announce_departure(&self, run: &UpstreamRun) {
-        if !self.upstreams.borrow_mut().announce_departure(run) {
-            return;
-        }
-        let name = &run.name;
-        info!(
-            event = events::DEPARTURE_ANNOUNCED,
-            instance = %name,
-            "upstream: announced its departure in a response"
-        );
-        if let Some(entry) = self.instance_record(name) {
-            self.instances.borrow_mut().upsert(entry);
-        }
-        self.notify_change();
-    }
-
-    /// Removes an upstream that is no longer listed at `revision` of the store.
-    pub fn remove_upstream(&self, name: &str, revision: u64) {
-        if self.upstreams.borrow_mut().remove(name, revision).is_none() {
-            return;
-        }
-        info!(
-            event = events::UPSTREAM_REMOVED,
-            instance = name,
-            revision,
-            "upstream: removed from the list"
-        );
-        let mut instances = self.instances.borrow_mut();
-        if let Some(key) = instances.find(name) {
-            instances.remove(key);
-        }
-        drop(instances);
-        self.notify_change();
-    }
-
-    /// Logs and counts an invalid list entry, and removes the upstream that was listed under its
-    /// name.
-    pub fn refuse_entry(&self, name: &str, revision: u64, error: &str) {
-        self.refused_count.set(self.refused_count.get() + 1);
-        warn!(
-            event = events::ENTRY_REFUSED,
-            instance = name,
-            revision,
-            fault = error,
-            "list entry: refused"
-        );
-        self.remove_upstream(name, revision);
-    }
-
     /// Marks the upstream list as read completely.
     pub fn mark_list_read(&self) {
         self.is_list_read.set(true);
@@ -282,43 +149,6 @@
         self.upstreams.borrow()
     }
 
-    /// Returns how long the node watches the store: for a short time unless a watcher tells it of
-    /// changes.
-    #[must_use]
-    pub fn watch_length(&self) -> WatchLength {
-        if self.store.has_watcher() {
-            WatchLength::Long
-        } else {
-            WatchLength::Short
-        }
-    }
-
-    /// Returns the watchers of the store that the node may follow, the one that it should follow first
-    /// to begin with: the nodes beside the first live upstreams of its availability zone, by name. Empty
-    /// if it is one of them, or if its upstream is not listed.
-    #[must_use]
-    pub fn watchers(&self) -> Vec<SocketAddr> {
-        let upstreams = self.upstreams.borrow();
-        let Some(own) = upstreams.find_by_address(self.upstream_address) else {
-            return Vec::new();
-        };
-        let is_live =
-            |other: &&UpstreamRecord| other.zone == own.zone && other.state == InstanceState::Live;
-        // Records are in the order of their names.
-        let live: Vec<_> = upstreams.iter().filter(is_live).collect();
-        let rank = live.iter().filter(|other| other.name < own.name).count();
-        let count = store_watchers::watcher_count(live.len());
-        if rank < count {
-            return Vec::new();
-        }
-        let mut watchers: Vec<_> = live[..count]
-            .iter()
-            .map(|record| self.peer_address(record))
-            .collect();
-        watchers.rotate_left(rank % count);
-        watchers
-    }
-
     /// Chooses the instance of `service` that may run a request again after its quarantine.
     #[must_use]
     pub fn trial_instance(
@@ -380,19 +210,6 @@
         upstreams.iter().map(|record| record.name.clone()).collect()
     }
 
-    fn instance_record(&self, name: &str) -> Option<InstanceRecord> {
-        let upstreams = self.upstreams.borrow();
-        let record = upstreams.get(name)?;
-        Some(InstanceRecord {
-            name: record.name.clone(),
-            service: record.service.clone(),
-            zone: record.zone.clone(),
-            region: self.region.clone(),
-            peer: self.peer_address(record),
-            state: record.state,
-        })
-    }
-
     /// Address at which the node beside an upstream listens for peers.
     fn peer_address(&self, record: &UpstreamRecord) -> SocketAddr {
         SocketAddr::new(record.address.ip(), self.peer_port.get())
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod line_budget;
 pub mod logging;
 pub mod node;
+mod node_response;
 pub mod peer_listener;
 mod process_limits;
 pub mod quota;
@@ -30,5 +31,6 @@
 pub mod store_view;
 mod suspect_log;
 pub mod suspect_tracker;
+mod time_limit_table;
 
 pub use error::{RelayError, Result};
--- a/crates/relay/src/peer_listener.rs
+++ b/crates/relay/src/peer_listener.rs
@@ -58,7 +58,7 @@
 impl PeerListener {
     /// Waits for something that the nodes that follow this one should know at once: a newer revision
     /// than `seen`, or a newer proof of the document if keys need one.
-    async fn wait_for_news(&self, seen: u64) {
+    async fn wait_for_view(&self, seen: u64) {
         let is_proof_needed = self.directory.proof_bounds().is_some();
         tokio::select! {
             () = self.directory.versions().wait_for_newer(seen) => {}
@@ -83,7 +83,7 @@
         let wait = Duration::from_millis(wait_ms.into());
         let started = read_clocks();
         // Without a change, the answer shows that the node is alive and reads the store.
-        let _ = tokio::time::timeout(wait, self.wait_for_news(seen)).await;
+        let _ = tokio::time::timeout(wait, self.wait_for_view(seen)).await;
         let version = self.directory.version();
         let bounds = self.directory.proof_bounds();
         StoreView {
--- a/crates/relay/src/serving/route_gate.rs
+++ b/crates/relay/src/serving/route_gate.rs
@@ -45,7 +45,7 @@
         request: &RelayRequest,
         limit_max: u32,
     ) -> Result<RoutePermit<'_>, Duration> {
-        let (route, is_returning) = (request.kind, request.is_returning);
+        let (route, is_returning) = (request.route, request.is_returning);
         let mut breaker = self.breaker.borrow_mut();
         breaker.admit(Instant::now(), route, is_returning)?;
         let mut limiter = self.limiter.borrow_mut();
@@ -100,7 +100,7 @@
 impl RunSummary {
     pub(crate) fn of(request: &RelayRequest) -> Self {
         Self {
-            route: request.kind,
+            route: request.route,
             aim: Duration::from_millis(request.aim_ms.into()),
             is_nested: request.is_nested(),
         }
--- a/crates/relay/tests/memory.rs
+++ b/crates/relay/tests/memory.rs
@@ -99,7 +99,7 @@
         is_idempotent: false,
         calls_before: None,
         calls_left: None,
-        kind: 1,
+        route: 1,
         aim_ms: 1000,
         wait_ms: 1000,
         is_returning: false,
--- a/crates/relay/tests/peer_links.rs
+++ b/crates/relay/tests/peer_links.rs
@@ -31,7 +31,7 @@
         is_idempotent: true,
         calls_before: None,
         calls_left: None,
-        kind: 1,
+        route: 1,
         aim_ms: 1000,
         wait_ms: 1000,
         is_returning: false,
--- a/crates/relay/tests/retry_budget.rs
+++ b/crates/relay/tests/retry_budget.rs
@@ -27,7 +27,7 @@
         is_idempotent: false,
         calls_before: None,
         calls_left: None,
-        kind: 1,
+        route: 1,
         aim_ms: 1000,
         wait_ms: 0,
         is_returning: false,
