--- a/crates/daemon/src/node_process.rs
+++ b/crates/daemon/src/node_process.rs
@@ -10,6 +10,7 @@
     protection::health_probe,
 };
 
+use actix_rt::net::TcpListener;
 use lagoonshore_settings::NodeSettings;
 use lagoonshore_transport::{
     http_listener::{self, ListenerLimits},
@@ -76,9 +77,8 @@
     let outbound = http_listener::listen("outbound", listen.outbound).await?;
     let peer = http_listener::listen("peer", listen.peer).await?;
     let admin = http_listener::listen("admin", listen.admin).await?;
-    let address = |listener: &actix_rt::net::TcpListener, requested: SocketAddr| {
-        listener.local_addr().unwrap_or(requested)
-    };
+    let address =
+        |listener: &TcpListener, requested: SocketAddr| listener.local_addr().unwrap_or(requested);
     let addresses = BoundAddresses {
         inbound: address(&inbound, listen.inbound),
         outbound: address(&outbound, listen.outbound),
@@ -86,6 +86,15 @@
         admin: address(&admin, listen.admin),
     };
     node.gossip.set_own_address(&node.settings, addresses.peer);
+    serve_inbound(node, inbound);
+    serve_outbound(node, outbound);
+    actix_rt::spawn(peer_server::serve(peer, PeerListener::new(node.clone())));
+    serve_admin(node, admin);
+    node_lifecycle::start_serving(node);
+    Ok(addresses)
+}
+
+fn serve_inbound(node: &SharedNode, listener: TcpListener) {
     let limits = ListenerLimits {
         connections: Rc::clone(&node.connections),
         close_signal: node.protection.close_signal.clone(),
@@ -100,26 +109,22 @@
             response
         }
     };
-    actix_rt::spawn(http_listener::serve(inbound, limits, handler));
-    let shared = node.clone();
+    actix_rt::spawn(http_listener::serve(listener, limits, handler));
+}
+
+fn serve_outbound(node: &SharedNode, listener: TcpListener) {
+    let (limits, shared) = (ListenerLimits::default(), node.clone());
     let handler = move |request| outbound_listener::handle(shared.clone(), request);
-    actix_rt::spawn(http_listener::serve(
-        outbound,
-        ListenerLimits::default(),
-        handler,
-    ));
-    actix_rt::spawn(peer_server::serve(peer, PeerListener::new(node.clone())));
+    actix_rt::spawn(http_listener::serve(listener, limits, handler));
+}
+
+fn serve_admin(node: &SharedNode, listener: TcpListener) {
     let (shared, metrics) = (node.clone(), metrics_recorder::handle());
     actix_rt::spawn(metrics_recorder::run_upkeep(metrics.clone()));
+    let limits = ListenerLimits::default();
     let handler = move |request| {
         let response = admin_listener::handle(&shared, &metrics, &request);
         std::future::ready(response)
     };
-    actix_rt::spawn(http_listener::serve(
-        admin,
-        ListenerLimits::default(),
-        handler,
-    ));
-    node_lifecycle::start_serving(node);
-    Ok(addresses)
+    actix_rt::spawn(http_listener::serve(listener, limits, handler));
 }
--- a/crates/daemon/src/observation/node_metrics.rs
+++ b/crates/daemon/src/observation/node_metrics.rs
@@ -73,7 +73,7 @@
         counter!("lagoonshore_refusals_total", "reason" => reason.as_str()).absolute(count);
     }
     counter!("lagoonshore_refused_early_total").absolute(counters.refused_early);
-    counter!("lagoonshore_hand_overs_total").absolute(counters.handed_over);
+    counter!("lagoonshore_hand_overs_total").absolute(counters.dispatched);
     counter!("lagoonshore_calls_total").absolute(counters.calls);
     counter!("lagoonshore_retries_total").absolute(counters.retries);
     // A gauge, because counters of the recorder are integers and would lose fractions of a second.
--- a/crates/daemon/src/serving/request_server.rs
+++ b/crates/daemon/src/serving/request_server.rs
@@ -162,7 +162,7 @@
     }
     let dispatched = DispatchedRequest::start(node, permit, &request, class, deadline);
     let lifecycle = lifecycle.dispatch();
-    node.counters.borrow_mut().handed_over += 1;
+    node.counters.borrow_mut().dispatched += 1;
     let request = upstream_request(request, dispatched.id());
     let tracker = DispatchTracker::start(node, fingerprint);
     let sent = node.upstream.send(request, deadline - now).await;
--- a/crates/daemon/tests/admission.rs
+++ b/crates/daemon/tests/admission.rs
@@ -127,8 +127,8 @@
     let counters = chain.portal.node.counters.borrow().clone();
     // A dispatched request may be cancelled before it reaches the upstream, so fewer may run than
     // were dispatched; but no request that was refused early may run.
-    assert!(u64::from(chain.portal_runs.get()) <= counters.handed_over);
-    assert!(counters.handed_over <= counters.offered);
+    assert!(u64::from(chain.portal_runs.get()) <= counters.dispatched);
+    assert!(counters.dispatched <= counters.offered);
     let ran = chain.portal_paths.borrow().clone();
     for refused in refused.borrow().iter() {
         assert!(!ran.contains(refused), "{refused} was refused and ran");
--- a/crates/daemon/tests/hedged_calls.rs
+++ b/crates/daemon/tests/hedged_calls.rs
@@ -111,7 +111,7 @@
             hedges_won: retries.hedges_won,
             cancelled: retries.attempts_cancelled,
             tokens_spent: retries.tokens_spent,
-            handed_over: self.sum(|node| node.counters.borrow().handed_over),
+            dispatched: self.sum(|node| node.counters.borrow().dispatched),
             answered: self.sum(|node| node.counters.borrow().answered),
         }
     }
@@ -127,7 +127,7 @@
     hedges_won: u64,
     cancelled: u64,
     tokens_spent: u64,
-    handed_over: u64,
+    dispatched: u64,
     answered: u64,
 }
 
@@ -237,7 +237,7 @@
         hedges_won: before.hedges_won + 1,
         cancelled: before.cancelled + 1,
         tokens_spent: before.tokens_spent + 1,
-        handed_over: before.handed_over + 2,
+        dispatched: before.dispatched + 2,
         answered: before.answered + 1,
     };
     assert_eq!(fleet.counts(), expected);
--- a/crates/daemon/tests/hostile_input.rs
+++ b/crates/daemon/tests/hostile_input.rs
@@ -93,7 +93,7 @@
     let truncated = "POST /meals/7 HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nshort";
     send_raw(node.addresses.inbound, truncated.as_bytes()).await;
     assert_serves(&node).await;
-    assert_eq!(node.node.counters.borrow().handed_over, 1);
+    assert_eq!(node.node.counters.borrow().dispatched, 1);
 }
 
 #[actix_rt::test]
--- a/crates/protocol/src/relay_bytes.rs
+++ b/crates/protocol/src/relay_bytes.rs
@@ -2,7 +2,7 @@
 //!
 //! A body of many megabytes would be copied into the encoded message, from there into the buffer of the
 //! link, and once more at the other end. While a link encodes a message it collects such bytes, and sends
-//! them after it as they are; while it decodes one, it hands out those that it received.
+//! them after it as they are; while it decodes one, it returns those that it received.
 
 use bytes::Bytes;
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
--- a/crates/relay/src/admin_listener.rs
+++ b/crates/relay/src/admin_listener.rs
@@ -3,7 +3,7 @@
 use crate::{
     explain_page::ExplainPage,
     http1::request_handler::{
-        self, RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+        self, RequestHandler, ServerPhase, ServerRequest, ServerResponse, UnreadRequest,
     },
     state_dump::StateDump,
 };
@@ -79,7 +79,7 @@
         request_handler::ready_response(self.page(path))
     }
 
-    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
+    fn refuse_unread(&self, request: UnreadRequest<'_>) -> ServerResponse {
         text_response(
             request.status,
             "text/plain",
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -12,8 +12,7 @@
     http1::{
         head::RequestHead,
         request_handler::{
-            RejectedRequest, RejectionReason, RequestHandler, ServerPhase, ServerRequest,
-            ServerResponse,
+            RequestHandler, ServerPhase, ServerRequest, ServerResponse, UnreadReason, UnreadRequest,
         },
     },
     node_response::NodeResponse,
@@ -271,11 +270,11 @@
         async move { self.handle(request).await }.boxed_local()
     }
 
-    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
-        if request.reason != RejectionReason::Failed {
+    fn refuse_unread(&self, request: UnreadRequest<'_>) -> ServerResponse {
+        if request.reason != UnreadReason::Failed {
             self.forwarder.log_unread(request);
         }
-        let RejectedRequest { status, id, .. } = request;
+        let UnreadRequest { status, id, .. } = request;
         if status == 503 {
             return self.node_response(id, status, Some(MEMORY_RETRY_AFTER), "memory");
         }
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -21,7 +21,7 @@
     directory::FleetDirectory,
     explain_page::{ExplainPage, ServiceChoice},
     header_scheme::HeaderScheme,
-    http1::request_handler::RejectedRequest,
+    http1::request_handler::UnreadRequest,
     lifecycle::request_cutoff::RequestCutoff,
     serving::{running_table::RunningTable, upstream_server::UpstreamServer},
 };
@@ -135,7 +135,7 @@
     }
 
     /// Logs that a request was refused before it was read to its end.
-    pub(crate) fn log_unread(&self, request: RejectedRequest<'_>) {
+    pub(crate) fn log_unread(&self, request: UnreadRequest<'_>) {
         self.log.log_unread(request, self.links.free_memory());
     }
 
--- a/crates/relay/src/decision_log.rs
+++ b/crates/relay/src/decision_log.rs
@@ -4,7 +4,7 @@
 //! limit reports how many were left out.
 
 use crate::{
-    access_gate::AccessDenial, events, http1::request_handler::RejectedRequest,
+    access_gate::AccessDenial, events, http1::request_handler::UnreadRequest,
     line_budget::LineBudget, relay_metrics,
 };
 
@@ -109,7 +109,7 @@
 
     /// Logs that a request was refused before it was read to its end, with the `free` bytes of the memory
     /// of messages.
-    pub fn log_unread(&self, request: RejectedRequest<'_>, free: usize) {
+    pub fn log_unread(&self, request: UnreadRequest<'_>, free: usize) {
         let reason = request.reason.as_str();
         relay_metrics::count_unread(reason);
         if request.status == NO_MEMORY_STATUS {
--- a/crates/relay/src/http1/mod.rs
+++ b/crates/relay/src/http1/mod.rs
@@ -5,6 +5,7 @@
 mod connection_table;
 pub mod credentials;
 pub mod exchange;
+mod field_summary;
 pub mod head;
 mod input_pool;
 pub mod pool;
--- a/crates/relay/src/http1/request_handler.rs
+++ b/crates/relay/src/http1/request_handler.rs
@@ -30,22 +30,22 @@
     pub body: Bytes,
 }
 
-/// `RejectedRequest` is a request that a server does not read, or not to its end.
+/// `UnreadRequest` is a request that a server does not read, or not to its end.
 #[derive(Clone, Copy, Debug)]
-pub struct RejectedRequest<'a> {
+pub struct UnreadRequest<'a> {
     /// HTTP status code of the response.
     pub status: u16,
-    /// Why it is rejected.
-    pub reason: RejectionReason,
+    /// Why it is refused.
+    pub reason: UnreadReason,
     /// Id of the request; empty if it is not known.
     pub id: &'a str,
     /// Address of the caller.
     pub caller: IpAddr,
 }
 
-/// `RejectionReason` is why a request is not read, or not to its end.
+/// `UnreadReason` is why a request is not read, or not to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RejectionReason {
+pub enum UnreadReason {
     /// It is malformed.
     Malformed,
     /// Its head or its body is larger than allowed.
@@ -60,7 +60,7 @@
     Failed,
 }
 
-impl RejectionReason {
+impl UnreadReason {
     /// HTTP status code that is sent for it.
     #[must_use]
     pub const fn status(self) -> u16 {
@@ -87,7 +87,7 @@
     }
 }
 
-impl From<BodyError> for RejectionReason {
+impl From<BodyError> for UnreadReason {
     fn from(error: BodyError) -> Self {
         match error {
             BodyError::TooLarge => Self::TooLarge,
@@ -103,7 +103,7 @@
     /// caller disconnects.
     fn respond(self: Rc<Self>, request: ServerRequest) -> LocalBoxFuture<'static, ServerResponse>;
     /// Creates the response to a request that was not read, and did not run.
-    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse;
+    fn refuse_unread(&self, request: UnreadRequest<'_>) -> ServerResponse;
     /// Limits on size and time of requests that are in force.
     fn limits(&self) -> CallerLimits;
     /// Returns a receiver of the phase, by which connections decide when to close.
--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -8,7 +8,7 @@
     body::BodyError,
     connection_table::{ConnectionActivity, ConnectionPlace},
     input_pool::InputPool,
-    request_handler::{RejectionReason, RequestHandler, ServerPhase, ServerResponse},
+    request_handler::{RequestHandler, ServerPhase, ServerResponse, UnreadReason},
     response_output::ResponseOutput,
     server::ServerLimits,
     staged_close,
@@ -265,7 +265,7 @@
             return true;
         }
         if self.receiving_since.is_some() {
-            self.refuse_unread(408, RejectionReason::Timeout);
+            self.refuse_unread(408, UnreadReason::Timeout);
             return true;
         }
         self.output.is_empty() && !self.pending.is_empty()
@@ -303,7 +303,8 @@
         let Some(pending) = self.pending.pop_front() else {
             return;
         };
-        let response = response.unwrap_or_else(|_| self.reject(502, RejectionReason::Failed, ""));
+        let response =
+            response.unwrap_or_else(|_| self.unread_response(502, UnreadReason::Failed, ""));
         let is_last = self.pending.is_empty();
         let closes = pending.closes || (is_last && self.is_closing());
         if closes {
--- a/crates/relay/src/http1/server_connection/receiving.rs
+++ b/crates/relay/src/http1/server_connection/receiving.rs
@@ -6,7 +6,7 @@
     body::{BodyFraming, BodyReader},
     connection_table::ConnectionPlace,
     head::{self, HeadError, RequestHead},
-    request_handler::{RejectionReason, ServerRequest},
+    request_handler::{ServerRequest, UnreadReason},
     server::ServerLimits,
 };
 
@@ -96,11 +96,11 @@
             Ok(Some(head)) => head,
             Ok(None) => return false,
             Err(HeadError::TooLarge) => {
-                self.refuse_unread(431, RejectionReason::TooLarge);
+                self.refuse_unread(431, UnreadReason::TooLarge);
                 return false;
             }
             Err(HeadError::Malformed) => {
-                self.refuse_unread(400, RejectionReason::Malformed);
+                self.refuse_unread(400, UnreadReason::Malformed);
                 return false;
             }
         };
@@ -201,7 +201,7 @@
             return;
         }
         if !self.input_memory.extend_to(self.input.len()) {
-            self.refuse_unread(503, RejectionReason::NoMemory);
+            self.refuse_unread(503, UnreadReason::NoMemory);
         }
     }
 
--- a/crates/relay/src/http1/server_connection/refusing.rs
+++ b/crates/relay/src/http1/server_connection/refusing.rs
@@ -4,7 +4,7 @@
 
 use crate::http1::{
     body::BodyError,
-    request_handler::{RejectedRequest, RejectionReason, ServerResponse},
+    request_handler::{ServerResponse, UnreadReason, UnreadRequest},
 };
 
 use std::time::Duration;
@@ -20,14 +20,14 @@
             return;
         };
         let reason = match error {
-            BodyError::NoMemory if !partial.body.is_empty() => RejectionReason::GivenUp,
+            BodyError::NoMemory if !partial.body.is_empty() => UnreadReason::GivenUp,
             error => error.into(),
         };
         self.refuse_request(reason, &partial.head.id.unwrap_or_default());
     }
 
     /// Answers input that is no complete request with `status`.
-    pub(super) fn refuse_unread(&mut self, status: u16, reason: RejectionReason) {
+    pub(super) fn refuse_unread(&mut self, status: u16, reason: UnreadReason) {
         let partial = self.partial.take();
         let id = partial.and_then(|partial| partial.head.id);
         self.refuse_with(status, reason, &id.unwrap_or_default());
@@ -35,12 +35,12 @@
 
     /// Answers the request `id`, which was not read, and stops reading, since the start of a following
     /// request cannot be found.
-    pub(super) fn refuse_request(&mut self, reason: RejectionReason, id: &str) {
+    pub(super) fn refuse_request(&mut self, reason: UnreadReason, id: &str) {
         self.refuse_with(reason.status(), reason, id);
     }
 
-    fn refuse_with(&mut self, status: u16, reason: RejectionReason, id: &str) {
-        let response = self.reject(status, reason, id);
+    fn refuse_with(&mut self, status: u16, reason: UnreadReason, id: &str) {
+        let response = self.unread_response(status, reason, id);
         if !id.is_empty() {
             self.discard_time = BODY_DISCARD_TIME;
         }
@@ -62,8 +62,13 @@
         self.is_input_closed = true;
     }
 
-    pub(super) fn reject(&self, status: u16, reason: RejectionReason, id: &str) -> ServerResponse {
-        self.handler.reject(RejectedRequest {
+    pub(super) fn unread_response(
+        &self,
+        status: u16,
+        reason: UnreadReason,
+        id: &str,
+    ) -> ServerResponse {
+        self.handler.refuse_unread(UnreadRequest {
             status,
             reason,
             id,
@@ -81,8 +86,8 @@
         if self.receiving_since.is_some() {
             let partial = self.partial.take();
             let id = partial.and_then(|partial| partial.head.id);
-            let reason = RejectionReason::GivenUp;
-            let response = self.reject(reason.status(), reason, &id.unwrap_or_default());
+            let reason = UnreadReason::GivenUp;
+            let response = self.unread_response(reason.status(), reason, &id.unwrap_or_default());
             self.output.push(response, true, false);
             // The connection is dropped either way.
             let _ = self.write_some();
--- a/crates/relay/src/lifecycle/ready_listener.rs
+++ b/crates/relay/src/lifecycle/ready_listener.rs
@@ -4,7 +4,7 @@
     directory::FleetDirectory,
     events,
     http1::request_handler::{
-        self, RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+        self, RequestHandler, ServerPhase, ServerRequest, ServerResponse, UnreadRequest,
     },
 };
 
@@ -74,7 +74,7 @@
         request_handler::ready_response(empty_response(if is_ready { 200 } else { 503 }))
     }
 
-    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
+    fn refuse_unread(&self, request: UnreadRequest<'_>) -> ServerResponse {
         empty_response(request.status)
     }
 
--- a/crates/relay/src/serving/mod.rs
+++ b/crates/relay/src/serving/mod.rs
@@ -11,5 +11,6 @@
 mod slot_gate;
 pub mod slot_limiter;
 mod upstream_exchange;
+mod upstream_parts;
 mod upstream_request;
 pub mod upstream_server;
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -1,17 +1,15 @@
 //! Admission and execution of requests on the local upstream.
 
 use super::{
-    announcements::UpstreamAnnouncements,
-    local_upstream::LocalUpstream,
     refusals::{UNAVAILABLE_RETRY_AFTER, refusal, unknown_outcome},
     request_admission::RequestAdmission,
-    retry_gate::RetryGate,
     route_gate::RouteGate,
     run_records::RunRecords,
     running_table::{CallTotals, RunningTable},
     slot_gate::SlotGate,
-    slot_limiter::{SlotLimiter, SlotPermit},
+    slot_limiter::SlotPermit,
     upstream_exchange::UpstreamExchange,
+    upstream_parts::UpstreamParts,
 };
 
 use crate::{
@@ -19,9 +17,8 @@
     decision_log::DecisionLog,
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
-    http1::{memory_budget::MemoryBudget, pool::ConnectionPool},
+    http1::memory_budget::MemoryBudget,
     lifecycle::request_cutoff::RequestCutoff,
-    process_limits,
     suspect_tracker::{self, SuspectTracker},
 };
 
@@ -37,24 +34,13 @@
 use std::{cell::Cell, rc::Rc};
 use tokio::time::Instant;
 
-/// Part of the connections to the upstream that may be idle, as a divisor.
-const IDLE_DIVISOR: usize = 2;
-/// Slots that are assumed until the upstream is listed.
-const SLOTS_DEFAULT: u32 = 8;
 /// Share of the listed slots that is used: some upstreams slow down when nearly all are in use.
 const USABLE_SLOTS_SHARE: f64 = 0.95;
 /// `UpstreamServer` runs requests on the local upstream.
 pub struct UpstreamServer {
     directory: Rc<FleetDirectory>,
     service: ServiceName,
-    limiter: SlotLimiter,
-    /// Connections to the upstream that fit the descriptors of the process.
-    connections_max: u32,
-    announcements: Rc<UpstreamAnnouncements>,
-    pool: Rc<ConnectionPool>,
-    upstream: Rc<LocalUpstream>,
-    suspects: Rc<SuspectTracker>,
-    retry_gate: Rc<RetryGate>,
+    parts: UpstreamParts,
     admission: RequestAdmission,
     slot_gate: SlotGate,
     exchange: UpstreamExchange,
@@ -74,56 +60,16 @@
         log: Rc<DecisionLog>,
         budget: MemoryBudget,
     ) -> Self {
-        let connections_max = process_limits::of_process(settings).upstream_connections();
-        let pool = Rc::new(create_pool(settings, connections_max, budget));
-        let limiter = SlotLimiter::new(SLOTS_DEFAULT);
-        let announcements = UpstreamAnnouncements::new(Rc::clone(&directory), limiter.clone());
-        let announcements = Rc::new(announcements);
-        let upstream = Rc::new(LocalUpstream::new(
-            settings,
-            scheme,
-            Rc::clone(&directory),
-            Rc::clone(&pool),
-            Rc::clone(&announcements),
-        ));
-        let suspects = Rc::<SuspectTracker>::default();
-        let retry_gate = Rc::new(RetryGate::new(settings, Rc::clone(&log)));
+        let parts = UpstreamParts::new(settings, scheme, &directory, &log, budget);
         let route_gate = Rc::<RouteGate>::default();
-        let admission = RequestAdmission {
-            directory: Rc::clone(&directory),
-            control: settings.control,
-            service: settings.service.clone(),
-            limiter: limiter.clone(),
-            upstream: Rc::clone(&upstream),
-            suspects: Rc::clone(&suspects),
-            retry_gate: Rc::clone(&retry_gate),
-            route_gate: Rc::clone(&route_gate),
-            is_refusing: Cell::new(false),
-        };
-        let exchange = UpstreamExchange {
-            scheme,
-            pool: Rc::clone(&pool),
-            upstream: Rc::clone(&upstream),
-            suspects: Rc::clone(&suspects),
-            retry_gate: Rc::clone(&retry_gate),
-            limiter: limiter.clone(),
-            announcements: Rc::clone(&announcements),
-            log,
-        };
         Self {
-            directory,
             service: settings.service.clone(),
-            slot_gate: SlotGate::new(settings.control, limiter.clone(), Rc::clone(&upstream)),
-            limiter,
-            connections_max,
-            announcements,
-            pool,
-            upstream,
-            suspects,
-            retry_gate,
-            admission,
-            exchange,
+            admission: parts.create_admission(settings, &directory, &route_gate),
+            slot_gate: parts.create_slot_gate(settings),
+            exchange: parts.create_exchange(scheme, log),
             run_records: RunRecords::new(route_gate),
+            directory,
+            parts,
             is_draining: Cell::new(false),
             running: ActiveCount::default(),
             cutoff: RequestCutoff::default(),
@@ -134,18 +80,19 @@
     /// its service.
     pub fn apply_upstream_list(&self) {
         if let Some(slots) = self.directory.local_slots() {
-            self.limiter
-                .set_limit(usable_slots(slots).min(self.connections_max));
+            self.parts
+                .limiter
+                .set_limit(usable_slots(slots).min(self.parts.connections_max));
         }
         let instances = self.directory.instances();
         let count = instances.of_service(&self.service).count();
         let count = u32::try_from(count).unwrap_or(u32::MAX);
-        self.retry_gate.set_upstream_count(count);
+        self.parts.retry_gate.set_upstream_count(count);
     }
 
     /// Applies changed retry settings.
     pub fn set_retry_settings(&self, retries: RetrySettings) {
-        self.retry_gate.set_retry_settings(retries);
+        self.parts.retry_gate.set_retry_settings(retries);
     }
 
     /// Reports the node as draining to other nodes from now on.
@@ -173,7 +120,7 @@
     /// Number of attempts to connect to the local upstream so far.
     #[must_use]
     pub fn connections_opened(&self) -> u64 {
-        self.pool.opened()
+        self.parts.pool.opened()
     }
 
     /// Requests that the upstream is running; its calls are matched to them.
@@ -185,13 +132,13 @@
     /// Status of the node, as sent with every reply.
     #[must_use]
     pub fn node_status(&self) -> NodeStatus {
-        let usage = self.limiter.usage();
+        let usage = self.parts.limiter.usage();
         NodeStatus {
             in_use: usage.in_use,
             limit: usage.limit,
             queued: usage.queued,
-            hold_micros: whole_micros(self.limiter.mean_hold_time()),
-            rate_wait_ms: whole_millis(self.limiter.rate_wait()),
+            hold_micros: whole_micros(self.parts.limiter.mean_hold_time()),
+            rate_wait_ms: whole_millis(self.parts.limiter.rate_wait()),
             is_leaving: self.is_draining.get(),
             version: self.directory.version(),
             revision: self.directory.versions().known_revision(),
@@ -201,13 +148,13 @@
     /// Returns whether the local upstream refuses connections.
     #[must_use]
     pub fn is_upstream_down(&self) -> bool {
-        self.upstream.is_down()
+        self.parts.upstream.is_down()
     }
 
     /// Suspect requests.
     #[must_use]
     pub const fn suspects(&self) -> &Rc<SuspectTracker> {
-        &self.suspects
+        &self.parts.suspects
     }
 
     /// Runs a request, whose response is of use only before `deadline`.
@@ -218,7 +165,7 @@
         self.directory.versions().record_known(request.revision);
         // A sender with an old list means the upstream that had this address before.
         if request.service == self.service {
-            self.announcements.record_request(&request);
+            self.parts.announcements.record_request(&request);
         }
         let fingerprint = suspect_tracker::fingerprint_of(
             &request.origin,
@@ -230,7 +177,7 @@
         let result = self.run(request, deadline, fingerprint, &mut totals).await;
         let result = result.unwrap_or_else(|refused| refused);
         drop(active);
-        let suspect = self.suspects.report(fingerprint);
+        let suspect = self.parts.suspects.report(fingerprint);
         RelayReply {
             result,
             status: self.node_status(),
@@ -238,9 +185,13 @@
             calls: totals.calls,
             worst_failure: totals.worst_failure,
             suspect,
-            departed: self.announcements.departed_run(),
-            limit: self.announcements.limit(),
-            work_micros: self.limiter.known_hold_time(route).map_or(0, whole_micros),
+            departed: self.parts.announcements.departed_run(),
+            limit: self.parts.announcements.limit(),
+            work_micros: self
+                .parts
+                .limiter
+                .known_hold_time(route)
+                .map_or(0, whole_micros),
             served_micros: whole_micros(received.elapsed()),
         }
     }
@@ -256,13 +207,15 @@
         fingerprint: RequestFingerprint,
         totals: &mut CallTotals,
     ) -> Result<RelayResult, RelayResult> {
-        self.suspects.merge_crashes(fingerprint, &request.crashes);
+        self.parts
+            .suspects
+            .merge_crashes(fingerprint, &request.crashes);
         let _admitted = self.admission.admit(&request, fingerprint)?;
         let queued_at = Instant::now();
         let permit = self.wait_for_slot(&request, deadline).await?;
         totals.wait = queued_at.elapsed();
         self.check_departure(&request)?;
-        self.retry_gate.record_arrival(&request);
+        self.parts.retry_gate.record_arrival(&request);
         let run = self.run_records.start(&request);
         let result = tokio::select! {
             biased;
@@ -291,23 +244,13 @@
     /// Refuses a request whose upstream left while it waited; requests that are cut off free their
     /// slots for those that wait.
     fn check_departure(&self, request: &RelayRequest) -> Result<(), RelayResult> {
-        if self.cutoff.is_reached() || self.upstream.has_departed(&request.instance) {
+        if self.cutoff.is_reached() || self.parts.upstream.has_departed(&request.instance) {
             return Err(refusal(RefusalReason::Draining, UNAVAILABLE_RETRY_AFTER));
         }
         Ok(())
     }
 }
 
-/// Creates the pool of the connections to the upstream.
-fn create_pool(
-    settings: &RelaySettings,
-    connections_max: u32,
-    budget: MemoryBudget,
-) -> ConnectionPool {
-    let idle_max = usize::try_from(connections_max).unwrap_or(usize::MAX) / IDLE_DIVISOR;
-    ConnectionPool::new(settings.upstream, budget).with_idle_max(idle_max)
-}
-
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn usable_slots(slots: u32) -> u32 {
     ((f64::from(slots) * USABLE_SLOTS_SHARE) as u32).max(1)
--- a/crates/state/src/counters.rs
+++ b/crates/state/src/counters.rs
@@ -7,7 +7,8 @@
         /// Requests received by the inbound listener and the peer listener.
         pub offered: u64,
         /// Requests dispatched to the upstream.
-        pub handed_over: u64,
+        #[serde(rename = "handed_over")]
+        pub dispatched: u64,
         /// Complete responses of the upstream.
         pub answered: u64,
         /// Requests refused that certainly did not run.
