--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -60,7 +60,7 @@
     /// Creates a node with an empty view of the fleet.
     ///
     /// # Errors
-    /// [`RelayError::Random`] if the operating system provides no random numbers.
+    /// [`crate::RelayError::Random`] if the operating system provides no random numbers.
     pub fn new(settings: RelaySettings, scheme: HeaderScheme) -> Result<Rc<Self>> {
         node_parts::assemble(settings, scheme).map(Rc::new)
     }
@@ -68,7 +68,7 @@
     /// Opens the listeners and serves them on the current thread; returns their bound addresses.
     ///
     /// # Errors
-    /// [`RelayError::Listener`] if a listener cannot be opened.
+    /// [`crate::RelayError::Listener`] if a listener cannot be opened.
     pub async fn open(self: &Rc<Self>) -> Result<RelayListenSettings> {
         let listeners = BoundListeners::bind(self.settings.listen).await?;
         let bound = listeners.addresses();
@@ -116,7 +116,7 @@
     /// Calls `reload` at each SIGHUP.
     ///
     /// # Errors
-    /// [`RelayError::Signals`] if no handler can be installed.
+    /// [`crate::RelayError::Signals`] if no handler can be installed.
     pub fn on_reload(&self, reload: impl Fn() + 'static) -> Result<()> {
         signals::on_reload(reload).context(SignalsSnafu)
     }
@@ -149,7 +149,7 @@
     /// Waits for a stop signal and drains the node.
     ///
     /// # Errors
-    /// [`RelayError::Signals`] if no handler can be installed.
+    /// [`crate::RelayError::Signals`] if no handler can be installed.
     pub async fn run_until_stopped(&self) -> Result<()> {
         signals::wait_for_stop().await.context(SignalsSnafu)?;
         self.stop().await;
