--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -1,7 +1,7 @@
 //! The listener for callers on the instance and for the calls of its upstream.
 
 use crate::{
-    access_gate::{AccessDenial, AccessGate, UNAUTHORIZED},
+    access_gate::{AccessDenial, AccessGate, AdmittedCaller},
     calling::{
         request_forwarder::RequestForwarder,
         routed_request::{ForwardOutcome, RoutedRequest},
@@ -12,31 +12,23 @@
     http1::{
         head::RequestHead,
         request_handler::{
-            RejectedRequest, RejectionReason, RequestHandler, ServerPhase, ServerRequest,
-            ServerResponse,
+            RequestHandler, ServerPhase, ServerRequest, ServerResponse, UnreadReason, UnreadRequest,
         },
     },
+    node_response::NodeResponse,
     quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
     relay_metrics,
+    return_recognition::ReturnRecognition,
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
 };
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
-use lagoonshore_coordination::{
-    forwarding::return_table::{RefusedAttempt, ReturnTable},
-    protection::fingerprint::{self, RequestFingerprint},
-    request::outcome::RefusalReason,
-};
+use lagoonshore_coordination::request::outcome::RefusalReason;
 use lagoonshore_state::route_table::{CallerLimits, RouteEntry, RouteTable};
-use std::{
-    cell::{Cell, RefCell},
-    fmt::Write,
-    rc::Rc,
-    time::Duration,
-};
-use tokio::{sync::watch, time::Instant};
+use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::sync::watch;
 
 /// `Retry-After` of a node that does not know the fleet yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -51,7 +43,7 @@
     log: Rc<DecisionLog>,
     forwarder: RequestForwarder,
     quotas: Rc<QuotaGate>,
-    returns: RefCell<ReturnTable>,
+    returns: ReturnRecognition,
     phase: watch::Sender<ServerPhase>,
     is_refusing: Cell<bool>,
 }
@@ -76,7 +68,7 @@
             log,
             forwarder,
             quotas,
-            returns: RefCell::default(),
+            returns: ReturnRecognition::default(),
             phase: watch::channel(ServerPhase::Open).0,
             is_refusing: Cell::new(false),
         }
@@ -99,50 +91,96 @@
     }
 
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
-        let ServerRequest {
-            head,
-            body,
-            received,
-        } = request;
-        let id = head.id.clone().unwrap_or_default();
+        let id = request.head.id.clone().unwrap_or_default();
+        match self.forward(&id, request).await {
+            Ok(outcome) => self.to_response(&id, outcome),
+            Err(response) => response,
+        }
+    }
+
+    /// Forwards a request that may run.
+    ///
+    /// # Errors
+    /// The response to a request that is not forwarded.
+    async fn forward(
+        &self,
+        id: &CompactString,
+        request: ServerRequest,
+    ) -> Result<ForwardOutcome, ServerResponse> {
+        self.check_open(id)?;
+        let routes = self.directory.routes();
+        let route = self.find_route(&routes, id, &request.head)?;
+        let key = &request.head.credentials.key;
+        let caller = self
+            .gate
+            .admit(&routes, &route, id, key)
+            .map_err(|denial| self.denial_response(id, &route, denial))?;
+        let limit = request.head.time_limit.unwrap_or(route.timeout);
+        let caller_deadline = request.received + limit;
+        let mut request = Self::routed_request(&routes, route, id, caller, request);
+        request.spent = self.returns.time_spent(&request);
+        let admitted = self.admit(&routes, &request).await;
+        let permit = admitted.map_err(|refusal| self.quota_response(id, refusal))?;
+        let outcome = self.forwarder.forward(&request).await;
+        if !request.spent.is_zero() {
+            relay_metrics::count_return(outcome.as_str());
+        }
+        if let ForwardOutcome::NotRun(_, Some(retry_after)) = outcome {
+            self.returns
+                .expect_return(&request, caller_deadline, retry_after);
+        }
+        if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
+            permit.give_back();
+        }
+        Ok(outcome)
+    }
+
+    /// Refuses a request without an id, and every request before the exit of the process.
+    fn check_open(&self, id: &CompactString) -> Result<(), ServerResponse> {
         if id.is_empty() {
-            return self.node_response(&id, 400, None, "no request id");
+            return Err(self.node_response(id, 400, None, "no request id"));
         }
         if self.is_refusing.get() {
-            return self.node_response(&id, 503, Some(STOPPING_RETRY_AFTER), "draining");
+            return Err(self.node_response(id, 503, Some(STOPPING_RETRY_AFTER), "draining"));
         }
-        let routes = self.directory.routes();
+        Ok(())
+    }
+
+    fn find_route(
+        &self,
+        routes: &RouteTable,
+        id: &CompactString,
+        head: &RequestHead,
+    ) -> Result<Rc<RouteEntry>, ServerResponse> {
         if routes.version() == 0 {
-            return self.node_response(&id, 503, Some(STARTING_RETRY_AFTER), "starting");
+            return Err(self.node_response(id, 503, Some(STARTING_RETRY_AFTER), "starting"));
         }
-        let Some(route) = routes.find(&head.host, &head.target) else {
-            return self.node_response(&id, 404, None, "no route");
-        };
-        let key = &head.credentials.key;
-        let caller = match self.gate.admit(&routes, &route, &id, key) {
-            Ok(caller) => caller,
-            Err(denial) => return self.denial_response(&id, &route, denial),
-        };
+        let route = routes.find(&head.host, &head.target);
+        route.ok_or_else(|| self.node_response(id, 404, None, "no route"))
+    }
+
+    /// Builds the request to forward.
+    fn routed_request(
+        routes: &RouteTable,
+        route: Rc<RouteEntry>,
+        id: &CompactString,
+        caller: AdmittedCaller,
+        request: ServerRequest,
+    ) -> RoutedRequest {
+        let (head, received) = (request.head, request.received);
         let limit = head.time_limit.unwrap_or(route.timeout);
-        let RequestHead {
-            method,
-            target,
-            fields,
-            credentials,
-            ..
-        } = head;
         let fields = if routes.has_accounts() {
-            fields
+            head.fields
         } else {
-            joined(fields, &credentials.fields)
+            joined(head.fields, &head.credentials.fields)
         };
-        let mut request = RoutedRequest {
+        RoutedRequest {
             id: id.clone(),
             version: routes.version(),
-            method,
-            target,
+            method: head.method,
+            target: head.target,
             fields,
-            body,
+            body: request.body,
             account: caller.account,
             importance: caller.importance,
             parent: caller.parent,
@@ -150,23 +188,7 @@
             received,
             deadline: received + limit.min(route.timeout),
             route,
-        };
-        request.spent = self.time_spent(&request);
-        let permit = match self.admit(&routes, &request).await {
-            Ok(permit) => permit,
-            Err(refusal) => return self.quota_response(&id, refusal),
-        };
-        let outcome = self.forwarder.forward(&request).await;
-        if !request.spent.is_zero() {
-            relay_metrics::count_return(outcome.as_str());
-        }
-        if let ForwardOutcome::NotRun(_, Some(retry_after)) = outcome {
-            self.expect_return(&request, received + limit, retry_after);
-        }
-        if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
-            permit.give_back();
         }
-        self.to_response(&id, outcome)
     }
 
     /// Counts a request against the quota of its account. Calls of a running request were counted with the
@@ -186,38 +208,6 @@
         }
     }
 
-    /// Returns the time that a caller had spent on a request before this attempt, if the node refused
-    /// it before and its return is due.
-    fn time_spent(&self, request: &RoutedRequest) -> Duration {
-        let now = Instant::now();
-        let mut returns = self.returns.borrow_mut();
-        if request.parent.is_some() || returns.is_empty(now) {
-            return Duration::ZERO;
-        }
-        let first_received = returns.take_return(now, fingerprint_of(request));
-        first_received.map_or(Duration::ZERO, |first| request.received - first)
-    }
-
-    /// Records that the caller of a request was told to come back. The calls of a running request are not
-    /// compared with earlier ones.
-    fn expect_return(
-        &self,
-        request: &RoutedRequest,
-        caller_deadline: Instant,
-        retry_after: Duration,
-    ) {
-        if request.parent.is_some() {
-            return;
-        }
-        let attempt = RefusedAttempt {
-            first_received: request.received - request.spent,
-            caller_deadline,
-            retry_after,
-        };
-        let mut returns = self.returns.borrow_mut();
-        returns.record_refusal(Instant::now(), fingerprint_of(request), attempt);
-    }
-
     fn to_response(&self, id: &CompactString, outcome: ForwardOutcome) -> ServerResponse {
         match outcome {
             ForwardOutcome::Answered(response) => ServerResponse {
@@ -238,6 +228,22 @@
         }
     }
 
+    fn node_response(
+        &self,
+        id: &str,
+        status: u16,
+        retry_after: Option<Duration>,
+        reason: &str,
+    ) -> ServerResponse {
+        let response = NodeResponse {
+            id,
+            status,
+            retry_after,
+            reason,
+        };
+        response.to_server_response(self.scheme)
+    }
+
     fn quota_response(&self, id: &str, refusal: QuotaRefusal) -> ServerResponse {
         let QuotaRefusal {
             reason,
@@ -255,49 +261,9 @@
         self.log.log_denied(id, &route.name, &denial);
         self.node_response(id, denial.status, denial.retry_after, denial.reason)
     }
-
-    /// Creates a response of the node itself, as opposed to one of an upstream.
-    fn node_response(
-        &self,
-        id: &str,
-        status: u16,
-        retry_after: Option<Duration>,
-        reason: &str,
-    ) -> ServerResponse {
-        let mut fields = BytesMut::with_capacity(128);
-        // Writing to a buffer in memory cannot fail.
-        if !id.is_empty() {
-            let _ = write!(fields, "{}: {id}\r\n", self.scheme.request_id);
-        }
-        if let Some(retry_after) = retry_after {
-            let _ = write!(fields, "Retry-After: {:.3}\r\n", retry_after.as_secs_f64());
-        }
-        if status == UNAUTHORIZED {
-            let _ = write!(fields, "WWW-Authenticate: {}\r\n", self.scheme.key_scheme);
-        }
-        let _ = write!(fields, "Lagoonshore-Reason: {reason}\r\n");
-        fields.put_slice(b"Content-Type: text/plain\r\n");
-        ServerResponse {
-            status,
-            fields: fields.freeze(),
-            body: Bytes::copy_from_slice(reason.as_bytes()),
-        }
-    }
 }
 
 /// Returns `fields` followed by `more`.
-/// Fingerprint of a request and its account, by which its return is recognised.
-fn fingerprint_of(request: &RoutedRequest) -> RequestFingerprint {
-    let account = request.account.as_deref().unwrap_or_default();
-    let RoutedRequest {
-        method,
-        target,
-        body,
-        ..
-    } = request;
-    fingerprint::of_request(None, account, method, target, body)
-}
-
 fn joined(fields: Bytes, more: &[u8]) -> Bytes {
     if more.is_empty() {
         return fields;
@@ -310,11 +276,11 @@
         async move { self.handle(request).await }.boxed_local()
     }
 
-    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
-        if request.reason != RejectionReason::Failed {
+    fn refuse_unread(&self, request: UnreadRequest<'_>) -> ServerResponse {
+        if request.reason != UnreadReason::Failed {
             self.forwarder.log_unread(request);
         }
-        let RejectedRequest { status, id, .. } = request;
+        let UnreadRequest { status, id, .. } = request;
         if status == 503 {
             return self.node_response(id, status, Some(MEMORY_RETRY_AFTER), "memory");
         }
