Recognise a return by its deadline too, and bound what late returns cost

Callers of popular content were taken for each other's returns, and the time they were said to have spent grew from one to the next. A return is now also recognised by the time until which its caller waits, which the two attempts share. A late return that could start at once, or behind others that are refused at the same time, is no longer given up; late ones are counted instead of searched; a request in time is not refused for one that waits late while only the limit on the rate holds both back.

--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -161,11 +161,7 @@
 
     fn wait_of(&self, now: Instant, position: QueuePosition) -> Duration {
         let ahead = self.waiting.ahead_of(position);
-        let slot_wait = if self.in_use < self.limit && self.waiting.is_empty() {
-            Duration::ZERO
-        } else {
-            self.wait_behind(ahead)
-        };
+        let slot_wait = self.slot_wait(ahead);
         slot_wait.max(self.rate.expected_wait(now, ahead))
     }
 
@@ -296,10 +292,7 @@
     /// Refuses the requests that cannot start in time any more. Those that can still complete before
     /// their deadlines move behind the ones that can complete within the target.
     fn refuse_expired(&mut self, now: Instant, change: &mut SlotChange) {
-        let waiting = self.waiting.keys().enumerate();
-        let expired = waiting.filter(|(ahead, key)| self.is_expired(now, *ahead, key));
-        let expired: Vec<QueueKey> = expired.map(|(_, key)| *key).collect();
-        for key in expired {
+        for key in self.expired(now) {
             if let Some(waiting) = self.waiting.remove(key.ticket)
                 && let Some(wait) = self.postpone(now, key, waiting)
             {
@@ -308,6 +301,19 @@
         }
     }
 
+    fn expired(&self, now: Instant) -> Vec<QueueKey> {
+        let mut ahead = 0;
+        let mut expired = Vec::new();
+        for key in self.waiting.keys() {
+            if self.is_expired(now, ahead, key) {
+                expired.push(*key);
+            } else {
+                ahead += 1;
+            }
+        }
+        expired
+    }
+
     /// Makes a request follow its plan for a late completion; returns its expected wait if it has
     /// none that can be met.
     fn postpone(
@@ -345,18 +351,16 @@
     fn is_expired(&self, now: Instant, ahead: usize, key: &QueueKey) -> bool {
         let expected_wait = match key.position.class {
             WaitClass::InTime => Duration::ZERO,
-            WaitClass::Late => self.wait_behind(ahead),
+            WaitClass::Late => self.slot_wait(ahead),
         };
         key.start_by < now + expected_wait
     }
 
-    /// Earliest time at which a waiting request must be refused.
-    #[must_use]
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.waiting.keys().map(|key| key.start_by).min()
-    }
-
-    fn wait_behind(&self, ahead: usize) -> Duration {
+    /// Expected wait for a slot of a request with `ahead` others before it.
+    fn slot_wait(&self, ahead: usize) -> Duration {
+        if self.in_use < self.limit && ahead == 0 {
+            return Duration::ZERO;
+        }
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let excess = self.in_use.saturating_sub(self.limit);
         let turns = ahead.saturating_add(excess).saturating_add(1);
--- a/crates/coordination/src/forwarding/waiting_list.rs
+++ b/crates/coordination/src/forwarding/waiting_list.rs
@@ -25,6 +25,12 @@
     pub(super) ticket: TicketId,
 }
 
+impl QueueKey {
+    fn is_late(&self) -> bool {
+        self.position.class == WaitClass::Late
+    }
+}
+
 /// `WaitingRequest` is what is needed of a request once it leaves the list.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WaitingRequest {
@@ -40,6 +46,7 @@
     requests: BTreeMap<QueueKey, WaitingRequest>,
     keys: HashMap<TicketId, QueueKey>,
     next_ticket: TicketId,
+    late_count: usize,
 }
 
 impl WaitingList {
@@ -52,10 +59,8 @@
     }
 
     /// Number of requests that can only complete late.
-    pub(super) fn late_count(&self) -> usize {
-        let keys = self.requests.keys();
-        keys.filter(|key| key.position.class == WaitClass::Late)
-            .count()
+    pub(super) const fn late_count(&self) -> usize {
+        self.late_count
     }
 
     /// Number of requests that are served before a new one at `position`.
@@ -84,18 +89,21 @@
 
     /// Adds a request under the ticket that it had.
     pub(super) fn insert(&mut self, key: QueueKey, request: WaitingRequest) {
+        self.late_count += usize::from(key.is_late());
         self.requests.insert(key, request);
         self.keys.insert(key.ticket, key);
     }
 
     pub(super) fn remove(&mut self, ticket: TicketId) -> Option<WaitingRequest> {
         let key = self.keys.remove(&ticket)?;
+        self.late_count -= usize::from(key.is_late());
         self.requests.remove(&key)
     }
 
     /// Removes the request that is served next.
     pub(super) fn pop_first(&mut self) -> Option<(TicketId, WaitingRequest)> {
         let (key, request) = self.requests.pop_first()?;
+        self.late_count -= usize::from(key.is_late());
         self.keys.remove(&key.ticket);
         Some((key.ticket, request))
     }
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -118,7 +118,7 @@
         let limit = request.head.time_limit.unwrap_or(route.timeout);
         let caller_deadline = request.received + limit;
         let mut request = Self::routed_request(&routes, route, id, caller, request);
-        request.spent = self.returns.time_spent(&request);
+        request.spent = self.returns.time_spent(&request, caller_deadline);
         let admitted = self.admit(&routes, &request).await;
         let permit = admitted.map_err(|refusal| self.quota_response(id, refusal))?;
         let outcome = self.forwarder.forward(&request).await;
--- a/crates/relay/src/return_recognition.rs
+++ b/crates/relay/src/return_recognition.rs
@@ -9,6 +9,9 @@
 use std::{cell::RefCell, time::Duration};
 use tokio::time::Instant;
 
+/// Bytes at the start of a body that are compared.
+const BODY_BYTES_MAX: usize = 4096;
+
 /// `ReturnRecognition` tells the returns of refused callers from first attempts. The calls of running
 /// requests are not compared with earlier ones.
 #[derive(Debug, Default)]
@@ -18,14 +21,14 @@
 
 impl ReturnRecognition {
     /// Returns the time that a caller had spent on a request before this attempt, if the node refused
-    /// it before and its return is due.
-    pub(crate) fn time_spent(&self, request: &RoutedRequest) -> Duration {
+    /// it before and its return is due. `caller_deadline` is the time until which the caller waits.
+    pub(crate) fn time_spent(&self, request: &RoutedRequest, caller_deadline: Instant) -> Duration {
         let now = Instant::now();
         let mut returns = self.returns.borrow_mut();
         if request.parent.is_some() || returns.is_empty(now) {
             return Duration::ZERO;
         }
-        let first_received = returns.take_return(now, fingerprint_of(request));
+        let first_received = returns.take_return(now, fingerprint_of(request), caller_deadline);
         first_received.map_or(Duration::ZERO, |first| request.received - first)
     }
 
@@ -58,5 +61,6 @@
         body,
         ..
     } = request;
-    fingerprint::of_request(None, account, method, target, body)
+    let body_start = &body[..body.len().min(BODY_BYTES_MAX)];
+    fingerprint::of_request(None, account, method, target, body_start)
 }
--- a/crates/relay/src/serving/slot_limiter.rs
+++ b/crates/relay/src/serving/slot_limiter.rs
@@ -130,7 +130,7 @@
     #[must_use]
     pub fn rate_wait(&self) -> Duration {
         let state = self.inner.borrow();
-        let queued = state.queue.queued();
+        let queued = state.queue.queued_in_time();
         state.queue.rate().expected_wait(Instant::now(), queued)
     }
 
