Compare keys of accounts by digest, without copies

Cause: each request with a key copied it twice or three times: the field to relay, the text of the key if it was longer than 24 bytes, and the buffers of both, also in fleets where nothing of it is relayed. Change: the parser hashes the key in place (`KeyDigest`, under a secret of the process instead of one of each document) and keeps the fields only where they go to the upstream. Which it is follows from the document in force when the head arrives. Tests: calls of `parse_request` and `account_of_key` follow the changed signatures; what they check is as before.

--- a/crates/coordination/src/forwarding/caller_access.rs
+++ b/crates/coordination/src/forwarding/caller_access.rs
@@ -8,18 +8,19 @@
 use super::document_proof::DocumentFreshness;
 
 use lagoonshore_state::{
-    account::{AccountEntry, AccountKey},
+    account::AccountEntry,
+    key_digest::KeyDigest,
     route_table::{RouteEntry, RouteTable},
 };
 use std::rc::Rc;
 
 /// `PresentedKey` is what a request says of its key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PresentedKey {
     /// The request has no key.
     Absent,
-    /// The request has this key.
-    Single(AccountKey),
+    /// The request has the key with this digest.
+    Single(KeyDigest),
     /// The request has several keys, or something that no key can be.
     Unusable,
 }
@@ -67,7 +68,7 @@
 pub fn check_key(
     routes: &RouteTable,
     route: &RouteEntry,
-    key: &PresentedKey,
+    key: PresentedKey,
     parent: CallParent,
     freshness: DocumentFreshness,
 ) -> Result<Option<Rc<AccountEntry>>, AccessRefusal> {
@@ -75,10 +76,10 @@
         return Ok(None);
     }
     let account = match key {
-        PresentedKey::Single(key) => routes.account_of_key(key).cloned(),
+        PresentedKey::Single(digest) => routes.account_of_key(digest).cloned(),
         PresentedKey::Absent | PresentedKey::Unusable => None,
     };
-    let is_keyless = *key == PresentedKey::Absent;
+    let is_keyless = key == PresentedKey::Absent;
     if route.is_anonymous && (is_keyless || freshness != DocumentFreshness::Current) {
         return Ok(account);
     }
--- a/crates/coordination/tests/document_proof.rs
+++ b/crates/coordination/tests/document_proof.rs
@@ -145,7 +145,7 @@
 
 #[test]
 fn keys_are_judged_by_the_freshness_of_the_document() {
-    let key = |text: &str| PresentedKey::Single(AccountKey::new(text.into()));
+    let key = |text: &str| PresentedKey::Single(AccountKey::new(text.into()).digest());
     let keys = [
         ("held key", key("held")),
         ("unknown key", key("other")),
--- a/crates/relay/src/access_gate.rs
+++ b/crates/relay/src/access_gate.rs
@@ -71,7 +71,7 @@
         routes: &RouteTable,
         route: &RouteEntry,
         id: &str,
-        key: &PresentedKey,
+        key: PresentedKey,
     ) -> Result<AdmittedCaller, AccessDenial> {
         let parent = self.parent_of(routes, id, key);
         let origin = match parent {
@@ -119,9 +119,9 @@
         &self,
         routes: &RouteTable,
         id: &str,
-        key: &PresentedKey,
+        key: PresentedKey,
     ) -> Option<RunningRequest> {
-        if routes.has_accounts() && *key != PresentedKey::Absent {
+        if routes.has_accounts() && key != PresentedKey::Absent {
             return None;
         }
         self.running_table.parent_of(id, self.call_separator)
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -10,6 +10,7 @@
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     http1::{
+        credentials::CredentialsUse,
         head::RequestHead,
         request_handler::{
             RejectedRequest, RejectionReason, RequestHandler, ServerPhase, ServerRequest,
@@ -116,7 +117,7 @@
         let Some(route) = routes.find(&head.host, &head.target) else {
             return self.node_response(&id, 404, None, "no route");
         };
-        let key = &head.credentials.key;
+        let key = head.credentials.key;
         let caller = match self.gate.admit(&routes, &route, &id, key) {
             Ok(caller) => caller,
             Err(denial) => return self.denial_response(&id, &route, denial),
@@ -289,6 +290,14 @@
         self.directory.routes().limits()
     }
 
+    fn credentials_use(&self) -> CredentialsUse {
+        if self.directory.routes().has_accounts() {
+            CredentialsUse::Node
+        } else {
+            CredentialsUse::Upstream
+        }
+    }
+
     fn phase(&self) -> watch::Receiver<ServerPhase> {
         self.phase.subscribe()
     }
--- a/crates/relay/src/http1/credentials.rs
+++ b/crates/relay/src/http1/credentials.rs
@@ -5,21 +5,29 @@
 use bytes::Bytes;
 use httparse::Header;
 use lagoonshore_coordination::forwarding::caller_access::PresentedKey;
-use lagoonshore_state::account::{AccountKey, KEY_BYTES_MAX};
+use lagoonshore_state::{account::KEY_BYTES_MAX, key_digest::KeyDigest};
 use std::fmt;
 
+/// `CredentialsUse` says whom the credentials of requests are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CredentialsUse {
+    /// The node, which reads the key and passes nothing on.
+    Node,
+    /// The upstream, in a fleet without accounts.
+    Upstream,
+}
+
 /// `RequestCredentials` holds the fields of a request that say which account calls, apart from the fields to relay.
 #[derive(Clone)]
 pub struct RequestCredentials {
     /// Key that the credentials hold.
     pub key: PresentedKey,
-    /// The fields as received, each terminated by CRLF. They are relayed only in a fleet without
-    /// accounts, where they belong to the upstream.
+    /// The fields to relay, each terminated by CRLF; empty if they are for the node.
     pub fields: Bytes,
 }
 
 impl RequestCredentials {
-    /// Reads the credentials among `headers`; `fields` are those that may be relayed.
+    /// Reads the credentials among `headers`; `fields` are those to relay.
     pub(super) fn of(headers: &[Header<'_>], scheme: &HeaderScheme, fields: Bytes) -> Self {
         let named = headers
             .iter()
@@ -57,7 +65,7 @@
     let key = key.trim();
     let is_key = key.len() <= KEY_BYTES_MAX && key.bytes().all(|byte| byte.is_ascii_graphic());
     if word.eq_ignore_ascii_case(scheme) && is_key && !key.is_empty() {
-        PresentedKey::Single(AccountKey::new(key.into()))
+        PresentedKey::Single(KeyDigest::of(key))
     } else {
         PresentedKey::Unusable
     }
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -1,7 +1,10 @@
 //! Parsing of request and response heads. Relayed fields keep their bytes; hop-by-hop fields
 //! (RFC 9110, section 7.6.1) and fields that the node sets itself are removed.
 
-use super::{body::BodyFraming, credentials::RequestCredentials};
+use super::{
+    body::BodyFraming,
+    credentials::{CredentialsUse, RequestCredentials},
+};
 
 use crate::header_scheme::HeaderScheme;
 
@@ -100,6 +103,7 @@
     buffer: &mut BytesMut,
     bytes_max: usize,
     scheme: &HeaderScheme,
+    credentials_use: CredentialsUse,
 ) -> Result<Option<RequestHead>, HeadError> {
     let mut storage = [httparse::EMPTY_HEADER; FIELDS_MAX];
     let mut parsed = httparse::Request::new(&mut storage);
@@ -120,9 +124,12 @@
     }
     let summary = FieldSummary::of(parsed.headers)?;
     let is_http10 = parsed.version == Some(0);
-    let credentials = relayed_fields(parsed.headers, &summary, |name| {
-        !scheme.is_about_accounts(name)
-    });
+    let credentials = match credentials_use {
+        CredentialsUse::Node => Bytes::new(),
+        CredentialsUse::Upstream => relayed_fields(parsed.headers, &summary, |name| {
+            !scheme.is_about_accounts(name)
+        }),
+    };
     let head = RequestHead {
         method: parsed.method.unwrap_or_default().into(),
         target: target.into(),
--- a/crates/relay/src/http1/request_handler.rs
+++ b/crates/relay/src/http1/request_handler.rs
@@ -1,6 +1,6 @@
 //! The interface between the HTTP server and what answers its requests.
 
-use super::{body::BodyError, head::RequestHead};
+use super::{body::BodyError, credentials::CredentialsUse, head::RequestHead};
 
 use bytes::Bytes;
 use futures::{FutureExt, future::LocalBoxFuture};
@@ -106,6 +106,10 @@
     fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse;
     /// Limits on size and time of requests that are in force.
     fn limits(&self) -> CallerLimits;
+    /// Whom the credentials of the next request are for.
+    fn credentials_use(&self) -> CredentialsUse {
+        CredentialsUse::Node
+    }
     /// Returns a receiver of the phase, by which connections decide when to close.
     fn phase(&self) -> watch::Receiver<ServerPhase>;
 }
--- a/crates/relay/src/http1/server_connection/receiving.rs
+++ b/crates/relay/src/http1/server_connection/receiving.rs
@@ -92,7 +92,13 @@
         }
         let received = *self.receiving_since.get_or_insert_with(Instant::now);
         let limits = self.handler.limits();
-        let head = match head::parse_request(&mut self.input, limits.head_bytes, &self.scheme) {
+        let parsed = head::parse_request(
+            &mut self.input,
+            limits.head_bytes,
+            &self.scheme,
+            self.handler.credentials_use(),
+        );
+        let head = match parsed {
             Ok(Some(head)) => head,
             Ok(None) => return false,
             Err(HeadError::TooLarge) => {
--- a/crates/relay/tests/reader_fuzz.rs
+++ b/crates/relay/tests/reader_fuzz.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use lagoonshore_relay::http1::{
     body::{BodyError, BodyFraming, BodyReader},
+    credentials::CredentialsUse,
     head::{self, HeadError},
 };
 use lagoonshore_transport::{
@@ -219,13 +220,23 @@
 async fn heads_are_read_alike_however_they_arrive() {
     run(&cut_input(request_head()), |input| {
         let mut whole = BytesMut::from(&input.bytes[..]);
-        let parsed_whole = head::parse_request(&mut whole, HEAD_BYTES_MAX, &SCHEME);
+        let parsed_whole = head::parse_request(
+            &mut whole,
+            HEAD_BYTES_MAX,
+            &SCHEME,
+            CredentialsUse::Upstream,
+        );
         let mut buffer = BytesMut::new();
         let mut parsed = Ok(None);
         for part in input.parts() {
             buffer.extend_from_slice(part);
             if matches!(parsed, Ok(None)) {
-                parsed = head::parse_request(&mut buffer, HEAD_BYTES_MAX, &SCHEME);
+                parsed = head::parse_request(
+                    &mut buffer,
+                    HEAD_BYTES_MAX,
+                    &SCHEME,
+                    CredentialsUse::Upstream,
+                );
             }
             prop_assert!(!matches!(parsed, Ok(None)) || buffer.len() <= HEAD_BYTES_MAX);
         }
@@ -246,7 +257,12 @@
         let _ = read_body(&[&bytes], &budget);
         prop_assert_eq!(budget.free(), BUDGET_BYTES);
         let mut buffer = BytesMut::from(&bytes[..]);
-        let parsed = head::parse_request(&mut buffer, HEAD_BYTES_MAX, &SCHEME);
+        let parsed = head::parse_request(
+            &mut buffer,
+            HEAD_BYTES_MAX,
+            &SCHEME,
+            CredentialsUse::Upstream,
+        );
         let is_waiting = matches!(parsed, Ok(None));
         prop_assert!(!is_waiting || bytes.len() <= HEAD_BYTES_MAX);
         let is_too_large = matches!(parsed, Err(HeadError::TooLarge));
--- a/crates/relay/tests/support/upstream.rs
+++ b/crates/relay/tests/support/upstream.rs
@@ -7,7 +7,7 @@
     task::JoinHandle,
 };
 use bytes::BytesMut;
-use lagoonshore_relay::http1::{body::BodyReader, head};
+use lagoonshore_relay::http1::{body::BodyReader, credentials::CredentialsUse, head};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -302,7 +302,9 @@
 ) -> Option<(ReadHead, bytes::Bytes)> {
     let (head, raw) = loop {
         let before = String::from_utf8_lossy(buffer).into_owned();
-        if let Some(head) = head::parse_request(buffer, 64 * 1024, &SCHEME).ok()? {
+        if let Some(head) =
+            head::parse_request(buffer, 64 * 1024, &SCHEME, CredentialsUse::Upstream).ok()?
+        {
             let end = before.len() - String::from_utf8_lossy(buffer).len();
             break (head, before[..end].to_owned());
         }
--- a/crates/state/src/account.rs
+++ b/crates/state/src/account.rs
@@ -1,6 +1,6 @@
 //! Client accounts: who may call, with which keys, how much and how urgently.
 
-use crate::{ids::AccountName, units::RequestImportance};
+use crate::{ids::AccountName, key_digest::KeyDigest, units::RequestImportance};
 
 use compact_str::CompactString;
 use siphasher::sip::SipHasher24;
@@ -57,6 +57,12 @@
         &self.0
     }
 
+    /// Digest by which the node compares the key; another one in each process.
+    #[must_use]
+    pub fn digest(&self) -> KeyDigest {
+        KeyDigest::of(&self.0)
+    }
+
     /// Fingerprint by which operators tell keys apart; the same at every node.
     #[must_use]
     pub fn fingerprint(&self) -> KeyFingerprint {
--- a/crates/state/src/key_index.rs
+++ b/crates/state/src/key_index.rs
@@ -1,55 +1,32 @@
 //! Finds the account that holds a key.
 
-use crate::account::{AccountEntry, AccountKey};
+use crate::{account::AccountEntry, key_digest::KeyDigest};
 
-use siphasher::sip128::{Hasher128, SipHasher24};
-use std::{
-    collections::{HashMap, hash_map::RandomState},
-    fmt,
-    hash::{BuildHasher, Hasher},
-    rc::Rc,
-};
+use std::{collections::HashMap, fmt, rc::Rc};
 
-/// 128-bit hash of a key under the secret of one index.
-type KeyHash = [u64; 2];
-
-/// `KeyIndex` finds accounts by a hash of the key under a random secret. The time of a lookup tells
-/// nothing of the keys that are held, since a caller cannot know which hash a guess has.
+/// `KeyIndex` finds accounts by the digests of their keys.
 #[derive(Clone, Default)]
 pub struct KeyIndex {
-    /// Key of the hash function.
-    secret: [u64; 2],
-    accounts: HashMap<KeyHash, Rc<AccountEntry>>,
+    accounts: HashMap<KeyDigest, Rc<AccountEntry>>,
 }
 
 impl KeyIndex {
     /// Creates the index of the keys of `accounts`.
     #[must_use]
     pub fn new<'a>(accounts: impl Iterator<Item = &'a Rc<AccountEntry>>) -> Self {
-        let mut index = Self {
-            secret: [random_word(), random_word()],
-            accounts: HashMap::new(),
-        };
+        let mut index = Self::default();
         for account in accounts {
             for key in &account.keys {
-                index.accounts.insert(index.hash(key), Rc::clone(account));
+                index.accounts.insert(key.digest(), Rc::clone(account));
             }
         }
         index
     }
 
-    /// Returns the account that holds `key`.
+    /// Returns the account that holds the key with this digest.
     #[must_use]
-    pub fn find(&self, key: &AccountKey) -> Option<&Rc<AccountEntry>> {
-        self.accounts.get(&self.hash(key))
-    }
-
-    fn hash(&self, key: &AccountKey) -> KeyHash {
-        let [left, right] = self.secret;
-        let mut hasher = SipHasher24::new_with_keys(left, right);
-        hasher.write(key.secret().as_bytes());
-        let hash = hasher.finish128();
-        [hash.h1, hash.h2]
+    pub fn find(&self, key: KeyDigest) -> Option<&Rc<AccountEntry>> {
+        self.accounts.get(&key)
     }
 }
 
@@ -58,8 +35,3 @@
         write!(formatter, "KeyIndex({} keys)", self.accounts.len())
     }
 }
-
-/// Returns a random number from the keys that the standard library draws for its own hash tables.
-fn random_word() -> u64 {
-    RandomState::new().build_hasher().finish()
-}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod error;
 pub mod ids;
 pub mod instance_table;
+pub mod key_digest;
 pub mod key_index;
 pub mod limit;
 pub mod policy;
--- a/crates/state/src/route_table.rs
+++ b/crates/state/src/route_table.rs
@@ -1,8 +1,9 @@
 //! Routing table of a fleet, built from its published document.
 
 use crate::{
-    account::{AccountEntry, AccountKey},
+    account::AccountEntry,
     ids::{AccountName, DocumentVersion, ServiceName},
+    key_digest::KeyDigest,
     key_index::KeyIndex,
     units::RequestImportance,
 };
@@ -160,9 +161,9 @@
         self.accounts.as_ref()?.get(name)
     }
 
-    /// Returns the account that holds `key`.
+    /// Returns the account that holds the key with this digest.
     #[must_use]
-    pub fn account_of_key(&self, key: &AccountKey) -> Option<&Rc<AccountEntry>> {
+    pub fn account_of_key(&self, key: KeyDigest) -> Option<&Rc<AccountEntry>> {
         self.keys.find(key)
     }
 
--- a/crates/state/tests/account_memory.rs
+++ b/crates/state/tests/account_memory.rs
@@ -53,7 +53,7 @@
     let accounts = document.accounts.as_ref().expect("accounts");
     for account in accounts {
         for key in &account.keys {
-            let found = table.account_of_key(key).expect("a held key");
+            let found = table.account_of_key(key.digest()).expect("a held key");
             assert_eq!(found.name, account.name);
         }
     }
--- a/crates/state/tests/account_table.rs
+++ b/crates/state/tests/account_table.rs
@@ -50,7 +50,7 @@
     let ann = account("ann", &["k1", "k2"], None);
     let table = table(Some(vec![ann, account("bob", &["k3"], None)]));
     let name = |key| {
-        let account = table.account_of_key(&key_of(key));
+        let account = table.account_of_key(key_of(key).digest());
         account.map(|account| account.name.to_string())
     };
     assert_eq!(name("k1").as_deref(), Some("ann"));
