Pages and a command for operators about client accounts

Cause: a node's view of an account was spread over parts of /state, and `explain` left out accounts, quotas and the admission beside the upstream. What a request meets is told by the code that decides about it: `check_caller`, the state of the tokens in hand, and the load by which instances are placed. Pages take and send nothing; keys are shown by fingerprint, names that are not known are not repeated.

--- a/crates/cli/src/argument_parser.rs
+++ b/crates/cli/src/argument_parser.rs
@@ -34,14 +34,32 @@
 /// [`crate::CliError::Usage`] with the argument that is not an address.
 pub fn parse_addresses(arguments: Arguments) -> Result<Vec<SocketAddr>> {
     let rest = arguments.finish();
-    let parse = |argument: &std::ffi::OsString| {
-        let text = argument.to_string_lossy();
-        text.parse()
-            .map_err(|_| usage_error(format!("{text} is not an address such as 127.0.0.1:7004")))
-    };
+    let parse = |argument: &std::ffi::OsString| parse_address_text(&argument.to_string_lossy());
     rest.iter().map(parse).collect()
 }
 
+fn parse_address_text(text: &str) -> Result<SocketAddr> {
+    text.parse()
+        .map_err(|_| usage_error(format!("{text} is not an address such as 127.0.0.1:7004")))
+}
+
+/// Parses the remaining arguments as one socket address and, if there is another one, a name.
+///
+/// # Errors
+/// [`crate::CliError::Usage`] if there is no address, or if there are further arguments.
+pub fn parse_address_and_name(arguments: Arguments) -> Result<(SocketAddr, Option<String>)> {
+    let rest = arguments.finish();
+    let mut texts = rest
+        .iter()
+        .map(|argument| argument.to_string_lossy().into_owned());
+    let (address, name) = (texts.next(), texts.next());
+    if let Some(further) = texts.next() {
+        return Err(usage_error(format!("unexpected argument {further}")));
+    }
+    let address = address.ok_or_else(|| usage_error("expected one address, found 0"))?;
+    Ok((parse_address_text(&address)?, name))
+}
+
 /// Parses the remaining arguments as exactly one socket address.
 ///
 /// # Errors
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,7 +1,7 @@
 //! Command line of `lagoonctl`: help text and subcommands.
 
 use crate::{
-    argument_parser, check,
+    account, argument_parser, check,
     error::{Result, usage_error},
     explain, fleet, policy, state,
 };
@@ -17,7 +17,8 @@
   lagoonctl state ADDR [--part NAME] [--json] [--watch SECONDS]
   lagoonctl policy ADDR [--json] [--watch SECONDS]
   lagoonctl explain ADDR --service NAME --method METHOD --path PATH [--json]
-  lagoonctl explain ADDR --sidecar --host HOST --path PATH [--json]
+  lagoonctl explain ADDR --sidecar --host HOST --path PATH [--account NAME] [--json]
+  lagoonctl account ADDR --sidecar [NAME] [--after NAME] [--json] [--watch SECONDS]
   lagoonctl fleet ADDR... [--json] [--watch SECONDS]
   lagoonctl check settings FILE...
   lagoonctl check policy FILE...
@@ -28,12 +29,14 @@
   state     state of one node, or one part of that state
   policy    revisions in force at a node, and records that the node refused
   explain   class and policy that a node would apply to a request; where a sidecar would send it
+  account   what a sidecar knows of a client account, or the first 100 accounts after a name
   fleet     one line per node; marks revisions older than the newest one seen
   check     checks files offline by the rules that a node applies
 
 EXAMPLES:
   lagoonctl state 127.0.0.1:7004 --part admission --watch 1
   lagoonctl explain 127.0.0.1:7004 --service medication-log --method POST --path /doses/17
+  lagoonctl account 127.0.0.1:7004 --sidecar ward-12
   lagoonctl fleet 10.0.1.5:7004 10.0.2.5:7004 10.0.3.5:7004
   lagoonctl check policy records/*.yaml
 
@@ -61,6 +64,7 @@
     let run_once: Box<dyn Fn() -> Result> = match command.as_deref() {
         Some("state") => state::parse(arguments)?,
         Some("policy") => policy::parse(arguments)?,
+        Some("account") => account::parse(arguments)?,
         Some("explain") => explain::parse(arguments)?,
         Some("fleet") => fleet::parse(arguments)?,
         Some("check") => check::parse(arguments)?,
--- a/crates/coordination/src/forwarding/caller_access.rs
+++ b/crates/coordination/src/forwarding/caller_access.rs
@@ -80,7 +80,41 @@
         PresentedKey::Absent | PresentedKey::Unusable => None,
     };
     let is_keyless = key == PresentedKey::Absent;
-    if route.is_anonymous && (is_keyless || freshness != DocumentFreshness::Current) {
+    let caller = KnownCaller {
+        account,
+        is_keyless,
+        parent,
+    };
+    check_caller(caller, route.is_anonymous, freshness)
+}
+
+/// `KnownCaller` is what the key and the id of a request say of its caller.
+#[derive(Clone, Debug)]
+pub struct KnownCaller {
+    /// Account that holds the key.
+    pub account: Option<Rc<AccountEntry>>,
+    /// Whether the request has no key.
+    pub is_keyless: bool,
+    /// What is known of the request that made it.
+    pub parent: CallParent,
+}
+
+/// Decides about a request of `caller`, as [`check_key`] does once the account of the key is known; `is_anonymous`
+/// says whether anyone may use its route.
+///
+/// # Errors
+/// [`AccessRefusal`] if the request may not run.
+pub fn check_caller(
+    caller: KnownCaller,
+    is_anonymous: bool,
+    freshness: DocumentFreshness,
+) -> Result<Option<Rc<AccountEntry>>, AccessRefusal> {
+    let KnownCaller {
+        account,
+        is_keyless,
+        parent,
+    } = caller;
+    if is_anonymous && (is_keyless || freshness != DocumentFreshness::Current) {
         return Ok(account);
     }
     match (freshness, account) {
--- a/crates/coordination/src/forwarding/document_proof.rs
+++ b/crates/coordination/src/forwarding/document_proof.rs
@@ -86,6 +86,18 @@
     Stale,
 }
 
+impl DocumentFreshness {
+    /// Word that stands for it on pages for operators.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Current => "current",
+            Self::Aging => "aging",
+            Self::Stale => "stale",
+        }
+    }
+}
+
 impl ProofBounds {
     /// Judges a document whose proof is `age` old; `None` without a proof.
     #[must_use]
--- a/crates/coordination/src/placing/candidate_table.rs
+++ b/crates/coordination/src/placing/candidate_table.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Returns whether the instance has reported its load lately.
+    #[must_use]
+    pub const fn is_reported(&self) -> bool {
+        self.reported.is_some()
+    }
+
     fn score(&mut self, means: &CandidateMeans) {
         let work_seconds = self.work_seconds.unwrap_or(means.work_seconds);
         let reported = self.reported.unwrap_or(LoadEstimate {
--- a/crates/coordination/src/placing/explanation.rs
+++ b/crates/coordination/src/placing/explanation.rs
@@ -1,10 +1,12 @@
 //! Explanation of a placement for operators.
 
 use super::{
-    ZoneReason, candidate_table::ScoredCandidate, urgency::RequestUrgency, zone_share::ZoneBalance,
+    ZoneReason, candidate_table::ScoredCandidate, completion::InstanceLoad,
+    urgency::RequestUrgency, zone_share::ZoneBalance,
 };
 
 use lagoonshore_state::instance_table::InstanceKey;
+use std::time::Duration;
 
 /// `PlacingExplanation` says how an instance would be chosen for a request.
 #[derive(Clone, Debug)]
@@ -30,23 +32,58 @@
     pub is_eligible: bool,
     /// Whether it takes calls, and its zone is not degraded.
     pub is_healthy: bool,
-    /// Expected requests as a share of its limit.
-    pub utilization: f64,
+    /// Whether it has reported its load lately; else the load is a guess.
+    pub is_reported: bool,
+    /// Expected load.
+    pub load: InstanceLoad,
     /// Expected time until the response, in seconds.
     pub completion_seconds: f64,
     /// Weight in a draw: free capacity in requests per second, reduced by its condition.
     pub weight: f64,
 }
 
+/// `ExpectedAdmission` is what would happen to a request at an instance, as far as the sender knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ExpectedAdmission {
+    /// The instance gets no requests while it is in its state.
+    NotSent,
+    /// It has not reported its load lately.
+    Unknown,
+    /// It would end after the time that is left, so that it may be refused.
+    TooLate,
+    /// It waits for a slot.
+    Waits,
+    /// It gets a slot at once.
+    Runs,
+}
+
 impl CandidateExplanation {
     pub(super) fn new(candidate: &ScoredCandidate, is_eligible: bool) -> Self {
         Self {
             key: candidate.key,
             is_eligible,
             is_healthy: candidate.is_healthy,
-            utilization: candidate.load.utilization(),
+            is_reported: candidate.is_reported(),
+            load: candidate.load,
             completion_seconds: candidate.completion_seconds,
             weight: candidate.weight,
         }
     }
+
+    /// Returns what the node beside the instance would probably do with a request that has `left` time.
+    #[must_use]
+    pub fn admission(&self, left: Duration) -> ExpectedAdmission {
+        if !self.is_healthy {
+            ExpectedAdmission::NotSent
+        } else if !self.is_reported {
+            ExpectedAdmission::Unknown
+        } else if self.completion_seconds > left.as_secs_f64() {
+            ExpectedAdmission::TooLate
+        } else if self.load.wait_seconds() > 0.0 {
+            ExpectedAdmission::Waits
+        } else {
+            ExpectedAdmission::Runs
+        }
+    }
 }
--- a/crates/coordination/src/quota/counter_choice.rs
+++ b/crates/coordination/src/quota/counter_choice.rs
@@ -148,6 +148,16 @@
             .collect()
     }
 
+    /// Returns the counter of `account` in each zone that has one, ordered by zone.
+    #[must_use]
+    pub fn zone_counters(&self, now: Instant, account: &str) -> Vec<(ZoneName, SocketAddr)> {
+        let counters = self.zones.keys().filter_map(|zone| {
+            let counter = self.counter(now, account, zone)?;
+            Some((zone.clone(), counter))
+        });
+        counters.collect()
+    }
+
     /// Number of zones among which quotas are divided: those with listed nodes, and those that had some
     /// less than `hold` ago, or ever without a `hold`.
     #[must_use]
--- a/crates/coordination/src/quota/token_hand.rs
+++ b/crates/coordination/src/quota/token_hand.rs
@@ -133,12 +133,18 @@
     /// requests a second at `nodes` nodes, has then earned another one. Each caller gets a later time
     /// than the one before, by the time in which this node gets a token.
     pub fn retry_after(&mut self, now: Instant, rate: f64, nodes: u32) -> Duration {
+        self.last_return = self.next_return(now, rate, nodes);
+        self.last_return - now
+    }
+
+    /// Returns the time at which the next refused caller may return, see [`Self::retry_after`].
+    #[must_use]
+    pub fn next_return(&self, now: Instant, rate: f64, nodes: u32) -> Instant {
         let node_rate = self.granted.rate(now).max(rate / f64::from(nodes.max(1)));
         let earned = token_time(rate).max(RETURN_MIN);
         let first = self.short_until.max(now + earned);
         let next = first.max(self.last_return + token_time(node_rate));
-        self.last_return = if next > now + RETURN_MAX { first } else { next };
-        self.last_return - now
+        if next > now + RETURN_MAX { first } else { next }
     }
 
     /// Number of tokens that have not expired.
--- a/crates/relay/src/access_gate.rs
+++ b/crates/relay/src/access_gate.rs
@@ -7,10 +7,11 @@
 };
 
 use lagoonshore_coordination::forwarding::{
-    caller_access::{self, AccessRefusal, CallParent, PresentedKey},
+    caller_access::{self, AccessRefusal, CallParent, KnownCaller, PresentedKey},
     document_proof::DocumentFreshness,
 };
 use lagoonshore_state::{
+    account::AccountEntry,
     ids::AccountName,
     route_table::{RouteEntry, RouteTable},
     units::RequestImportance,
@@ -79,11 +80,7 @@
             None if id.contains(self.call_separator) => CallParent::Unknown,
             None => CallParent::None,
         };
-        let freshness = if routes.has_accounts() {
-            self.directory.proofs().freshness()
-        } else {
-            DocumentFreshness::Current
-        };
+        let freshness = self.freshness(routes);
         let account = caller_access::check_key(routes, route, key, origin, freshness)
             .map_err(|refusal| self.denial(refusal))?;
         if let Some(parent) = parent {
@@ -100,6 +97,35 @@
         })
     }
 
+    /// Returns whether a new request with a key of `account`, or without one, would be let in now.
+    /// `is_anonymous` says whether anyone may use its route.
+    pub(crate) fn expect(
+        &self,
+        account: Option<&Rc<AccountEntry>>,
+        is_anonymous: bool,
+    ) -> Result<(), AccessDenial> {
+        let routes = self.directory.routes();
+        if !routes.has_accounts() {
+            return Ok(());
+        }
+        let caller = KnownCaller {
+            account: account.cloned(),
+            is_keyless: account.is_none(),
+            parent: CallParent::None,
+        };
+        let checked = caller_access::check_caller(caller, is_anonymous, self.freshness(&routes));
+        checked.map(|_| ()).map_err(|refusal| self.denial(refusal))
+    }
+
+    /// Judges the document in force. Without accounts nothing depends on it.
+    fn freshness(&self, routes: &RouteTable) -> DocumentFreshness {
+        if routes.has_accounts() {
+            self.directory.proofs().freshness()
+        } else {
+            DocumentFreshness::Current
+        }
+    }
+
     fn denial(&self, refusal: AccessRefusal) -> AccessDenial {
         let (status, retry_after) = match refusal {
             AccessRefusal::UnknownKey => (UNAUTHORIZED, None),
--- a/crates/relay/src/admin_listener.rs
+++ b/crates/relay/src/admin_listener.rs
@@ -1,11 +1,11 @@
-//! The listener for operators: metrics, the state of the node, and where requests would go.
+//! The listener for operators: metrics, the state of the node, accounts, and where requests would go.
 
 use crate::{
-    explain_page::ExplainPage,
+    admin_query,
     http1::request_handler::{
         self, RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
     },
-    state_dump::StateDump,
+    node_pages::{NodePages, PageProblem},
 };
 
 use bytes::Bytes;
@@ -18,65 +18,63 @@
 
 /// Start of the path of an explanation.
 const EXPLAIN_PREFIX: &str = "/explain/";
+/// Start of the path of an account.
+const ACCOUNT_PREFIX: &str = "/accounts/";
 /// Body of the response to an unknown path.
-const UNKNOWN_PAGE: &str = "ask for /metrics, /state or /explain/HOST/PATH\n";
+const UNKNOWN_PAGE: &str =
+    "ask for /metrics, /state, /accounts, /accounts/NAME or /explain/HOST/PATH\n";
 
-/// Reads the current state of the node, once per request.
-pub type StateReader = Box<dyn Fn() -> StateDump>;
-
-/// Explains where a request for a host and a target would go; `None` if it has no route.
-pub type ExplainReader = Box<dyn Fn(&str, &str) -> Option<ExplainPage>>;
-
-/// `AdminListener` answers `GET /metrics`, `GET /state` and `GET /explain/HOST/PATH`.
+/// `AdminListener` answers `GET /metrics`, `GET /state`, `GET /accounts?after=NAME`, `GET /accounts/NAME` and
+/// `GET /explain/HOST/PATH?account=NAME`. Names are percent-encoded.
 pub struct AdminListener {
     metrics: PrometheusHandle,
-    state: StateReader,
-    explain: ExplainReader,
+    pages: NodePages,
     phase: watch::Sender<ServerPhase>,
 }
 
 impl AdminListener {
     /// Creates the listener of a node.
     #[must_use]
-    pub fn new(metrics: PrometheusHandle, state: StateReader, explain: ExplainReader) -> Self {
+    pub fn new(metrics: PrometheusHandle, pages: NodePages) -> Self {
         Self {
             metrics,
-            state,
-            explain,
+            pages,
             phase: watch::channel(ServerPhase::Open).0,
         }
     }
 
-    fn page(&self, path: &str) -> ServerResponse {
+    fn page(&self, target: &str) -> ServerResponse {
+        let path = target.split('?').next().unwrap_or_default();
+        if let Some(request) = path.strip_prefix(EXPLAIN_PREFIX) {
+            let account = admin_query::parameter(target, "account");
+            return self.explain_page(request, account.as_deref());
+        }
+        if let Some(name) = path.strip_prefix(ACCOUNT_PREFIX) {
+            let name = admin_query::percent_decoded(name);
+            return page_response(self.pages.account(&name));
+        }
         match path {
             "/metrics" => text_response(200, "text/plain; version=0.0.4", self.metrics.render()),
-            "/state" => json_response(&(self.state)()),
-            _ => match path.strip_prefix(EXPLAIN_PREFIX) {
-                Some(request) => self.explain_page(request),
-                None => text_response(404, "text/plain", UNKNOWN_PAGE.to_owned()),
-            },
+            "/state" => json_response(&self.pages.state()),
+            "/accounts" => {
+                let after = admin_query::parameter(target, "after");
+                page_response(self.pages.accounts(&after.unwrap_or_default()))
+            }
+            _ => text_response(404, "text/plain", UNKNOWN_PAGE.to_owned()),
         }
     }
 
     /// Explains where the request `HOST/PATH` would go.
-    fn explain_page(&self, request: &str) -> ServerResponse {
+    fn explain_page(&self, request: &str, account: Option<&str>) -> ServerResponse {
         let path_start = request.find('/').unwrap_or(request.len());
         let (host, target) = request.split_at(path_start);
-        match (self.explain)(host, target) {
-            Some(page) => json_response(&page),
-            None => text_response(
-                404,
-                "application/json",
-                "{\"problem\":\"no route\"}\n".to_owned(),
-            ),
-        }
+        page_response(self.pages.explain(host, target, account))
     }
 }
 
 impl RequestHandler for AdminListener {
     fn respond(self: Rc<Self>, request: ServerRequest) -> LocalBoxFuture<'static, ServerResponse> {
-        let path = request.head.target.split('?').next().unwrap_or_default();
-        request_handler::ready_response(self.page(path))
+        request_handler::ready_response(self.page(&request.head.target))
     }
 
     fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
@@ -96,6 +94,17 @@
     }
 }
 
+fn page_response(page: Result<impl Serialize, PageProblem>) -> ServerResponse {
+    match page {
+        Ok(page) => json_response(&page),
+        Err(problem) => text_response(
+            404,
+            "application/json",
+            format!("{{\"problem\":\"{}\"}}\n", problem.as_str()),
+        ),
+    }
+}
+
 fn json_response(page: &impl Serialize) -> ServerResponse {
     match serde_json::to_string_pretty(page) {
         Ok(text) => text_response(200, "application/json", text),
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -18,6 +18,7 @@
         },
     },
     quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
+    request_expectation::RequestExpectation,
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
 };
 
@@ -25,7 +26,10 @@
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_coordination::request::outcome::RefusalReason;
-use lagoonshore_state::route_table::{CallerLimits, RouteEntry, RouteTable};
+use lagoonshore_state::{
+    account::AccountEntry,
+    route_table::{CallerLimits, RouteEntry, RouteTable},
+};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -97,6 +101,25 @@
         self.is_refusing.set(true);
     }
 
+    /// Returns what would happen now to a new request with a key of `account`, or without one. Nothing is
+    /// taken. `is_anonymous` says whether anyone may use its route.
+    #[must_use]
+    pub fn expect(
+        &self,
+        account: Option<&Rc<AccountEntry>>,
+        is_anonymous: bool,
+    ) -> RequestExpectation {
+        if self.is_refusing.get() {
+            return RequestExpectation::refused(503, "draining", Some(STOPPING_RETRY_AFTER));
+        }
+        if let Err(denial) = self.gate.expect(account, is_anonymous) {
+            return RequestExpectation::of_denial(denial);
+        }
+        account.map_or(RequestExpectation::ADMITTED, |account| {
+            RequestExpectation::of_quota(self.quotas.expect(account))
+        })
+    }
+
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
         let ServerRequest {
             head,
--- a/crates/relay/src/calling/request_forwarder.rs
+++ b/crates/relay/src/calling/request_forwarder.rs
@@ -168,10 +168,11 @@
             };
             let explanation = self.peers.explain(&placing);
             let table = self.directory.instances();
-            ServiceChoice::new(target.service.clone(), target.weight, &explanation, &table)
+            ServiceChoice::new(target, &explanation, &table, route.timeout)
         };
         Some(ExplainPage {
             version: routes.version(),
+            caller: None,
             services: route.targets.iter().map(choice).collect(),
             route: (*route).clone(),
         })
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,8 +4,10 @@
 //! that upstream, which runs it.
 
 mod access_gate;
+pub mod account_page;
 pub mod active_count;
 pub mod admin_listener;
+mod admin_query;
 pub mod caller_listener;
 pub mod calling;
 mod connection_log;
@@ -20,10 +22,12 @@
 mod line_budget;
 pub mod logging;
 pub mod node;
+pub mod node_pages;
 pub mod peer_listener;
 mod process_limits;
 pub mod quota;
 pub mod relay_metrics;
+pub mod request_expectation;
 pub mod serving;
 mod stable_hash;
 pub mod state_dump;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,6 +19,7 @@
         planned_stop::{self, StopParts},
         ready_listener::ReadyListener,
     },
+    node_pages::NodePages,
     peer_listener::PeerListener,
     process_limits,
     quota::{
@@ -87,9 +88,9 @@
     pub caller_connections: ActiveCount,
     links: Rc<PeerLinks>,
     peer_table: Rc<PeerTable>,
-    fleet_counters: Rc<FleetCounters>,
-    quota_counters: Rc<QuotaCounters>,
-    quota_gate: Rc<QuotaGate>,
+    pub(crate) fleet_counters: Rc<FleetCounters>,
+    pub(crate) quota_counters: Rc<QuotaCounters>,
+    pub(crate) quota_gate: Rc<QuotaGate>,
     scheme: HeaderScheme,
     budget: MemoryBudget,
 }
@@ -218,13 +219,8 @@
         let listener = PeerListener::new(upstream, fleet, counters, self.budget.clone());
         actix_rt::spawn(listener.serve_links(peers));
         let metrics = metrics_recorder::handle();
-        let node = Rc::clone(self);
-        let state = Box::new(move || node.dump());
-        let node = Rc::clone(self);
-        let explain = Box::new(move |host: &str, target: &str| {
-            node.callers.forwarder().explain(host, target)
-        });
-        let listener = Rc::new(AdminListener::new(metrics.clone(), state, explain));
+        let pages = NodePages::new(Rc::clone(self));
+        let listener = Rc::new(AdminListener::new(metrics.clone(), pages));
         let serving = server::serve(
             admin,
             listener,
--- a/crates/relay/src/quota/account_hand.rs
+++ b/crates/relay/src/quota/account_hand.rs
@@ -1,8 +1,15 @@
 //! What a node holds of the quota of one account, and the requests that wait for it.
 
-use super::fleet_counters::FleetCounters;
+use super::{
+    fleet_counters::FleetCounters,
+    quota_gate::{QuotaRefusal, UNANSWERED_TIME},
+    quota_view::QuotaExpectation,
+};
 
-use lagoonshore_coordination::quota::token_hand::{QuotaToken, TokenHand};
+use lagoonshore_coordination::{
+    quota::token_hand::{QuotaToken, TokenHand},
+    request::outcome::RefusalReason,
+};
 use lagoonshore_state::ids::AccountName;
 use std::{
     cell::{Cell, RefCell},
@@ -63,6 +70,32 @@
         self.hand.borrow_mut().take(Instant::now())
     }
 
+    /// Returns whether requests are refused because no counter answered.
+    pub(super) fn is_unanswered(&self, now: Instant) -> bool {
+        now < self.unanswered_until.get()
+    }
+
+    /// Returns what a request would meet now, if the quota allows `rate` requests a second at `nodes` nodes.
+    pub(super) fn expect(&self, rate: f64, nodes: u32) -> QuotaExpectation {
+        let now = Instant::now();
+        let mut hand = self.hand.borrow_mut();
+        if hand.count(now) > 0 {
+            return QuotaExpectation::InHand;
+        }
+        let (reason, retry_after) = if self.is_unanswered(now) {
+            (RefusalReason::QuotaUnknown, UNANSWERED_TIME)
+        } else if hand.can_ask(now) {
+            return QuotaExpectation::Ask;
+        } else {
+            let returns_at = hand.next_return(now, rate, nodes);
+            (RefusalReason::QuotaExceeded, returns_at - now)
+        };
+        QuotaExpectation::Refused(QuotaRefusal {
+            reason,
+            retry_after,
+        })
+    }
+
     /// Adds `tokens` that were asked for at `asked_at` of a counter that has no others for `short_for`.
     // Tokens that nodes get are whole, and few.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
--- a/crates/relay/src/quota/fleet_counters.rs
+++ b/crates/relay/src/quota/fleet_counters.rs
@@ -109,6 +109,16 @@
         (since <= now).then_some(CounterDuty { since, part })
     }
 
+    /// Returns the counter of `account` in each zone that has one.
+    pub(crate) fn zone_counters(&self, now: Instant, account: &str) -> Vec<(ZoneName, SocketAddr)> {
+        self.choice.borrow().zone_counters(now, account)
+    }
+
+    /// Part of `quota` that each zone holds.
+    pub(crate) fn zone_part(&self, now: Instant, quota: AccountQuota) -> QuotaPart {
+        self.rules.zone_part(quota, self.zone_count(now))
+    }
+
     /// Quota of `account`; `None` if it has none.
     #[must_use]
     pub fn quota(&self, account: &str) -> Option<AccountQuota> {
--- a/crates/relay/src/quota/quota_counters.rs
+++ b/crates/relay/src/quota/quota_counters.rs
@@ -94,12 +94,13 @@
         });
     }
 
-    /// Returns the counters for operators.
-    pub(crate) fn views(&self) -> Vec<CounterView> {
+    /// Returns the counters of those accounts for operators for which `is_shown` holds.
+    pub(crate) fn views(&self, is_shown: impl Fn(&str) -> bool) -> Vec<CounterView> {
         let now = Instant::now();
         let mut entries = self.entries.borrow_mut();
         let counting = entries.iter_mut();
-        let counting = counting.filter(|(_, entry)| entry.ended_at.is_none());
+        let counting =
+            counting.filter(|(account, entry)| entry.ended_at.is_none() && is_shown(account));
         let views = counting.map(|(account, entry)| {
             let (tokens, part) = entry.counter.stock(now);
             CounterView {
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -5,7 +5,7 @@
     fleet_counters::FleetCounters,
     quota_counters::QuotaCounters,
     quota_log::QuotaLog,
-    quota_view::HandView,
+    quota_view::{HandView, QuotaExpectation},
 };
 
 use crate::calling::peer_links::{LinkError, PeerLinks};
@@ -25,7 +25,7 @@
 /// Time after which a node goes on to the next counter.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which requests are refused after no counter answered, and after which their callers may return.
-const UNANSWERED_TIME: Duration = Duration::from_millis(100);
+pub(super) const UNANSWERED_TIME: Duration = Duration::from_millis(100);
 /// Accounts whose tokens are kept before those of idle ones are dropped.
 const HANDS_MAX: usize = 1024;
 /// Time without a request after which an account is idle.
@@ -125,11 +125,27 @@
         hands.retain(|account, _| self.fleet.quota(account).is_some());
     }
 
-    /// Returns the tokens in hand for operators.
-    pub(crate) fn views(&self) -> Vec<HandView> {
+    /// Returns what a request of `account` would meet now. Nothing is taken.
+    pub(crate) fn expect(&self, account: &AccountEntry) -> QuotaExpectation {
+        let is_limiting = self.control != ControlMode::PassThrough;
+        let Some(quota) = account.quota.filter(|_| is_limiting) else {
+            return QuotaExpectation::Unlimited;
+        };
+        let hands = self.hands.borrow();
+        let nodes = self.fleet.node_count();
+        hands
+            .get(&account.name)
+            .map_or(QuotaExpectation::Ask, |entry| {
+                entry.expect(quota.rate, nodes)
+            })
+    }
+
+    /// Returns the tokens in hand of those accounts for operators for which `is_shown` holds.
+    pub(crate) fn views(&self, is_shown: impl Fn(&str) -> bool) -> Vec<HandView> {
         let now = Instant::now();
         let hands = self.hands.borrow();
-        let views = hands.values().map(|entry| {
+        let shown = hands.values().filter(|entry| is_shown(&entry.account));
+        let views = shown.map(|entry| {
             let mut hand = entry.hand.borrow_mut();
             let (requests, tokens) = hand.rates(now);
             HandView {
@@ -161,7 +177,7 @@
                 return Ok(None);
             }
             let now = Instant::now();
-            if now >= until || now < entry.unanswered_until.get() {
+            if now >= until || entry.is_unanswered(now) {
                 return Err(self.refuse_unanswered(entry));
             }
             if !entry.hand.borrow().can_ask(now) {
--- a/crates/relay/src/quota/quota_view.rs
+++ b/crates/relay/src/quota/quota_view.rs
@@ -1,6 +1,10 @@
 //! What a node knows of quotas, for operators.
 
-use super::{fleet_counters::FleetCounters, quota_counters::QuotaCounters, quota_gate::QuotaGate};
+use super::{
+    fleet_counters::FleetCounters,
+    quota_counters::QuotaCounters,
+    quota_gate::{QuotaGate, QuotaRefusal},
+};
 
 use lagoonshore_coordination::quota::account_counter::CounterTotals;
 use lagoonshore_state::ids::AccountName;
@@ -22,6 +26,19 @@
     pub counters: Vec<CounterView>,
 }
 
+/// `QuotaExpectation` is what a request of an account would meet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuotaExpectation {
+    /// The account has no quota.
+    Unlimited,
+    /// A token is in hand.
+    InHand,
+    /// The request waits while the counter is asked.
+    Ask,
+    /// It is refused.
+    Refused(QuotaRefusal),
+}
+
 /// `HandView` is what a node holds of the quota of an account.
 #[derive(Debug, Serialize)]
 pub struct HandView {
@@ -63,10 +80,10 @@
 /// Returns what a node knows of quotas.
 #[must_use]
 pub fn dump(fleet: &FleetCounters, gate: &QuotaGate, counters: &QuotaCounters) -> QuotaDump {
-    let mut hands = gate.views();
+    let mut hands = gate.views(|_| true);
     hands.sort_by(|left, right| right.request_rate.total_cmp(&left.request_rate));
     hands.truncate(ACCOUNTS_MAX);
-    let mut views = counters.views();
+    let mut views = counters.views(|_| true);
     views.sort_by(|left, right| right.demand.total_cmp(&left.demand));
     views.truncate(ACCOUNTS_MAX);
     QuotaDump {
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -16,7 +16,7 @@
 };
 use lagoonshore_transport::memory_report::MemoryReport;
 use serde::Serialize;
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// `StateDump` is a snapshot of the knowledge and the work of a node.
 #[derive(Debug, Serialize)]
@@ -84,6 +84,20 @@
     pub quota: Option<AccountQuota>,
 }
 
+impl AccountView {
+    /// Returns the view of `account`.
+    #[must_use]
+    pub fn new(account: &AccountEntry) -> Self {
+        let keys = account.keys.iter();
+        Self {
+            name: account.name.clone(),
+            keys: keys.map(|key| key.fingerprint().to_string()).collect(),
+            importance: account.importance,
+            quota: account.quota,
+        }
+    }
+}
+
 /// Returns the client accounts; `None` if callers need no key.
 #[must_use]
 pub fn accounts(directory: &FleetDirectory) -> Option<AccountsPart> {
@@ -93,20 +107,14 @@
     }
     let proofs = directory.proofs();
     let bounds = proofs.bounds();
-    let view = |account: &Rc<AccountEntry>| AccountView {
-        name: account.name.clone(),
-        keys: account
-            .keys
-            .iter()
-            .map(|key| key.fingerprint().to_string())
-            .collect(),
-        importance: account.importance,
-        quota: account.quota,
-    };
     Some(AccountsPart {
         proof_age_ms: proofs.age().map(whole_millis),
         proof_age_max_ms: bounds.map(|bounds| whole_millis(bounds.revocation)),
-        entries: routes.accounts().into_iter().map(view).collect(),
+        entries: routes
+            .accounts()
+            .into_iter()
+            .map(|account| AccountView::new(account))
+            .collect(),
     })
 }
 
