--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -16,6 +16,19 @@
 
 /// Serves `page` with `status` for every path, on a thread that runs until the test process ends.
 fn spawn_admin_listener(status: u16, page: &'static str) -> SocketAddr {
+    spawn_listener(status, move |_| page.to_owned())
+}
+
+/// Serves a page that names the path for which it was asked.
+fn spawn_path_listener() -> SocketAddr {
+    spawn_listener(200, |path| format!("{{\"path\": \"{path}\"}}"))
+}
+
+/// Serves the page that `page` returns for a path, with `status`.
+fn spawn_listener(
+    status: u16,
+    page: impl Fn(&str) -> String + Clone + Send + 'static,
+) -> SocketAddr {
     let (sender, receiver) = mpsc::channel();
     thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
@@ -26,14 +39,12 @@
             sender
                 .send(listener.local_addr().expect("bound"))
                 .expect("the test waits");
-            let body = bytes::Bytes::from_static(page.as_bytes());
-            let response = HttpResponse {
-                status,
-                headers: Vec::new(),
-                body,
-            };
-            http_listener::serve(listener, ListenerLimits::default(), move |_| {
-                std::future::ready(response.clone())
+            http_listener::serve(listener, ListenerLimits::default(), move |request| {
+                std::future::ready(HttpResponse {
+                    status,
+                    headers: Vec::new(),
+                    body: page(&request.path).into(),
+                })
             })
             .await;
         });
@@ -113,6 +124,15 @@
     &["explain", "127.0.0.1:1", "--sidecar", "--path", "/doses/17"],
     "--host is missing; see lagoonctl --help"
 )]
+#[case::no_sidecar(&["account", "127.0.0.1:1", "ann"], "--sidecar is missing; see lagoonctl --help")]
+#[case::no_account_address(
+    &["account", "--sidecar"],
+    "expected one address, found 0; see lagoonctl --help"
+)]
+#[case::two_names(
+    &["account", "--sidecar", "127.0.0.1:1", "ann", "bob"],
+    "unexpected argument bob; see lagoonctl --help"
+)]
 #[case::zero_interval(
     &["state", "127.0.0.1:1", "--watch", "0"],
     "--watch: expected seconds above 0; see lagoonctl --help"
@@ -128,6 +148,37 @@
     );
 }
 
+#[rstest]
+#[case::one(&["account", "--sidecar"], &["ward/12?"], "/accounts/ward%2F12%3F")]
+#[case::all(&["account", "--sidecar"], &[], "/accounts")]
+#[case::more(&["account", "--sidecar", "--after", "ward 12"], &[], "/accounts?after=ward%2012")]
+#[case::explain(
+    &["explain", "--sidecar", "--host", "h", "--path", "/a/x?q=1", "--account", "a&b"],
+    &[],
+    "/explain/h/a/x?account=a%26b"
+)]
+fn pages_of_accounts_are_asked_for_by_encoded_names(
+    #[case] options: &[&str],
+    #[case] name: &[&str],
+    #[case] path: &str,
+) {
+    let address = spawn_path_listener().to_string();
+    let arguments = [options, &[&address], name].concat();
+    let shown = run(&arguments).expect("a page");
+    assert_eq!(shown.split_whitespace().collect::<Vec<_>>(), ["path", path]);
+}
+
+#[test]
+fn an_unknown_account_is_told_with_exit_code_1() {
+    let address = spawn_admin_listener(404, r#"{"problem":"no account of this name"}"#).to_string();
+    let error = run(&["account", &address, "--sidecar", "bob"]).expect_err("no such account");
+    assert_eq!(error.exit_code(), 1);
+    assert_eq!(
+        error.to_string(),
+        format!("{address}: no account of this name")
+    );
+}
+
 #[test]
 fn check_reports_every_invalid_file() {
     let good = "../../examples/kocaeli/settings.yaml";
