--- a/crates/coordination/tests/document_proof.rs
+++ b/crates/coordination/tests/document_proof.rs
@@ -163,7 +163,7 @@
         for parent in [CallParent::None, CallParent::Unknown, CallParent::Running] {
             for (name, key) in &keys {
                 let results = freshness.map(|freshness| {
-                    match check_key(&table, &route, key, parent, freshness) {
+                    match check_key(&table, &route, *key, parent, freshness) {
                         Ok(Some(account)) => account.name.to_string(),
                         Ok(None) => "runs".to_owned(),
                         Err(refusal) => refusal.as_str().to_owned(),
--- a/crates/relay/benches/account_keys.rs
+++ b/crates/relay/benches/account_keys.rs
@@ -1,7 +1,7 @@
 //! Time that the key of a request adds, with 10,000 accounts and 30,000 keys.
 
 use bytes::BytesMut;
-use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use criterion::{BatchSize, Criterion};
 use lagoonshore_coordination::forwarding::{
     caller_access::{self, CallParent, PresentedKey},
     document_proof::ProofBounds,
@@ -122,5 +122,9 @@
     }
 }
 
-criterion_group!(benches, bench_check, bench_head);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    bench_check(&mut criterion);
+    bench_head(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/relay/src/admin_query.rs
+++ b/crates/relay/src/admin_query.rs
@@ -13,15 +13,14 @@
     let mut decoded = Vec::with_capacity(text.len());
     let mut rest = text.as_bytes();
     while let [first, tail @ ..] = rest {
-        match (first, encoded_byte(tail)) {
-            (b'%', Some(byte)) => {
-                decoded.push(byte);
-                rest = &tail[2..];
-            }
-            _ => {
-                decoded.push(*first);
-                rest = tail;
-            }
+        if *first == b'%'
+            && let Some(byte) = encoded_byte(tail)
+        {
+            decoded.push(byte);
+            rest = &tail[2..];
+        } else {
+            decoded.push(*first);
+            rest = tail;
         }
     }
     String::from_utf8_lossy(&decoded).into_owned()
