--- a/crates/relay/tests/account_pages.rs
+++ b/crates/relay/tests/account_pages.rs
@@ -173,7 +173,13 @@
 #[actix_rt::test]
 async fn what_is_not_known_is_told() {
     let fleet = fleet(vec![account("ann", &[KEY], None)]).await;
-    for path in ["/accounts/bob", "/accounts/%", "/explain/h/a/x?account=bob"] {
+    let key_as_name = format!("/accounts/{KEY}");
+    for path in [
+        "/accounts/bob",
+        "/accounts/%",
+        "/explain/h/a/x?account=bob",
+        &key_as_name,
+    ] {
         let (status, problem) = page(&fleet, path).await;
         let text = "the document in force has no account of this name";
         assert_eq!((status, &problem["problem"]), (404, &text.into()), "{path}");
