--- a/crates/relay/src/admin_listener.rs
+++ b/crates/relay/src/admin_listener.rs
@@ -3,7 +3,7 @@
 use crate::{
     admin_query,
     http1::request_handler::{
-        self, RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+        self, RequestHandler, ServerPhase, ServerRequest, ServerResponse, UnreadRequest,
     },
     node_pages::{NodePages, PageProblem},
 };
@@ -77,7 +77,7 @@
         request_handler::ready_response(self.page(&request.head.target))
     }
 
-    fn reject(&self, request: RejectedRequest<'_>) -> ServerResponse {
+    fn refuse_unread(&self, request: UnreadRequest<'_>) -> ServerResponse {
         text_response(
             request.status,
             "text/plain",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod logging;
 pub mod node;
 pub mod node_pages;
+mod node_response;
 pub mod peer_listener;
 mod process_limits;
 pub mod quota;
@@ -34,5 +35,6 @@
 pub mod store_view;
 mod suspect_log;
 pub mod suspect_tracker;
+mod time_limit_table;
 
 pub use error::{RelayError, Result};
