Refuse a request whose credentials were not kept for the upstream

The credentials of a request are kept only where the document in force when its head is read has no accounts. A request whose body was still arriving, or that waited behind another one, when its fleet gave up accounts was sent to the upstream without its credentials, which might have run it for nobody in particular. It now gets 503 with the reason `document changed` and did not run. A request whose fleet gains accounts meanwhile is checked by its key, and its credentials are not passed on; a test now shows this too.

--- a/crates/relay/src/access_gate.rs
+++ b/crates/relay/src/access_gate.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     directory::FleetDirectory,
+    http1::credentials::RequestCredentials,
     serving::running_table::{RunningRequest, RunningTable},
 };
 
@@ -25,6 +26,17 @@
 /// `Retry-After` of a request that may be a call whose parent is not known.
 const PARENT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of a request during which the document changed.
+const CHANGE_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+/// Denial of a request whose head was read while its credentials were for the node, and that was handled when
+/// they were for the upstream. It would run there without them.
+const CREDENTIALS_WITHHELD: AccessDenial = AccessDenial {
+    status: UNAVAILABLE,
+    retry_after: Some(CHANGE_RETRY_AFTER),
+    reason: "document changed",
+};
+
 /// `AccessGate` checks the keys of callers.
 pub(crate) struct AccessGate {
     call_separator: char,
@@ -66,14 +78,18 @@
         }
     }
 
-    /// Lets the request `id` of `route` in, which carries `key`.
+    /// Lets the request `id` of `route` in, which carries `credentials`.
     pub(crate) fn admit(
         &self,
         routes: &RouteTable,
         route: &RouteEntry,
         id: &str,
-        key: PresentedKey,
+        credentials: &RequestCredentials,
     ) -> Result<AdmittedCaller, AccessDenial> {
+        if credentials.is_withheld && !routes.has_accounts() {
+            return Err(CREDENTIALS_WITHHELD);
+        }
+        let key = credentials.key;
         let parent = self.parent_of(routes, id, key);
         let origin = match parent {
             Some(_) => CallParent::Running,
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -133,10 +133,9 @@
         self.check_open(id)?;
         let routes = self.directory.routes();
         let route = self.find_route(&routes, id, &request.head)?;
-        let key = request.head.credentials.key;
         let caller = self
             .gate
-            .admit(&routes, &route, id, key)
+            .admit(&routes, &route, id, &request.head.credentials)
             .map_err(|denial| self.denial_response(id, &route, denial))?;
         let request = self.routed_request(&routes, route, id, caller, request);
         let admitted = self.admit(&routes, &request).await;
--- a/crates/relay/src/http1/credentials.rs
+++ b/crates/relay/src/http1/credentials.rs
@@ -24,11 +24,13 @@
     pub key: PresentedKey,
     /// The fields to relay, each terminated by CRLF; empty if they are for the node.
     pub fields: Bytes,
+    /// Whether the request had such fields, which were not kept because they are for the node.
+    pub is_withheld: bool,
 }
 
 impl RequestCredentials {
-    /// Reads the credentials among `headers`; `fields` are those to relay.
-    pub(super) fn of(headers: &[Header<'_>], scheme: &HeaderScheme, fields: Bytes) -> Self {
+    /// Reads the credentials among `headers`; `fields` are those to relay, `None` if they are for the node.
+    pub(super) fn of(headers: &[Header<'_>], scheme: &HeaderScheme, fields: Option<Bytes>) -> Self {
         let named = headers
             .iter()
             .filter(|header| header.name.eq_ignore_ascii_case(scheme.credentials));
@@ -43,7 +45,11 @@
         });
         Self {
             key: key.unwrap_or(PresentedKey::Absent),
-            fields,
+            is_withheld: fields.is_none()
+                && headers
+                    .iter()
+                    .any(|header| scheme.is_about_accounts(header.name)),
+            fields: fields.unwrap_or_default(),
         }
     }
 }
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -121,10 +121,10 @@
     let summary = FieldSummary::of(parsed.headers)?;
     let is_http10 = parsed.version == Some(0);
     let credentials = match credentials_use {
-        CredentialsUse::Node => Bytes::new(),
-        CredentialsUse::Upstream => relayed_fields(parsed.headers, &summary, |name| {
+        CredentialsUse::Node => None,
+        CredentialsUse::Upstream => Some(relayed_fields(parsed.headers, &summary, |name| {
             !scheme.is_about_accounts(name)
-        }),
+        })),
     };
     let head = RequestHead {
         method: parsed.method.unwrap_or_default().into(),
--- a/crates/relay/tests/caller_keys.rs
+++ b/crates/relay/tests/caller_keys.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use actix_rt::net::TcpStream;
 use lagoonshore_relay::directory::DocumentSource;
 use lagoonshore_state::{
     account::{AccountEntry, AccountKey},
@@ -11,6 +12,7 @@
 use rstest::rstest;
 use std::time::Duration;
 use support::{CallerResponse, TestFleet, ask, ask_raw, document, route};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const GOOD: &str = "Authorization: Bearer key-of-ann\r\n";
 
@@ -220,6 +222,48 @@
     assert!(heads(&fleet).contains("Account: ann\r\n"));
 }
 
+/// Sends a request whose body is complete only after `later` was published; `later` is a document that
+/// replaces `first`. Returns its response.
+async fn request_during_change(
+    first: &FleetDocument,
+    later: &FleetDocument,
+) -> (TestFleet, String) {
+    let fleet = fleet().await;
+    publish(&fleet, first);
+    let callers = fleet.members[0].listen.callers;
+    let mut stream = TcpStream::connect(callers).await.expect("open");
+    let head = format!(
+        "POST /a/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n{GOOD}Expect: 100-continue\r\n\
+         Content-Length: 2\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let mut interim = [0; 25];
+    stream.read_exact(&mut interim).await.expect("100");
+    publish(&fleet, later);
+    stream.write_all(b"ab").await.expect("sent");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).await.expect("text");
+    (fleet, response)
+}
+
+#[actix_rt::test]
+async fn credentials_that_were_not_kept_are_not_left_out_for_the_upstream() {
+    let accounts = with_accounts(2, vec![account("ann", &["key-of-ann"])]);
+    let (fleet, response) = request_during_change(&accounts, &document(3, &routes())).await;
+    assert!(response.starts_with("HTTP/1.1 503 "), "{response}");
+    assert!(response.contains("document changed"), "{response}");
+    assert_eq!(heads(&fleet), "");
+}
+
+#[actix_rt::test]
+async fn credentials_that_were_kept_are_not_passed_on_once_they_are_for_the_node() {
+    let accounts = with_accounts(3, vec![account("ann", &["key-of-ann"])]);
+    let (fleet, response) = request_during_change(&document(2, &routes()), &accounts).await;
+    assert!(response.starts_with("HTTP/1.1 200 "), "{response}");
+    assert!(heads(&fleet).contains("account: ann"));
+    assert!(!heads(&fleet).contains("key-of-ann"));
+}
+
 #[actix_rt::test]
 async fn an_id_like_that_of_a_call_lets_nobody_in() {
     let fleet = fleet().await;
