One decision for the quota of a request, a bound on listed accounts, and instances when none is healthy

The order of the checks of a quota stood in the gate and beside it in the expectation for operators; one function now decides, `AccountHand::step`, for both. `/state` listed all accounts, 10,000 of them with their keys in one pass on the node's thread; it lists the first 100 and their number, and each account has its page. With no healthy instance requests go to any, but the explanation called all of them `not-sent`; it now shows them as eligible, with the admission by their load. The test of the expected admission has two cases more, and says apart from health whether an instance is eligible; that of account lists also reads `/state`.

--- a/crates/coordination/src/placing/explanation.rs
+++ b/crates/coordination/src/placing/explanation.rs
@@ -28,7 +28,8 @@
 pub struct CandidateExplanation {
     /// Key of the instance.
     pub key: InstanceKey,
-    /// Whether it would be drawn for a request that does not belong to the share that leaves.
+    /// Whether it would be drawn for a request that does not belong to the share that leaves; true for all if
+    /// none is healthy.
     pub is_eligible: bool,
     /// Whether it takes calls, and its zone is not degraded.
     pub is_healthy: bool,
@@ -46,7 +47,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ExpectedAdmission {
-    /// The instance gets no requests while it is in its state.
+    /// The instance is not healthy, and others are.
     NotSent,
     /// It has not reported its load lately.
     Unknown,
@@ -74,7 +75,7 @@
     /// Returns what the node beside the instance would probably do with a request that has `left` time.
     #[must_use]
     pub fn admission(&self, left: Duration) -> ExpectedAdmission {
-        if !self.is_healthy {
+        if !self.is_healthy && !self.is_eligible {
             ExpectedAdmission::NotSent
         } else if !self.is_reported {
             ExpectedAdmission::Unknown
--- a/crates/coordination/src/placing/mod.rs
+++ b/crates/coordination/src/placing/mod.rs
@@ -225,8 +225,10 @@
         let balance = self.table.balance();
         let reason = self.zone_reason(request, &balance, false);
         let candidates = self.table.candidates().iter();
+        let has_healthy = self.table.has_healthy();
+        let is_own_zone = reason == ZoneReason::OwnZone;
         let is_eligible = |candidate: &ScoredCandidate| {
-            candidate.is_healthy && candidate.is_own_zone == (reason == ZoneReason::OwnZone)
+            !has_healthy || (candidate.is_healthy && candidate.is_own_zone == is_own_zone)
         };
         PlacingExplanation {
             urgency: request.time.urgency(self.table.mean_work_seconds()),
--- a/crates/coordination/tests/expected_admission.rs
+++ b/crates/coordination/tests/expected_admission.rs
@@ -11,13 +11,15 @@
 const LEFT: Duration = Duration::from_secs(1);
 
 #[rstest]
-#[case::free((true, true), 7.0, ExpectedAdmission::Runs)]
-#[case::full((true, true), 8.0, ExpectedAdmission::Waits)]
-#[case::long_queue((true, true), 100.0, ExpectedAdmission::TooLate)]
-#[case::no_report((true, false), 0.0, ExpectedAdmission::Unknown)]
-#[case::unhealthy((false, true), 0.0, ExpectedAdmission::NotSent)]
+#[case::free((true, true, true), 7.0, ExpectedAdmission::Runs)]
+#[case::full((true, true, true), 8.0, ExpectedAdmission::Waits)]
+#[case::long_queue((true, true, true), 100.0, ExpectedAdmission::TooLate)]
+#[case::no_report((true, true, false), 0.0, ExpectedAdmission::Unknown)]
+#[case::unhealthy((false, false, true), 0.0, ExpectedAdmission::NotSent)]
+#[case::none_healthy((true, false, true), 8.0, ExpectedAdmission::Waits)]
+#[case::other_zone((false, true, true), 7.0, ExpectedAdmission::Runs)]
 fn the_load_that_places_a_request_tells_its_admission(
-    #[case] (is_healthy, is_reported): (bool, bool),
+    #[case] (is_eligible, is_healthy, is_reported): (bool, bool, bool),
     #[case] requests: f64,
     #[case] expected: ExpectedAdmission,
 ) {
@@ -28,7 +30,7 @@
     };
     let candidate = CandidateExplanation {
         key: InstanceKey::default(),
-        is_eligible: is_healthy,
+        is_eligible,
         is_healthy,
         is_reported,
         load,
--- a/crates/relay/src/explain_page.rs
+++ b/crates/relay/src/explain_page.rs
@@ -56,7 +56,7 @@
     pub name: InstanceName,
     /// Availability zone.
     pub zone: ZoneName,
-    /// Whether it is healthy and in the zone to which the request goes.
+    /// Whether it is healthy and in the zone to which the request goes; true for all if none is healthy.
     pub is_eligible: bool,
     /// Whether it takes calls, and its zone is not degraded.
     pub is_healthy: bool,
--- a/crates/relay/src/node_pages.rs
+++ b/crates/relay/src/node_pages.rs
@@ -7,7 +7,7 @@
     explain_page::ExplainPage,
     node::RelayNode,
     quota::quota_view::HandView,
-    state_dump::{AccountView, StateDump},
+    state_dump::{AccountView, LISTED_ACCOUNTS_MAX, StateDump},
 };
 
 use lagoonshore_state::{
@@ -17,9 +17,6 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Most accounts in one list.
-const LISTED_ACCOUNTS_MAX: usize = 100;
-
 /// `PageProblem` is the reason why there is no page under a path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PageProblem {
--- a/crates/relay/src/quota/account_hand.rs
+++ b/crates/relay/src/quota/account_hand.rs
@@ -1,15 +1,8 @@
 //! What a node holds of the quota of one account, and the requests that wait for it.
 
-use super::{
-    fleet_counters::FleetCounters,
-    quota_gate::{QuotaRefusal, UNANSWERED_TIME},
-    quota_view::QuotaExpectation,
-};
+use super::fleet_counters::FleetCounters;
 
-use lagoonshore_coordination::{
-    quota::token_hand::{QuotaToken, TokenHand},
-    request::outcome::RefusalReason,
-};
+use lagoonshore_coordination::quota::token_hand::{QuotaToken, TokenHand};
 use lagoonshore_state::ids::AccountName;
 use std::{
     cell::{Cell, RefCell},
@@ -35,6 +28,19 @@
     pub(super) answered: Notify,
 }
 
+/// `HandStep` is what a request of an account meets next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HandStep {
+    /// A token is in hand.
+    Take,
+    /// The counter has to be asked.
+    Ask,
+    /// The counter is known to be short: the quota is used up.
+    OverQuota,
+    /// No counter answered just now.
+    Unanswered,
+}
+
 /// Counts a request that waits until it is dropped.
 pub(super) struct WaitingGuard<'a>(&'a AccountHand);
 
@@ -65,35 +71,23 @@
         }
     }
 
-    /// Takes a token, if there is one in hand.
-    pub(super) fn take(&self) -> Option<QuotaToken> {
-        self.hand.borrow_mut().take(Instant::now())
-    }
-
-    /// Returns whether requests are refused because no counter answered.
-    pub(super) fn is_unanswered(&self, now: Instant) -> bool {
-        now < self.unanswered_until.get()
-    }
-
-    /// Returns what a request would meet now, if the quota allows `rate` requests a second at `nodes` nodes.
-    pub(super) fn expect(&self, rate: f64, nodes: u32) -> QuotaExpectation {
-        let now = Instant::now();
+    /// Decides what a request meets at `now`; changes nothing.
+    pub(super) fn step(&self, now: Instant) -> HandStep {
         let mut hand = self.hand.borrow_mut();
         if hand.count(now) > 0 {
-            return QuotaExpectation::InHand;
-        }
-        let (reason, retry_after) = if self.is_unanswered(now) {
-            (RefusalReason::QuotaUnknown, UNANSWERED_TIME)
+            HandStep::Take
+        } else if now < self.unanswered_until.get() {
+            HandStep::Unanswered
         } else if hand.can_ask(now) {
-            return QuotaExpectation::Ask;
+            HandStep::Ask
         } else {
-            let returns_at = hand.next_return(now, rate, nodes);
-            (RefusalReason::QuotaExceeded, returns_at - now)
-        };
-        QuotaExpectation::Refused(QuotaRefusal {
-            reason,
-            retry_after,
-        })
+            HandStep::OverQuota
+        }
+    }
+
+    /// Takes a token, if there is one in hand at `now`.
+    pub(super) fn take(&self, now: Instant) -> Option<QuotaToken> {
+        self.hand.borrow_mut().take(now)
     }
 
     /// Adds `tokens` that were asked for at `asked_at` of a counter that has no others for `short_for`.
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -1,7 +1,7 @@
 //! Admits the requests of an account by the tokens that this node has taken from its counter.
 
 use super::{
-    account_hand::{AccountHand, WaitingGuard},
+    account_hand::{AccountHand, HandStep, WaitingGuard},
     fleet_counters::FleetCounters,
     quota_counters::QuotaCounters,
     quota_log::QuotaLog,
@@ -25,7 +25,7 @@
 /// Time after which a node goes on to the next counter.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for which requests are refused after no counter answered, and after which their callers may return.
-pub(super) const UNANSWERED_TIME: Duration = Duration::from_millis(100);
+const UNANSWERED_TIME: Duration = Duration::from_millis(100);
 /// Accounts whose tokens are kept before those of idle ones are dropped.
 const HANDS_MAX: usize = 1024;
 /// Time without a request after which an account is idle.
@@ -65,6 +65,22 @@
     pub retry_after: Duration,
 }
 
+impl QuotaRefusal {
+    /// No counter answered.
+    const UNANSWERED: Self = Self {
+        reason: RefusalReason::QuotaUnknown,
+        retry_after: UNANSWERED_TIME,
+    };
+
+    /// The quota is used up.
+    const fn over_quota(retry_after: Duration) -> Self {
+        Self {
+            reason: RefusalReason::QuotaExceeded,
+            retry_after,
+        }
+    }
+}
+
 impl QuotaGate {
     /// Creates the gate of a node.
     #[must_use]
@@ -96,19 +112,14 @@
         account: &AccountEntry,
         deadline: Instant,
     ) -> Result<Option<QuotaPermit>, QuotaRefusal> {
-        if account.quota.is_none() || self.control == ControlMode::PassThrough {
+        if !self.is_limited(account) {
             return Ok(None);
         }
         let entry = self.entry(&account.name);
         let now = Instant::now();
         entry.used_at.set(now);
         entry.hand.borrow_mut().record_request(now);
-        let in_hand = entry.take();
-        let token = match in_hand {
-            Some(token) => Some(token),
-            None => self.wait_for_token(&entry, deadline).await?,
-        };
-        let Some(token) = token else {
+        let Some(token) = self.wait_for_token(&entry, deadline).await? else {
             return Ok(None);
         };
         let rules = self.fleet.rules();
@@ -127,17 +138,29 @@
 
     /// Returns what a request of `account` would meet now. Nothing is taken.
     pub(crate) fn expect(&self, account: &AccountEntry) -> QuotaExpectation {
-        let is_limiting = self.control != ControlMode::PassThrough;
-        let Some(quota) = account.quota.filter(|_| is_limiting) else {
+        if !self.is_limited(account) {
             return QuotaExpectation::Unlimited;
-        };
+        }
         let hands = self.hands.borrow();
-        let nodes = self.fleet.node_count();
-        hands
-            .get(&account.name)
-            .map_or(QuotaExpectation::Ask, |entry| {
-                entry.expect(quota.rate, nodes)
-            })
+        let Some(entry) = hands.get(&account.name) else {
+            return QuotaExpectation::Ask;
+        };
+        let now = Instant::now();
+        match entry.step(now) {
+            HandStep::Take => QuotaExpectation::InHand,
+            HandStep::Ask => QuotaExpectation::Ask,
+            HandStep::Unanswered => QuotaExpectation::Refused(QuotaRefusal::UNANSWERED),
+            HandStep::OverQuota => {
+                let (rate, nodes) = self.return_rates(entry);
+                let returns_at = entry.hand.borrow().next_return(now, rate, nodes);
+                QuotaExpectation::Refused(QuotaRefusal::over_quota(returns_at - now))
+            }
+        }
+    }
+
+    /// Returns whether the requests of `account` need tokens.
+    fn is_limited(&self, account: &AccountEntry) -> bool {
+        account.quota.is_some() && self.control != ControlMode::PassThrough
     }
 
     /// Returns the tokens in hand of those accounts for operators for which `is_shown` holds.
@@ -170,18 +193,18 @@
         let until = deadline.min(Instant::now() + WAIT_MAX);
         let waiting = WaitingGuard::new(entry);
         loop {
-            if let Some(token) = entry.take() {
-                return Ok(Some(token));
+            let now = Instant::now();
+            let step = entry.step(now);
+            if step == HandStep::Take {
+                return Ok(entry.take(now));
             }
             if self.fleet.quota(&entry.account).is_none() {
                 return Ok(None);
             }
-            let now = Instant::now();
-            if now >= until || entry.is_unanswered(now) {
-                return Err(self.refuse_unanswered(entry));
-            }
-            if !entry.hand.borrow().can_ask(now) {
-                return Err(self.refuse_over_quota(entry));
+            match step {
+                HandStep::Ask if now < until => {}
+                HandStep::OverQuota if now < until => return Err(self.refuse_over_quota(entry)),
+                _ => return Err(self.refuse_unanswered(entry)),
             }
             let answered = entry.answered.notified();
             self.start_ask(entry);
@@ -192,26 +215,25 @@
         }
     }
 
-    fn refuse_over_quota(&self, entry: &AccountHand) -> QuotaRefusal {
-        let now = Instant::now();
+    /// Returns the requests a second that the quota of an account allows, and the nodes that share them.
+    fn return_rates(&self, entry: &AccountHand) -> (f64, u32) {
         let quota = self.fleet.quota(&entry.account);
         let rate = quota.map_or(0.0, |quota| quota.rate);
-        let nodes = self.fleet.node_count();
+        (rate, self.fleet.node_count())
+    }
+
+    fn refuse_over_quota(&self, entry: &AccountHand) -> QuotaRefusal {
+        let now = Instant::now();
+        let (rate, nodes) = self.return_rates(entry);
         let mut hand = entry.hand.borrow_mut();
-        let refusal = QuotaRefusal {
-            reason: RefusalReason::QuotaExceeded,
-            retry_after: hand.retry_after(now, rate, nodes),
-        };
+        let refusal = QuotaRefusal::over_quota(hand.retry_after(now, rate, nodes));
         let rates = hand.rates(now);
         self.log.log_refused(&entry.account, refusal, rates);
         refusal
     }
 
     fn refuse_unanswered(&self, entry: &AccountHand) -> QuotaRefusal {
-        let refusal = QuotaRefusal {
-            reason: RefusalReason::QuotaUnknown,
-            retry_after: UNANSWERED_TIME,
-        };
+        let refusal = QuotaRefusal::UNANSWERED;
         let rates = entry.hand.borrow().rates(Instant::now());
         self.log.log_refused(&entry.account, refusal, rates);
         refusal
--- a/crates/relay/src/state_dump.rs
+++ b/crates/relay/src/state_dump.rs
@@ -18,6 +18,9 @@
 use serde::Serialize;
 use std::{collections::BTreeMap, net::SocketAddr};
 
+/// Most accounts in a list for operators, so that its time and size have a bound beside many accounts.
+pub(crate) const LISTED_ACCOUNTS_MAX: usize = 100;
+
 /// `StateDump` is a snapshot of the knowledge and the work of a node.
 #[derive(Debug, Serialize)]
 pub struct StateDump {
@@ -67,7 +70,9 @@
     pub proof_age_ms: Option<u32>,
     /// Time after which keys are refused without a newer proof, in milliseconds; `None` for never.
     pub proof_age_max_ms: Option<u32>,
-    /// All accounts, by name.
+    /// Number of accounts.
+    pub total: usize,
+    /// The first accounts by name, up to a number; each one has a page of its own.
     pub entries: Vec<AccountView>,
 }
 
@@ -107,12 +112,14 @@
     }
     let proofs = directory.proofs();
     let bounds = proofs.bounds();
+    let accounts = routes.accounts();
     Some(AccountsPart {
         proof_age_ms: proofs.age().map(whole_millis),
         proof_age_max_ms: bounds.map(|bounds| whole_millis(bounds.revocation)),
-        entries: routes
-            .accounts()
+        total: accounts.len(),
+        entries: accounts
             .into_iter()
+            .take(LISTED_ACCOUNTS_MAX)
             .map(|account| AccountView::new(account))
             .collect(),
     })
--- a/crates/relay/tests/account_pages.rs
+++ b/crates/relay/tests/account_pages.rs
@@ -166,6 +166,10 @@
     assert_eq!(rest["accounts"][0]["name"], "a100");
     assert_eq!(rest["accounts"][50]["name"], "x/y?z%");
     assert_eq!(rest["left"], 0);
+    let (_, state) = page(&fleet, "/state").await;
+    assert_eq!(state["accounts"]["total"], 151);
+    assert_eq!(state["accounts"]["entries"][99]["name"], "a099");
+    assert!(state["accounts"]["entries"][100].is_null());
     let (status, found) = page(&fleet, "/accounts/x%2Fy%3Fz%25").await;
     assert_eq!((status, &found["account"]["name"]), (200, &"x/y?z%".into()));
 }
