--- a/crates/relay/src/node/node_listeners.rs
+++ b/crates/relay/src/node/node_listeners.rs
@@ -7,6 +7,7 @@
     admin_listener::AdminListener,
     error::Result,
     http1::server::{self, ServerLimits},
+    node_pages::NodePages,
     peer_listener::PeerListener,
     process_limits,
 };
@@ -97,13 +98,8 @@
 }
 
 fn serve_admin(node: &Rc<RelayNode>, listener: TcpListener) {
-    let dumped = Rc::clone(node);
-    let dump = Box::new(move || dumped.dump());
-    let explained = Rc::clone(node);
-    let explain = Box::new(move |host: &str, target: &str| {
-        explained.callers.forwarder().explain(host, target)
-    });
-    let admin_listener = AdminListener::new(metrics_recorder::handle(), dump, explain);
+    let pages = NodePages::new(Rc::clone(node));
+    let admin_listener = AdminListener::new(metrics_recorder::handle(), pages);
     let serving = server::serve(
         listener,
         Rc::new(admin_listener),
