Count the bytes of bodies that leave a zone, by reason

The decision of what leaves is unchanged, and no gain in bytes is claimed.

Measured: clippy of the relay's library clean; metrics_catalogue, explain and end_to_end of the relay pass. The counter itself has no test of its values.

--- a/crates/relay/src/calling/attempt_sender.rs
+++ b/crates/relay/src/calling/attempt_sender.rs
@@ -11,7 +11,7 @@
     suspect_lookup::SuspectLookup,
 };
 
-use crate::{directory::FleetDirectory, serving::upstream_server::UpstreamServer};
+use crate::{directory::FleetDirectory, relay_metrics, serving::upstream_server::UpstreamServer};
 
 use lagoonshore_protocol::relay_messages::{RelayReply, RelayRequest, RelayResult};
 use lagoonshore_settings::RelaySettings;
@@ -85,6 +85,9 @@
                 .await
         };
         let elapsed = record.finish(&reply);
+        if let Some(reason) = target.leave_reason {
+            relay_metrics::count_left_zone(reason, body_bytes(request, &reply));
+        }
         if let Ok(reply) = &reply {
             self.record_reply(request, reply, elapsed);
         }
@@ -134,3 +137,13 @@
             .await
     }
 }
+
+/// Bytes of the bodies that an attempt and its reply carried.
+fn body_bytes(request: &RoutedRequest, reply: &Result<RelayReply, LinkError>) -> usize {
+    let sent = request.body.len();
+    let Ok(reply) = reply else { return sent };
+    match &reply.result {
+        RelayResult::Answered(response) => sent + response.body.len(),
+        RelayResult::Refused(_) => sent,
+    }
+}
--- a/crates/relay/src/calling/peer_table.rs
+++ b/crates/relay/src/calling/peer_table.rs
@@ -4,13 +4,13 @@
 
 use lagoonshore_coordination::{
     forwarding::zone_health::ZoneHealth,
-    placing::{InstancePlacer, PlacingRequest, explanation::PlacingExplanation},
+    placing::{InstancePlacer, PlacingRequest, ZoneReason, explanation::PlacingExplanation},
     protection::fingerprint::RequestFingerprint,
     routing::{PeerSelector, PeerSummary, RoutingOrigin},
 };
 use lagoonshore_settings::{RelaySettings, relay_settings::ZoneSettings};
 use lagoonshore_state::{
-    ids::{InstanceName, ServiceName},
+    ids::{InstanceName, ServiceName, ZoneName},
     instance_table::InstanceKey,
     upstream_list::UpstreamLimit,
 };
@@ -37,10 +37,14 @@
     pub name: InstanceName,
     /// Peer address of the node beside the instance.
     pub address: SocketAddr,
+    /// Why the request leaves the zone; `None` if it stays, and for runs on probation, whose instance
+    /// does not depend on the sender.
+    pub leave_reason: Option<ZoneReason>,
 }
 
 /// `PeerTable` selects peers by reported load, past results and zone health.
 pub struct PeerTable {
+    zone: ZoneName,
     pub(super) directory: Rc<FleetDirectory>,
     pub(super) selector: RefCell<PeerSelector>,
     pub(super) placer: RefCell<InstancePlacer>,
@@ -64,6 +68,7 @@
             region: settings.region.clone(),
         };
         Self {
+            zone: settings.zone.clone(),
             directory,
             selector: RefCell::new(PeerSelector::new(origin)),
             placer: RefCell::new(InstancePlacer::new(
@@ -103,6 +108,7 @@
             key: placement.key,
             name: record.name.clone(),
             address: record.peer,
+            leave_reason: (record.zone != self.zone).then_some(placement.reason),
         })
     }
 
@@ -156,6 +162,7 @@
             key,
             name: record.name,
             address: record.peer,
+            leave_reason: None,
         })
     }
 
--- a/crates/relay/src/relay_metrics.rs
+++ b/crates/relay/src/relay_metrics.rs
@@ -46,6 +46,17 @@
     counter.increment(1);
 }
 
+pub(crate) fn count_left_zone(reason: ZoneReason, bytes: usize) {
+    let reason = match reason {
+        ZoneReason::OwnZone => "own-zone",
+        ZoneReason::Share => "share",
+        ZoneReason::Overflow => "overflow",
+        ZoneReason::NoInstance => "no-instance",
+    };
+    counter!("lagoonshore_relay_left_zone_bytes_total", "reason" => reason)
+        .increment(u64::try_from(bytes).unwrap_or(u64::MAX));
+}
+
 pub(crate) fn count_retry(is_counted: bool) {
     let kind = if is_counted { "counted" } else { "free" };
     counter!("lagoonshore_relay_repeats_total", "kind" => kind).increment(1);
