State a target for late returns that follows from the load, and describe the deadline

Now the late returns must get the slots that the usual demand leaves until the last refused caller must start, less those for the requests that wait when the surge ends; no more first attempts are refused, and no fewer served in time.

--- a/crates/coordination/tests/late_returns.rs
+++ b/crates/coordination/tests/late_returns.rs
@@ -138,7 +138,9 @@
 /// for the requests in time that wait when the surge ends.
 fn slots_left() -> f64 {
     let ticks = |time: Duration| time.as_secs_f64() / TICK.as_secs_f64();
-    (1.0 - USUAL_DEMAND) * ticks(TIME_LIMIT - HOLD_TIME) - ticks(AIM - HOLD_TIME)
+    let (late, in_time) = (ticks(TIME_LIMIT), ticks(AIM));
+    let held = ticks(HOLD_TIME);
+    (1.0 - USUAL_DEMAND) * (late - held) - (in_time - held)
 }
 
 /// Late returns get the slots that are left after a surge, and no request in time is refused or late for
