--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -18,9 +18,10 @@
     },
     node_response::NodeResponse,
     quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
+    relay_metrics,
     request_expectation::RequestExpectation,
+    return_recognition::ReturnRecognition,
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
-    time_limit_table::TimeLimitTable,
 };
 
 use bytes::Bytes;
@@ -47,7 +48,7 @@
     log: Rc<DecisionLog>,
     forwarder: RequestForwarder,
     quotas: Rc<QuotaGate>,
-    time_limits: TimeLimitTable,
+    returns: ReturnRecognition,
     phase: watch::Sender<ServerPhase>,
     is_refusing: Cell<bool>,
 }
@@ -72,7 +73,7 @@
             log,
             forwarder,
             quotas,
-            time_limits: TimeLimitTable::default(),
+            returns: ReturnRecognition::default(),
             phase: watch::channel(ServerPhase::Open).0,
             is_refusing: Cell::new(false),
         }
@@ -137,10 +138,20 @@
             .gate
             .admit(&routes, &route, id, &request.head.credentials)
             .map_err(|denial| self.denial_response(id, &route, denial))?;
-        let request = self.routed_request(&routes, route, id, caller, request);
+        let limit = request.head.time_limit.unwrap_or(route.timeout);
+        let caller_deadline = request.received + limit;
+        let mut request = Self::routed_request(&routes, route, id, caller, request);
+        request.spent = self.returns.time_spent(&request, caller_deadline);
         let admitted = self.admit(&routes, &request).await;
         let permit = admitted.map_err(|refusal| self.quota_response(id, refusal))?;
-        let outcome = self.forwarder.forward(request).await;
+        let outcome = self.forwarder.forward(&request).await;
+        if !request.spent.is_zero() {
+            relay_metrics::count_return(outcome.as_str());
+        }
+        if let ForwardOutcome::NotRun(_, Some(retry_after)) = outcome {
+            self.returns
+                .expect_return(&request, caller_deadline, retry_after);
+        }
         if let (ForwardOutcome::NotRun(..), Some(permit)) = (&outcome, permit) {
             permit.give_back();
         }
@@ -173,7 +184,6 @@
 
     /// Builds the request to forward.
     fn routed_request(
-        &self,
         routes: &RouteTable,
         route: Rc<RouteEntry>,
         id: &CompactString,
@@ -182,10 +192,6 @@
     ) -> RoutedRequest {
         let (head, received) = (request.head, request.received);
         let limit = head.time_limit.unwrap_or(route.timeout);
-        let spent = match caller.parent {
-            Some(_) => Duration::ZERO,
-            None => self.time_limits.time_spent(&route, limit),
-        };
         let fields = if routes.has_accounts() {
             head.fields
         } else {
@@ -201,7 +207,7 @@
             account: caller.account,
             importance: caller.importance,
             parent: caller.parent,
-            spent,
+            spent: Duration::ZERO,
             received,
             deadline: received + limit.min(route.timeout),
             route,
--- a/crates/relay/src/calling/outcome_record.rs
+++ b/crates/relay/src/calling/outcome_record.rs
@@ -34,6 +34,7 @@
         route: &request.route.name,
         version: request.version,
         elapsed: request.received.elapsed(),
+        spent: request.spent,
         instance: &progress.last_instance,
         load: progress.load,
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,12 +29,12 @@
 pub mod quota;
 pub mod relay_metrics;
 pub mod request_expectation;
+mod return_recognition;
 pub mod serving;
 mod stable_hash;
 pub mod state_dump;
 pub mod store_view;
 mod suspect_log;
 pub mod suspect_tracker;
-mod time_limit_table;
 
 pub use error::{RelayError, Result};
--- a/crates/relay/src/serving/slot_gate.rs
+++ b/crates/relay/src/serving/slot_gate.rs
@@ -83,6 +83,7 @@
         } else {
             aim.min(deadline)
         },
+        late_by: (request.is_returning && !is_nested).then_some(deadline),
         wait_max: Duration::from_millis(request.wait_ms.into()),
     }
 }
