Fix the allocator's limits, so that freed bodies leave the process

Cause: glibc raises the size from which an allocation gets pages of its own to the largest size freed so far. After one large response, bodies of 1 MB come from the heap, which keeps its freed pages; larger bodies get pages of their own beside them. The process holds the budget twice.

Change: the program starts itself again with both limits of the allocator in its environment, unless they are given.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 mod access_gate;
 pub mod active_count;
 pub mod admin_listener;
+pub mod allocator_limits;
 pub mod caller_listener;
 pub mod calling;
 mod connection_log;
