Least rate at which callers read, and idle places by the share of addresses

Load: callers that read a byte of their response now and then kept its memory (only 20 s without any progress ended it), and kept their place among the connections as well; one address that opens many silent connections pushed out older ones of all others; a body whose own growth found no memory was counted as given up for others.

Change: progress is kept for what is written to a caller as for bodies that arrive (transfer_progress, before arrival_progress): response_seconds and a second for each response_bytes_per_second that it read (30 s and 16 KiB/s if left out), and the pace of bodies while memory is nearly used up or places are needed. Idle connections are given up by the address that holds most places, the one that asks included. MemoryError tells a full memory from one that was given to others.

Existing tests changed: room_sharing (names of the renamed types), caller_settings (the new settings beside the others), body_memory (which of the two errors is returned, where any was accepted).

--- a/crates/coordination/src/protection/mod.rs
+++ b/crates/coordination/src/protection/mod.rs
@@ -1,7 +1,6 @@
 //! Protection of the upstream: its health, its crashes and the requests suspected of causing them; and
 //! of the node: requests that arrive slowly, and whose place is given up for others.
 
-pub mod arrival_progress;
 pub mod connection_bound;
 pub mod crash_detector;
 pub mod crash_set;
@@ -9,5 +8,6 @@
 pub mod room_sharing;
 mod run_history;
 pub mod suspects;
+pub mod transfer_progress;
 pub mod trial_choice;
 pub mod upstream_health;
--- a/crates/coordination/src/protection/room_sharing.rs
+++ b/crates/coordination/src/protection/room_sharing.rs
@@ -1,19 +1,19 @@
 //! Whose place is given up when a resource that callers share is used up and another caller asks for it:
 //! the memory of requests that are arriving, and connections.
 //!
-//! Holders that arrive too slowly for what they hold go first, the slowest one at the front, then idle
-//! ones. If these do not suffice, the address that holds most gives way, unless the one that asks would
+//! Holders that are too slow for what they hold go first, the slowest one at the front, then idle ones, those
+//! of the address that holds most at the front. If these do not suffice, the address that holds most gives way, unless the one that asks would
 //! hold more than it afterwards. So no address takes the room of all others, and callers behind the same
 //! address do not push out each other while they make progress. Work that was taken on already, such as a
 //! response, goes before all requests that are still arriving.
 
-use std::{collections::HashMap, net::IpAddr};
+use std::{cmp::Reverse, collections::HashMap, net::IpAddr};
 use tokio::time::Instant;
 
 /// `HolderStanding` is what a holder does with its place; those that compare lower lose it first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HolderStanding {
-    /// Arrives too slowly for what it holds, since this time.
+    /// Is too slow for what it holds, since this time.
     Slow(Instant),
     /// Waits for a request since this time.
     Idle(Instant),
@@ -55,10 +55,11 @@
         return Vec::new();
     }
     let first = holders.iter().min_by_key(|holder| holder.standing);
-    if let Some(first) = first.filter(|first| is_unused(first) && first.held >= claim.missing) {
+    if let Some(first) = first.filter(|first| is_slow(first) && first.held >= claim.missing) {
         return vec![first.key];
     }
-    let mut chosen = choose_unused(holders, claim.missing);
+    let mut chosen = choose_slow(holders, claim.missing);
+    choose_idle(holders, claim, &mut chosen);
     if held_by(&chosen) < claim.missing {
         choose_active(holders, claim, &mut chosen);
     }
@@ -66,42 +67,84 @@
     chosen.iter().map(|holder| holder.key).collect()
 }
 
-fn is_unused<K>(holder: &RoomHolder<K>) -> bool {
-    holder.standing < HolderStanding::Active
+const fn is_slow<K>(holder: &RoomHolder<K>) -> bool {
+    matches!(holder.standing, HolderStanding::Slow(_))
+}
+
+const fn is_idle<K>(holder: &RoomHolder<K>) -> bool {
+    matches!(holder.standing, HolderStanding::Idle(_))
 }
 
 fn held_by<K>(holders: &[&RoomHolder<K>]) -> usize {
     holders.iter().map(|holder| holder.held).sum()
 }
 
-/// Chooses holders that make no use of their places until `missing` is freed, or all of them.
-fn choose_unused<K>(holders: &[RoomHolder<K>], missing: usize) -> Vec<&RoomHolder<K>> {
-    let mut unused: Vec<_> = holders.iter().filter(|holder| is_unused(holder)).collect();
-    unused.sort_by_key(|holder| holder.standing);
+/// What each address holds without `given_up`.
+fn shares_without<K>(
+    holders: &[RoomHolder<K>],
+    given_up: &[&RoomHolder<K>],
+) -> HashMap<IpAddr, usize> {
+    let mut shares = HashMap::new();
+    for holder in holders {
+        *shares.entry(holder.caller).or_default() += holder.held;
+    }
+    for holder in given_up {
+        reduce(&mut shares, holder);
+    }
+    shares
+}
+
+/// Chooses slow holders until `missing` is freed, or all of them.
+fn choose_slow<K>(holders: &[RoomHolder<K>], missing: usize) -> Vec<&RoomHolder<K>> {
+    let mut slow: Vec<_> = holders.iter().filter(|holder| is_slow(holder)).collect();
+    slow.sort_by_key(|holder| holder.standing);
     let mut freed = 0;
-    let needed = unused.iter().take_while(|holder| {
+    let needed = slow.iter().take_while(|holder| {
         let is_needed = freed < missing;
         freed += holder.held;
         is_needed
     });
     let count = needed.count();
-    unused.truncate(count);
-    unused
+    slow.truncate(count);
+    slow
 }
 
-/// Adds holders that keep their pace to `chosen` until `claim` fits; leaves none if it does not.
-fn choose_active<'a, K>(
+/// Adds idle holders to `chosen` until `claim` fits, or all of them. An address that opens many idle
+/// connections pushes out its own, not those of others that hold fewer.
+fn choose_idle<'a, K>(
     holders: &'a [RoomHolder<K>],
     claim: RoomClaim,
     chosen: &mut Vec<&'a RoomHolder<K>>,
 ) {
-    let mut shares: HashMap<IpAddr, usize> = HashMap::new();
-    for holder in holders {
-        *shares.entry(holder.caller).or_default() += holder.held;
+    let mut freed = held_by(chosen);
+    let mut idle: Vec<_> = holders.iter().filter(|holder| is_idle(holder)).collect();
+    if freed >= claim.missing || idle.is_empty() {
+        return;
     }
-    for holder in &*chosen {
+    let mut shares = shares_without(holders, chosen);
+    if let Some(caller) = claim.caller {
+        *shares.entry(caller).or_default() += claim.missing;
+    }
+    while freed < claim.missing {
+        let rank = |holder: &RoomHolder<K>| (shares.get(&holder.caller), Reverse(holder.standing));
+        let largest = (0..idle.len()).max_by_key(|index| rank(idle[*index]));
+        let Some(index) = largest else {
+            return;
+        };
+        let holder = idle.swap_remove(index);
+        freed += holder.held;
+        chosen.push(holder);
         reduce(&mut shares, holder);
     }
+}
+
+/// Adds holders that keep their pace to `chosen` until `claim` fits; leaves none if it does not.
+fn choose_active<'a, K>(
+    holders: &'a [RoomHolder<K>],
+    claim: RoomClaim,
+    chosen: &mut Vec<&'a RoomHolder<K>>,
+) {
+    let mut shares = shares_without(holders, chosen);
     let is_active = |holder: &&RoomHolder<K>| holder.standing == HolderStanding::Active;
     let mut active: Vec<_> = holders.iter().filter(is_active).collect();
     let mut freed = held_by(chosen);
--- a/crates/coordination/tests/room_sharing.rs
+++ b/crates/coordination/tests/room_sharing.rs
@@ -1,8 +1,8 @@
 //! Whose place is given up when a shared resource is used up, and how long a request may take to arrive.
 
 use lagoonshore_coordination::protection::{
-    arrival_progress::{ArrivalLimits, ArrivalProgress},
     room_sharing::{HolderStanding, RoomClaim, RoomHolder, choose_given_up},
+    transfer_progress::{TransferLimits, TransferProgress},
 };
 use rstest::rstest;
 use std::{
@@ -11,9 +11,9 @@
 };
 use tokio::time::Instant;
 
-const LIMITS: ArrivalLimits = ArrivalLimits {
+const LIMITS: TransferLimits = TransferLimits {
     stall_time: Duration::from_secs(3),
-    body_time: Duration::from_secs(30),
+    whole_time: Duration::from_secs(30),
     bytes_per_second: 1000,
 };
 
@@ -57,6 +57,37 @@
     assert_eq!(chosen(&rows, 1, 15), [3, 2, 1]);
 }
 
+/// Guards against an address that opens many idle connections and pushes out older ones of others.
+#[rstest]
+#[case::address_that_holds_most(3, &[2])]
+#[case::same_address(1, &[2])]
+#[case::oldest_of_equal_shares(3, &[2, 0])]
+fn idle_holders_of_the_address_that_holds_most_go_first(
+    #[case] number: u8,
+    #[case] expected: &[usize],
+) {
+    use HolderStanding::{Active, Fixed, Idle};
+    let at = |seconds| Idle(Instant::now() + Duration::from_secs(seconds));
+    let rows = [
+        (2, 1, at(0)),
+        (2, 1, Active),
+        (1, 1, at(1)),
+        (1, 1, at(2)),
+        (1, 1, Fixed),
+    ];
+    assert_eq!(chosen(&rows, number, expected.len()), expected);
+}
+
+/// Guards against an address that holds as much as another one and takes an idle place from it.
+#[test]
+fn an_address_with_an_equal_share_gives_up_its_own_idle_place() {
+    let now = Instant::now();
+    let later = HolderStanding::Idle(now + Duration::from_secs(1));
+    let rows = [(1, 1, HolderStanding::Idle(now)), (2, 1, later)];
+    assert_eq!(chosen(&rows, 2, 1), [1]);
+    assert_eq!(chosen(&rows, 3, 1), [0]);
+}
+
 #[rstest]
 #[case::same_address(1, 5, &[])]
 #[case::other_address(2, 5, &[1])]
@@ -113,7 +144,7 @@
 fn a_request_that_stops_or_trickles_is_slow_and_ends() {
     let start = Instant::now();
     let at = |seconds| start + Duration::from_secs(seconds);
-    let mut progress = ArrivalProgress::new(start);
+    let mut progress = TransferProgress::new(start);
     progress.record(start, 10_000, 16_000);
     assert_eq!(progress.slow_since(start), None);
     assert_eq!(progress.deadline(&LIMITS), at(3));
@@ -127,14 +158,14 @@
 #[test]
 fn a_request_that_keeps_its_pace_is_not_slow() {
     let start = Instant::now();
-    let mut progress = ArrivalProgress::new(start);
+    let mut progress = TransferProgress::new(start);
     for step in 1..=40 {
         let now = start + Duration::from_millis(500) * step;
         progress.record(now, 1000, 16_000);
         assert_eq!(progress.slow_since(now), None);
         assert!(progress.deadline(&LIMITS) > now);
     }
-    assert_eq!(progress.received(), 40_000);
+    assert_eq!(progress.moved(), 40_000);
 }
 
 /// Guards against a pace that is next to nothing for small bodies, and out of reach for large ones.
@@ -149,7 +180,7 @@
     #[case] is_slow: bool,
 ) {
     let start = Instant::now();
-    let mut progress = ArrivalProgress::new(start);
+    let mut progress = TransferProgress::new(start);
     let mut now = start;
     for _ in 0..10 {
         now += Duration::from_secs(1);
--- a/crates/relay/src/connection_log.rs
+++ b/crates/relay/src/connection_log.rs
@@ -1,4 +1,4 @@
-//! Rate-limited log lines about connections that are closed for want of places.
+//! Rate-limited log lines about connections that are closed for want of places, or of callers that read.
 
 use crate::{events, line_budget::LineBudget, relay_metrics};
 
@@ -8,7 +8,7 @@
 /// Lines in one [`LINE_WINDOW`](crate::line_budget::LINE_WINDOW).
 const LINES_MAX: u32 = 5;
 
-/// `ConnectionLog` counts connections that were closed for want of places and logs them.
+/// `ConnectionLog` counts connections that were closed and logs them.
 #[derive(Debug)]
 pub(crate) struct ConnectionLog {
     lines: LineBudget,
@@ -46,4 +46,16 @@
             );
         }
     }
+
+    /// Logs that a connection was closed since `caller` did not read its responses in time.
+    pub(crate) fn log_not_read(&self, caller: IpAddr, unread_bytes: usize) {
+        relay_metrics::count_connection_closed("not-read");
+        if let Some(left_out) = self.lines.take() {
+            warn!(
+                event = events::CONNECTION_NOT_READ,
+                %caller, unread_bytes, left_out,
+                "connection: closed, responses not read"
+            );
+        }
+    }
 }
--- a/crates/relay/src/http1/body.rs
+++ b/crates/relay/src/http1/body.rs
@@ -31,6 +31,8 @@
     Malformed,
     /// There is no memory for the body now.
     NoMemory,
+    /// Its memory was given to others.
+    GivenUp,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -281,8 +283,11 @@
 }
 
 impl From<MemoryError> for BodyError {
-    fn from(_: MemoryError) -> Self {
-        Self::NoMemory
+    fn from(error: MemoryError) -> Self {
+        match error {
+            MemoryError::Full => Self::NoMemory,
+            MemoryError::GivenUp => Self::GivenUp,
+        }
     }
 }
 
--- a/crates/relay/src/http1/connection_table.rs
+++ b/crates/relay/src/http1/connection_table.rs
@@ -2,8 +2,8 @@
 //! closed for a new one; which one, is decided by `room_sharing`.
 
 use lagoonshore_coordination::protection::{
-    arrival_progress::ArrivalProgress,
     room_sharing::{self, HolderStanding, RoomClaim, RoomHolder},
+    transfer_progress::TransferProgress,
 };
 use slotmap::SlotMap;
 use std::{
@@ -42,9 +42,11 @@
     /// It waits for a request since this time.
     Idle(Instant),
     /// It receives a request.
-    Receiving(ArrivalProgress),
-    /// Requests are in progress, their responses are being written, or it was told to give up its place.
+    Receiving(TransferProgress),
+    /// Requests are in progress, or it was told to give up its place.
     Busy,
+    /// Responses are being written.
+    Writing(TransferProgress),
     /// It discards input before it closes, since this time.
     Closing(Instant),
 }
@@ -130,6 +132,9 @@
                 .slow_since(now)
                 .map_or(HolderStanding::Active, HolderStanding::Slow),
             ConnectionActivity::Busy => HolderStanding::Fixed,
+            ConnectionActivity::Writing(progress) => progress
+                .slow_since(now)
+                .map_or(HolderStanding::Fixed, HolderStanding::Slow),
             ConnectionActivity::Closing(since) => HolderStanding::Slow(since),
         }
     }
--- a/crates/relay/src/http1/request_handler.rs
+++ b/crates/relay/src/http1/request_handler.rs
@@ -93,6 +93,7 @@
             BodyError::TooLarge => Self::TooLarge,
             BodyError::Malformed => Self::Malformed,
             BodyError::NoMemory => Self::NoMemory,
+            BodyError::GivenUp => Self::GivenUp,
         }
     }
 }
--- a/crates/relay/src/http1/response_output.rs
+++ b/crates/relay/src/http1/response_output.rs
@@ -27,6 +27,11 @@
         self.unwritten.is_empty()
     }
 
+    /// Number of bytes that wait to be written.
+    pub(crate) const fn len(&self) -> usize {
+        self.unwritten.len()
+    }
+
     /// Returns whether another response may be added.
     pub(crate) const fn is_accepting(&self) -> bool {
         self.unwritten.len() < WRITE_AHEAD_BYTES
@@ -59,12 +64,12 @@
         }
     }
 
-    /// Writes as much as the socket takes; returns whether it took anything.
+    /// Writes as much as the socket takes; returns the number of bytes.
     ///
     /// # Errors
     /// Any error of the socket, but for one that is full.
-    pub(crate) fn write_to(&mut self, stream: &TcpStream) -> Result<bool> {
-        let mut is_written = false;
+    pub(crate) fn write_to(&mut self, stream: &TcpStream) -> Result<usize> {
+        let before = self.unwritten.len();
         while !self.unwritten.is_empty() {
             let mut slices = [IoSlice::new(&[]); WRITE_SLICES_MAX];
             let filled = self.unwritten.fill(&mut slices);
@@ -73,9 +78,8 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) => return Err(error),
             }
-            is_written = true;
         }
-        Ok(is_written)
+        Ok(before - self.unwritten.len())
     }
 }
 
--- a/crates/relay/src/http1/server.rs
+++ b/crates/relay/src/http1/server.rs
@@ -30,6 +30,10 @@
     pub body_time: Duration,
     /// Received bytes of a body that allow one second more.
     pub body_bytes_per_second: u32,
+    /// Time that a caller may take to read its responses.
+    pub response_time: Duration,
+    /// Bytes that it read of them that allow one second more.
+    pub response_bytes_per_second: u32,
     /// Memory that the requests share with other messages.
     pub budget: MemoryBudget,
 }
@@ -46,7 +50,7 @@
     let limits = Rc::new(limits);
     let table = Rc::<ConnectionTable>::default();
     let input_pool = Rc::<InputPool>::default();
-    let log = ConnectionLog::default();
+    let log = Rc::<ConnectionLog>::default();
     loop {
         // Connections in the backlog are accepted before the listener closes.
         let accepted = tokio::select! {
@@ -65,6 +69,7 @@
             limits: Rc::clone(&limits),
             place: guard.place(),
             input_pool: Rc::clone(&input_pool),
+            log: Rc::clone(&log),
         };
         let connection = ServerConnection::new(stream, Rc::clone(&handler), scheme, parts);
         let active = ActiveGuard::new(&open);
--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -14,11 +14,11 @@
     staged_close,
 };
 
-use crate::header_scheme::HeaderScheme;
+use crate::{connection_log::ConnectionLog, header_scheme::HeaderScheme};
 
 use actix_rt::net::TcpStream;
 use bytes::BytesMut;
-use lagoonshore_coordination::protection::arrival_progress::{ArrivalLimits, ArrivalProgress};
+use lagoonshore_coordination::protection::transfer_progress::{TransferLimits, TransferProgress};
 use lagoonshore_transport::memory_budget::MemoryShare;
 use receiving::PartialRequest;
 use std::{collections::VecDeque, rc::Rc, sync::Arc, time::Duration};
@@ -35,8 +35,8 @@
 const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without progress after which writing a response to a caller is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
-/// The same while the memory of messages is nearly used up.
-const WRITE_TIMEOUT_SHORT: Duration = Duration::from_secs(1);
+/// Interval at which a connection that writes is checked, since memory may become short.
+const WRITE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// A request that is being handled; dropping it cancels the handler.
 struct PendingResponse {
@@ -69,6 +69,8 @@
     scheme: HeaderScheme,
     input: BytesMut,
     output: ResponseOutput,
+    /// Progress of the output; `None` while there is none.
+    writing: Option<TransferProgress>,
     partial: Option<PartialRequest>,
     pending: VecDeque<PendingResponse>,
     /// Start of the request being received; `None` between requests.
@@ -86,6 +88,7 @@
     input_pool: Rc<InputPool>,
     limits: Rc<ServerLimits>,
     place: Rc<ConnectionPlace>,
+    log: Rc<ConnectionLog>,
     /// Tells that the body being received was given up for others.
     body_given_up: Arc<Notify>,
     phase: watch::Receiver<ServerPhase>,
@@ -96,6 +99,7 @@
     pub(crate) limits: Rc<ServerLimits>,
     pub(crate) place: Rc<ConnectionPlace>,
     pub(crate) input_pool: Rc<InputPool>,
+    pub(crate) log: Rc<ConnectionLog>,
 }
 
 impl<H: RequestHandler> ServerConnection<H> {
@@ -110,6 +114,7 @@
             limits,
             place,
             input_pool,
+            log,
         } = parts;
         // If the option cannot be set, responses are only delayed.
         let _ = stream.set_nodelay(true);
@@ -120,6 +125,7 @@
             scheme,
             input: BytesMut::new(),
             output: ResponseOutput::default(),
+            writing: None,
             partial: None,
             pending: VecDeque::new(),
             receiving_since: None,
@@ -133,6 +139,7 @@
             input_pool,
             limits,
             place,
+            log,
             body_given_up: Arc::default(),
             phase,
         }
@@ -164,7 +171,7 @@
                         return;
                     }
                 }
-                ConnectionEvent::BodyGivenUp => self.refuse_body(BodyError::NoMemory),
+                ConnectionEvent::BodyGivenUp => self.refuse_body(BodyError::GivenUp),
                 ConnectionEvent::PlaceGivenUp => {
                     if self.give_up_place() {
                         return;
@@ -224,31 +231,46 @@
         if self.output.is_empty() {
             return timeout;
         }
-        timeout.min(Instant::now() + WRITE_TIMEOUT_SHORT)
+        timeout.min(Instant::now() + WRITE_CHECK_INTERVAL)
     }
 
-    /// Returns the time at which the connection, or a request on it, times out.
+    /// Returns the time at which the connection, or a message on it, times out.
     fn next_timeout(&self) -> Instant {
+        let deadlines = [self.receive_deadline(), self.write_deadline()];
+        let first = deadlines.into_iter().flatten().min();
+        first.unwrap_or_else(|| self.idle_deadline())
+    }
+
+    /// Time at which the request being received is given up.
+    fn receive_deadline(&self) -> Option<Instant> {
         let limits = self.handler.limits();
         if let Some(partial) = &self.partial {
-            return partial.progress.deadline(&ArrivalLimits {
+            return Some(partial.progress.deadline(&TransferLimits {
                 stall_time: limits.head_time,
-                body_time: self.limits.body_time,
+                whole_time: self.limits.body_time,
                 bytes_per_second: self.limits.body_bytes_per_second,
-            });
+            }));
         }
-        if let Some(since) = self.receiving_since {
-            return since + limits.head_time;
-        }
-        if !self.output.is_empty() {
-            let is_short = self.limits.budget.is_nearly_used_up();
-            let write_time = if is_short {
-                WRITE_TIMEOUT_SHORT
-            } else {
-                WRITE_TIMEOUT
-            };
-            return self.idle_since + write_time;
+        self.receiving_since.map(|since| since + limits.head_time)
+    }
+
+    /// Time at which the output is given up. While memory is nearly used up, it has to keep its pace.
+    fn write_deadline(&self) -> Option<Instant> {
+        let progress = self.writing?;
+        let deadline = progress.deadline(&TransferLimits {
+            stall_time: WRITE_TIMEOUT,
+            whole_time: self.limits.response_time,
+            bytes_per_second: self.limits.response_bytes_per_second,
+        });
+        if self.limits.budget.is_nearly_used_up() {
+            return Some(deadline.min(progress.pace_deadline()));
         }
+        Some(deadline)
+    }
+
+    /// Time at which a connection without a message being received or written is checked or closed.
+    fn idle_deadline(&self) -> Instant {
+        let limits = self.handler.limits();
         if !self.pending.is_empty() {
             return Instant::now() + limits.idle_time;
         }
@@ -264,11 +286,16 @@
         if Instant::now() < self.next_timeout() || self.is_idle_expired() {
             return true;
         }
+        if self.write_deadline().is_some_and(|at| at <= Instant::now()) {
+            let (caller, left) = (self.place.caller(), self.output.len());
+            self.log.log_not_read(caller, left);
+            return false;
+        }
         if self.receiving_since.is_some() {
             self.refuse_unread(408, RejectionReason::Timeout);
             return true;
         }
-        self.output.is_empty() && !self.pending.is_empty()
+        !self.pending.is_empty()
     }
 
     fn is_idle_expired(&self) -> bool {
@@ -286,15 +313,19 @@
 
     /// What the connection does, by which others may take its place.
     fn activity(&self) -> ConnectionActivity {
-        let is_busy = !self.pending.is_empty() || !self.output.is_empty();
-        if is_busy || self.is_place_given_up {
+        if let Some(progress) = self.writing
+            && !self.is_place_given_up
+        {
+            return ConnectionActivity::Writing(progress);
+        }
+        if !self.pending.is_empty() || self.is_place_given_up {
             return ConnectionActivity::Busy;
         }
         if let Some(partial) = &self.partial {
             return ConnectionActivity::Receiving(partial.progress);
         }
         match self.receiving_since {
-            Some(since) => ConnectionActivity::Receiving(ArrivalProgress::new(since)),
+            Some(since) => ConnectionActivity::Receiving(TransferProgress::new(since)),
             None => ConnectionActivity::Idle(self.idle_since),
         }
     }
@@ -316,13 +347,27 @@
     /// Writes as much output as the socket takes; `false` if the caller disconnected.
     fn write_some(&mut self) -> bool {
         match self.output.write_to(&self.stream) {
-            Ok(is_written) => {
-                if is_written {
+            Ok(written) => {
+                if written > 0 {
                     self.idle_since = Instant::now();
                 }
+                self.record_written(written);
                 true
             }
             Err(_) => false,
         }
     }
+
+    /// Records that `written` bytes of the output were written.
+    fn record_written(&mut self, written: usize) {
+        if self.output.is_empty() {
+            self.writing = None;
+            return;
+        }
+        let now = Instant::now();
+        let progress = self
+            .writing
+            .get_or_insert_with(|| TransferProgress::new(now));
+        progress.record(now, written, self.output.len());
+    }
 }
--- a/crates/relay/src/http1/server_connection/receiving.rs
+++ b/crates/relay/src/http1/server_connection/receiving.rs
@@ -10,7 +10,7 @@
     server::ServerLimits,
 };
 
-use lagoonshore_coordination::protection::arrival_progress::ArrivalProgress;
+use lagoonshore_coordination::protection::transfer_progress::TransferProgress;
 use lagoonshore_transport::{
     body_memory::BodyMemory,
     memory_budget::{MemoryShare, UNCOUNTED_BYTES},
@@ -34,7 +34,7 @@
 pub(super) struct PartialRequest {
     pub(super) head: RequestHead,
     pub(super) body: BodyReader,
-    pub(super) progress: ArrivalProgress,
+    pub(super) progress: TransferProgress,
     received: Instant,
 }
 
@@ -113,7 +113,7 @@
                 self.partial = Some(PartialRequest {
                     head,
                     body,
-                    progress: ArrivalProgress::new(Instant::now()),
+                    progress: TransferProgress::new(Instant::now()),
                     received,
                 });
                 true
--- a/crates/relay/src/http1/server_connection/refusing.rs
+++ b/crates/relay/src/http1/server_connection/refusing.rs
@@ -8,6 +8,7 @@
 };
 
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Longest time for which input is discarded after the response to a request whose body was not read: its
 /// caller may read the response only after it has sent the body.
@@ -19,11 +20,7 @@
         let Some(partial) = self.partial.take() else {
             return;
         };
-        let reason = match error {
-            BodyError::NoMemory if !partial.body.is_empty() => RejectionReason::GivenUp,
-            error => error.into(),
-        };
-        self.refuse_request(reason, &partial.head.id.unwrap_or_default());
+        self.refuse_request(error.into(), &partial.head.id.unwrap_or_default());
     }
 
     /// Answers input that is no complete request with `status`.
@@ -72,9 +69,16 @@
     }
 
     /// Closes a connection that makes no use of its place; returns whether it may be dropped. Requests that
-    /// arrived meanwhile are answered first.
+    /// arrived meanwhile are answered first, unless the caller does not read its responses.
     pub(super) fn give_up_place(&mut self) -> bool {
         self.is_place_given_up = true;
+        let now = Instant::now();
+        if self
+            .writing
+            .is_some_and(|progress| progress.slow_since(now).is_some())
+        {
+            return true;
+        }
         if !self.pending.is_empty() || !self.output.is_empty() {
             return false;
         }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -266,6 +266,8 @@
             connections,
             body_time: callers.body_time,
             body_bytes_per_second: callers.body_bytes_per_second,
+            response_time: callers.response_time,
+            response_bytes_per_second: callers.response_bytes_per_second,
             budget: self.budget.clone(),
         }
     }
--- a/crates/relay/tests/hostile_responses.rs
+++ b/crates/relay/tests/hostile_responses.rs
@@ -29,7 +29,7 @@
 /// Memory of the messages of a test with many connections, in bytes; the response of each would fill it.
 const MANY_MEMORY_BYTES: usize = 4 * MEMORY_BYTES;
 /// Time after which a request counts as hanging.
-const HANG_TIME: Duration = Duration::from_secs(60);
+const HANG_TIME: Duration = Duration::from_mins(1);
 
 /// Starts a server on its own thread that answers each request with `first` and then repeats `rest`
 /// until the client closes the connection, or [`OFFERED_BYTES_MAX`] are sent.
@@ -64,11 +64,11 @@
 /// Sends a request, which fails; returns why.
 async fn send(pool: &ConnectionPool) -> ExchangeError {
     let sending = pool.send(request(), &SCHEME, ANY_IDLE_TIME);
-    match tokio::time::timeout(HANG_TIME, sending).await {
-        Ok(Ok(response)) => panic!("no response is expected: {response:?}"),
-        Ok(Err(SendError::Exchange(error))) => error,
-        Ok(Err(error)) => panic!("the server accepts connections: {error:?}"),
-        Err(_) => panic!("the request hangs"),
+    let result = tokio::time::timeout(HANG_TIME, sending).await;
+    match result.expect("the request does not hang") {
+        Ok(response) => panic!("no response is expected: {response:?}"),
+        Err(SendError::Exchange(error)) => error,
+        Err(error) => panic!("the server accepts connections: {error:?}"),
     }
 }
 
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -114,6 +114,10 @@
     pub body_time: Duration,
     /// Received bytes of a body that allow one second more.
     pub body_bytes_per_second: u32,
+    /// Time that a caller may take to read its responses.
+    pub response_time: Duration,
+    /// Bytes that it read of them that allow one second more.
+    pub response_bytes_per_second: u32,
 }
 
 impl Default for CallerSettings {
@@ -123,6 +127,8 @@
             connections: CALLER_CONNECTIONS_DEFAULT,
             body_time: BODY_TIME_DEFAULT,
             body_bytes_per_second: BODY_RATE_DEFAULT,
+            response_time: RESPONSE_TIME_DEFAULT,
+            response_bytes_per_second: RESPONSE_RATE_DEFAULT,
         }
     }
 }
@@ -204,6 +210,8 @@
     caller_connections: Option<Spanned<f64>>,
     body_seconds: Option<Spanned<f64>>,
     body_bytes_per_second: Option<Spanned<f64>>,
+    response_seconds: Option<Spanned<f64>>,
+    response_bytes_per_second: Option<Spanned<f64>>,
     log: Option<SpannedText>,
     control: Option<SpannedText>,
 }
@@ -261,6 +269,10 @@
 const BODY_TIME_DEFAULT: Duration = Duration::from_secs(30);
 /// Received bytes of a body that allow one second more, if the settings give none.
 const BODY_RATE_DEFAULT: u32 = 16 * 1024;
+/// Time that a caller may take to read its responses if the settings give none.
+const RESPONSE_TIME_DEFAULT: Duration = Duration::from_secs(30);
+/// Bytes that it read of them that allow one second more, if the settings give none.
+const RESPONSE_RATE_DEFAULT: u32 = 16 * 1024;
 /// Largest duration accepted for a setting, in seconds.
 const SECONDS_MAX: f64 = 3600.0;
 /// Shortest bound on the use of keys that were taken away, in seconds. Nodes have to read the store
@@ -361,6 +373,13 @@
     if let Some(rate) = &text.body_bytes_per_second {
         settings.body_bytes_per_second = read_whole_number(checker, "body_bytes_per_second", rate);
     }
+    if let Some(seconds) = &text.response_seconds {
+        settings.response_time = read_seconds(checker, "response_seconds", seconds);
+    }
+    if let Some(rate) = &text.response_bytes_per_second {
+        let key = "response_bytes_per_second";
+        settings.response_bytes_per_second = read_whole_number(checker, key, rate);
+    }
     settings
 }
 
--- a/crates/settings/tests/caller_settings.rs
+++ b/crates/settings/tests/caller_settings.rs
@@ -19,6 +19,8 @@
         connections: 2500,
         body_time: Duration::from_secs(30),
         body_bytes_per_second: 16384,
+        response_time: Duration::from_secs(30),
+        response_bytes_per_second: 16384,
     };
     assert_eq!(settings.callers, expected);
 }
@@ -26,13 +28,15 @@
 #[test]
 fn limits_on_callers_are_read() {
     let added = "descriptors: 4100\ncaller_connections: 50\nbody_seconds: 1.5\n\
-        body_bytes_per_second: 1000\n";
+        body_bytes_per_second: 1000\nresponse_seconds: 2\nresponse_bytes_per_second: 2000\n";
     let settings = RelaySettings::parse(&format!("{TEXT}{added}")).expect("valid settings");
     let expected = CallerSettings {
         descriptors: Some(4100),
         connections: 50,
         body_time: Duration::from_millis(1500),
         body_bytes_per_second: 1000,
+        response_time: Duration::from_secs(2),
+        response_bytes_per_second: 2000,
     };
     assert_eq!(settings.callers, expected);
 }
@@ -42,6 +46,8 @@
 #[case("caller_connections: 1.5")]
 #[case("body_seconds: 0")]
 #[case("body_bytes_per_second: -1")]
+#[case("response_seconds: 0")]
+#[case("response_bytes_per_second: 0")]
 fn an_invalid_limit_is_reported_with_its_line(#[case] added: &str) {
     let error = RelaySettings::parse(&format!("{TEXT}{added}\n")).expect_err("invalid settings");
     let key = added.split(':').next().expect("a key");
--- a/crates/transport/src/arrival_table.rs
+++ b/crates/transport/src/arrival_table.rs
@@ -3,8 +3,8 @@
 use crate::memory_budget::MemoryShare;
 
 use lagoonshore_coordination::protection::{
-    arrival_progress::ArrivalProgress,
     room_sharing::{self, HolderStanding, RoomClaim, RoomHolder},
+    transfer_progress::TransferProgress,
 };
 use slotmap::SlotMap;
 use std::{
@@ -27,7 +27,7 @@
     pub(crate) caller: IpAddr,
     pub(crate) bytes: Vec<u8>,
     pub(crate) share: MemoryShare,
-    pub(crate) progress: ArrivalProgress,
+    pub(crate) progress: TransferProgress,
     /// Tells the connection that the body was given up.
     pub(crate) given_up: Arc<Notify>,
 }
--- a/crates/transport/src/body_memory.rs
+++ b/crates/transport/src/body_memory.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use lagoonshore_coordination::protection::{
-    arrival_progress::ArrivalProgress, room_sharing::RoomClaim,
+    room_sharing::RoomClaim, transfer_progress::TransferProgress,
 };
 use std::{net::IpAddr, sync::Arc};
 use tokio::{sync::Notify, time::Instant};
@@ -25,9 +25,14 @@
 /// Factor by which a large capacity grows. Others would lose memory that such a body may never need.
 const LARGE_GROWTH_FACTOR: usize = 2;
 
-/// `MemoryError` says that there is no memory for a body, or that its memory was given to others.
+/// `MemoryError` is the reason why a body cannot be kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MemoryError;
+pub enum MemoryError {
+    /// There is no memory for it.
+    Full,
+    /// Its memory was given to others.
+    GivenUp,
+}
 
 /// `BodyMemory` holds the bytes of a body that is being read.
 #[derive(Debug)]
@@ -81,7 +86,7 @@
             caller,
             bytes: Vec::new(),
             share,
-            progress: ArrivalProgress::new(Instant::now()),
+            progress: TransferProgress::new(Instant::now()),
             given_up,
         };
         let key = budget.arrivals().lock().insert(arrival);
@@ -111,13 +116,13 @@
     /// Provides memory for exactly `capacity` bytes.
     ///
     /// # Errors
-    /// [`MemoryError`] if there is none.
+    /// [`MemoryError`] if there is none, or it was given up before.
     pub fn reserve(&mut self, capacity: usize) -> Result<(), MemoryError> {
         match &mut self.place {
             BodyPlace::Kept { bytes, share } => {
                 let is_counted = share.as_mut().is_none_or(|share| share.extend_to(capacity));
                 if !is_counted {
-                    return Err(MemoryError);
+                    return Err(MemoryError::Full);
                 }
                 bytes.reserve_exact(capacity.saturating_sub(bytes.len()));
                 Ok(())
@@ -130,7 +135,7 @@
     /// bytes at most.
     ///
     /// # Errors
-    /// [`MemoryError`] if there is no memory for them.
+    /// [`MemoryError`] if there is no memory for them, or it was given up before.
     pub fn write_with<R>(
         &mut self,
         added_max: usize,
@@ -145,7 +150,7 @@
             BodyPlace::Kept { bytes, .. } => Ok(write(bytes)),
             BodyPlace::Arriving { body, length } => {
                 let mut arrivals = body.budget.arrivals().lock();
-                let arrival = arrivals.get_mut(body.key).ok_or(MemoryError)?;
+                let arrival = arrivals.get_mut(body.key).ok_or(MemoryError::GivenUp)?;
                 let written = write(&mut arrival.bytes);
                 let added = arrival.bytes.len() - *length;
                 *length = arrival.bytes.len();
@@ -160,11 +165,11 @@
     /// is counted is reduced to what the body needs.
     ///
     /// # Errors
-    /// [`MemoryError`] if it was given up before.
+    /// [`MemoryError::GivenUp`] if it was given up before.
     pub fn keep(&mut self) -> Result<(), MemoryError> {
         if let BodyPlace::Arriving { body, .. } = &self.place {
             let removed = body.budget.arrivals().lock().remove(body.key);
-            let Arrival { bytes, share, .. } = removed.ok_or(MemoryError)?;
+            let Arrival { bytes, share, .. } = removed.ok_or(MemoryError::GivenUp)?;
             self.place = BodyPlace::Kept {
                 bytes,
                 share: Some(share),
@@ -203,7 +208,7 @@
             BodyPlace::Kept { bytes, .. } => Ok(bytes.capacity()),
             BodyPlace::Arriving { body, .. } => {
                 let arrivals = body.budget.arrivals().lock();
-                let arrival = arrivals.get(body.key).ok_or(MemoryError)?;
+                let arrival = arrivals.get(body.key).ok_or(MemoryError::GivenUp)?;
                 Ok(arrival.bytes.capacity())
             }
         }
@@ -224,7 +229,7 @@
         if let Some(claim) = self.try_reserve(capacity)? {
             let arrivals = self.budget.arrivals();
             if !arrivals.make_room(claim, Some(self.key)) || self.try_reserve(capacity)?.is_some() {
-                return Err(MemoryError);
+                return Err(MemoryError::Full);
             }
         }
         Ok(())
@@ -233,7 +238,7 @@
     /// Reserves memory; returns what is missing if there is not enough.
     fn try_reserve(&self, capacity: usize) -> Result<Option<RoomClaim>, MemoryError> {
         let mut arrivals = self.budget.arrivals().lock();
-        let arrival = arrivals.get_mut(self.key).ok_or(MemoryError)?;
+        let arrival = arrivals.get_mut(self.key).ok_or(MemoryError::GivenUp)?;
         if !arrival.share.try_extend_to(capacity) {
             return Ok(Some(arrival.share.claim(capacity)));
         }
--- a/crates/transport/tests/body_memory.rs
+++ b/crates/transport/tests/body_memory.rs
@@ -41,13 +41,13 @@
     stopped.reserve(LARGE_BYTES).expect("memory");
     write(&mut stopped, LARGE_BYTES - 1).expect("memory");
     let (mut early, _) = arriving(&budget, 1);
-    assert_eq!(early.reserve(LARGE_BYTES), Err(MemoryError));
+    assert_eq!(early.reserve(LARGE_BYTES), Err(MemoryError::Full));
     tokio::time::advance(Duration::from_secs(2)).await;
     let (mut other, _) = arriving(&budget, 1);
     other.reserve(LARGE_BYTES).expect("memory of the first");
     given_up.notified().await;
-    assert_eq!(write(&mut stopped, 1), Err(MemoryError));
-    assert_eq!(stopped.keep(), Err(MemoryError));
+    assert_eq!(write(&mut stopped, 1), Err(MemoryError::GivenUp));
+    assert_eq!(stopped.keep(), Err(MemoryError::GivenUp));
     drop((stopped, early, other));
     assert_eq!(budget.free(), BUDGET_BYTES);
     assert_eq!(budget.report().given_up, 1);
@@ -61,7 +61,7 @@
     complete.keep().expect("kept");
     tokio::time::advance(Duration::from_mins(1)).await;
     let (mut other, _) = arriving(&budget, 2);
-    assert_eq!(other.reserve(LARGE_BYTES), Err(MemoryError));
+    assert_eq!(other.reserve(LARGE_BYTES), Err(MemoryError::Full));
     let bytes = complete.finish();
     assert_eq!(bytes.len(), LARGE_BYTES);
     let held = HeldMemory {
@@ -149,7 +149,7 @@
     write(&mut request, LARGE_BYTES).expect("memory");
     assert!(budget.share().extend_to(600 * 1024));
     given_up.notified().await;
-    assert_eq!(request.keep(), Err(MemoryError));
+    assert_eq!(request.keep(), Err(MemoryError::Full));
 }
 
 /// Guards against fields of a request that are held and not counted, because its body is empty.
