--- a/crates/transport/tests/body_memory.rs
+++ b/crates/transport/tests/body_memory.rs
@@ -149,7 +149,7 @@
     write(&mut request, LARGE_BYTES).expect("memory");
     assert!(budget.share().extend_to(600 * 1024));
     given_up.notified().await;
-    assert_eq!(request.keep(), Err(MemoryError::Full));
+    assert_eq!(request.keep(), Err(MemoryError::GivenUp));
 }
 
 /// Guards against fields of a request that are held and not counted, because its body is empty.
