--- a/crates/relay/src/allocator_limits.rs
+++ b/crates/relay/src/allocator_limits.rs
@@ -5,12 +5,7 @@
 //! freed, beside the pages of its own that a still larger body gets. The process holds the same budget
 //! twice. With fixed limits, the pages of large messages return to the system as soon as they are freed.
 
-use std::{
-    env,
-    io::{Error, Result},
-    os::unix::process::CommandExt,
-    process::Command,
-};
+use std::{env, io::Result, os::unix::process::CommandExt, process::Command};
 
 /// Variable of the size from which an allocation gets pages of its own, in bytes.
 const MAPPED_VARIABLE: &str = "MALLOC_MMAP_THRESHOLD_";
@@ -30,11 +25,6 @@
     if env::var_os(MAPPED_VARIABLE).is_some() {
         return Ok(());
     }
-    Err(restart()?)
-}
-
-/// Replaces the running program; returns only if that fails.
-fn restart() -> Result<Error> {
     let mut arguments = env::args_os();
     let name = arguments.next();
     let mut command = Command::new(env::current_exe()?);
@@ -45,5 +35,6 @@
         .args(arguments)
         .env(MAPPED_VARIABLE, MAPPED_BYTES.to_string())
         .env(TRIM_VARIABLE, TRIM_BYTES.to_string());
-    Ok(command.exec())
+    // Returns only if the program could not be started.
+    Err(command.exec())
 }
