--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -64,10 +64,10 @@
 pub const CONNECTION_REFUSED: u16 = 3209;
 /// A connection that was not in use was closed for a new one.
 pub const CONNECTION_GIVEN_UP: u16 = 3210;
-/// A connection was closed, since its caller did not read its responses in time.
-pub const CONNECTION_NOT_READ: u16 = 3212;
 /// A request was refused for its key.
 pub const ACCESS_DENIED: u16 = 3211;
+/// A connection was closed, since its caller did not read its responses in time.
+pub const CONNECTION_NOT_READ: u16 = 3212;
 /// The link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -3,6 +3,7 @@
 
 mod receiving;
 mod refusing;
+mod writing;
 
 use super::{
     body::BodyError,
@@ -33,8 +34,6 @@
 /// Idle time after which a connection is closed in [`ServerPhase::ClosingIdle`]. It is not zero
 /// because a caller that has just connected is about to send a request.
 const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time without progress after which writing a response to a caller is given up.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Interval at which a connection that writes is checked, since memory may become short.
 const WRITE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -254,20 +253,6 @@
         self.receiving_since.map(|since| since + limits.head_time)
     }
 
-    /// Time at which the output is given up. While memory is nearly used up, it has to keep its pace.
-    fn write_deadline(&self) -> Option<Instant> {
-        let progress = self.writing?;
-        let deadline = progress.deadline(&TransferLimits {
-            stall_time: WRITE_TIMEOUT,
-            whole_time: self.limits.response_time,
-            bytes_per_second: self.limits.response_bytes_per_second,
-        });
-        if self.limits.budget.is_nearly_used_up() {
-            return Some(deadline.min(progress.pace_deadline()));
-        }
-        Some(deadline)
-    }
-
     /// Time at which a connection without a message being received or written is checked or closed.
     fn idle_deadline(&self) -> Instant {
         let limits = self.handler.limits();
@@ -329,45 +314,4 @@
             None => ConnectionActivity::Idle(self.idle_since),
         }
     }
-
-    fn write_next_response(&mut self, response: Result<ServerResponse, tokio::task::JoinError>) {
-        let Some(pending) = self.pending.pop_front() else {
-            return;
-        };
-        let response = response.unwrap_or_else(|_| self.reject(502, RejectionReason::Failed, ""));
-        let is_last = self.pending.is_empty();
-        let closes = pending.closes || (is_last && self.is_closing());
-        if closes {
-            self.stop_receiving();
-        }
-        self.output.push(response, closes, pending.is_head);
-        self.idle_since = Instant::now();
-    }
-
-    /// Writes as much output as the socket takes; `false` if the caller disconnected.
-    fn write_some(&mut self) -> bool {
-        match self.output.write_to(&self.stream) {
-            Ok(written) => {
-                if written > 0 {
-                    self.idle_since = Instant::now();
-                }
-                self.record_written(written);
-                true
-            }
-            Err(_) => false,
-        }
-    }
-
-    /// Records that `written` bytes of the output were written.
-    fn record_written(&mut self, written: usize) {
-        if self.output.is_empty() {
-            self.writing = None;
-            return;
-        }
-        let now = Instant::now();
-        let progress = self
-            .writing
-            .get_or_insert_with(|| TransferProgress::new(now));
-        progress.record(now, written, self.output.len());
-    }
 }
