--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -66,6 +66,8 @@
 pub const CONNECTION_GIVEN_UP: u16 = 3210;
 /// A request was refused for its key.
 pub const ACCESS_DENIED: u16 = 3211;
+/// A connection was closed, since its caller did not read its responses in time.
+pub const CONNECTION_NOT_READ: u16 = 3212;
 /// The link to another node was lost.
 pub const PEER_LOST: u16 = 3301;
 /// The link to another node was re-established.
