--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -9,7 +9,7 @@
     body::BodyError,
     connection_table::{ConnectionActivity, ConnectionPlace},
     input_pool::InputPool,
-    request_handler::{RejectionReason, RequestHandler, ServerPhase, ServerResponse},
+    request_handler::{RequestHandler, ServerPhase, ServerResponse, UnreadReason},
     response_output::ResponseOutput,
     server::ServerLimits,
     staged_close,
@@ -277,7 +277,7 @@
             return false;
         }
         if self.receiving_since.is_some() {
-            self.refuse_unread(408, RejectionReason::Timeout);
+            self.refuse_unread(408, UnreadReason::Timeout);
             return true;
         }
         !self.pending.is_empty()
--- a/crates/relay/src/http1/server_connection/writing.rs
+++ b/crates/relay/src/http1/server_connection/writing.rs
@@ -2,7 +2,7 @@
 
 use super::{RequestHandler, ServerConnection};
 
-use crate::http1::request_handler::{RejectionReason, ServerResponse};
+use crate::http1::request_handler::{ServerResponse, UnreadReason};
 
 use lagoonshore_coordination::protection::transfer_progress::{TransferLimits, TransferProgress};
 use std::time::Duration;
@@ -17,7 +17,8 @@
         let Some(pending) = self.pending.pop_front() else {
             return;
         };
-        let response = response.unwrap_or_else(|_| self.reject(502, RejectionReason::Failed, ""));
+        let response =
+            response.unwrap_or_else(|_| self.unread_response(502, UnreadReason::Failed, ""));
         let is_last = self.pending.is_empty();
         let closes = pending.closes || (is_last && self.is_closing());
         if closes {
--- a/crates/relay/tests/slow_readers.rs
+++ b/crates/relay/tests/slow_readers.rs
@@ -9,7 +9,7 @@
     http1::{
         memory_budget::MemoryBudget,
         request_handler::{
-            self, RejectedRequest, RequestHandler, ServerPhase, ServerRequest, ServerResponse,
+            self, RequestHandler, ServerPhase, ServerRequest, ServerResponse, UnreadRequest,
         },
         server::{self, ServerLimits},
     },
@@ -55,7 +55,7 @@
         request_handler::ready_response(Self::response(body))
     }
 
-    fn reject(&self, _: RejectedRequest<'_>) -> ServerResponse {
+    fn refuse_unread(&self, _: UnreadRequest<'_>) -> ServerResponse {
         Self::response(Bytes::new())
     }
 
