Leave room for requests beside responses that hold half of the memory

Cause: a large response left a sixteenth of the memory free, and a large request has to leave an eighth.

Change: what a message leaves free is a decision of its own (memory_reserve). While other responses hold half of the memory, a further large one leaves a quarter, and requests that are arriving are not given up for it. A large response alone, and small ones, have what they had before.

--- a/crates/coordination/src/protection/mod.rs
+++ b/crates/coordination/src/protection/mod.rs
@@ -5,6 +5,7 @@
 pub mod crash_detector;
 pub mod crash_set;
 pub mod fingerprint;
+pub mod memory_reserve;
 pub mod room_sharing;
 mod run_history;
 pub mod suspects;
--- a/crates/coordination/src/protection/room_sharing.rs
+++ b/crates/coordination/src/protection/room_sharing.rs
@@ -2,10 +2,10 @@
 //! the memory of requests that are arriving, and connections.
 //!
 //! Holders that are too slow for what they hold go first, the slowest one at the front, then idle ones, those
-//! of the address that holds most at the front. If these do not suffice, the address that holds most gives way, unless the one that asks would
-//! hold more than it afterwards. So no address takes the room of all others, and callers behind the same
-//! address do not push out each other while they make progress. Work that was taken on already, such as a
-//! response, goes before all requests that are still arriving.
+//! of the address that holds most at the front. If these do not suffice, the address that holds most gives
+//! way, unless the one that asks would hold more than it afterwards. So no address takes the room of all
+//! others, and callers behind the same address do not push out each other while they make progress. Work
+//! that was taken on already, such as a response, goes before all requests that are still arriving.
 
 use std::{cmp::Reverse, collections::HashMap, net::IpAddr};
 use tokio::time::Instant;
--- a/crates/transport/src/memory_budget.rs
+++ b/crates/transport/src/memory_budget.rs
@@ -1,9 +1,9 @@
 //! Bound on the memory that the messages of a process hold together.
 //!
 //! Nobody waits for memory: a message that does not fit is refused or given up at once, so that readers
-//! cannot block each other. Requests leave a part of the memory to responses, for which work was done,
-//! and large messages leave a part to small ones. Before a message is refused, requests that are still
-//! arriving may have to give up their memory for it (`arrival_table`).
+//! cannot block each other. How much a message leaves free for others is decided by `memory_reserve`.
+//! Before a message is refused, requests that are still arriving may have to give up their memory for it
+//! (`arrival_table`).
 
 use crate::{
     arrival_table::ArrivalTable,
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use lagoonshore_coordination::protection::room_sharing::RoomClaim;
+use lagoonshore_coordination::protection::{memory_reserve::MessageClaim, room_sharing::RoomClaim};
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering},
@@ -19,10 +19,6 @@
 
 /// Bytes of each message that are not counted.
 pub const UNCOUNTED_BYTES: usize = 4 * 1024;
-/// Size up to which a message is small, in bytes.
-const SMALL_BYTES: usize = 64 * 1024;
-/// Part of the memory that is left to others by large responses, and by small requests.
-const RESERVE_DIVISOR: usize = 16;
 /// Quarters of the memory of which fewer are free while it is short.
 const SHORT_QUARTERS: usize = 3;
 /// The same while it is nearly used up.
@@ -38,7 +34,8 @@
 struct BudgetState {
     free: AtomicUsize,
     total: usize,
-    reserve: usize,
+    /// Bytes that responses hold.
+    responses: AtomicUsize,
     holders: HolderTable,
     arrivals: ArrivalTable,
 }
@@ -68,7 +65,7 @@
             state: Arc::new(BudgetState {
                 free: AtomicUsize::new(bytes),
                 total: bytes,
-                reserve: bytes / RESERVE_DIVISOR,
+                responses: AtomicUsize::new(0),
                 holders: HolderTable::default(),
                 arrivals: ArrivalTable::default(),
             }),
@@ -180,7 +177,9 @@
             return true;
         }
         let claim = self.claim(length);
-        self.budget.arrivals().make_room(claim, None) && self.try_extend_to(length)
+        self.message(length).may_displace(self.budget.state.total)
+            && self.budget.arrivals().make_room(claim, None)
+            && self.try_extend_to(length)
     }
 
     /// Extends the share to a message of `length` bytes; `false` if the budget does not have them now.
@@ -192,6 +191,10 @@
         let is_taken = self.budget.try_take(added, self.left_to_others(length));
         if is_taken {
             self.bytes += added;
+            if self.kind == MessageKind::Response {
+                let responses = &self.budget.state.responses;
+                responses.fetch_add(added, Ordering::Relaxed);
+            }
             let holders = &self.budget.state.holders;
             holders.add(self.holder, self.kind, added);
         }
@@ -234,18 +237,27 @@
         }
         self.bytes -= freed;
         let state = &self.budget.state;
+        if self.kind == MessageKind::Response {
+            state.responses.fetch_sub(freed, Ordering::Relaxed);
+        }
         state.holders.remove(self.holder, self.kind, freed);
         state.free.fetch_add(freed, Ordering::Relaxed);
     }
 
     /// Bytes that a message of `length` bytes has to leave free.
     fn left_to_others(&self, length: usize) -> usize {
-        let reserve = self.budget.state.reserve;
-        let is_small = length <= SMALL_BYTES;
-        match (self.kind, is_small) {
-            (MessageKind::Response, true) => 0,
-            (MessageKind::Response, false) | (MessageKind::Request, true) => reserve,
-            (MessageKind::Request, false) => 2 * reserve,
+        self.message(length).left_to_others(self.budget.state.total)
+    }
+
+    /// The message of `length` bytes that the share is for.
+    fn message(&self, length: usize) -> MessageClaim {
+        match self.kind {
+            MessageKind::Request => MessageClaim::Request { length },
+            MessageKind::Response => {
+                let responses = self.budget.state.responses.load(Ordering::Relaxed);
+                let others = responses.saturating_sub(self.bytes);
+                MessageClaim::Response { length, others }
+            }
         }
     }
 
