Count the timeout of a probe in the time in which the node runs

Cause: a node that waited for a processor received no reply to a probe meanwhile and judged the link as silent, also if the reply lay in its socket. After five such probes it closed the link, and requests in progress got 502.

In calm the timeout stays at 200 ms.

--- a/crates/relay/src/calling/link_monitor.rs
+++ b/crates/relay/src/calling/link_monitor.rs
@@ -9,8 +9,8 @@
 
 /// Silence on a link with calls in flight after which the node is probed.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Timeout of a probe. After one missed probe the node is suspected, and idempotent requests in
-/// flight are tried at another instance.
+/// Timeout of a probe, in time in which this process runs. After one missed probe the node is suspected,
+/// and idempotent requests in flight are tried at another instance.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Consecutive missed probes after which the link is closed.
 const MISSED_PROBES_MAX: u32 = 5;
@@ -36,7 +36,7 @@
         if !link.is_suspected() && !link.is_silent(SILENCE_TIMEOUT) {
             continue;
         }
-        if let Some(status) = link.probe(PROBE_TIMEOUT).await {
+        if let Some(status) = link.probe_while_running(PROBE_TIMEOUT).await {
             missed = 0;
             link.suspected.send_if_modified(std::mem::take);
             links.notify(address, LinkEvent::Status(status));
--- a/crates/relay/src/calling/peer_link.rs
+++ b/crates/relay/src/calling/peer_link.rs
@@ -4,6 +4,7 @@
 use lagoonshore_protocol::{relay_messages::NodeStatus, relay_service::RelayServiceClient};
 use lagoonshore_transport::{
     memory_budget::MemoryBudget,
+    running_timeout::running_timeout,
     tarpc_link::{self, LinkLimits, context},
 };
 use std::{cell::Cell, net::SocketAddr, time::Duration};
@@ -14,6 +15,8 @@
 const FRAME_BYTES_MAX: usize = 72 * 1024 * 1024;
 /// Timeout for connecting to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time after which a probe is not answered any more.
+const PROBE_TIME_MAX: Duration = Duration::from_secs(5);
 
 /// Limits of the messages that are received on a link.
 pub(crate) const fn link_limits(budget: MemoryBudget) -> LinkLimits {
@@ -72,6 +75,16 @@
         Some(status)
     }
 
+    /// Sends a probe; `None` if the node does not answer within `timeout`, of which only the time counts in
+    /// which this process runs.
+    pub(crate) async fn probe_while_running(&self, timeout: Duration) -> Option<NodeStatus> {
+        let deadline = Instant::now() + PROBE_TIME_MAX;
+        let probe = self.client.probe(context(deadline));
+        let status = running_timeout(timeout, probe).await?.ok()?;
+        self.record_reply();
+        Some(status)
+    }
+
     /// Records that the node replied.
     pub(crate) fn record_reply(&self) {
         self.last_reply.set(Some(Instant::now()));
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peer_link;
 pub mod peer_server;
 pub mod platform_reader;
+pub mod running_timeout;
 pub mod signals;
 pub mod tarpc_link;
 pub mod upstream_client;
