Leave less beside unread responses than the bound from which callers keep a pace

Cause: with a quarter left free, memory was never so short that callers had to keep their pace of reading: unread responses kept half of the memory for 20 s or more, and large responses of others were refused meanwhile.

Change: three sixteenths.

--- a/crates/coordination/src/protection/memory_reserve.rs
+++ b/crates/coordination/src/protection/memory_reserve.rs
@@ -11,8 +11,9 @@
 const RESERVE_DIVISOR: usize = 16;
 /// Number of these parts that a large request leaves.
 const REQUEST_RESERVES: usize = 2;
-/// Number of them that a large response leaves while others hold too much. Those of requests are among them.
-const CROWDED_RESERVES: usize = 4;
+/// Number of them that a large response leaves while others hold too much. It is below the quarter from which
+/// callers have to keep their pace of reading, so that responses that are not read are given up for it.
+const CROWDED_RESERVES: usize = 3;
 /// Part of the memory from which other responses hold too much.
 const CROWDED_DIVISOR: usize = 2;
 
