--- a/crates/settings/src/relay_settings/mod.rs
+++ b/crates/settings/src/relay_settings/mod.rs
@@ -32,6 +32,10 @@
 const BODY_TIME_DEFAULT: Duration = Duration::from_secs(30);
 /// Received bytes of a body that allow one second more, if the settings give none.
 const BODY_RATE_DEFAULT: u32 = 16 * 1024;
+/// Time that a caller may take to read its responses if the settings give none.
+const RESPONSE_TIME_DEFAULT: Duration = Duration::from_secs(30);
+/// Bytes that it read of them that allow one second more, if the settings give none.
+const RESPONSE_RATE_DEFAULT: u32 = 16 * 1024;
 
 /// `RelaySettings` holds the identity of a node, its addresses and its limits.
 #[derive(Clone, Debug)]
@@ -134,6 +138,10 @@
     pub body_time: Duration,
     /// Received bytes of a body that allow one second more.
     pub body_bytes_per_second: u32,
+    /// Time that a caller may take to read its responses.
+    pub response_time: Duration,
+    /// Bytes that it read of them that allow one second more.
+    pub response_bytes_per_second: u32,
 }
 
 impl Default for CallerSettings {
@@ -143,6 +151,8 @@
             connections: CALLER_CONNECTIONS_DEFAULT,
             body_time: BODY_TIME_DEFAULT,
             body_bytes_per_second: BODY_RATE_DEFAULT,
+            response_time: RESPONSE_TIME_DEFAULT,
+            response_bytes_per_second: RESPONSE_RATE_DEFAULT,
         }
     }
 }
--- a/crates/settings/src/relay_settings/relay_text.rs
+++ b/crates/settings/src/relay_settings/relay_text.rs
@@ -31,6 +31,8 @@
     pub(super) caller_connections: Option<Spanned<f64>>,
     pub(super) body_seconds: Option<Spanned<f64>>,
     pub(super) body_bytes_per_second: Option<Spanned<f64>>,
+    pub(super) response_seconds: Option<Spanned<f64>>,
+    pub(super) response_bytes_per_second: Option<Spanned<f64>>,
     pub(super) log: Option<SpannedText>,
     pub(super) control: Option<SpannedText>,
 }
--- a/crates/settings/src/relay_settings/settings_reader.rs
+++ b/crates/settings/src/relay_settings/settings_reader.rs
@@ -96,6 +96,13 @@
     if let Some(rate) = &text.body_bytes_per_second {
         settings.body_bytes_per_second = read_whole_number(checker, "body_bytes_per_second", rate);
     }
+    if let Some(seconds) = &text.response_seconds {
+        settings.response_time = read_seconds(checker, "response_seconds", seconds);
+    }
+    if let Some(rate) = &text.response_bytes_per_second {
+        let key = "response_bytes_per_second";
+        settings.response_bytes_per_second = read_whole_number(checker, key, rate);
+    }
     settings
 }
 
