Derive the succession of counters from the bounds of quotas

A counter that is cut off could go on for itself beside its successor, which began 4 s after it was no longer listed, whatever bound its proof had. Settings with little slack beside many zones, a long window or little overage did not keep the bound. The settle time was one second however long lists may differ. A node that listened for peers on all addresses never found itself, and each question for a counter weighed all nodes of all zones.

The hold-down now lasts at least as long as a proof, the settle time covers the time in which a change of the list reaches all nodes, and a node that has lost its place is remembered for longer than a window. Zones beyond half of the slack hold no part (event 3504). Settings with less slack than one bucket needs, or whose tokens would expire on the way, are refused. A node finds itself by its listed address if it listens on all.

--- a/crates/coordination/src/quota/counter_choice.rs
+++ b/crates/coordination/src/quota/counter_choice.rs
@@ -3,6 +3,11 @@
 //! All nodes choose the same one from the same list by rendezvous hashing (Thaler and Ravishankar, "Using
 //! Name-Based Mappings to Increase Hit Rates", 1998), so that a change of the list moves few accounts.
 
+use super::{
+    counter_cache::{CounterCache, ZoneCounter},
+    quota_rules::SuccessionTimes,
+};
+
 use lagoonshore_state::ids::ZoneName;
 
 use siphasher::sip::SipHasher13;
@@ -10,25 +15,21 @@
     collections::{BTreeMap, BTreeSet},
     hash::{Hash, Hasher},
     net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
 use tokio::time::Instant;
 
-/// Time for which a node that is no longer listed stays in its place.
-pub const MEMBER_HOLD: Duration = Duration::from_secs(3);
-/// Time for which a new counter grants nothing, while other nodes may still use the one before.
-pub const SETTLE_TIME: Duration = Duration::from_secs(1);
-/// Time after which a node that has lost its place is forgotten.
-const FORGET_TIME: Duration = Duration::from_mins(1);
-
 /// `CounterChoice` knows the nodes of each availability zone, and since when.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CounterChoice {
+    times: SuccessionTimes,
     zones: BTreeMap<ZoneName, BTreeMap<SocketAddr, ZoneMember>>,
     /// Each zone that had nodes, with the time at which the last one was no longer listed; `None` while
     /// it has some.
     vanished_at: BTreeMap<ZoneName, Option<Instant>>,
     is_started: bool,
+    cache: CounterCache,
 }
 
 /// `ZoneMember` is a node that is or was listed.
@@ -36,28 +37,35 @@
 struct ZoneMember {
     /// Time from which the node may count. Nodes of the first list need not settle.
     settled_at: Instant,
-    /// Time at which the node was no longer listed.
-    unlisted_at: Option<Instant>,
+    /// Time at which the node loses its place; `None` while it is listed.
+    removed_at: Option<Instant>,
 }
 
 impl ZoneMember {
-    /// Time at which the node has lost its place; `None` while it is listed.
-    fn removed_at(self) -> Option<Instant> {
-        self.unlisted_at.map(|unlisted| unlisted + MEMBER_HOLD)
-    }
-
     /// Returns whether the node has its place at `now`.
     fn is_present(self, now: Instant) -> bool {
-        self.removed_at().is_none_or(|removed| now < removed)
+        self.removed_at.is_none_or(|removed| now < removed)
     }
 }
 
 impl CounterChoice {
+    /// Creates a choice among no nodes.
+    #[must_use]
+    pub fn new(times: SuccessionTimes) -> Self {
+        Self {
+            times,
+            zones: BTreeMap::new(),
+            vanished_at: BTreeMap::new(),
+            is_started: false,
+            cache: CounterCache::default(),
+        }
+    }
+
     /// Applies the list of nodes, with the zone and the peer address of each.
     pub fn apply_list(&mut self, now: Instant, listed: &BTreeSet<(ZoneName, SocketAddr)>) {
         self.unlist_others(now, listed);
         let settle_time = if self.is_started {
-            SETTLE_TIME
+            self.times.settle_time
         } else {
             Duration::ZERO
         };
@@ -66,30 +74,32 @@
             if let Some(member) = members.get_mut(address)
                 && member.is_present(now)
             {
-                member.unlisted_at = None;
+                member.removed_at = None;
                 continue;
             }
             let member = ZoneMember {
                 settled_at: now + settle_time,
-                unlisted_at: None,
+                removed_at: None,
             };
             members.insert(*address, member);
         }
         self.record_zones(now, listed);
         self.is_started |= !listed.is_empty();
+        let next_change = self.next_change(now);
+        self.cache.reset(next_change);
     }
 
     /// Marks the nodes that are not listed, and forgets those that lost their places long ago.
     fn unlist_others(&mut self, now: Instant, listed: &BTreeSet<(ZoneName, SocketAddr)>) {
+        let times = self.times;
         for (zone, members) in &mut self.zones {
             members.retain(|_, member| {
-                let removed = member.removed_at();
-                removed.is_none_or(|removed| now < removed + FORGET_TIME)
+                let removed = member.removed_at;
+                removed.is_none_or(|removed| now < removed + times.forget_time)
             });
             for (address, member) in members {
-                let is_listed = listed.contains(&(zone.clone(), *address));
-                if !is_listed && member.unlisted_at.is_none() {
-                    member.unlisted_at = Some(now);
+                if !listed.contains(&(zone.clone(), *address)) {
+                    member.removed_at.get_or_insert(now + times.member_hold);
                 }
             }
         }
@@ -106,65 +116,116 @@
         }
     }
 
-    /// Returns the counter of `account` in `zone`; `None` if the zone has no node.
+    /// Returns the counter of `account` in `zone`; `None` if the zone has no node or holds no part.
     #[must_use]
-    pub fn counter(&self, now: Instant, account: &str, zone: &str) -> Option<SocketAddr> {
-        let members = self.zones.get(zone)?.iter();
-        let present = members.filter(|(_, member)| member.is_present(now));
-        present
-            .map(|(address, _)| *address)
-            .max_by_key(|address| weight(account, *address))
+    pub fn counter(&mut self, now: Instant, account: &str, zone: &str) -> Option<SocketAddr> {
+        let counters = self.counters(now, account);
+        let own = counters.iter().find(|counter| counter.zone == zone)?;
+        Some(own.address)
     }
 
     /// Returns the time from which the node at `own` may count the requests of `account` in `zone`, which
     /// may be in the future; `None` if it is not the counter.
     #[must_use]
     pub fn counting_since(
-        &self,
+        &mut self,
         now: Instant,
         account: &str,
         zone: &str,
         own: SocketAddr,
     ) -> Option<Instant> {
-        if self.counter(now, account, zone) != Some(own) {
-            return None;
-        }
-        let members = self.zones.get(zone)?;
-        let own_weight = weight(account, own);
-        let before = members.iter().filter(|(address, member)| {
-            !member.is_present(now) && weight(account, **address) > own_weight
-        });
-        let removed = before.filter_map(|(_, member)| member.removed_at()).max();
-        let settled = removed.map(|removed| removed + SETTLE_TIME);
-        settled.max(Some(members.get(&own)?.settled_at))
+        let counters = self.counters(now, account);
+        let mut counters = counters.iter();
+        let counter = counters.find(|counter| counter.zone == zone && counter.address == own)?;
+        Some(counter.since)
     }
 
     /// Returns the counters of `account` in the other zones than `zone`, ordered by zone.
     #[must_use]
-    pub fn other_counters(&self, now: Instant, account: &str, zone: &str) -> Vec<SocketAddr> {
-        let others = self.zones.keys().filter(|other| *other != zone);
-        others
-            .filter_map(|other| self.counter(now, account, other))
-            .collect()
+    pub fn other_counters(&mut self, now: Instant, account: &str, zone: &str) -> Vec<SocketAddr> {
+        let counters = self.counters(now, account);
+        let others = counters.iter().filter(|counter| counter.zone != zone);
+        others.map(|counter| counter.address).collect()
+    }
+
+    /// Number of zones among which quotas are divided: those with listed nodes, and those that had some a
+    /// short time ago, up to the most that may hold a part.
+    #[must_use]
+    pub fn zone_count(&self, now: Instant) -> u32 {
+        let count = self.zones_with_part(now).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Number of zones among which quotas are divided: those with listed nodes, and those that had some
-    /// less than `hold` ago, or ever without a `hold`.
+    /// Number of zones with listed nodes that hold no part, since there are too many.
     #[must_use]
-    pub fn zone_count(&self, now: Instant, hold: Option<Duration>) -> u32 {
-        let is_held = |vanished: Instant| hold.is_none_or(|hold| now < vanished + hold);
-        let zones = self.vanished_at.values();
-        let counted = zones.filter(|vanished| vanished.is_none_or(is_held));
-        u32::try_from(counted.count()).unwrap_or(u32::MAX)
+    pub fn zones_without_part(&self, now: Instant) -> usize {
+        let with_part: BTreeSet<_> = self.zones_with_part(now).collect();
+        let zones = self.vanished_at.iter();
+        let listed = zones.filter(|(_, vanished)| vanished.is_none());
+        listed.filter(|(zone, _)| !with_part.contains(zone)).count()
     }
 
     /// Number of nodes that are listed.
     #[must_use]
     pub fn node_count(&self) -> usize {
         let members = self.zones.values().flat_map(BTreeMap::values);
-        members
-            .filter(|member| member.unlisted_at.is_none())
-            .count()
+        members.filter(|member| member.removed_at.is_none()).count()
+    }
+
+    /// Zones that hold a part at `now`: the first ones by name.
+    fn zones_with_part(&self, now: Instant) -> impl Iterator<Item = &ZoneName> {
+        let hold = self.times.zone_hold;
+        let is_held = move |vanished: Instant| hold.is_none_or(|hold| now < vanished + hold);
+        let zones = self.vanished_at.iter();
+        let counted = zones.filter(move |(_, vanished)| vanished.is_none_or(is_held));
+        counted.map(|(zone, _)| zone).take(self.times.zones_max)
+    }
+
+    /// Returns the counters of `account`, ordered by zone.
+    fn counters(&mut self, now: Instant, account: &str) -> Rc<[ZoneCounter]> {
+        if self.cache.is_outdated(now) {
+            let next_change = self.next_change(now);
+            self.cache.reset(next_change);
+        }
+        if let Some(counters) = self.cache.get(account) {
+            return counters;
+        }
+        let zones = self.zones_with_part(now);
+        let counters = zones.filter_map(|zone| self.zone_counter(now, account, zone));
+        let counters: Rc<[ZoneCounter]> = counters.collect();
+        self.cache.insert(account, Rc::clone(&counters));
+        counters
+    }
+
+    fn zone_counter(&self, now: Instant, account: &str, zone: &ZoneName) -> Option<ZoneCounter> {
+        let members = self.zones.get(zone)?.iter();
+        let weighted =
+            members.map(|(address, member)| (weight(account, *address), address, member));
+        let weighted: Vec<_> = weighted.collect();
+        let (highest, address, member) = weighted
+            .iter()
+            .filter(|(_, _, member)| member.is_present(now))
+            .max_by_key(|(weight, _, _)| weight)?;
+        let before = weighted
+            .iter()
+            .filter(|(weight, _, member)| weight > highest && !member.is_present(now));
+        let removed = before.filter_map(|(_, _, member)| member.removed_at).max();
+        let settled = removed.map(|removed| removed + self.times.settle_time);
+        Some(ZoneCounter {
+            zone: zone.clone(),
+            address: **address,
+            since: settled.map_or(member.settled_at, |settled| settled.max(member.settled_at)),
+        })
+    }
+
+    /// Time after `now` at which a node loses its place or a zone its part; `None` if none does.
+    fn next_change(&self, now: Instant) -> Option<Instant> {
+        let members = self.zones.values().flat_map(BTreeMap::values);
+        let removals = members.filter_map(|member| member.removed_at);
+        let vanished = self.vanished_at.values().flatten();
+        let hold = self.times.zone_hold;
+        let ends = vanished.filter_map(|vanished| Some(*vanished + hold?));
+        removals.chain(ends).filter(|time| *time > now).min()
     }
 }
 
--- a/crates/coordination/src/quota/mod.rs
+++ b/crates/coordination/src/quota/mod.rs
@@ -5,6 +5,7 @@
 //! counter that is short borrows from those of the other zones. `docs/design/quotas.md` derives the bound.
 
 pub mod account_counter;
+pub mod counter_cache;
 pub mod counter_choice;
 pub mod demand_meter;
 pub mod quota_rules;
--- a/crates/coordination/src/quota/quota_rules.rs
+++ b/crates/coordination/src/quota/quota_rules.rs
@@ -8,6 +8,9 @@
 const LIFE_SHARE: f64 = 0.4;
 /// Share of the overrun time for which the rate is held in buckets beside the burst.
 const STOCK_SHARE: f64 = 0.2;
+/// Share of the overrun time for which every part may be refilled twice, while lists of nodes differ.
+/// The tenth that the three shares leave is for clocks that run fast.
+const DOUBLE_SHARE: f64 = 0.3;
 /// Share of the slack that buckets hold, so that small accounts have whole requests in each zone.
 const SLACK_SHARE: f64 = 0.5;
 /// Part of the life of a token for which demand is fetched ahead of need.
@@ -16,6 +19,10 @@
 const CAPACITY_MIN: f64 = 1.0;
 /// Windows for which a zone keeps its part after its nodes have stopped admitting.
 const ZONE_HOLD_WINDOWS: u32 = 2;
+/// Least time for which a node that is no longer listed stays in its place.
+const MEMBER_HOLD_MIN: Duration = Duration::from_secs(3);
+/// Least time after which a node that has lost its place is forgotten.
+const FORGET_TIME_MIN: Duration = Duration::from_mins(1);
 
 /// `QuotaRules` bounds the requests of an account: in any `window` no more than
 /// `(rate x window + burst) x (1 + overage) + slack` run, over all nodes.
@@ -30,6 +37,23 @@
     /// Time after which a node without contact to others admits no requests of accounts; `None` if it
     /// may go on.
     pub proof_life: Option<Duration>,
+    /// Time in which each node that is not cut off learns of a change of the list of nodes.
+    pub view_time: Duration,
+}
+
+/// `SuccessionTimes` says when a node counts in the place of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuccessionTimes {
+    /// Time for which a node that is no longer listed stays in its place.
+    pub member_hold: Duration,
+    /// Time for which a new counter grants nothing, while other nodes may still use the one before.
+    pub settle_time: Duration,
+    /// Time after which a node that has lost its place is forgotten.
+    pub forget_time: Duration,
+    /// Time for which a zone that is no longer listed keeps its part; `None` if it keeps it for good.
+    pub zone_hold: Option<Duration>,
+    /// Most zones that hold a part.
+    pub zones_max: usize,
 }
 
 /// `QuotaPart` is the part of a quota that one zone holds.
@@ -54,12 +78,44 @@
         self.token_life().mul_f64(PREFETCH_SHARE)
     }
 
-    /// Time for which a zone that is no longer listed keeps its part; `None` if it keeps it for good,
-    /// since its nodes may still admit requests.
+    /// Times of the succession of counters, and the most zones among which a quota may be divided.
     #[must_use]
-    pub fn zone_hold(&self) -> Option<Duration> {
+    pub fn succession(&self) -> SuccessionTimes {
+        SuccessionTimes {
+            member_hold: self.member_hold(),
+            settle_time: self.settle_time(),
+            forget_time: FORGET_TIME_MIN.max(self.window + self.token_life()),
+            zone_hold: self.zone_hold(),
+            zones_max: self.zones_max(),
+        }
+    }
+
+    /// A node that is cut off counts for itself until its proof has become too old. Without a bound on
+    /// that no time would be long enough.
+    fn member_hold(&self) -> Duration {
+        let proof_life = self.proof_life.unwrap_or_default();
+        MEMBER_HOLD_MIN.max(proof_life)
+    }
+
+    /// Two nodes may count for a zone while lists differ, for [`DOUBLE_SHARE`] of the overrun time.
+    fn settle_time(&self) -> Duration {
+        let doubled = self.overrun_time().mul_f64(DOUBLE_SHARE);
+        self.view_time.saturating_sub(doubled)
+    }
+
+    /// Nodes of a zone that has vanished may admit requests until their proofs are too old, and without
+    /// a bound on that for good.
+    fn zone_hold(&self) -> Option<Duration> {
         let proof_life = self.proof_life?;
-        Some(proof_life + self.window * ZONE_HOLD_WINDOWS)
+        let after = self.view_time.max(self.window * ZONE_HOLD_WINDOWS);
+        Some(proof_life + after)
+    }
+
+    /// The least capacity of all buckets together must stay within the slack that buckets hold.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn zones_max(&self) -> usize {
+        let buckets = (self.slack * SLACK_SHARE / CAPACITY_MIN) as usize;
+        buckets.max(1)
     }
 
     /// Part of each of `zones` zones.
--- a/crates/coordination/tests/quotas.rs
+++ b/crates/coordination/tests/quotas.rs
@@ -7,15 +7,13 @@
 use lagoonshore_coordination::quota::token_hand::TokenHand;
 use lagoonshore_state::account::AccountQuota;
 use proptest::{prelude::*, test_runner::RngSeed};
-use quota_fleet::{LinkFaults, QuotaFleet, RULES};
+use quota_fleet::{LinkFaults, QuotaFleet, RULES, VIEW_LAG};
 use rstest::rstest;
 use std::time::Duration;
 use tokio::time::Instant;
 
 const NODES: usize = 61;
 const ZONES: usize = 3;
-/// Time in which each node learns of a change.
-const VIEW_LAG: Duration = Duration::from_millis(2500);
 /// Largest difference of the rate of a clock.
 const DRIFT: f64 = 0.01;
 
--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -27,6 +27,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time that all loans of one ask may take.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(30);
+/// Time in which each node learns of a change.
+pub(crate) const VIEW_LAG: Duration = Duration::from_millis(2500);
 /// Time after which a node that is cut off admits nothing more, since its keys may be revoked.
 const PROOF_LIFE: Duration = Duration::from_secs(5);
 
@@ -35,6 +37,7 @@
     overage: 0.25,
     slack: 20.0,
     proof_life: Some(PROOF_LIFE),
+    view_time: VIEW_LAG,
 };
 
 #[derive(Clone, Copy, Debug)]
@@ -173,7 +176,7 @@
                 address: SocketAddr::from(([10, 0, 0, last], 700)),
                 clock_rate: 1.0 + random.random_range(-1.0..=1.0) * drift,
                 quota,
-                choice: CounterChoice::default(),
+                choice: CounterChoice::new(RULES.succession()),
                 hand: TokenHand::new(now),
                 counter: None,
                 waiting: Vec::new(),
@@ -227,7 +230,7 @@
         node.ask = None;
         node.loan = None;
         node.pending.clear();
-        node.choice = CounterChoice::default();
+        node.choice = CounterChoice::new(RULES.succession());
         self.apply_view(index, &self.listed.clone());
     }
 
@@ -345,7 +348,7 @@
 
     fn start_ask(&mut self, index: usize) {
         let now = self.local(index);
-        let node = &self.nodes[index];
+        let node = &mut self.nodes[index];
         let zone = zone_name(node.zone);
         let own = node.choice.counter(now, ACCOUNT, &zone);
         let others = node.choice.other_counters(now, ACCOUNT, &zone);
@@ -511,14 +514,14 @@
         let now = self.local(index);
         let node = &mut self.nodes[index];
         let zone = zone_name(node.zone);
-        let choice = &node.choice;
+        let choice = &mut node.choice;
         let Some(since) = choice.counting_since(now, ACCOUNT, &zone, node.address) else {
             return false;
         };
         if since > now {
             return false;
         }
-        let zones = choice.zone_count(now, RULES.zone_hold());
+        let zones = choice.zone_count(now);
         let part = RULES.zone_part(node.quota, zones);
         let known = node.counter.take();
         let mut counter = known.unwrap_or_else(|| AccountCounter::new(now, since, part));
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -393,6 +393,14 @@
         })
     }
 
+    /// Address at which other nodes find this one; `None` until its upstream is listed.
+    #[must_use]
+    pub fn own_peer_address(&self) -> Option<SocketAddr> {
+        let upstreams = self.upstreams.borrow();
+        let own = upstreams.find_by_address(self.upstream_address)?;
+        Some(self.peer_address(own))
+    }
+
     /// Address at which the node beside an upstream listens for peers.
     fn peer_address(&self, record: &UpstreamRecord) -> SocketAddr {
         SocketAddr::new(record.address.ip(), self.peer_port.get())
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -97,3 +97,5 @@
 pub const QUOTA_BORROWED: u16 = 3502;
 /// A counter of quotas did not answer.
 pub const COUNTER_SILENT: u16 = 3503;
+/// The number of zones that hold no part of quotas, since there are too many, has changed.
+pub const ZONES_WITHOUT_QUOTAS: u16 = 3504;
--- a/crates/relay/src/quota/fleet_counters.rs
+++ b/crates/relay/src/quota/fleet_counters.rs
@@ -1,6 +1,6 @@
 //! Which nodes count the requests of an account, by the directory of this node.
 
-use crate::directory::FleetDirectory;
+use crate::{directory::FleetDirectory, events};
 
 use lagoonshore_coordination::quota::{
     counter_choice::CounterChoice,
@@ -14,6 +14,7 @@
     rc::Rc,
 };
 use tokio::time::Instant;
+use tracing::warn;
 
 /// `FleetCounters` finds the counters of accounts.
 #[derive(Debug)]
@@ -23,6 +24,8 @@
     own_address: Cell<SocketAddr>,
     directory: Rc<FleetDirectory>,
     choice: RefCell<CounterChoice>,
+    /// Number of zones without a part that was logged last.
+    zones_left_out: Cell<usize>,
 }
 
 /// `CounterDuty` says that this node counts the requests of an account.
@@ -38,12 +41,14 @@
     /// Creates the view of a node that knows no others.
     #[must_use]
     pub fn new(settings: &RelaySettings, directory: Rc<FleetDirectory>) -> Self {
+        let rules = quota_rules(settings);
         Self {
             zone: settings.zone.clone(),
-            rules: quota_rules(settings),
+            rules,
             own_address: Cell::new(settings.listen.peers),
             directory,
-            choice: RefCell::default(),
+            choice: RefCell::new(CounterChoice::new(rules.succession())),
+            zones_left_out: Cell::new(0),
         }
     }
 
@@ -52,10 +57,15 @@
         self.own_address.set(address);
     }
 
-    /// Address on which the node itself listens for peers.
+    /// Address at which other nodes find this one: that of its upstream in the list if the node listens on
+    /// all addresses.
     #[must_use]
-    pub const fn own_address(&self) -> SocketAddr {
-        self.own_address.get()
+    pub fn own_address(&self) -> SocketAddr {
+        let bound = self.own_address.get();
+        if !bound.ip().is_unspecified() {
+            return bound;
+        }
+        self.directory.own_peer_address().unwrap_or(bound)
     }
 
     /// Bounds of quotas.
@@ -76,15 +86,20 @@
                 .map(|(_, record)| (record.zone.clone(), record.peer));
             places.collect()
         };
+        let now = Instant::now();
         let mut choice = self.choice.borrow_mut();
-        choice.apply_list(Instant::now(), &listed);
+        choice.apply_list(now, &listed);
+        let left_out = choice.zones_without_part(now);
+        if self.zones_left_out.replace(left_out) != left_out {
+            log_zones_left_out(left_out, self.rules.succession().zones_max);
+        }
     }
 
     /// Returns the counters that may be asked for tokens of `account`: that of the own zone first, then
     /// those of the others.
     #[must_use]
     pub fn candidates(&self, now: Instant, account: &str) -> Vec<SocketAddr> {
-        let choice = self.choice.borrow();
+        let mut choice = self.choice.borrow_mut();
         let own = choice.counter(now, account, &self.zone);
         let others = choice.other_counters(now, account, &self.zone);
         own.into_iter().chain(others).collect()
@@ -93,7 +108,7 @@
     /// Returns the counters of `account` in the other zones.
     #[must_use]
     pub fn lenders(&self, now: Instant, account: &str) -> Vec<SocketAddr> {
-        let choice = self.choice.borrow();
+        let mut choice = self.choice.borrow_mut();
         choice.other_counters(now, account, &self.zone)
     }
 
@@ -101,10 +116,10 @@
     /// account has no quota.
     pub(crate) fn duty(&self, now: Instant, account: &str) -> Option<CounterDuty> {
         let quota = self.quota(account)?;
-        let choice = self.choice.borrow();
-        let own = self.own_address.get();
+        let mut choice = self.choice.borrow_mut();
+        let own = self.own_address();
         let since = choice.counting_since(now, account, &self.zone, own)?;
-        let zones = choice.zone_count(now, self.rules.zone_hold());
+        let zones = choice.zone_count(now);
         let part = self.rules.zone_part(quota, zones);
         (since <= now).then_some(CounterDuty { since, part })
     }
@@ -125,12 +140,11 @@
     /// Number of zones among which quotas are divided.
     #[must_use]
     pub fn zone_count(&self, now: Instant) -> u32 {
-        let hold = self.rules.zone_hold();
-        self.choice.borrow().zone_count(now, hold)
+        self.choice.borrow().zone_count(now)
     }
 }
 
-const fn quota_rules(settings: &RelaySettings) -> QuotaRules {
+fn quota_rules(settings: &RelaySettings) -> QuotaRules {
     let QuotaSettings {
         window,
         overage,
@@ -141,5 +155,14 @@
         overage,
         slack,
         proof_life: settings.store.revocation_time,
+        view_time: settings.store.view_time(),
     }
 }
+
+/// Logs how many zones hold no part of quotas, since more than `zones_max` are listed.
+fn log_zones_left_out(left_out: usize, zones_max: usize) {
+    warn!(
+        event = events::ZONES_WITHOUT_QUOTAS,
+        left_out, zones_max, "quota: zones without a part"
+    );
+}
--- a/crates/settings/src/relay_settings.rs
+++ b/crates/settings/src/relay_settings.rs
@@ -234,8 +234,13 @@
     slack: Spanned<f64>,
 }
 
-/// Least overage of quotas. With less, tokens would expire before a node can use them.
+/// Least overage of quotas. With less, it would not cover clocks that run fast.
 const QUOTA_OVERAGE_MIN: f64 = 0.05;
+/// Least product of window and overage of quotas, in seconds. With less, tokens would expire within the
+/// time of a message.
+const QUOTA_OVERRUN_MIN: f64 = 0.1;
+/// Least slack of quotas, in requests: with less, the least bucket of a single zone would exceed it.
+const QUOTA_SLACK_MIN: f64 = 2.0;
 /// Largest overage of quotas.
 const QUOTA_OVERAGE_MAX: f64 = 10.0;
 
@@ -407,13 +412,32 @@
         let expected = "a number from 0.05 to 10";
         checker.add_error(overage.referenced, "quota.overage", &found, expected);
     }
+    let window = read_seconds(checker, "quota.window_seconds", &text.window_seconds);
+    if !window.is_zero() && window.as_secs_f64() * overage.value < QUOTA_OVERRUN_MIN {
+        let window = &text.window_seconds;
+        let found = window.value.to_string();
+        let expected = "a number of seconds that is at least 0.1 / quota.overage";
+        checker.add_error(window.referenced, "quota.window_seconds", &found, expected);
+    }
     QuotaSettings {
-        window: read_seconds(checker, "quota.window_seconds", &text.window_seconds),
+        window,
         overage: overage.value,
-        slack: read_number(checker, "quota.slack", &text.slack),
+        slack: read_quota_slack(checker, &text.slack),
     }
 }
 
+/// Reads the slack of quotas, half of which has to hold the least that a bucket can hold.
+fn read_quota_slack(checker: &mut ValueChecker, text: &Spanned<f64>) -> f64 {
+    let value = text.value;
+    if (QUOTA_SLACK_MIN..=NUMBER_MAX).contains(&value) {
+        return value;
+    }
+    let found = value.to_string();
+    let expected = "a number from 2 to 1000000, 2 for each availability zone";
+    checker.add_error(text.referenced, "quota.slack", &found, expected);
+    QUOTA_SLACK_MIN
+}
+
 fn read_zones(checker: &mut ValueChecker, text: Option<&ZoneText>) -> ZoneSettings {
     let mut settings = ZoneSettings::default();
     if let Some(cost) = text.and_then(|text| text.leave_cost_ms.as_ref()) {
--- a/crates/settings/tests/quota_settings.rs
+++ b/crates/settings/tests/quota_settings.rs
@@ -36,6 +36,10 @@
     "quota:\n  window_seconds: 0\n  overage: 0.5\n  slack: 8\n",
     "quota.window_seconds"
 )]
+#[case::window_too_short_for_its_overage(
+    "quota:\n  window_seconds: 0.15\n  overage: 0.5\n  slack: 8\n",
+    "quota.window_seconds"
+)]
 #[case::no_overage(
     "quota:\n  window_seconds: 4\n  overage: 0\n  slack: 8\n",
     "quota.overage"
@@ -44,6 +48,14 @@
     "quota:\n  window_seconds: 4\n  overage: 0.5\n  slack: -1\n",
     "quota.slack"
 )]
+#[case::slack_below_the_least_bucket(
+    "quota:\n  window_seconds: 4\n  overage: 0.5\n  slack: 1.9\n",
+    "quota.slack"
+)]
+#[case::little_overage(
+    "quota:\n  window_seconds: 4\n  overage: 0.04\n  slack: 8\n",
+    "quota.overage"
+)]
 #[case::not_a_number(
     "quota:\n  window_seconds: 4\n  overage: .nan\n  slack: 8\n",
     "quota.overage"
