Let a counter that restarts settle, and learn what others know

A counter that had restarted counted at once, also while another node still counted in its place, and divided quotas without the zones that had vanished before. One with an older document than the node that asked answered that it does not count, so that requests of a new account were refused with 503. At 1.5 times its quota an account got 0.95 of it, since one token in 25 expired at the nodes: those with 8 to 12 requests a second fetched two tokens ahead.

A counter that has just started asks the next one in the order first, and settles unless that one knows of it again. Each ask tells the version and the number of zones that the asking node knows of. A counter that does not know the quota fetches the newer document before it answers. Nodes fetch ahead from three tokens on.

--- a/crates/coordination/src/quota/counter_cache.rs
+++ b/crates/coordination/src/quota/counter_cache.rs
@@ -17,6 +17,8 @@
     pub address: SocketAddr,
     /// Time from which it may count.
     pub since: Instant,
+    /// Node that would count without it; `None` if the zone has no other.
+    pub next: Option<SocketAddr>,
 }
 
 /// `CounterCache` remembers the counters of accounts, so that a node weighs all others once for each
--- a/crates/coordination/src/quota/counter_choice.rs
+++ b/crates/coordination/src/quota/counter_choice.rs
@@ -5,21 +5,24 @@
 
 use super::{
     counter_cache::{CounterCache, ZoneCounter},
+    heard_zones::HeardZones,
     quota_rules::SuccessionTimes,
 };
 
-use lagoonshore_state::ids::ZoneName;
+use lagoonshore_state::ids::{AccountName, ZoneName};
 
 use siphasher::sip::SipHasher13;
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     hash::{Hash, Hasher},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
 };
 use tokio::time::Instant;
 
+/// Most accounts that are counted before the node has settled after its start.
+const CONFIRMED_MAX: usize = 4096;
+
 /// `CounterChoice` knows the nodes of each availability zone, and since when.
 #[derive(Debug)]
 pub struct CounterChoice {
@@ -28,14 +31,18 @@
     /// Each zone that had nodes, with the time at which the last one was no longer listed; `None` while
     /// it has some.
     vanished_at: BTreeMap<ZoneName, Option<Instant>>,
-    is_started: bool,
+    /// Time of the first list.
+    started_at: Option<Instant>,
+    /// Accounts for which the node itself counts since a time within the settle time after its start.
+    confirmed: HashMap<AccountName, Instant>,
+    heard_zones: HeardZones,
     cache: CounterCache,
 }
 
 /// `ZoneMember` is a node that is or was listed.
 #[derive(Clone, Copy, Debug)]
 struct ZoneMember {
-    /// Time from which the node may count. Nodes of the first list need not settle.
+    /// Time from which the node may count.
     settled_at: Instant,
     /// Time at which the node loses its place; `None` while it is listed.
     removed_at: Option<Instant>,
@@ -56,7 +63,9 @@
             times,
             zones: BTreeMap::new(),
             vanished_at: BTreeMap::new(),
-            is_started: false,
+            started_at: None,
+            confirmed: HashMap::new(),
+            heard_zones: HeardZones::default(),
             cache: CounterCache::default(),
         }
     }
@@ -64,11 +73,6 @@
     /// Applies the list of nodes, with the zone and the peer address of each.
     pub fn apply_list(&mut self, now: Instant, listed: &BTreeSet<(ZoneName, SocketAddr)>) {
         self.unlist_others(now, listed);
-        let settle_time = if self.is_started {
-            self.times.settle_time
-        } else {
-            Duration::ZERO
-        };
         for (zone, address) in listed {
             let members = self.zones.entry(zone.clone()).or_default();
             if let Some(member) = members.get_mut(address)
@@ -78,13 +82,15 @@
                 continue;
             }
             let member = ZoneMember {
-                settled_at: now + settle_time,
+                settled_at: now + self.times.settle_time,
                 removed_at: None,
             };
             members.insert(*address, member);
         }
         self.record_zones(now, listed);
-        self.is_started |= !listed.is_empty();
+        if !listed.is_empty() {
+            self.started_at.get_or_insert(now);
+        }
         let next_change = self.next_change(now);
         self.cache.reset(next_change);
     }
@@ -137,7 +143,46 @@
         let counters = self.counters(now, account);
         let mut counters = counters.iter();
         let counter = counters.find(|counter| counter.zone == zone && counter.address == own)?;
-        Some(counter.since)
+        if !self.is_start(counter) {
+            return Some(counter.since);
+        }
+        if counter.next.is_none() {
+            return self.started_at;
+        }
+        let confirmed = self.confirmed.get(account);
+        Some(confirmed.copied().unwrap_or(counter.since))
+    }
+
+    /// Returns the node that may have counted for `account` while the one at `own`, which has just
+    /// started, was away. If that node knows of it again, [`Self::confirm`] lets it count at once; `None` if
+    /// it has to wait, counts already or is not the counter.
+    #[must_use]
+    pub fn stand_in(
+        &mut self,
+        now: Instant,
+        account: &str,
+        zone: &str,
+        own: SocketAddr,
+    ) -> Option<SocketAddr> {
+        if self.counting_since(now, account, zone, own)? <= now {
+            return None;
+        }
+        let counters = self.counters(now, account);
+        let counter = counters.iter().find(|counter| counter.zone == zone)?;
+        counter.next.filter(|_| self.is_start(counter))
+    }
+
+    /// Records that no other node counts for `account` in place of this one, which has just started.
+    pub fn confirm(&mut self, now: Instant, account: &str) {
+        if self.confirmed.len() < CONFIRMED_MAX {
+            self.confirmed.entry(account.into()).or_insert(now);
+        }
+    }
+
+    /// Returns whether `counter` has to settle only because this node has just started.
+    fn is_start(&self, counter: &ZoneCounter) -> bool {
+        let settled = self.started_at.map(|start| start + self.times.settle_time);
+        settled == Some(counter.since)
     }
 
     /// Returns the counters of `account` in the other zones than `zone`, ordered by zone.
@@ -148,7 +193,7 @@
         others.map(|counter| counter.address).collect()
     }
 
-    /// Number of zones among which quotas are divided: those with listed nodes, and those that had some a
+    /// Number of zones that this node knows to divide quotas: those with listed nodes, and those that had some a
     /// short time ago, up to the most that may hold a part.
     #[must_use]
     pub fn zone_count(&self, now: Instant) -> u32 {
@@ -156,6 +201,26 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Records the number of zones that another node knows of itself.
+    pub fn record_zones_heard(&mut self, now: Instant, zones: u32) {
+        self.heard_zones.record(now, zones);
+    }
+
+    /// Number of zones among which the counter of this zone divides quotas. A node that started a short
+    /// time ago does not know of zones that vanished before, and follows the others.
+    #[must_use]
+    pub fn divided_zones(&self, now: Instant) -> u32 {
+        let known = self.zone_count(now);
+        let start = self.started_at.unwrap_or(now);
+        let hold = self.times.zone_hold;
+        let is_recent = hold.is_none_or(|hold| now < start + hold);
+        if is_recent {
+            known.max(self.heard_zones.count(now))
+        } else {
+            known
+        }
+    }
+
     /// Number of zones with listed nodes that hold no part, since there are too many.
     #[must_use]
     pub fn zones_without_part(&self, now: Instant) -> usize {
@@ -211,10 +276,15 @@
             .filter(|(weight, _, member)| weight > highest && !member.is_present(now));
         let removed = before.filter_map(|(_, _, member)| member.removed_at).max();
         let settled = removed.map(|removed| removed + self.times.settle_time);
+        let others = weighted
+            .iter()
+            .filter(|(_, other, member)| other != address && member.is_present(now));
+        let next = others.max_by_key(|(weight, _, _)| weight);
         Some(ZoneCounter {
             zone: zone.clone(),
             address: **address,
             since: settled.map_or(member.settled_at, |settled| settled.max(member.settled_at)),
+            next: next.map(|(_, address, _)| **address),
         })
     }
 
--- a/crates/coordination/src/quota/mod.rs
+++ b/crates/coordination/src/quota/mod.rs
@@ -8,6 +8,7 @@
 pub mod counter_cache;
 pub mod counter_choice;
 pub mod demand_meter;
+pub mod heard_zones;
 pub mod quota_rules;
 pub mod silent_counters;
 pub mod token_bucket;
--- a/crates/coordination/src/quota/token_hand.rs
+++ b/crates/coordination/src/quota/token_hand.rs
@@ -13,7 +13,7 @@
 /// Least time between two messages of a node whose account has no tokens left.
 const TURN_MIN: Duration = Duration::from_millis(20);
 /// Fewest tokens that are fetched ahead of need.
-const AHEAD_MIN: f64 = 2.0;
+const AHEAD_MIN: f64 = 3.0;
 /// Share of the tokens fetched ahead that are left when more are fetched.
 const LOW_SHARE: f64 = 0.25;
 /// Most tokens in one message.
--- a/crates/coordination/tests/quota_counters.rs
+++ b/crates/coordination/tests/quota_counters.rs
@@ -227,3 +227,51 @@
         [address(1), address(2)]
     );
 }
+
+/// A zone with two nodes, as the counter among them sees it after its start, and the other node.
+fn restarted(start: Instant) -> (CounterChoice, SocketAddr, SocketAddr) {
+    let (own, other) = ranked(start);
+    let mut choice = CounterChoice::new(RULES.succession());
+    choice.apply_list(start, &list(&[(ZONE, own), (ZONE, other), ("b", 3)]));
+    (choice, address(own), address(other))
+}
+
+#[test]
+fn a_counter_that_restarts_waits_for_the_node_that_counts_in_its_place() {
+    let start = Instant::now();
+    let (mut choice, own, other) = restarted(start);
+    let settled = start + RULES.succession().settle_time;
+    assert_eq!(
+        choice.counting_since(start, ACCOUNT, ZONE, own),
+        Some(settled)
+    );
+    assert_eq!(choice.stand_in(start, ACCOUNT, ZONE, own), Some(other));
+    assert_eq!(choice.stand_in(settled, ACCOUNT, ZONE, own), None);
+}
+
+#[test]
+fn a_counter_that_restarts_counts_at_once_if_no_other_does() {
+    let start = Instant::now();
+    let (mut choice, own, _) = restarted(start);
+    choice.confirm(start, ACCOUNT);
+    assert_eq!(choice.stand_in(start, ACCOUNT, ZONE, own), None);
+    let later = start + Duration::from_mins(10);
+    for now in [start, later] {
+        let since = choice.counting_since(now, ACCOUNT, ZONE, own);
+        assert_eq!(since, Some(start));
+    }
+}
+
+#[test]
+fn a_node_that_starts_divides_by_the_zones_that_others_know() {
+    let start = Instant::now();
+    let (mut choice, ..) = restarted(start);
+    choice.record_zones_heard(start, 3);
+    assert_eq!(
+        (choice.zone_count(start), choice.divided_zones(start)),
+        (2, 3)
+    );
+    let hold = RULES.succession().zone_hold.expect("a bound");
+    choice.record_zones_heard(start + hold, 3);
+    assert_eq!(choice.divided_zones(start + hold), 2);
+}
--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -474,7 +474,10 @@
     fn receive(&mut self, from: usize, to: usize, message: Message) {
         let now = self.local(to);
         match message {
-            Message::Ask { ask, wanted } => self.receive_ask(from, to, ask, wanted),
+            Message::Ask { ask, wanted } => {
+                self.hear_zones(to, from);
+                self.receive_ask(from, to, ask, wanted);
+            }
             Message::NotCounter { ask } => {
                 let is_open = |open: &OpenAsk| open.id == ask && open.asked == from;
                 if self.nodes[to].ask.as_ref().is_some_and(is_open) {
@@ -488,6 +491,8 @@
                 short_for,
             } => self.receive_grant(from, to, ask, tokens, short_for),
             Message::LoanAsk { loan, wanted } => {
+                self.hear_zones(to, from);
+                self.check_stand_in(to);
                 let tokens = if self.open_counter(to) {
                     let counter = self.nodes[to].counter.as_mut().expect("opened");
                     counter.lend(now, wanted, &RULES)
@@ -509,6 +514,30 @@
         }
     }
 
+    /// Has the node that asks tell the counter at `index` how many zones it knows of.
+    fn hear_zones(&mut self, index: usize, asker: usize) {
+        let zones = self.nodes[asker].choice.zone_count(self.local(asker));
+        let now = self.local(index);
+        let choice = &mut self.nodes[index].choice;
+        choice.record_zones_heard(now, zones);
+    }
+
+    /// Has a node that has just started ask whether another one counts in its place.
+    fn check_stand_in(&mut self, index: usize) {
+        let now = self.local(index);
+        let node = &mut self.nodes[index];
+        let zone = zone_name(node.zone);
+        let stand_in = node.choice.stand_in(now, ACCOUNT, &zone, node.address);
+        let Some(address) = stand_in else { return };
+        let other = index_of(address);
+        let is_reached = self.groups[other] == self.groups[index] && !self.nodes[other].is_down;
+        let other_now = self.local(other);
+        let choice = &mut self.nodes[other].choice;
+        if is_reached && choice.counter(other_now, ACCOUNT, &zone) != Some(address) {
+            self.nodes[index].choice.confirm(now, ACCOUNT);
+        }
+    }
+
     /// Opens the counter of a node; `false` if it may not count now.
     fn open_counter(&mut self, index: usize) -> bool {
         let now = self.local(index);
@@ -521,7 +550,7 @@
         if since > now {
             return false;
         }
-        let zones = choice.zone_count(now);
+        let zones = choice.divided_zones(now);
         let part = RULES.zone_part(node.quota, zones);
         let known = node.counter.take();
         let mut counter = known.unwrap_or_else(|| AccountCounter::new(now, since, part));
@@ -532,6 +561,7 @@
     }
 
     fn receive_ask(&mut self, from: usize, index: usize, ask: u64, wanted: f64) {
+        self.check_stand_in(index);
         if !self.open_counter(index) {
             self.send(index, from, Message::NotCounter { ask });
             return;
--- a/crates/protocol/src/relay_messages.rs
+++ b/crates/protocol/src/relay_messages.rs
@@ -15,6 +15,7 @@
     units::RequestImportance,
     upstream_list::{UpstreamLimit, UpstreamRecord, UpstreamRun},
 };
+use std::net::SocketAddr;
 
 /// Lowest status of the server error class (RFC 9110, section 15.6).
 const SERVER_ERROR_MIN: u16 = 500;
@@ -191,8 +192,25 @@
         pub account: AccountName,
         /// Tokens that are wanted.
         pub wanted: f64,
-        /// Whether the counter of another availability zone asks for a loan.
-        pub is_loan: bool,
+        /// What the tokens are for.
+        pub purpose: TokenPurpose,
+        /// Address on which the asking node listens for other nodes.
+        pub asker: SocketAddr,
+        /// Version of its document.
+        pub version: DocumentVersion,
+        /// Availability zones among which it divides quotas.
+        pub zones: u32,
+    }
+
+    /// `TokenPurpose` is what an ask for tokens is for.
+    #[derive(Copy, Eq)]
+    pub enum TokenPurpose {
+        /// A node admits requests with them.
+        Requests,
+        /// The counter of another availability zone asks for a loan.
+        Loan,
+        /// A node that has just started asks whether the other one counts in its place; it wants none.
+        Takeover,
     }
 
     /// `TokenGrant` is the reply to a [`TokenAsk`].
--- a/crates/relay/src/quota/fleet_counters.rs
+++ b/crates/relay/src/quota/fleet_counters.rs
@@ -6,8 +6,12 @@
     counter_choice::CounterChoice,
     quota_rules::{QuotaPart, QuotaRules},
 };
+use lagoonshore_protocol::relay_messages::{TokenAsk, TokenPurpose};
 use lagoonshore_settings::{RelaySettings, relay_settings::QuotaSettings};
-use lagoonshore_state::{account::AccountQuota, ids::ZoneName};
+use lagoonshore_state::{
+    account::AccountQuota,
+    ids::{AccountName, ZoneName},
+};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -119,11 +123,58 @@
         let mut choice = self.choice.borrow_mut();
         let own = self.own_address();
         let since = choice.counting_since(now, account, &self.zone, own)?;
-        let zones = choice.zone_count(now);
+        let zones = choice.divided_zones(now);
         let part = self.rules.zone_part(quota, zones);
         (since <= now).then_some(CounterDuty { since, part })
     }
 
+    /// Records the number of zones among which another node divides quotas.
+    pub(crate) fn record_zones(&self, zones: u32) {
+        let mut choice = self.choice.borrow_mut();
+        choice.record_zones_heard(Instant::now(), zones);
+    }
+
+    /// Returns whether this node is the counter of `account`, also if it may not count yet.
+    pub(crate) fn is_counter(&self, now: Instant, account: &str) -> bool {
+        let mut choice = self.choice.borrow_mut();
+        choice.counter(now, account, &self.zone) == Some(self.own_address())
+    }
+
+    /// Returns the node to ask before this one counts for `account`, since it has just started; `None` if
+    /// it need not ask.
+    pub(crate) fn stand_in(&self, now: Instant, account: &str) -> Option<SocketAddr> {
+        let mut choice = self.choice.borrow_mut();
+        choice.stand_in(now, account, &self.zone, self.own_address())
+    }
+
+    /// Records that no other node counts for `account` in place of this one.
+    pub(crate) fn confirm(&self, account: &str) {
+        let mut choice = self.choice.borrow_mut();
+        choice.confirm(Instant::now(), account);
+    }
+
+    /// Creates an ask for `wanted` tokens of `account`.
+    pub(crate) fn token_ask(
+        &self,
+        account: &AccountName,
+        wanted: f64,
+        purpose: TokenPurpose,
+    ) -> TokenAsk {
+        TokenAsk {
+            account: account.clone(),
+            wanted,
+            purpose,
+            asker: self.own_address(),
+            version: self.directory.version(),
+            zones: self.zone_count(Instant::now()),
+        }
+    }
+
+    /// Documents and upstreams that this node knows.
+    pub(crate) const fn directory(&self) -> &Rc<FleetDirectory> {
+        &self.directory
+    }
+
     /// Quota of `account`; `None` if it has none.
     #[must_use]
     pub fn quota(&self, account: &str) -> Option<AccountQuota> {
--- a/crates/relay/src/quota/mod.rs
+++ b/crates/relay/src/quota/mod.rs
@@ -2,6 +2,7 @@
 //! [`quota`](lagoonshore_coordination::quota).
 
 mod account_hand;
+mod document_fetch;
 pub mod fleet_counters;
 pub mod quota_counters;
 pub mod quota_gate;
--- a/crates/relay/src/quota/quota_counters.rs
+++ b/crates/relay/src/quota/quota_counters.rs
@@ -1,17 +1,22 @@
 //! The counters that this node keeps for its availability zone, and their loans.
 
-use super::{fleet_counters::FleetCounters, quota_log::QuotaLog, quota_view::CounterView};
+use super::{
+    document_fetch::DocumentFetch, fleet_counters::FleetCounters, quota_log::QuotaLog,
+    quota_view::CounterView,
+};
 
 use crate::{calling::peer_links::PeerLinks, relay_metrics};
 
 use lagoonshore_coordination::quota::account_counter::{AccountCounter, lender_deadline};
-use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant};
+use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant, TokenPurpose};
 use lagoonshore_state::{ids::AccountName, units::whole_millis};
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 use tokio::{sync::Notify, time::Instant};
 
 /// Time that all loans for one ask may take.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time in which the node that counted while this one was away has to answer.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(50);
 /// Windows for which the counter of an account that lost its quota is kept, in case it gets it back.
 const KEPT_WINDOWS: u32 = 2;
 /// Tokens below which nothing is left to borrow.
@@ -22,6 +27,7 @@
     fleet: Rc<FleetCounters>,
     links: Rc<PeerLinks>,
     log: Rc<QuotaLog>,
+    fetch: DocumentFetch,
     entries: RefCell<HashMap<AccountName, CounterEntry>>,
 }
 
@@ -38,6 +44,7 @@
     #[must_use]
     pub fn new(fleet: Rc<FleetCounters>, links: Rc<PeerLinks>, log: Rc<QuotaLog>) -> Rc<Self> {
         Rc::new(Self {
+            fetch: DocumentFetch::new(Rc::clone(fleet.directory()), Rc::clone(&links)),
             fleet,
             links,
             log,
@@ -47,14 +54,26 @@
 
     /// Answers a node, or the counter of another zone.
     pub async fn serve(self: &Rc<Self>, ask: TokenAsk) -> TokenGrant {
+        self.fleet.record_zones(ask.zones);
+        self.fetch.record(&ask);
         let TokenAsk {
             account,
             wanted,
-            is_loan,
+            purpose,
+            ..
         } = ask;
-        if is_loan {
-            return self.lend(&account, wanted);
+        match purpose {
+            TokenPurpose::Loan => {
+                self.check_stand_in(&account).await;
+                return self.lend(&account, wanted);
+            }
+            TokenPurpose::Takeover => return self.tell_counter(&account),
+            TokenPurpose::Requests => {}
+        }
+        if self.fleet.quota(&account).is_none() {
+            self.fetch.wait().await;
         }
+        self.check_stand_in(&account).await;
         let taken = self.with_counter(&account, |counter, now| counter.take(now, wanted));
         let Some(mut tokens) = taken else {
             return TokenGrant::NotCounter;
@@ -128,6 +147,31 @@
         }
     }
 
+    /// Tells a node that has just started whether this one counts in its place.
+    fn tell_counter(&self, account: &AccountName) -> TokenGrant {
+        if !self.fleet.is_counter(Instant::now(), account) {
+            return TokenGrant::NotCounter;
+        }
+        TokenGrant::Granted {
+            tokens: 0.0,
+            short_ms: 0,
+        }
+    }
+
+    /// Asks the node that may have counted while this one was away, so that both don't count.
+    async fn check_stand_in(&self, account: &AccountName) {
+        let now = Instant::now();
+        let Some(stand_in) = self.fleet.stand_in(now, account) else {
+            return;
+        };
+        let ask = self.fleet.token_ask(account, 0.0, TokenPurpose::Takeover);
+        let deadline = now + TAKEOVER_TIMEOUT;
+        let answer = self.links.take_tokens(stand_in, ask, deadline).await;
+        if matches!(answer, Ok(TokenGrant::NotCounter)) {
+            self.fleet.confirm(account);
+        }
+    }
+
     /// Calls `decide` with the counter of `account`; `None` if this node is not its counter now.
     fn with_counter<Output>(
         &self,
@@ -186,11 +230,8 @@
         let lenders = self.fleet.lenders(started_at, &account);
         for (index, lender) in lenders.iter().enumerate() {
             let until = lender_deadline(Instant::now(), deadline, lenders.len() - index);
-            let ask = TokenAsk {
-                account: account.clone(),
-                wanted: amount - got,
-                is_loan: true,
-            };
+            let (missing, purpose) = (amount - got, TokenPurpose::Loan);
+            let ask = self.fleet.token_ask(&account, missing, purpose);
             let grant = self.links.take_tokens(*lender, ask, until).await;
             if let Ok(TokenGrant::Granted { tokens, .. }) = grant {
                 got += tokens;
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -14,7 +14,7 @@
     quota::{silent_counters::SilentCounters, token_hand::QuotaToken},
     request::outcome::RefusalReason,
 };
-use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant};
+use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant, TokenPurpose};
 use lagoonshore_settings::ControlMode;
 use lagoonshore_state::{account::AccountEntry, ids::AccountName};
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
@@ -239,11 +239,8 @@
             let rules = self.fleet.rules();
             let waiting = entry.waiting.get();
             let wanted = entry.hand.borrow_mut().wanted(asked_at, waiting, rules);
-            let ask = TokenAsk {
-                account: entry.account.clone(),
-                wanted,
-                is_loan: false,
-            };
+            let purpose = TokenPurpose::Requests;
+            let ask = self.fleet.token_ask(&entry.account, wanted, purpose);
             let answer = self.send(address, ask, asked_at + ASK_TIMEOUT).await;
             self.record_answer(address, answer.as_ref().err());
             match answer {
--- a/crates/relay/tests/quotas.rs
+++ b/crates/relay/tests/quotas.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use lagoonshore_coordination::request::outcome::RefusalReason;
-use lagoonshore_relay::{directory::DocumentSource, node::RelayNode};
+use lagoonshore_relay::{
+    directory::DocumentSource, node::RelayNode, quota::fleet_counters::FleetCounters,
+};
 use lagoonshore_state::{
     account::{AccountEntry, AccountKey, AccountQuota},
     instance_table::InstanceState,
@@ -11,6 +13,7 @@
 };
 use std::{
     net::{IpAddr, SocketAddr},
+    rc::Rc,
     time::Duration,
 };
 use support::TestFleet;
@@ -315,3 +318,36 @@
         assert!(member.upstream.seen.borrow().is_empty());
     }
 }
+
+#[actix_rt::test]
+async fn a_counter_with_an_older_document_fetches_the_newer_one() {
+    let fleet = TestFleet::start(&[("a", "z1"), ("a", "z2"), ("a", "z1")]).await;
+    publish_accounts(&fleet, 1, &[account(AMPLE_RATE)]);
+    until_counted(&fleet).await;
+    let added: Vec<AccountEntry> = (0..8)
+        .map(|index| named_account(&format!("u{index}"), AMPLE_RATE))
+        .collect();
+    let mut document = support::document(2, &[support::route("/a/", "a", true)]);
+    document.accounts = Some(added.clone());
+    let node = &fleet.members[0].node;
+    node.directory
+        .apply_document(document, DocumentSource::Store);
+    for account in &added {
+        let admitted = node.quota_gate().admit(account, soon()).await;
+        assert!(admitted.is_ok_and(|permit| permit.is_some()));
+    }
+}
+
+#[actix_rt::test]
+async fn a_node_that_listens_on_all_addresses_finds_itself() {
+    let fleet = TestFleet::start(&[("a", "z1")]).await;
+    publish(&fleet, 1, AMPLE_RATE);
+    let node = &fleet.members[0].node;
+    let listed = fleet.members[0].listen.peers;
+    let directory = &node.directory;
+    assert_eq!(directory.own_peer_address(), Some(listed));
+    let mut settings = node.settings.clone();
+    settings.listen.peers = SocketAddr::from(([0, 0, 0, 0], listed.port()));
+    let counters = FleetCounters::new(&settings, Rc::clone(directory));
+    assert_eq!(counters.own_address(), listed);
+}
