Tell refused callers a time at which the quota allows them

A caller of an account with few requests a second that returned alone at its Retry-After could be refused again: parts of a token lay in other zones that kept them for demand that had passed, the counter's loans paused, a sum of fractions missed a whole token by rounding, and clocks differ. Accounts below one request a second were told one second. The model had other time limits than the nodes and asked lenders in the opposite order.

A zone lends up to one token in any case. A counter that is short answers when it has refilled a token or may borrow again. Returns have a margin of 5 % and are spread over 10 % by a phase of each hand; they go up to a minute. Model and nodes share their time limits, and the model the order.

--- a/crates/coordination/src/quota/account_counter.rs
+++ b/crates/coordination/src/quota/account_counter.rs
@@ -94,9 +94,11 @@
         taken
     }
 
-    /// Returns what the counter of another zone gets: what the demand of this zone leaves.
+    /// Returns what the counter of another zone gets: what the demand of this zone leaves, and in any case
+    /// up to one token: a request waits there, and none here.
     pub fn lend(&mut self, now: Instant, wanted: f64, rules: &QuotaRules) -> f64 {
-        let reserve = self.demand.rate(now) * rules.prefetch_time().as_secs_f64();
+        let needed = self.demand.rate(now) * rules.prefetch_time().as_secs_f64();
+        let reserve = needed.min((self.bucket.tokens(now) - 1.0).max(0.0));
         let lent = self.bucket.take_above(now, wanted, reserve);
         self.totals.lent += lent;
         lent
@@ -125,14 +127,17 @@
         self.loan_pause = (self.loan_pause * 2).min(LOAN_PAUSES.1);
     }
 
-    /// Returns the time after which a node that still wants `missing` tokens should ask again; each node
-    /// gets a later one than the node before.
+    /// Returns the time after which a node that still wants `missing` tokens should ask again: not before
+    /// the bucket holds a token or a loan is allowed, and each node gets a later one than the node before.
     pub fn next_turn(&mut self, now: Instant, missing: f64) -> Duration {
         let rate = self.bucket.part().rate;
         let turn = Duration::try_from_secs_f64(missing / rate).unwrap_or(TURN_MAX);
         let after = self.next_turn.max(now) + turn.clamp(TURN_MIN, TURN_MAX);
         self.next_turn = after.min(now + TURN_MAX);
-        self.next_turn - now
+        let refill = Duration::try_from_secs_f64((1.0 - self.bucket.tokens(now)).max(0.0) / rate);
+        let loan = self.loan_allowed_at.saturating_duration_since(now);
+        let earliest = refill.map_or(loan, |refill| refill.min(loan));
+        (self.next_turn - now).max(earliest)
     }
 
     /// Tokens in the bucket, and the part of the quota that it holds.
--- a/crates/coordination/src/quota/mod.rs
+++ b/crates/coordination/src/quota/mod.rs
@@ -10,6 +10,7 @@
 pub mod demand_meter;
 pub mod heard_zones;
 pub mod quota_rules;
+pub mod quota_timeouts;
 pub mod silent_counters;
 pub mod token_bucket;
 pub mod token_hand;
--- a/crates/coordination/src/quota/token_bucket.rs
+++ b/crates/coordination/src/quota/token_bucket.rs
@@ -4,6 +4,9 @@
 
 use tokio::time::Instant;
 
+/// Part of a token that a sum of fractions may lack.
+const ROUNDING: f64 = 1e-6;
+
 /// `TokenBucket` fills at the rate of its part, up to its capacity.
 #[derive(Debug)]
 pub struct TokenBucket {
@@ -49,7 +52,7 @@
     /// Takes at most `wanted` whole tokens.
     pub fn take_whole(&mut self, now: Instant, wanted: f64) -> f64 {
         self.refill(now);
-        let taken = self.tokens.min(wanted).floor().max(0.0);
+        let taken = (self.tokens + ROUNDING).min(wanted).floor().max(0.0);
         self.tokens -= taken;
         taken
     }
--- a/crates/coordination/src/quota/token_hand.rs
+++ b/crates/coordination/src/quota/token_hand.rs
@@ -5,9 +5,16 @@
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
-/// Longest time after which a refused caller is asked to return; a caller whose turn would be later
-/// gets that of the first one.
+/// Longest time by which refused callers are spread; a caller whose turn would be later gets that of the
+/// first one.
 const RETURN_MAX: Duration = Duration::from_secs(1);
+/// Longest time after which a refused caller is asked to return.
+const EARNED_MAX: Duration = Duration::from_mins(1);
+/// Share of the time in which an account earns a token that a caller waits in addition, as the parts of
+/// the token may be in different zones whose clocks differ.
+const EARNED_MARGIN: f64 = 0.05;
+/// Largest share of that time by which the returns of unlike accounts are spread.
+const EARNED_SPREAD: f64 = 0.1;
 /// Least time after which a refused caller is asked to return.
 const RETURN_MIN: Duration = Duration::from_millis(50);
 /// Least time between two messages of a node whose account has no tokens left.
@@ -35,6 +42,8 @@
     /// Time from which the counter has tokens for this node again.
     short_until: Instant,
     last_return: Instant,
+    /// Position of this hand among others, from 0 to 1.
+    phase: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -44,9 +53,10 @@
 }
 
 impl TokenHand {
-    /// Creates an empty hand.
+    /// Creates an empty hand. Hands of different `phase`, from 0 to 1, have callers return at different
+    /// times.
     #[must_use]
-    pub const fn new(now: Instant) -> Self {
+    pub const fn new(now: Instant, phase: f64) -> Self {
         Self {
             batches: VecDeque::new(),
             demand: DemandMeter::new(now),
@@ -54,6 +64,7 @@
             asks_again_at: now,
             short_until: now,
             last_return: now,
+            phase,
         }
     }
 
@@ -134,9 +145,11 @@
     /// than the one before, by the time in which this node gets a token.
     pub fn retry_after(&mut self, now: Instant, rate: f64, nodes: u32) -> Duration {
         let node_rate = self.granted.rate(now).max(rate / f64::from(nodes.max(1)));
-        let earned = token_time(rate).max(RETURN_MIN);
-        let first = self.short_until.max(now + earned);
-        let next = first.max(self.last_return + token_time(node_rate));
+        let earned = token_time(rate, EARNED_MAX).max(RETURN_MIN);
+        let margin = EARNED_MARGIN + EARNED_SPREAD * self.phase;
+        let short = self.short_until.saturating_duration_since(now);
+        let first = now + short.max(earned).mul_f64(1.0 + margin);
+        let next = first.max(self.last_return + token_time(node_rate, RETURN_MAX));
         self.last_return = if next > now + RETURN_MAX { first } else { next };
         self.last_return - now
     }
@@ -168,8 +181,8 @@
     }
 }
 
-/// Time in which one token arrives at `rate` tokens a second, at most [`RETURN_MAX`].
-fn token_time(rate: f64) -> Duration {
-    let time = Duration::try_from_secs_f64(rate.recip()).unwrap_or(RETURN_MAX);
-    time.min(RETURN_MAX)
+/// Time in which one token arrives at `rate` tokens a second, at most `longest`.
+fn token_time(rate: f64, longest: Duration) -> Duration {
+    let time = Duration::try_from_secs_f64(rate.recip()).unwrap_or(longest);
+    time.min(longest)
 }
--- a/crates/coordination/tests/quotas.rs
+++ b/crates/coordination/tests/quotas.rs
@@ -142,7 +142,7 @@
 /// Returns of six callers that are refused at once, in milliseconds.
 fn returns(rate: f64, granted: u32) -> Vec<u128> {
     let now = Instant::now();
-    let mut hand = TokenHand::new(now);
+    let mut hand = TokenHand::new(now, 0.0);
     let short_for = Duration::from_millis(80);
     hand.add(now, now, granted, short_for, &RULES);
     let waits = (0..6).map(|_| hand.retry_after(now, rate, 61));
@@ -159,6 +159,37 @@
     insta::assert_debug_snapshot!(summary);
 }
 
+#[rstest]
+fn a_refused_caller_that_returns_alone_is_admitted(
+    #[values(0.2, 1.0, 1.7, 4.0, 10.0, 25.0, 200.0)] rate: f64,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    let all: Vec<usize> = (0..NODES).collect();
+    let mut fleet = QuotaFleet::new(seed, NODES, ZONES, quota(rate, 0.0), DRIFT);
+    fleet.run(seconds(8), rate * 6.0 + 10.0, &all);
+    // Requests that others still wait with come before.
+    fleet.run(Duration::from_millis(200), 0.0, &all);
+    for turn in 0..5_usize {
+        let node = turn * 13 % NODES;
+        // What others left is used up first.
+        fleet.returns.clear();
+        for _ in 0..200 {
+            fleet.arrive(node);
+        }
+        fleet.run(Duration::from_millis(50), 0.0, &all);
+        let wait = fleet.returns[0].saturating_duration_since(fleet.now);
+        fleet.run(wait, 0.0, &all);
+        let (asked, admitted) = (fleet.asked, fleet.admitted.len());
+        fleet.arrive(node);
+        fleet.run(Duration::from_millis(100), 0.0, &all);
+        assert_eq!(
+            (fleet.asked, fleet.admitted.len()),
+            (asked + 1, admitted + 1),
+            "turn {turn}"
+        );
+    }
+}
+
 /// A fault that begins within a run.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -5,6 +5,7 @@
     account_counter::{AccountCounter, lender_deadline},
     counter_choice::CounterChoice,
     quota_rules::QuotaRules,
+    quota_timeouts::{ASK_TIMEOUT, LOAN_TIMEOUT, WAIT_MAX},
     silent_counters::SilentCounters,
     token_hand::TokenHand,
 };
@@ -21,12 +22,6 @@
 const ACCOUNT: &str = "account";
 /// One step of the model.
 pub(crate) const STEP: Duration = Duration::from_millis(1);
-/// Longest time that a request waits for a token.
-const WAIT_MAX: Duration = Duration::from_millis(100);
-/// Time after which a node goes on to the next counter.
-const ASK_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time that all loans of one ask may take.
-const LOAN_TIMEOUT: Duration = Duration::from_millis(30);
 /// Time in which each node learns of a change.
 pub(crate) const VIEW_LAG: Duration = Duration::from_millis(2500);
 /// Time after which a node that is cut off admits nothing more, since its keys may be revoked.
@@ -131,6 +126,8 @@
     /// Times at which requests were admitted.
     pub(crate) admitted: Vec<Instant>,
     pub(crate) asked: u64,
+    /// Times at which refused callers may return.
+    pub(crate) returns: Vec<Instant>,
     pub(crate) messages: u64,
     /// Group of each node; messages between groups are lost.
     groups: Vec<usize>,
@@ -159,6 +156,7 @@
             faults: LinkFaults::default(),
             admitted: Vec::new(),
             asked: 0,
+            returns: Vec::new(),
             messages: 0,
             groups: vec![0; nodes],
             nodes: Vec::new(),
@@ -177,7 +175,7 @@
                 clock_rate: 1.0 + random.random_range(-1.0..=1.0) * drift,
                 quota,
                 choice: CounterChoice::new(RULES.succession()),
-                hand: TokenHand::new(now),
+                hand: TokenHand::new(now, 0.0),
                 counter: None,
                 waiting: Vec::new(),
                 ask: None,
@@ -224,7 +222,7 @@
         let now = self.local(index);
         let node = &mut self.nodes[index];
         node.is_down = is_down;
-        node.hand = TokenHand::new(now);
+        node.hand = TokenHand::new(now, 0.0);
         node.counter = None;
         node.waiting.clear();
         node.ask = None;
@@ -320,7 +318,8 @@
         self.nodes[index].choice.apply_list(now, &list);
     }
 
-    fn arrive(&mut self, index: usize) {
+    /// Has a request arrive at a node.
+    pub(crate) fn arrive(&mut self, index: usize) {
         self.asked += 1;
         let now = self.local(index);
         let node = &mut self.nodes[index];
@@ -338,14 +337,25 @@
             }
             return;
         }
-        if node.hand.can_ask(now) {
-            node.waiting.push(now + WAIT_MAX);
-            if node.ask.is_none() {
-                self.start_ask(index);
-            }
+        if !node.hand.can_ask(now) {
+            self.refuse(index);
+            return;
+        }
+        node.waiting.push(now + WAIT_MAX);
+        if node.ask.is_none() {
+            self.start_ask(index);
         }
     }
 
+    /// Tells a caller when to return.
+    fn refuse(&mut self, index: usize) {
+        let now = self.local(index);
+        let nodes = u32::try_from(self.nodes.len()).expect("few nodes");
+        let node = &mut self.nodes[index];
+        let wait = node.hand.retry_after(now, node.quota.rate, nodes);
+        self.returns.push(self.now + wait);
+    }
+
     fn start_ask(&mut self, index: usize) {
         let now = self.local(index);
         let node = &mut self.nodes[index];
@@ -594,7 +604,7 @@
         self.serial += 1;
         node.loan = Some(OpenLoan {
             id: self.serial,
-            others: others.map(index_of).collect(),
+            others: others.rev().map(index_of).collect(),
             asked: amount,
             got: 0.0,
             ends_at: now + LOAN_TIMEOUT,
@@ -687,7 +697,8 @@
             self.admitted.push(self.now);
         }
         if !hand.can_ask(now) {
-            node.waiting.clear();
+            let refused = std::mem::take(&mut node.waiting);
+            refused.iter().for_each(|_| self.refuse(index));
         } else if !node.waiting.is_empty() {
             self.start_ask(index);
         }
--- a/crates/relay/src/quota/account_hand.rs
+++ b/crates/relay/src/quota/account_hand.rs
@@ -49,7 +49,7 @@
     pub(super) fn new(now: Instant, account: AccountName) -> Self {
         Self {
             account,
-            hand: RefCell::new(TokenHand::new(now)),
+            hand: RefCell::new(TokenHand::new(now, rand::random())),
             waiting: Cell::new(0),
             is_asking: Cell::new(false),
             used_at: Cell::new(now),
--- a/crates/relay/src/quota/quota_counters.rs
+++ b/crates/relay/src/quota/quota_counters.rs
@@ -7,14 +7,15 @@
 
 use crate::{calling::peer_links::PeerLinks, relay_metrics};
 
-use lagoonshore_coordination::quota::account_counter::{AccountCounter, lender_deadline};
+use lagoonshore_coordination::quota::{
+    account_counter::{AccountCounter, lender_deadline},
+    quota_timeouts::LOAN_TIMEOUT,
+};
 use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant, TokenPurpose};
 use lagoonshore_state::{ids::AccountName, units::whole_millis};
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 use tokio::{sync::Notify, time::Instant};
 
-/// Time that all loans for one ask may take.
-const LOAN_TIMEOUT: Duration = Duration::from_millis(60);
 /// Time in which the node that counted while this one was away has to answer.
 const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(50);
 /// Windows for which the counter of an account that lost its quota is kept, in case it gets it back.
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -11,7 +11,11 @@
 use crate::calling::peer_links::{LinkError, PeerLinks};
 
 use lagoonshore_coordination::{
-    quota::{silent_counters::SilentCounters, token_hand::QuotaToken},
+    quota::{
+        quota_timeouts::{ASK_TIMEOUT, UNANSWERED_TIME, WAIT_MAX},
+        silent_counters::SilentCounters,
+        token_hand::QuotaToken,
+    },
     request::outcome::RefusalReason,
 };
 use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant, TokenPurpose};
@@ -20,12 +24,6 @@
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// Longest time that a request waits for a token.
-const WAIT_MAX: Duration = Duration::from_millis(250);
-/// Time after which a node goes on to the next counter.
-const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which requests are refused after no counter answered, and after which their callers may return.
-const UNANSWERED_TIME: Duration = Duration::from_millis(100);
 /// Accounts whose tokens are kept before those of idle ones are dropped.
 const HANDS_MAX: usize = 1024;
 /// Time without a request after which an account is idle.
