Check every window of the quota model, also across a change

Windows across a change of the quota were not checked, and no run was longer than a minute. The check now takes every window that begins with a request; a quota that was replaced counts only in windows that begin before all nodes know the next one.

--- a/crates/coordination/tests/quotas.rs
+++ b/crates/coordination/tests/quotas.rs
@@ -285,23 +285,43 @@
     quotas
 }
 
-/// Checks every window against the highest quota that may be in force in it.
+/// Checks every window against the highest quota that may be in force in it: one that was replaced is so
+/// for windows that begin before all nodes know the next.
 fn check_windows(fleet: &QuotaFleet, quotas: &[(Instant, AccountQuota)]) {
-    for (index, (from, _)) in quotas.iter().enumerate() {
-        let until = quotas.get(index + 1).map_or(fleet.now, |(next, _)| *next);
-        let binds_until = VIEW_LAG + RULES.window;
-        let in_force = quotas.iter().enumerate().filter(|(other, (since, _))| {
-            let replaced = quotas.get(other + 1).map(|(next, _)| *next + binds_until);
-            *since < until && replaced.is_none_or(|replaced| replaced > *from)
+    for (start, most) in fleet.windows() {
+        let end = start + RULES.window;
+        let in_force = quotas.iter().enumerate().filter(|(index, (since, _))| {
+            let replaced = quotas.get(index + 1).map(|(next, _)| *next + VIEW_LAG);
+            *since < end && replaced.is_none_or(|replaced| replaced > start)
         });
         let highest = in_force.map(|(_, (_, quota))| QuotaFleet::bound(*quota));
         let bound = highest.fold(0.0, f64::max);
-        let most = fleet.most_in_window(*from, until);
         let most = f64::from(u32::try_from(most).expect("few requests"));
         assert!(most <= bound, "{most} in a window, at most {bound}");
     }
 }
 
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn no_window_of_a_long_run_exceeds_its_bound(#[case] seed: u64) {
+    let quota = quota(30.0, 20.0);
+    let mut fleet = QuotaFleet::new(seed, NODES, ZONES, quota, DRIFT);
+    let mut plan = Vec::new();
+    for turn in 0..12_u64 {
+        let node = usize::try_from(turn * 7).expect("small") % NODES;
+        let fault = match turn % 4 {
+            0 => Fault::Unlist(node),
+            1 => Fault::Restart(node),
+            2 => Fault::Quota(if turn % 8 == 2 { 0.4 } else { 1.5 }),
+            _ => Fault::RestartAll,
+        };
+        plan.push((turn * 9_000, fault));
+    }
+    let quotas = play(&mut fleet, quota, &plan, &[0, 20, 40]);
+    check_windows(&fleet, &quotas);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 60,
--- a/crates/coordination/tests/support/quota_fleet.rs
+++ b/crates/coordination/tests/support/quota_fleet.rs
@@ -281,22 +281,13 @@
         }
     }
 
-    /// Most requests that were admitted in one window that begins at `from` or later and ends by `to`.
-    pub(crate) fn most_in_window(&self, from: Instant, to: Instant) -> usize {
-        let (mut first, mut most) = (0, 0);
-        let times: Vec<Instant> = self
-            .admitted
-            .iter()
-            .copied()
-            .filter(|time| *time >= from && *time < to)
-            .collect();
-        for (last, time) in times.iter().enumerate() {
-            while times[first] + RULES.window <= *time {
-                first += 1;
-            }
-            most = most.max(last + 1 - first);
-        }
-        most
+    /// The windows that begin with a request: their starts and the requests admitted in each.
+    pub(crate) fn windows(&self) -> impl Iterator<Item = (Instant, usize)> {
+        let times = &self.admitted;
+        times.iter().enumerate().map(|(index, start)| {
+            let end = times.partition_point(|time| *time < *start + RULES.window);
+            (*start, end - index)
+        })
     }
 
     /// Requests admitted from `from` on.
@@ -698,7 +689,9 @@
         }
         if !hand.can_ask(now) {
             let refused = std::mem::take(&mut node.waiting);
-            refused.iter().for_each(|_| self.refuse(index));
+            for _ in refused {
+                self.refuse(index);
+            }
         } else if !node.waiting.is_empty() {
             self.start_ask(index);
         }
