--- a/crates/coordination/src/quota/heard_zones.rs
+++ b/crates/coordination/src/quota/heard_zones.rs
@@ -21,7 +21,7 @@
         }
     }
 
-    /// Largest number heard in the last [`KEPT_TIME`]; 0 if there is none.
+    /// Largest number heard a short time ago; 0 if there is none.
     #[must_use]
     pub fn count(&self, now: Instant) -> u32 {
         let heard = self.heard.filter(|(_, at)| now < *at + KEPT_TIME);
