Quotas: no counter goes on by a list that may be too old

A counter that the store turned away kept its proof by other nodes, but not its list: no longer listed, it could count beside its successor. It now counts only while its list was the newest within revocation_seconds, by a read of the store or by a node whose revision it has applied. The successor begins after that time.

A counter that has just started and gets no answer from the node that may count in its place waits until that one's proof has ended, not only for the settle time; it goes on asking until then.

The model of the fleet is split by job: asks, counters, links.

--- a/crates/coordination/src/quota/counter_choice.rs
+++ b/crates/coordination/src/quota/counter_choice.rs
@@ -20,8 +20,8 @@
 };
 use tokio::time::Instant;
 
-/// Most accounts that are counted before the node has settled after its start.
-const CONFIRMED_MAX: usize = 4096;
+/// Most accounts of which a node that has just started remembers what the other one said.
+const TAKEN_OVER_MAX: usize = 4096;
 
 /// `CounterChoice` knows the nodes of each availability zone, and since when.
 #[derive(Debug)]
@@ -33,8 +33,8 @@
     vanished_at: BTreeMap<ZoneName, Option<Instant>>,
     /// Time of the first list.
     started_at: Option<Instant>,
-    /// Accounts for which the node itself counts since a time within the settle time after its start.
-    confirmed: HashMap<AccountName, Instant>,
+    /// Time from which the node itself counts for accounts that were asked for soon after its start.
+    taken_over: HashMap<AccountName, Instant>,
     heard_zones: HeardZones,
     cache: CounterCache,
 }
@@ -64,7 +64,7 @@
             zones: BTreeMap::new(),
             vanished_at: BTreeMap::new(),
             started_at: None,
-            confirmed: HashMap::new(),
+            taken_over: HashMap::new(),
             heard_zones: HeardZones::default(),
             cache: CounterCache::default(),
         }
@@ -149,13 +149,13 @@
         if counter.next.is_none() {
             return self.started_at;
         }
-        let confirmed = self.confirmed.get(account);
-        Some(confirmed.copied().unwrap_or(counter.since))
+        let taken_over = self.taken_over.get(account);
+        Some(taken_over.copied().unwrap_or(counter.since))
     }
 
     /// Returns the node that may have counted for `account` while the one at `own`, which has just
-    /// started, was away. If that node knows of it again, [`Self::confirm`] lets it count at once; `None` if
-    /// it has to wait, counts already or is not the counter.
+    /// started, was away. If that node knows of it again, [`Self::confirm`] lets it count at once, else
+    /// [`Self::defer`] has it wait; `None` if there is no need to ask, or it is not the counter.
     #[must_use]
     pub fn stand_in(
         &mut self,
@@ -164,18 +164,36 @@
         zone: &str,
         own: SocketAddr,
     ) -> Option<SocketAddr> {
-        if self.counting_since(now, account, zone, own)? <= now {
-            return None;
-        }
         let counters = self.counters(now, account);
-        let counter = counters.iter().find(|counter| counter.zone == zone)?;
-        counter.next.filter(|_| self.is_start(counter))
+        let mut counters = counters.iter();
+        let counter = counters.find(|counter| counter.zone == zone && counter.address == own)?;
+        let is_held = now < self.started_at? + self.times.member_hold;
+        let taken_over = self.taken_over.get(account);
+        let is_open = taken_over.is_none_or(|since| now < *since);
+        let next = counter.next?;
+        (is_held && is_open && self.is_start(counter)).then_some(next)
     }
 
     /// Records that no other node counts for `account` in place of this one, which has just started.
     pub fn confirm(&mut self, now: Instant, account: &str) {
-        if self.confirmed.len() < CONFIRMED_MAX {
-            self.confirmed.entry(account.into()).or_insert(now);
+        let Some(start) = self.started_at else { return };
+        let since = now.min(start + self.times.settle_time);
+        self.record_takeover(account, since);
+    }
+
+    /// Records that the other node may count for `account` in place of this one, which has just started. If
+    /// it is cut off, it does so until its proof has become too old.
+    pub fn defer(&mut self, account: &str) {
+        let Some(start) = self.started_at else { return };
+        self.record_takeover(account, start + self.times.member_hold);
+    }
+
+    /// A confirmation is not taken back by an ask that was unanswered at the same time.
+    fn record_takeover(&mut self, account: &str, since: Instant) {
+        if let Some(known) = self.taken_over.get_mut(account) {
+            *known = since.min(*known);
+        } else if self.taken_over.len() < TAKEN_OVER_MAX {
+            self.taken_over.insert(account.into(), since);
         }
     }
 
--- a/crates/coordination/tests/quota_counters.rs
+++ b/crates/coordination/tests/quota_counters.rs
@@ -246,7 +246,16 @@
         Some(settled)
     );
     assert_eq!(choice.stand_in(start, ACCOUNT, ZONE, own), Some(other));
-    assert_eq!(choice.stand_in(settled, ACCOUNT, ZONE, own), None);
+    assert_eq!(choice.stand_in(settled, ACCOUNT, ZONE, own), Some(other));
+    // The other node may be cut off, and count for itself until its proof ends.
+    choice.defer(ACCOUNT);
+    let proof_end = start + RULES.succession().member_hold;
+    assert_eq!(choice.stand_in(settled, ACCOUNT, ZONE, own), Some(other));
+    assert_eq!(
+        choice.counting_since(settled, ACCOUNT, ZONE, own),
+        Some(proof_end)
+    );
+    assert_eq!(choice.stand_in(proof_end, ACCOUNT, ZONE, own), None);
 }
 
 #[test]
--- a/crates/coordination/tests/quotas.rs
+++ b/crates/coordination/tests/quotas.rs
@@ -1,7 +1,7 @@
 //! Quotas of an account over many nodes: no window exceeds its bound under faults, and without faults the
 //! quota can be used.
 
-#[path = "support/quota_fleet.rs"]
+#[path = "support/quota_fleet/mod.rs"]
 mod quota_fleet;
 
 use lagoonshore_coordination::quota::token_hand::TokenHand;
--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -94,6 +94,8 @@
         self.versions.record_known(view.revision);
         self.versions.record_document(address, view.version);
         self.proofs.record_view(called, view, self.version());
+        let revision = self.versions.revision();
+        self.proofs.record_list_view(called, view, revision);
     }
 
     /// Sets the port at which all nodes listen for peers.
--- a/crates/relay/src/quota/fleet_counters.rs
+++ b/crates/relay/src/quota/fleet_counters.rs
@@ -117,9 +117,12 @@
     }
 
     /// Returns since when this node counts the requests of `account`; `None` if it does not, or if the
-    /// account has no quota.
+    /// account has no quota, or if its list may be so old that another node counts in its place.
     pub(crate) fn duty(&self, now: Instant, account: &str) -> Option<CounterDuty> {
         let quota = self.quota(account)?;
+        if !self.directory.proofs().is_list_proven() {
+            return None;
+        }
         let mut choice = self.choice.borrow_mut();
         let own = self.own_address();
         let since = choice.counting_since(now, account, &self.zone, own)?;
@@ -153,6 +156,12 @@
         choice.confirm(Instant::now(), account);
     }
 
+    /// Records that another node may count for `account` in place of this one.
+    pub(crate) fn defer(&self, account: &str) {
+        let mut choice = self.choice.borrow_mut();
+        choice.defer(account);
+    }
+
     /// Creates an ask for `wanted` tokens of `account`.
     pub(crate) fn token_ask(
         &self,
--- a/crates/relay/src/quota/quota_counters.rs
+++ b/crates/relay/src/quota/quota_counters.rs
@@ -170,6 +170,8 @@
         let answer = self.links.take_tokens(stand_in, ask, deadline).await;
         if matches!(answer, Ok(TokenGrant::NotCounter)) {
             self.fleet.confirm(account);
+        } else {
+            self.fleet.defer(account);
         }
     }
 
--- a/crates/relay/src/store_view/document_proofs.rs
+++ b/crates/relay/src/store_view/document_proofs.rs
@@ -32,6 +32,8 @@
 pub struct DocumentProofs {
     bounds: Cell<Option<ProofBounds>>,
     keeper: RefCell<ProofKeeper>,
+    /// Proof that the upstream list was the newest.
+    list_keeper: RefCell<ProofKeeper>,
     /// Number of newer proofs so far.
     renewals: watch::Sender<u64>,
     is_stale: Cell<bool>,
@@ -42,6 +44,7 @@
         Self {
             bounds: Cell::new(None),
             keeper: RefCell::default(),
+            list_keeper: RefCell::default(),
             renewals: watch::channel(0).0,
             is_stale: Cell::new(false),
         }
@@ -61,8 +64,11 @@
     }
 
     /// Records a read of the store that began at `started`, and after which the newest document was in
-    /// force.
+    /// force and the newest list applied.
     pub fn record_read(&self, started: ClockReading) {
+        self.list_keeper
+            .borrow_mut()
+            .record_read(read_clocks(), started);
         let is_newer = self.keeper.borrow_mut().record_read(read_clocks(), started);
         self.record_renewal(is_newer, "store");
     }
@@ -81,6 +87,27 @@
         self.record_renewal(is_newer, "peer");
     }
 
+    /// Records the proof in the answer of a node that was called at `called`, if this node has applied all
+    /// changes of the store up to `revision`.
+    pub fn record_list_view(&self, called: ClockReading, view: &StoreView, revision: u64) {
+        let Some(report) = view.proof.filter(|_| view.revision <= revision) else {
+            return;
+        };
+        let held = Duration::from_millis(view.held_ms.into());
+        let now = read_clocks();
+        let version = report.version;
+        let mut keeper = self.list_keeper.borrow_mut();
+        keeper.record_report(now, called, held, report, version);
+    }
+
+    /// Returns whether the upstream list was the newest one within the bound. Without bounds it always is.
+    #[must_use]
+    pub fn is_list_proven(&self) -> bool {
+        let age = self.list_keeper.borrow().age(read_clocks());
+        let bounds = self.bounds.get();
+        bounds.is_none_or(|bounds| bounds.judge(age) != DocumentFreshness::Stale)
+    }
+
     fn record_renewal(&self, is_newer: bool, source: &'static str) {
         if is_newer {
             self.renewals.send_modify(|count| *count += 1);
