--- a/crates/coordination/src/quota/counter_choice.rs
+++ b/crates/coordination/src/quota/counter_choice.rs
@@ -211,6 +211,16 @@
         others.map(|counter| counter.address).collect()
     }
 
+    /// Returns the counter of `account` in each zone that has one, ordered by zone.
+    #[must_use]
+    pub fn zone_counters(&mut self, now: Instant, account: &str) -> Vec<(ZoneName, SocketAddr)> {
+        let counters = self.counters(now, account);
+        let places = counters.iter();
+        places
+            .map(|counter| (counter.zone.clone(), counter.address))
+            .collect()
+    }
+
     /// Number of zones that this node knows to divide quotas: those with listed nodes, and those that had some a
     /// short time ago, up to the most that may hold a part.
     #[must_use]
--- a/crates/coordination/tests/document_proof.rs
+++ b/crates/coordination/tests/document_proof.rs
@@ -145,7 +145,7 @@
 
 #[test]
 fn keys_are_judged_by_the_freshness_of_the_document() {
-    let key = |text: &str| PresentedKey::Single(AccountKey::new(text.into()));
+    let key = |text: &str| PresentedKey::Single(AccountKey::new(text.into()).digest());
     let keys = [
         ("held key", key("held")),
         ("unknown key", key("other")),
@@ -163,7 +163,7 @@
         for parent in [CallParent::None, CallParent::Unknown, CallParent::Running] {
             for (name, key) in &keys {
                 let results = freshness.map(|freshness| {
-                    match check_key(&table, &route, key, parent, freshness) {
+                    match check_key(&table, &route, *key, parent, freshness) {
                         Ok(Some(account)) => account.name.to_string(),
                         Ok(None) => "runs".to_owned(),
                         Err(refusal) => refusal.as_str().to_owned(),
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -10,6 +10,7 @@
     directory::FleetDirectory,
     header_scheme::HeaderScheme,
     http1::{
+        credentials::CredentialsUse,
         head::RequestHead,
         request_handler::{
             RequestHandler, ServerPhase, ServerRequest, ServerResponse, UnreadReason, UnreadRequest,
@@ -17,6 +18,7 @@
     },
     node_response::NodeResponse,
     quota::quota_gate::{QuotaGate, QuotaPermit, QuotaRefusal},
+    request_expectation::RequestExpectation,
     serving::{refusals::MEMORY_RETRY_AFTER, running_table::RunningTable},
     time_limit_table::TimeLimitTable,
 };
@@ -25,7 +27,10 @@
 use compact_str::CompactString;
 use futures::{FutureExt, future::LocalBoxFuture};
 use lagoonshore_coordination::request::outcome::RefusalReason;
-use lagoonshore_state::route_table::{CallerLimits, RouteEntry, RouteTable};
+use lagoonshore_state::{
+    account::AccountEntry,
+    route_table::{CallerLimits, RouteEntry, RouteTable},
+};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::sync::watch;
 
@@ -89,6 +94,25 @@
         self.is_refusing.set(true);
     }
 
+    /// Returns what would happen now to a new request with a key of `account`, or without one. Nothing is
+    /// taken. `is_anonymous` says whether anyone may use its route.
+    #[must_use]
+    pub fn expect(
+        &self,
+        account: Option<&Rc<AccountEntry>>,
+        is_anonymous: bool,
+    ) -> RequestExpectation {
+        if self.is_refusing.get() {
+            return RequestExpectation::refused(503, "draining", Some(STOPPING_RETRY_AFTER));
+        }
+        if let Err(denial) = self.gate.expect(account, is_anonymous) {
+            return RequestExpectation::of_denial(denial);
+        }
+        account.map_or(RequestExpectation::ADMITTED, |account| {
+            RequestExpectation::of_quota(self.quotas.expect(account))
+        })
+    }
+
     async fn handle(&self, request: ServerRequest) -> ServerResponse {
         let id = request.head.id.clone().unwrap_or_default();
         match self.forward(&id, request).await {
@@ -109,10 +133,9 @@
         self.check_open(id)?;
         let routes = self.directory.routes();
         let route = self.find_route(&routes, id, &request.head)?;
-        let key = &request.head.credentials.key;
         let caller = self
             .gate
-            .admit(&routes, &route, id, key)
+            .admit(&routes, &route, id, &request.head.credentials)
             .map_err(|denial| self.denial_response(id, &route, denial))?;
         let request = self.routed_request(&routes, route, id, caller, request);
         let admitted = self.admit(&routes, &request).await;
@@ -285,6 +308,14 @@
         self.directory.routes().limits()
     }
 
+    fn credentials_use(&self) -> CredentialsUse {
+        if self.directory.routes().has_accounts() {
+            CredentialsUse::Node
+        } else {
+            CredentialsUse::Upstream
+        }
+    }
+
     fn phase(&self) -> watch::Receiver<ServerPhase> {
         self.phase.subscribe()
     }
--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -49,9 +49,9 @@
     pub caller_connections: ActiveCount,
     links: Rc<PeerLinks>,
     peer_table: Rc<PeerTable>,
-    fleet_counters: Rc<FleetCounters>,
-    quota_counters: Rc<QuotaCounters>,
-    quota_gate: Rc<QuotaGate>,
+    pub(crate) fleet_counters: Rc<FleetCounters>,
+    pub(crate) quota_counters: Rc<QuotaCounters>,
+    pub(crate) quota_gate: Rc<QuotaGate>,
     scheme: HeaderScheme,
     budget: MemoryBudget,
 }
