--- a/crates/coordination/tests/quotas.rs
+++ b/crates/coordination/tests/quotas.rs
@@ -159,16 +159,12 @@
     insta::assert_debug_snapshot!(summary);
 }
 
-#[rstest]
-fn a_refused_caller_that_returns_alone_is_admitted(
-    #[values(0.2, 1.0, 1.7, 4.0, 10.0, 25.0, 200.0)] rate: f64,
-    #[values(1, 2, 3, 4, 5)] seed: u64,
-) {
+/// Has callers return alone, `idle` after a demand far over the quota has ended.
+fn return_alone(rate: f64, seed: u64, idle: Duration) {
     let all: Vec<usize> = (0..NODES).collect();
     let mut fleet = QuotaFleet::new(seed, NODES, ZONES, quota(rate, 0.0), DRIFT);
     fleet.run(seconds(8), rate * 6.0 + 10.0, &all);
-    // Requests that others still wait with come before.
-    fleet.run(Duration::from_millis(200), 0.0, &all);
+    fleet.run(idle, 0.0, &all);
     for turn in 0..5_usize {
         let node = turn * 13 % NODES;
         // What others left is used up first.
@@ -190,6 +186,25 @@
     }
 }
 
+#[rstest]
+fn a_refused_caller_that_returns_alone_is_admitted(
+    #[values(0.2, 1.0, 1.7, 4.0, 10.0, 25.0, 200.0)] rate: f64,
+    #[values(1, 2, 3, 4, 5)] seed: u64,
+) {
+    // Requests that others still wait with come before.
+    return_alone(rate, seed, Duration::from_millis(200));
+}
+
+#[rstest]
+#[case(4.0, 12)]
+#[case(10.0, 10)]
+fn a_caller_refused_at_the_end_of_a_surge_that_returns_alone_is_admitted(
+    #[case] rate: f64,
+    #[case] seed: u64,
+) {
+    return_alone(rate, seed, Duration::ZERO);
+}
+
 /// A fault that begins within a run.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
--- a/crates/relay/tests/quotas.rs
+++ b/crates/relay/tests/quotas.rs
@@ -2,9 +2,14 @@
 
 mod support;
 
-use lagoonshore_coordination::request::outcome::RefusalReason;
+use lagoonshore_coordination::{
+    forwarding::document_proof::{ProofBounds, ProofReport},
+    request::outcome::RefusalReason,
+};
+use lagoonshore_protocol::relay_messages::StoreView;
 use lagoonshore_relay::{
     directory::DocumentSource, node::RelayNode, quota::fleet_counters::FleetCounters,
+    store_view::document_proofs::read_clocks,
 };
 use lagoonshore_state::{
     account::{AccountEntry, AccountKey, AccountQuota},
@@ -351,3 +356,44 @@
     let counters = FleetCounters::new(&settings, Rc::clone(directory));
     assert_eq!(counters.own_address(), listed);
 }
+
+#[actix_rt::test]
+async fn a_counter_whose_list_may_be_too_old_grants_nothing() {
+    let revocation = Duration::from_millis(300);
+    let fleet = TestFleet::start(&[("a", "z1")]).await;
+    publish(&fleet, 1, AMPLE_RATE);
+    let node = &fleet.members[0].node;
+    let directory = &node.directory;
+    directory.proofs().set_bounds(Some(ProofBounds {
+        revocation,
+        apply: revocation,
+    }));
+    directory.proofs().record_read(read_clocks());
+    until_counted(&fleet).await;
+    let account = account(AMPLE_RATE);
+    // Tokens in hand expire as well.
+    actix_rt::time::sleep(Duration::from_millis(800)).await;
+    assert!(node.quota_gate().admit(&account, soon()).await.is_err());
+    let newer = directory.versions().known_revision() + 1;
+    let view = StoreView {
+        revision: newer,
+        version: 1,
+        read_age_ms: 0,
+        held_ms: 0,
+        proof: Some(ProofReport {
+            version: 1,
+            age: Duration::ZERO,
+        }),
+    };
+    let peer = fleet.members[0].listen.peers;
+    directory.record_view(peer, read_clocks(), &view);
+    assert!(!directory.proofs().is_list_proven());
+    directory.versions().record_applied(newer);
+    directory.record_view(peer, read_clocks(), &view);
+    assert!(directory.proofs().is_list_proven());
+    // The refusal of a short time ago is not repeated.
+    actix_rt::time::sleep(Duration::from_millis(150)).await;
+    directory.record_view(peer, read_clocks(), &view);
+    let admitted = node.quota_gate().admit(&account, soon()).await;
+    assert!(admitted.is_ok_and(|permit| permit.is_some()));
+}
