--- a/crates/relay/src/directory/mod.rs
+++ b/crates/relay/src/directory/mod.rs
@@ -94,6 +94,8 @@
         self.versions.record_known(view.revision);
         self.versions.record_document(address, view.version);
         self.proofs.record_view(called, view, self.version());
+        let revision = self.versions.revision();
+        self.proofs.record_list_view(called, view, revision);
     }
 
     /// Sets the port at which all nodes listen for peers.
@@ -210,6 +212,14 @@
         upstreams.iter().map(|record| record.name.clone()).collect()
     }
 
+    /// Address at which other nodes find this one; `None` until its upstream is listed.
+    #[must_use]
+    pub fn own_peer_address(&self) -> Option<SocketAddr> {
+        let upstreams = self.upstreams.borrow();
+        let own = upstreams.find_by_address(self.upstream_address)?;
+        Some(self.peer_address(own))
+    }
+
     /// Address at which the node beside an upstream listens for peers.
     fn peer_address(&self, record: &UpstreamRecord) -> SocketAddr {
         SocketAddr::new(record.address.ip(), self.peer_port.get())
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -11,21 +11,19 @@
 use crate::calling::peer_links::{LinkError, PeerLinks};
 
 use lagoonshore_coordination::{
-    quota::{silent_counters::SilentCounters, token_hand::QuotaToken},
+    quota::{
+        quota_timeouts::{ASK_TIMEOUT, UNANSWERED_TIME, WAIT_MAX},
+        silent_counters::SilentCounters,
+        token_hand::QuotaToken,
+    },
     request::outcome::RefusalReason,
 };
-use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant};
+use lagoonshore_protocol::relay_messages::{TokenAsk, TokenGrant, TokenPurpose};
 use lagoonshore_settings::ControlMode;
 use lagoonshore_state::{account::AccountEntry, ids::AccountName};
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
-/// Longest time that a request waits for a token.
-const WAIT_MAX: Duration = Duration::from_millis(250);
-/// Time after which a node goes on to the next counter.
-const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which requests are refused after no counter answered, and after which their callers may return.
-const UNANSWERED_TIME: Duration = Duration::from_millis(100);
 /// Accounts whose tokens are kept before those of idle ones are dropped.
 const HANDS_MAX: usize = 1024;
 /// Time without a request after which an account is idle.
@@ -277,11 +275,8 @@
             let rules = self.fleet.rules();
             let waiting = entry.waiting.get();
             let wanted = entry.hand.borrow_mut().wanted(asked_at, waiting, rules);
-            let ask = TokenAsk {
-                account: entry.account.clone(),
-                wanted,
-                is_loan: false,
-            };
+            let purpose = TokenPurpose::Requests;
+            let ask = self.fleet.token_ask(&entry.account, wanted, purpose);
             let answer = self.send(address, ask, asked_at + ASK_TIMEOUT).await;
             self.record_answer(address, answer.as_ref().err());
             match answer {
--- a/crates/settings/src/relay_settings/mod.rs
+++ b/crates/settings/src/relay_settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of a forwarding node.
 
 mod number_reader;
+mod quota_reader;
 mod relay_text;
 mod settings_reader;
 
--- a/crates/settings/src/relay_settings/number_reader.rs
+++ b/crates/settings/src/relay_settings/number_reader.rs
@@ -8,7 +8,7 @@
 /// Largest duration accepted for a setting, in seconds.
 pub(super) const SECONDS_MAX: f64 = 3600.0;
 /// Largest number accepted for a setting.
-const NUMBER_MAX: f64 = 1_000_000.0;
+pub(super) const NUMBER_MAX: f64 = 1_000_000.0;
 
 /// Reads a number from 0 to [`NUMBER_MAX`].
 pub(super) fn read_number(checker: &mut ValueChecker, key: &str, text: &Spanned<f64>) -> f64 {
--- a/crates/settings/src/relay_settings/settings_reader.rs
+++ b/crates/settings/src/relay_settings/settings_reader.rs
@@ -1,10 +1,10 @@
 //! Reads the settings of a forwarding node from their layout.
 
 use super::{
-    CallerSettings, QuotaSettings, RelayListenSettings, RelaySettings, RetrySettings,
-    StoreSettings, ZoneSettings,
+    CallerSettings, RelayListenSettings, RelaySettings, RetrySettings, StoreSettings, ZoneSettings,
     number_reader::{SECONDS_MAX, read_number, read_seconds, read_whole_number},
-    relay_text::{ListenText, QuotaText, RelayText, RetryText, ZoneText},
+    quota_reader,
+    relay_text::{ListenText, RelayText, RetryText, ZoneText},
 };
 
 use crate::{
@@ -17,11 +17,6 @@
 /// Shortest bound on the use of keys that were taken away, in seconds. Nodes have to read the store
 /// several times within it.
 const REVOCATION_SECONDS_MIN: f64 = 1.0;
-/// Least overage of quotas. With less, tokens would expire before a node can use them.
-const QUOTA_OVERAGE_MIN: f64 = 0.05;
-/// Largest overage of quotas.
-const QUOTA_OVERAGE_MAX: f64 = 10.0;
-
 /// Reads all settings; `checker` collects the errors.
 pub(super) fn read(checker: &mut ValueChecker, text: &RelayText) -> RelaySettings {
     let reuse_time = &text.address_reuse_seconds;
@@ -34,7 +29,7 @@
         upstream: checker.read_address("upstream", &text.upstream),
         store: read_store(checker, text),
         retries: read_retries(checker, &text.repeats),
-        quotas: read_quotas(checker, text.quota.as_ref()),
+        quotas: quota_reader::read(checker, text.quota.as_ref()),
         zones: read_zones(checker, text.zones.as_ref()),
         grace_time: read_seconds(checker, "grace_seconds", &text.grace_seconds),
         address_reuse_time: read_seconds(checker, "address_reuse_seconds", reuse_time),
@@ -139,23 +134,6 @@
     }
 }
 
-fn read_quotas(checker: &mut ValueChecker, text: Option<&QuotaText>) -> QuotaSettings {
-    let Some(text) = text else {
-        return QuotaSettings::default();
-    };
-    let overage = &text.overage;
-    if !(QUOTA_OVERAGE_MIN..=QUOTA_OVERAGE_MAX).contains(&overage.value) {
-        let found = overage.value.to_string();
-        let expected = "a number from 0.05 to 10";
-        checker.add_error(overage.referenced, "quota.overage", &found, expected);
-    }
-    QuotaSettings {
-        window: read_seconds(checker, "quota.window_seconds", &text.window_seconds),
-        overage: overage.value,
-        slack: read_number(checker, "quota.slack", &text.slack),
-    }
-}
-
 fn read_zones(checker: &mut ValueChecker, text: Option<&ZoneText>) -> ZoneSettings {
     let mut settings = ZoneSettings::default();
     if let Some(cost) = text.and_then(|text| text.leave_cost_ms.as_ref()) {
