Name the limits of the allocator as the C library does

Cause: MAPPED_BYTES and TRIM_BYTES did not tell that they are thresholds, and the unsafe implementation of the counting allocator had no SAFETY comment. Change: MMAP_THRESHOLD_BYTES and TRIM_THRESHOLD_BYTES; a SAFETY comment.

--- a/crates/allocations/src/lib.rs
+++ b/crates/allocations/src/lib.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct CountingAllocator;
 
-// Memory comes from the allocator of the system and goes back to it, unchanged.
+// SAFETY: each call is passed on to the allocator of the system with unchanged arguments.
 #[allow(unsafe_code)]
 unsafe impl GlobalAlloc for CountingAllocator {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
@@ -76,7 +76,7 @@
     });
 }
 
-/// Sizes of allocations fit `isize`, see [`Layout`].
+/// Converts the size of an allocation, which fits `isize` (see [`Layout`]).
 fn signed(size: usize) -> i64 {
     i64::try_from(size).unwrap_or(i64::MAX)
 }
--- a/crates/allocator/src/lib.rs
+++ b/crates/allocator/src/lib.rs
@@ -8,10 +8,10 @@
 use snafu::Snafu;
 
 /// Size from which an allocation gets pages of its own, in bytes.
-pub const MAPPED_BYTES: i32 = 64 * 1024;
+pub const MMAP_THRESHOLD_BYTES: i32 = 64 * 1024;
 /// Free bytes at the end of the heap above which they return to the system. Fewer would make the heap
 /// shrink and grow with each burst of small messages.
-pub const TRIM_BYTES: i32 = 4 * 1024 * 1024;
+pub const TRIM_THRESHOLD_BYTES: i32 = 4 * 1024 * 1024;
 
 /// `LimitError` says that the allocator did not accept a limit, and keeps its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -27,8 +27,8 @@
 pub fn fix_limits() -> Result<(), LimitError> {
     #[cfg(all(target_os = "linux", target_env = "gnu"))]
     {
-        set_limit(libc::M_MMAP_THRESHOLD, MAPPED_BYTES)?;
-        set_limit(libc::M_TRIM_THRESHOLD, TRIM_BYTES)?;
+        set_limit(libc::M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES)?;
+        set_limit(libc::M_TRIM_THRESHOLD, TRIM_THRESHOLD_BYTES)?;
     }
     Ok(())
 }
