--- a/crates/transport/src/running_timeout.rs
+++ b/crates/transport/src/running_timeout.rs
@@ -9,11 +9,11 @@
 
 /// Interval between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time from which a tick is late.
-const TICK_LATE: Duration = Duration::from_millis(40);
+/// Length from which a tick is late.
+const LATE_TICK_MIN: Duration = Duration::from_millis(40);
 
-/// Waits for `future` until the process has run for `limit`; `None` if it is not ready by then. What arrived
-/// while the process did not run is received before.
+/// Waits for `future` until the process has run for `limit`; `None` if it is not ready by then. After a late
+/// tick it waits for another one, so that what arrived while the process did not run is still received.
 pub async fn running_timeout<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
     let mut future = pin!(future);
     let mut counted = Duration::ZERO;
@@ -30,7 +30,7 @@
         }
         let elapsed = started.elapsed();
         counted += elapsed.min(TICK_INTERVAL);
-        is_late = elapsed >= TICK_LATE;
+        is_late = elapsed >= LATE_TICK_MIN;
     }
     None
 }
