Name the default quota settings and give units

Cause: the defaults of quotas were bare numbers, names of rates had no unit, and the comments on callers left the responses out. Change: named constants, units in names, complete comments.

--- a/crates/relay/src/http1/server.rs
+++ b/crates/relay/src/http1/server.rs
@@ -28,11 +28,11 @@
     pub connections: usize,
     /// Time that the body of a request may take to arrive.
     pub body_time: Duration,
-    /// Received bytes of a body that allow one second more.
+    /// Received bytes of a body that extend `body_time` by one second.
     pub body_bytes_per_second: u32,
     /// Time that a caller may take to read its responses.
     pub response_time: Duration,
-    /// Bytes that it read of them that allow one second more.
+    /// Bytes of responses read that extend `response_time` by one second.
     pub response_bytes_per_second: u32,
     /// Memory that the requests share with other messages.
     pub budget: MemoryBudget,
--- a/crates/settings/src/relay_settings/mod.rs
+++ b/crates/settings/src/relay_settings/mod.rs
@@ -31,12 +31,18 @@
 const CALLER_CONNECTIONS_DEFAULT: u32 = 2500;
 /// Time that a body may take to arrive if the settings give none.
 const BODY_TIME_DEFAULT: Duration = Duration::from_secs(30);
-/// Received bytes of a body that allow one second more, if the settings give none.
-const BODY_RATE_DEFAULT: u32 = 16 * 1024;
+/// Received bytes of a body that extend its time by one second if the settings give none.
+const BODY_BYTES_PER_SECOND_DEFAULT: u32 = 16 * 1024;
 /// Time that a caller may take to read its responses if the settings give none.
 const RESPONSE_TIME_DEFAULT: Duration = Duration::from_secs(30);
-/// Bytes that it read of them that allow one second more, if the settings give none.
-const RESPONSE_RATE_DEFAULT: u32 = 16 * 1024;
+/// Bytes of responses read that extend this time by one second if the settings give none.
+const RESPONSE_BYTES_PER_SECOND_DEFAULT: u32 = 16 * 1024;
+/// Window of quotas if the settings give none.
+const QUOTA_WINDOW_DEFAULT: Duration = Duration::from_secs(5);
+/// Share of a quota by which a window may exceed it if the settings give none.
+const QUOTA_OVERAGE_DEFAULT: f64 = 0.25;
+/// Requests by which a window may exceed a quota besides if the settings give none.
+const QUOTA_SLACK_DEFAULT: f64 = 20.0;
 
 /// `RelaySettings` holds the identity of a node, its addresses and its limits.
 #[derive(Clone, Debug)]
@@ -68,7 +74,7 @@
     pub address_reuse_time: Duration,
     /// Memory limit of the process, in MiB.
     pub memory_mib: u32,
-    /// What callers may hold and how long their requests may take to arrive.
+    /// Connections of callers, and time for their requests and responses.
     pub callers: CallerSettings,
     /// Least severe level that is logged.
     pub log: LogLevel,
@@ -128,7 +134,8 @@
     }
 }
 
-/// `CallerSettings` limits the connections of callers and the time that their requests take to arrive.
+/// `CallerSettings` limits the connections of callers, and the time in which requests have to arrive and
+/// responses have to be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerSettings {
     /// Descriptors that the process may open; `None` for what the operating system allows.
@@ -137,11 +144,11 @@
     pub connections: u32,
     /// Time that the body of a request may take to arrive.
     pub body_time: Duration,
-    /// Received bytes of a body that allow one second more.
+    /// Received bytes of a body that extend `body_time` by one second.
     pub body_bytes_per_second: u32,
     /// Time that a caller may take to read its responses.
     pub response_time: Duration,
-    /// Bytes that it read of them that allow one second more.
+    /// Bytes of responses read that extend `response_time` by one second.
     pub response_bytes_per_second: u32,
 }
 
@@ -151,9 +158,9 @@
             descriptors: None,
             connections: CALLER_CONNECTIONS_DEFAULT,
             body_time: BODY_TIME_DEFAULT,
-            body_bytes_per_second: BODY_RATE_DEFAULT,
+            body_bytes_per_second: BODY_BYTES_PER_SECOND_DEFAULT,
             response_time: RESPONSE_TIME_DEFAULT,
-            response_bytes_per_second: RESPONSE_RATE_DEFAULT,
+            response_bytes_per_second: RESPONSE_BYTES_PER_SECOND_DEFAULT,
         }
     }
 }
@@ -186,9 +193,9 @@
 impl Default for QuotaSettings {
     fn default() -> Self {
         Self {
-            window: Duration::from_secs(5),
-            overage: 0.25,
-            slack: 20.0,
+            window: QUOTA_WINDOW_DEFAULT,
+            overage: QUOTA_OVERAGE_DEFAULT,
+            slack: QUOTA_SLACK_DEFAULT,
         }
     }
 }
--- a/crates/settings/src/relay_settings/quota_reader.rs
+++ b/crates/settings/src/relay_settings/quota_reader.rs
@@ -16,7 +16,7 @@
 const OVERAGE_MAX: f64 = 10.0;
 /// Least product of window and overage of quotas, in seconds. With less, tokens would expire within the
 /// time of a message.
-const OVERRUN_MIN: f64 = 0.1;
+const OVERRUN_SECONDS_MIN: f64 = 0.1;
 /// Least slack of quotas, in requests: with less, the least bucket of a single zone would exceed it.
 const SLACK_MIN: f64 = 2.0;
 
@@ -32,7 +32,7 @@
         checker.add_error(overage.referenced, "quota.overage", &found, expected);
     }
     let window = read_seconds(checker, "quota.window_seconds", &text.window_seconds);
-    if !window.is_zero() && window.as_secs_f64() * overage.value < OVERRUN_MIN {
+    if !window.is_zero() && window.as_secs_f64() * overage.value < OVERRUN_SECONDS_MIN {
         let window = &text.window_seconds;
         let found = window.value.to_string();
         let expected = "a number of seconds that is at least 0.1 / quota.overage";
--- a/crates/settings/src/relay_settings/settings_reader.rs
+++ b/crates/settings/src/relay_settings/settings_reader.rs
@@ -17,6 +17,7 @@
 /// Shortest bound on the use of keys that were taken away, in seconds. Nodes have to read the store
 /// several times within it.
 const REVOCATION_SECONDS_MIN: f64 = 1.0;
+
 /// Reads all settings; `checker` collects the errors.
 pub(super) fn read(checker: &mut ValueChecker, text: &RelayText) -> RelaySettings {
     let reuse_time = &text.address_reuse_seconds;
