Name the checks of a new request without 'expect'

Cause: methods called expect read like those of Option and Result, and admit stood for three checks. Change: check_new_request, request_expectation, expectation and admit_by_quota; From instead of of_denial and of_quota; the deadline of the caller is computed once.

--- a/crates/relay/src/access_gate.rs
+++ b/crates/relay/src/access_gate.rs
@@ -1,4 +1,4 @@
-//! Lets a request of a caller in by its key, or as a call of the local upstream; see
+//! Admits the requests of callers by their keys, and the calls of the local upstream; see
 //! [`caller_access`](lagoonshore_coordination::forwarding::caller_access).
 
 use crate::{
@@ -21,14 +21,12 @@
 
 /// Status of a request without a valid key (RFC 9110, section 15.5.2).
 pub(crate) const UNAUTHORIZED: u16 = 401;
-/// Status of a request that may be let in later.
+/// Status of a request that may be admitted later (RFC 9110, section 15.6.4).
 const UNAVAILABLE: u16 = 503;
 /// `Retry-After` of a request that may be a call whose parent is not known.
 const PARENT_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// `Retry-After` of a request during which the document changed.
 const CHANGE_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// Denial of a request whose head was read while its credentials were for the node, and that was handled when
 /// they were for the upstream. It would run there without them.
 const CREDENTIALS_WITHHELD: AccessDenial = AccessDenial {
@@ -44,7 +42,7 @@
     running_table: Rc<RunningTable>,
 }
 
-/// `AdmittedCaller` is what is known of the caller of a request that was let in.
+/// `AdmittedCaller` is what is known of the caller of an admitted request.
 pub(crate) struct AdmittedCaller {
     /// Running request that makes this call; `None` unless the local upstream makes it.
     pub(crate) parent: Option<RunningRequest>,
@@ -54,12 +52,12 @@
     pub(crate) importance: RequestImportance,
 }
 
-/// `AccessDenial` is the response to a request that was not let in.
+/// `AccessDenial` is the response to a request that was not admitted.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AccessDenial {
     /// HTTP status.
     pub(crate) status: u16,
-    /// Time after which the request may be let in; `None` if a retry cannot help.
+    /// Time after which the request may be admitted; `None` if a retry cannot help.
     pub(crate) retry_after: Option<Duration>,
     /// Reason in log lines and in the response.
     pub(crate) reason: &'static str,
@@ -78,7 +76,7 @@
         }
     }
 
-    /// Lets the request `id` of `route` in, which carries `credentials`.
+    /// Admits the request `id` of `route`, which carries `credentials`.
     pub(crate) fn admit(
         &self,
         routes: &RouteTable,
@@ -113,9 +111,9 @@
         })
     }
 
-    /// Returns whether a new request with a key of `account`, or without one, would be let in now.
+    /// Checks whether a new request with a key of `account`, or without one, would be admitted now.
     /// `is_anonymous` says whether anyone may use its route.
-    pub(crate) fn expect(
+    pub(crate) fn check_new_request(
         &self,
         account: Option<&Rc<AccountEntry>>,
         is_anonymous: bool,
--- a/crates/relay/src/caller_listener.rs
+++ b/crates/relay/src/caller_listener.rs
@@ -33,7 +33,7 @@
     route_table::{CallerLimits, RouteEntry, RouteTable},
 };
 use std::{cell::Cell, rc::Rc, time::Duration};
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 /// `Retry-After` of a node that does not know the fleet yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -98,7 +98,7 @@
     /// Returns what would happen now to a new request with a key of `account`, or without one. Nothing is
     /// taken. `is_anonymous` says whether anyone may use its route.
     #[must_use]
-    pub fn expect(
+    pub fn request_expectation(
         &self,
         account: Option<&Rc<AccountEntry>>,
         is_anonymous: bool,
@@ -106,11 +106,11 @@
         if self.is_refusing.get() {
             return RequestExpectation::refused(503, "draining", Some(STOPPING_RETRY_AFTER));
         }
-        if let Err(denial) = self.gate.expect(account, is_anonymous) {
-            return RequestExpectation::of_denial(denial);
+        if let Err(denial) = self.gate.check_new_request(account, is_anonymous) {
+            return denial.into();
         }
         account.map_or(RequestExpectation::ADMITTED, |account| {
-            RequestExpectation::of_quota(self.quotas.expect(account))
+            self.quotas.expectation(account).into()
         })
     }
 
@@ -140,9 +140,10 @@
             .map_err(|denial| self.denial_response(id, &route, denial))?;
         let limit = request.head.time_limit.unwrap_or(route.timeout);
         let caller_deadline = request.received + limit;
-        let mut request = Self::routed_request(&routes, route, id, caller, request);
+        let mut request =
+            Self::routed_request(&routes, route, id, caller, request, caller_deadline);
         request.spent = self.returns.time_spent(&request, caller_deadline);
-        let admitted = self.admit(&routes, &request).await;
+        let admitted = self.admit_by_quota(&routes, &request).await;
         let permit = admitted.map_err(|refusal| self.quota_response(id, refusal))?;
         let outcome = self.forwarder.forward(&request).await;
         if !request.spent.is_zero() {
@@ -182,16 +183,16 @@
         route.ok_or_else(|| self.node_response(id, 404, None, "no route"))
     }
 
-    /// Builds the request to forward.
+    /// Builds the request to forward, whose caller waits until `caller_deadline`.
     fn routed_request(
         routes: &RouteTable,
         route: Rc<RouteEntry>,
         id: &CompactString,
         caller: AdmittedCaller,
         request: ServerRequest,
+        caller_deadline: Instant,
     ) -> RoutedRequest {
         let (head, received) = (request.head, request.received);
-        let limit = head.time_limit.unwrap_or(route.timeout);
         let fields = if routes.has_accounts() {
             head.fields
         } else {
@@ -209,14 +210,14 @@
             parent: caller.parent,
             spent: Duration::ZERO,
             received,
-            deadline: received + limit.min(route.timeout),
+            deadline: caller_deadline.min(received + route.timeout),
             route,
         }
     }
 
     /// Counts a request against the quota of its account. Calls of a running request were counted with the
     /// request at the root of their chain.
-    async fn admit(
+    async fn admit_by_quota(
         &self,
         routes: &RouteTable,
         request: &RoutedRequest,
--- a/crates/relay/src/node_pages.rs
+++ b/crates/relay/src/node_pages.rs
@@ -96,7 +96,7 @@
             account: AccountView::new(account),
             proof: ProofPart::new(&node.directory),
             quota: account.quota.map(|quota| self.quota_page(name, quota)),
-            request_now: node.callers.expect(Some(account), false),
+            request_now: node.callers.request_expectation(Some(account), false),
         })
     }
 
@@ -133,7 +133,9 @@
             importance: routes.importance(route, account.map(Rc::as_ref)),
             proof: ProofPart::new(&node.directory),
             in_hand: account.and_then(|account| self.hand(&account.name)),
-            request_now: node.callers.expect(account, route.is_anonymous),
+            request_now: node
+                .callers
+                .request_expectation(account, route.is_anonymous),
         }
     }
 
--- a/crates/relay/src/quota/account_hand.rs
+++ b/crates/relay/src/quota/account_hand.rs
@@ -28,7 +28,7 @@
     pub(super) answered: Notify,
 }
 
-/// `HandStep` is what a request of an account meets next.
+/// `HandStep` is how a request of an account proceeds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HandStep {
     /// A token is in hand.
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Decides what a request meets at `now`; changes nothing.
+    /// Decides how a request proceeds at `now`; changes nothing.
     pub(super) fn step(&self, now: Instant) -> HandStep {
         let mut hand = self.hand.borrow_mut();
         if hand.count(now) > 0 {
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -134,8 +134,8 @@
         hands.retain(|account, _| self.fleet.quota(account).is_some());
     }
 
-    /// Returns what a request of `account` would meet now. Nothing is taken.
-    pub(crate) fn expect(&self, account: &AccountEntry) -> QuotaExpectation {
+    /// Returns what would happen now to a request of `account`. Nothing is taken.
+    pub(crate) fn expectation(&self, account: &AccountEntry) -> QuotaExpectation {
         if !self.is_limited(account) {
             return QuotaExpectation::Unlimited;
         }
@@ -149,18 +149,13 @@
             HandStep::Ask => QuotaExpectation::Ask,
             HandStep::Unanswered => QuotaExpectation::Refused(QuotaRefusal::UNANSWERED),
             HandStep::OverQuota => {
-                let (rate, nodes) = self.return_rates(entry);
+                let (rate, nodes) = self.quota_share(entry);
                 let returns_at = entry.hand.borrow().next_return(now, rate, nodes);
                 QuotaExpectation::Refused(QuotaRefusal::over_quota(returns_at - now))
             }
         }
     }
 
-    /// Returns whether the requests of `account` need tokens.
-    fn is_limited(&self, account: &AccountEntry) -> bool {
-        account.quota.is_some() && self.control != ControlMode::PassThrough
-    }
-
     /// Returns the tokens in hand of those accounts for operators for which `is_shown` holds.
     pub(crate) fn views(&self, is_shown: impl Fn(&str) -> bool) -> Vec<HandView> {
         let now = Instant::now();
@@ -182,6 +177,11 @@
         views.collect()
     }
 
+    /// Returns whether the requests of `account` need tokens.
+    fn is_limited(&self, account: &AccountEntry) -> bool {
+        account.quota.is_some() && self.control != ControlMode::PassThrough
+    }
+
     /// Waits for a token; `None` if a newer document gives the account no quota.
     async fn wait_for_token(
         self: &Rc<Self>,
@@ -214,7 +214,7 @@
     }
 
     /// Returns the requests a second that the quota of an account allows, and the nodes that share them.
-    fn return_rates(&self, entry: &AccountHand) -> (f64, u32) {
+    fn quota_share(&self, entry: &AccountHand) -> (f64, u32) {
         let quota = self.fleet.quota(&entry.account);
         let rate = quota.map_or(0.0, |quota| quota.rate);
         (rate, self.fleet.node_count())
@@ -222,7 +222,7 @@
 
     fn refuse_over_quota(&self, entry: &AccountHand) -> QuotaRefusal {
         let now = Instant::now();
-        let (rate, nodes) = self.return_rates(entry);
+        let (rate, nodes) = self.quota_share(entry);
         let mut hand = entry.hand.borrow_mut();
         let refusal = QuotaRefusal::over_quota(hand.retry_after(now, rate, nodes));
         let rates = hand.rates(now);
--- a/crates/relay/src/quota/quota_view.rs
+++ b/crates/relay/src/quota/quota_view.rs
@@ -26,7 +26,7 @@
     pub counters: Vec<CounterView>,
 }
 
-/// `QuotaExpectation` is what a request of an account would meet.
+/// `QuotaExpectation` is what would happen to a request of an account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuotaExpectation {
     /// The account has no quota.
--- a/crates/relay/src/request_expectation.rs
+++ b/crates/relay/src/request_expectation.rs
@@ -59,12 +59,16 @@
             retry_after_ms: retry_after.map(whole_millis),
         }
     }
+}
 
-    pub(crate) fn of_denial(denial: AccessDenial) -> Self {
+impl From<AccessDenial> for RequestExpectation {
+    fn from(denial: AccessDenial) -> Self {
         Self::refused(denial.status, denial.reason, denial.retry_after)
     }
+}
 
-    pub(crate) fn of_quota(expectation: QuotaExpectation) -> Self {
+impl From<QuotaExpectation> for RequestExpectation {
+    fn from(expectation: QuotaExpectation) -> Self {
         match expectation {
             QuotaExpectation::Unlimited => Self::ADMITTED,
             QuotaExpectation::InHand => {
