Split the answer to an ask for tokens by its purpose

Cause: QuotaCounters::serve mixed three purposes in one long function; the methods of DocumentFetch did not say what they fetch or record; the comment on the duty of a counter was incomplete. Change: QuotaCounters::grant, DocumentFetch::fetch_newer and record_version; a correct comment.

--- a/crates/relay/src/quota/document_fetch.rs
+++ b/crates/relay/src/quota/document_fetch.rs
@@ -29,15 +29,16 @@
         }
     }
 
-    /// Records the version of the node that asks. A newer one that the store does not deliver soon is
-    /// fetched in any case.
-    pub(super) fn record(&self, ask: &TokenAsk) {
+    /// Records the document version of the node that asks. A newer document that the store does not
+    /// deliver soon is fetched without [`Self::fetch_newer`] as well.
+    pub(super) fn record_version(&self, ask: &TokenAsk) {
         let versions = self.directory.versions();
         versions.record_document(ask.asker, ask.version);
     }
 
-    /// Fetches the newest document that other nodes have told of, if it is newer; one fetch at a time.
-    pub(super) async fn wait(&self) {
+    /// Fetches the newest document that other nodes reported if it is newer than the one in force; one
+    /// fetch runs at a time.
+    pub(super) async fn fetch_newer(&self) {
         let deadline = Instant::now() + FETCH_TIMEOUT;
         let fetch = async {
             let _fetching = self.fetching.lock().await;
--- a/crates/relay/src/quota/fleet_counters.rs
+++ b/crates/relay/src/quota/fleet_counters.rs
@@ -116,8 +116,8 @@
         choice.other_counters(now, account, &self.zone)
     }
 
-    /// Returns since when this node counts the requests of `account`; `None` if it does not, or if the
-    /// account has no quota, or if its list may be so old that another node counts in its place.
+    /// Returns the duty of this node to count the requests of `account`; `None` if it has none, if the
+    /// account has no quota, or if the upstream list may be so old that another node counts instead.
     pub(crate) fn duty(&self, now: Instant, account: &str) -> Option<CounterDuty> {
         let quota = self.quota(account)?;
         if !self.directory.proofs().is_list_proven() {
--- a/crates/relay/src/quota/quota_counters.rs
+++ b/crates/relay/src/quota/quota_counters.rs
@@ -56,7 +56,7 @@
     /// Answers a node, or the counter of another zone.
     pub async fn serve(self: &Rc<Self>, ask: TokenAsk) -> TokenGrant {
         self.fleet.record_zones(ask.zones);
-        self.fetch.record(&ask);
+        self.fetch.record_version(&ask);
         let TokenAsk {
             account,
             wanted,
@@ -66,35 +66,10 @@
         match purpose {
             TokenPurpose::Loan => {
                 self.check_stand_in(&account).await;
-                return self.lend(&account, wanted);
+                self.lend(&account, wanted)
             }
-            TokenPurpose::Takeover => return self.tell_counter(&account),
-            TokenPurpose::Requests => {}
-        }
-        if self.fleet.quota(&account).is_none() {
-            self.fetch.wait().await;
-        }
-        self.check_stand_in(&account).await;
-        let taken = self.with_counter(&account, |counter, now| counter.take(now, wanted));
-        let Some(mut tokens) = taken else {
-            return TokenGrant::NotCounter;
-        };
-        if tokens < wanted {
-            self.wait_for_loan(&account, wanted - tokens).await;
-            let missing = wanted - tokens;
-            let more = self.with_counter(&account, |counter, now| counter.take_again(now, missing));
-            tokens += more.unwrap_or_default();
-        }
-        let missing = wanted - tokens;
-        let short_for = if missing > 0.0 {
-            self.with_counter(&account, |counter, now| counter.next_turn(now, missing))
-        } else {
-            None
-        };
-        relay_metrics::count_quota_tokens("granted", tokens);
-        TokenGrant::Granted {
-            tokens,
-            short_ms: whole_millis(short_for.unwrap_or_default()),
+            TokenPurpose::Takeover => self.tell_counter(&account),
+            TokenPurpose::Requests => self.grant(&account, wanted).await,
         }
     }
 
@@ -136,6 +111,35 @@
         views.collect()
     }
 
+    /// Grants a node tokens for requests, after a loan if the bucket does not have all of them.
+    async fn grant(self: &Rc<Self>, account: &AccountName, wanted: f64) -> TokenGrant {
+        if self.fleet.quota(account).is_none() {
+            self.fetch.fetch_newer().await;
+        }
+        self.check_stand_in(account).await;
+        let taken = self.with_counter(account, |counter, now| counter.take(now, wanted));
+        let Some(mut tokens) = taken else {
+            return TokenGrant::NotCounter;
+        };
+        if tokens < wanted {
+            self.wait_for_loan(account, wanted - tokens).await;
+            let missing = wanted - tokens;
+            let more = self.with_counter(account, |counter, now| counter.take_again(now, missing));
+            tokens += more.unwrap_or_default();
+        }
+        let missing = wanted - tokens;
+        let short_for = if missing > 0.0 {
+            self.with_counter(account, |counter, now| counter.next_turn(now, missing))
+        } else {
+            None
+        };
+        relay_metrics::count_quota_tokens("granted", tokens);
+        TokenGrant::Granted {
+            tokens,
+            short_ms: whole_millis(short_for.unwrap_or_default()),
+        }
+    }
+
     fn lend(&self, account: &AccountName, wanted: f64) -> TokenGrant {
         let rules = self.fleet.rules();
         let lent = self.with_counter(account, |counter, now| counter.lend(now, wanted, rules));
@@ -160,7 +164,7 @@
         }
     }
 
-    /// Asks the node that may have counted while this one was away, so that both don't count.
+    /// Asks the node that may have counted while this one was away, so that the two do not count at the same time.
     async fn check_stand_in(&self, account: &AccountName) {
         let now = Instant::now();
         let Some(stand_in) = self.fleet.stand_in(now, account) else {
