--- a/crates/relay/src/calling/link_calls.rs
+++ b/crates/relay/src/calling/link_calls.rs
@@ -74,8 +74,8 @@
         reply.map_err(|error| self.call_error(address, &link, &error))
     }
 
-    /// Waits until the node at `address` knows more of the store than the revision `seen`, for `wait` at
-    /// most, and returns what it knows.
+    /// Waits until the node at `address` knows more of the store than the revision `seen`, as long as
+    /// `schedule` allows, and returns what it knows.
     ///
     /// # Errors
     /// [`LinkError`] if no reply arrives.
@@ -121,7 +121,7 @@
             }
             reply.map_err(|error| self.call_error(address, &link, &error))
         };
-        // A connection attempt may take longer.
+        // The deadline of the call does not cover the connection attempt.
         let reply = tokio::time::timeout_at(deadline, asking).await;
         reply.unwrap_or(Err(LinkError::TimedOut))
     }
--- a/crates/relay/src/calling/peer_observations.rs
+++ b/crates/relay/src/calling/peer_observations.rs
@@ -99,6 +99,7 @@
                 LinkEvent::Lost => {
                     let mut zone_health = self.zone_health.borrow_mut();
                     zone_health.record_silence(Instant::now(), address, record.zone.clone());
+                    // Each recorded failure ends an attempt, so a start is recorded with it.
                     selector.record_start(key);
                     selector.record_unreachable(key, Instant::now());
                 }
--- a/crates/relay/src/calling/retry_limit.rs
+++ b/crates/relay/src/calling/retry_limit.rs
@@ -10,7 +10,7 @@
 use std::cell::RefCell;
 use tokio::time::Instant;
 
-/// Nodes that are assumed to share the quota until the fleet is known.
+/// Nodes that are assumed to share the retry quota until the fleet is known.
 const NODES_DEFAULT: u32 = 1;
 
 /// `RetryLimit` counts the requests of the node, and limits the retries among them.
@@ -32,7 +32,7 @@
         allowance.set_rules(allowance_rules(retries));
     }
 
-    /// Sets the number of nodes that share the quota.
+    /// Sets the number of nodes that share the retry quota.
     pub(crate) fn set_nodes(&self, nodes: u32) {
         self.allowance.borrow_mut().set_nodes(nodes);
     }
--- a/crates/relay/src/connection_log.rs
+++ b/crates/relay/src/connection_log.rs
@@ -1,4 +1,5 @@
-//! Rate-limited log lines about connections that are closed for want of places, or of callers that read.
+//! Rate-limited log lines about connections that are closed because others need their places, or because
+//! their callers do not read the responses.
 
 use crate::{events, line_budget::LineBudget, relay_metrics};
 
--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -272,8 +272,8 @@
             return true;
         }
         if self.write_deadline().is_some_and(|at| at <= Instant::now()) {
-            let (caller, left) = (self.place.caller(), self.output.len());
-            self.log.log_not_read(caller, left);
+            let (caller, unread_bytes) = (self.place.caller(), self.output.len());
+            self.log.log_not_read(caller, unread_bytes);
             return false;
         }
         if self.receiving_since.is_some() {
--- a/crates/relay/src/node/background_tasks.rs
+++ b/crates/relay/src/node/background_tasks.rs
@@ -25,7 +25,7 @@
     actix_rt::spawn(ProofSeeker::new(directory, links, own_address).run());
 }
 
-/// Applies each change of the directory to the upstream server, the forwarder and the links.
+/// Applies each change of the directory to the parts of the node that depend on it.
 async fn apply_directory_changes(node: Rc<RelayNode>) {
     let mut changes = node.directory.changes();
     // Changes made before this task started have to be applied as well.
--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -94,7 +94,7 @@
     /// Returns a snapshot of the state of the node for operators.
     #[must_use]
     pub fn dump(&self) -> StateDump {
-        node_dump::of(self)
+        node_dump::create(self)
     }
 
     /// Admits the requests of accounts with quotas.
@@ -121,8 +121,8 @@
         signals::on_reload(reload).context(SignalsSnafu)
     }
 
-    /// Applies reloaded settings. Only the bounds on retries and the zone settings change; addresses, names and memory
-    /// take effect at the next start of the process.
+    /// Applies reloaded settings. Only the retry and zone settings change; all others take effect at the
+    /// next start of the process.
     pub fn apply_settings(&self, settings: &RelaySettings) {
         self.callers
             .forwarder()
--- a/crates/relay/src/node/node_dump.rs
+++ b/crates/relay/src/node/node_dump.rs
@@ -9,7 +9,7 @@
 };
 
 /// Returns a snapshot of the state of `node`.
-pub(super) fn of(node: &RelayNode) -> StateDump {
+pub(super) fn create(node: &RelayNode) -> StateDump {
     let status = node.server.node_status();
     StateDump {
         node: node.settings.node.clone(),
--- a/crates/relay/src/serving/request_admission.rs
+++ b/crates/relay/src/serving/request_admission.rs
@@ -128,12 +128,12 @@
         if request.is_nested() || self.control == ControlMode::PassThrough {
             return Ok(None);
         }
-        let limit_max = self
+        let requests_max = self
             .limiter
             .usage()
             .limit
             .saturating_mul(ROUTE_REQUESTS_PER_SLOT);
-        let admitted = self.route_gate.admit(request, limit_max);
+        let admitted = self.route_gate.admit(request, requests_max);
         admitted.map(Some).map_err(nested_overload)
     }
 }
--- a/crates/relay/src/serving/upstream_parts.rs
+++ b/crates/relay/src/serving/upstream_parts.rs
@@ -22,6 +22,7 @@
 const IDLE_DIVISOR: usize = 2;
 /// Slots that are assumed until the upstream is listed.
 const SLOTS_DEFAULT: u32 = 8;
+
 /// `UpstreamParts` are the parts that the steps of a request share.
 pub(crate) struct UpstreamParts {
     pub(crate) limiter: SlotLimiter,
@@ -65,7 +66,7 @@
         }
     }
 
-    /// Creates what decides which requests may wait for a slot.
+    /// Creates the admission of requests.
     pub(crate) fn create_admission(
         &self,
         settings: &RelaySettings,
@@ -85,7 +86,7 @@
         }
     }
 
-    /// Creates what gives slots to admitted requests.
+    /// Creates the gate at which admitted requests wait for slots.
     pub(crate) fn create_slot_gate(&self, settings: &RelaySettings) -> SlotGate {
         SlotGate::new(
             settings.control,
@@ -94,7 +95,7 @@
         )
     }
 
-    /// Creates what exchanges requests and responses with the upstream.
+    /// Creates the exchange of requests and responses with the upstream.
     pub(crate) fn create_exchange(
         &self,
         scheme: HeaderScheme,
--- a/crates/relay/src/serving/upstream_server.rs
+++ b/crates/relay/src/serving/upstream_server.rs
@@ -36,6 +36,7 @@
 
 /// Share of the listed slots that is used: some upstreams slow down when nearly all are in use.
 const USABLE_SLOTS_SHARE: f64 = 0.95;
+
 /// `UpstreamServer` runs requests on the local upstream.
 pub struct UpstreamServer {
     directory: Rc<FleetDirectory>,
