Use 'hand' for one thing in the quota gate

Cause: a local called hand was a TokenHand in some places, and an AccountHand was called entry. Change: an AccountHand is called hand, its TokenHand tokens; WaitingGuard's comment names it.

--- a/crates/relay/src/quota/account_hand.rs
+++ b/crates/relay/src/quota/account_hand.rs
@@ -15,7 +15,7 @@
     /// Name of the account.
     pub(super) account: AccountName,
     /// Tokens in hand.
-    pub(super) hand: RefCell<TokenHand>,
+    pub(super) tokens: RefCell<TokenHand>,
     /// Requests that wait for a token.
     pub(super) waiting: Cell<u32>,
     /// Whether an ask for tokens is in progress.
@@ -41,13 +41,13 @@
     Unanswered,
 }
 
-/// Counts a request that waits until it is dropped.
+/// `WaitingGuard` counts a waiting request until it is dropped.
 pub(super) struct WaitingGuard<'a>(&'a AccountHand);
 
 impl<'a> WaitingGuard<'a> {
-    pub(super) fn new(entry: &'a AccountHand) -> Self {
-        entry.waiting.set(entry.waiting.get() + 1);
-        Self(entry)
+    pub(super) fn new(hand: &'a AccountHand) -> Self {
+        hand.waiting.set(hand.waiting.get() + 1);
+        Self(hand)
     }
 }
 
@@ -62,7 +62,7 @@
     pub(super) fn new(now: Instant, account: AccountName) -> Self {
         Self {
             account,
-            hand: RefCell::new(TokenHand::new(now, rand::random())),
+            tokens: RefCell::new(TokenHand::new(now, rand::random())),
             waiting: Cell::new(0),
             is_asking: Cell::new(false),
             used_at: Cell::new(now),
@@ -73,12 +73,12 @@
 
     /// Decides how a request proceeds at `now`; changes nothing.
     pub(super) fn step(&self, now: Instant) -> HandStep {
-        let mut hand = self.hand.borrow_mut();
-        if hand.count(now) > 0 {
+        let mut held = self.tokens.borrow_mut();
+        if held.count(now) > 0 {
             HandStep::Take
         } else if now < self.unanswered_until.get() {
             HandStep::Unanswered
-        } else if hand.can_ask(now) {
+        } else if held.can_ask(now) {
             HandStep::Ask
         } else {
             HandStep::OverQuota
@@ -87,7 +87,7 @@
 
     /// Takes a token, if there is one in hand at `now`.
     pub(super) fn take(&self, now: Instant) -> Option<QuotaToken> {
-        self.hand.borrow_mut().take(now)
+        self.tokens.borrow_mut().take(now)
     }
 
     /// Adds `tokens` that were asked for at `asked_at` of a counter that has no others for `short_for`.
@@ -100,8 +100,8 @@
         short_for: Duration,
         fleet: &FleetCounters,
     ) {
-        let mut hand = self.hand.borrow_mut();
+        let mut held = self.tokens.borrow_mut();
         let (now, rules) = (Instant::now(), fleet.rules());
-        hand.add(now, asked_at, tokens as u32, short_for, rules);
+        held.add(now, asked_at, tokens as u32, short_for, rules);
     }
 }
--- a/crates/relay/src/quota/quota_gate.rs
+++ b/crates/relay/src/quota/quota_gate.rs
@@ -42,15 +42,15 @@
 
 /// `QuotaPermit` is the admission of one request. Dropping it spends its token.
 pub struct QuotaPermit {
-    entry: Rc<AccountHand>,
+    hand: Rc<AccountHand>,
     token: QuotaToken,
 }
 
 impl QuotaPermit {
     /// Gives the token of a request that did not run back.
     pub fn give_back(self) {
-        let mut hand = self.entry.hand.borrow_mut();
-        hand.restore(Instant::now(), self.token);
+        let mut tokens = self.hand.tokens.borrow_mut();
+        tokens.restore(Instant::now(), self.token);
     }
 }
 
@@ -113,19 +113,19 @@
         if !self.is_limited(account) {
             return Ok(None);
         }
-        let entry = self.entry(&account.name);
+        let hand = self.account_hand(&account.name);
         let now = Instant::now();
-        entry.used_at.set(now);
-        entry.hand.borrow_mut().record_request(now);
-        let Some(token) = self.wait_for_token(&entry, deadline).await? else {
+        hand.used_at.set(now);
+        hand.tokens.borrow_mut().record_request(now);
+        let Some(token) = self.wait_for_token(&hand, deadline).await? else {
             return Ok(None);
         };
         let rules = self.fleet.rules();
-        let is_low = entry.hand.borrow_mut().is_low(Instant::now(), rules);
+        let is_low = hand.tokens.borrow_mut().is_low(Instant::now(), rules);
         if is_low {
-            self.start_ask(&entry);
+            self.start_ask(&hand);
         }
-        Ok(Some(QuotaPermit { entry, token }))
+        Ok(Some(QuotaPermit { hand, token }))
     }
 
     /// Drops what is held for accounts that have no quota any more.
@@ -140,17 +140,17 @@
             return QuotaExpectation::Unlimited;
         }
         let hands = self.hands.borrow();
-        let Some(entry) = hands.get(&account.name) else {
+        let Some(hand) = hands.get(&account.name) else {
             return QuotaExpectation::Ask;
         };
         let now = Instant::now();
-        match entry.step(now) {
+        match hand.step(now) {
             HandStep::Take => QuotaExpectation::InHand,
             HandStep::Ask => QuotaExpectation::Ask,
             HandStep::Unanswered => QuotaExpectation::Refused(QuotaRefusal::UNANSWERED),
             HandStep::OverQuota => {
-                let (rate, nodes) = self.quota_share(entry);
-                let returns_at = entry.hand.borrow().next_return(now, rate, nodes);
+                let (rate, nodes) = self.quota_share(hand);
+                let returns_at = hand.tokens.borrow().next_return(now, rate, nodes);
                 QuotaExpectation::Refused(QuotaRefusal::over_quota(returns_at - now))
             }
         }
@@ -160,18 +160,18 @@
     pub(crate) fn views(&self, is_shown: impl Fn(&str) -> bool) -> Vec<HandView> {
         let now = Instant::now();
         let hands = self.hands.borrow();
-        let shown = hands.values().filter(|entry| is_shown(&entry.account));
-        let views = shown.map(|entry| {
-            let mut hand = entry.hand.borrow_mut();
-            let (requests, tokens) = hand.rates(now);
+        let shown = hands.values().filter(|hand| is_shown(&hand.account));
+        let views = shown.map(|hand| {
+            let mut tokens = hand.tokens.borrow_mut();
+            let (request_rate, token_rate) = tokens.rates(now);
             HandView {
-                account: entry.account.clone(),
-                counter: self.fleet.candidates(now, &entry.account).first().copied(),
-                tokens: hand.count(now),
-                request_rate: requests,
-                token_rate: tokens,
-                waiting: entry.waiting.get(),
-                is_short: !hand.can_ask(now),
+                account: hand.account.clone(),
+                counter: self.fleet.candidates(now, &hand.account).first().copied(),
+                tokens: tokens.count(now),
+                request_rate,
+                token_rate,
+                waiting: hand.waiting.get(),
+                is_short: !tokens.can_ask(now),
             }
         });
         views.collect()
@@ -185,104 +185,104 @@
     /// Waits for a token; `None` if a newer document gives the account no quota.
     async fn wait_for_token(
         self: &Rc<Self>,
-        entry: &Rc<AccountHand>,
+        hand: &Rc<AccountHand>,
         deadline: Instant,
     ) -> Result<Option<QuotaToken>, QuotaRefusal> {
         let until = deadline.min(Instant::now() + WAIT_MAX);
-        let waiting = WaitingGuard::new(entry);
+        let waiting = WaitingGuard::new(hand);
         loop {
             let now = Instant::now();
-            let step = entry.step(now);
+            let step = hand.step(now);
             if step == HandStep::Take {
-                return Ok(entry.take(now));
+                return Ok(hand.take(now));
             }
-            if self.fleet.quota(&entry.account).is_none() {
+            if self.fleet.quota(&hand.account).is_none() {
                 return Ok(None);
             }
             match step {
                 HandStep::Ask if now < until => {}
-                HandStep::OverQuota if now < until => return Err(self.refuse_over_quota(entry)),
-                _ => return Err(self.refuse_unanswered(entry)),
+                HandStep::OverQuota if now < until => return Err(self.refuse_over_quota(hand)),
+                _ => return Err(self.refuse_unanswered(hand)),
             }
-            let answered = entry.answered.notified();
-            self.start_ask(entry);
+            let answered = hand.answered.notified();
+            self.start_ask(hand);
             if tokio::time::timeout_at(until, answered).await.is_err() {
                 drop(waiting);
-                return Err(self.refuse_unanswered(entry));
+                return Err(self.refuse_unanswered(hand));
             }
         }
     }
 
     /// Returns the requests a second that the quota of an account allows, and the nodes that share them.
-    fn quota_share(&self, entry: &AccountHand) -> (f64, u32) {
-        let quota = self.fleet.quota(&entry.account);
+    fn quota_share(&self, hand: &AccountHand) -> (f64, u32) {
+        let quota = self.fleet.quota(&hand.account);
         let rate = quota.map_or(0.0, |quota| quota.rate);
         (rate, self.fleet.node_count())
     }
 
-    fn refuse_over_quota(&self, entry: &AccountHand) -> QuotaRefusal {
+    fn refuse_over_quota(&self, hand: &AccountHand) -> QuotaRefusal {
         let now = Instant::now();
-        let (rate, nodes) = self.quota_share(entry);
-        let mut hand = entry.hand.borrow_mut();
-        let refusal = QuotaRefusal::over_quota(hand.retry_after(now, rate, nodes));
-        let rates = hand.rates(now);
-        self.log.log_refused(&entry.account, refusal, rates);
+        let (rate, nodes) = self.quota_share(hand);
+        let mut tokens = hand.tokens.borrow_mut();
+        let refusal = QuotaRefusal::over_quota(tokens.retry_after(now, rate, nodes));
+        let rates = tokens.rates(now);
+        self.log.log_refused(&hand.account, refusal, rates);
         refusal
     }
 
-    fn refuse_unanswered(&self, entry: &AccountHand) -> QuotaRefusal {
+    fn refuse_unanswered(&self, hand: &AccountHand) -> QuotaRefusal {
         let refusal = QuotaRefusal::UNANSWERED;
-        let rates = entry.hand.borrow().rates(Instant::now());
-        self.log.log_refused(&entry.account, refusal, rates);
+        let rates = hand.tokens.borrow().rates(Instant::now());
+        self.log.log_refused(&hand.account, refusal, rates);
         refusal
     }
 
-    fn entry(&self, account: &AccountName) -> Rc<AccountHand> {
+    fn account_hand(&self, account: &AccountName) -> Rc<AccountHand> {
         let mut hands = self.hands.borrow_mut();
-        if let Some(entry) = hands.get(account) {
-            return Rc::clone(entry);
+        if let Some(hand) = hands.get(account) {
+            return Rc::clone(hand);
         }
         let now = Instant::now();
         if hands.len() >= HANDS_MAX {
-            hands.retain(|_, entry| now < entry.used_at.get() + IDLE_TIME);
+            hands.retain(|_, hand| now < hand.used_at.get() + IDLE_TIME);
         }
-        let entry = Rc::new(AccountHand::new(now, account.clone()));
-        hands.insert(account.clone(), Rc::clone(&entry));
-        entry
+        let hand = Rc::new(AccountHand::new(now, account.clone()));
+        hands.insert(account.clone(), Rc::clone(&hand));
+        hand
     }
 
     /// Asks for tokens unless an ask is in progress.
-    fn start_ask(self: &Rc<Self>, entry: &Rc<AccountHand>) {
-        if !entry.is_asking.replace(true) {
-            actix_rt::spawn(Rc::clone(self).ask(Rc::clone(entry)));
+    fn start_ask(self: &Rc<Self>, hand: &Rc<AccountHand>) {
+        if !hand.is_asking.replace(true) {
+            actix_rt::spawn(Rc::clone(self).ask(Rc::clone(hand)));
         }
     }
 
     /// Asks one counter after the other until one answers.
-    async fn ask(self: Rc<Self>, entry: Rc<AccountHand>) {
-        let is_answered = self.ask_counters(&entry).await;
+    async fn ask(self: Rc<Self>, hand: Rc<AccountHand>) {
+        let is_answered = self.ask_counters(&hand).await;
         if !is_answered {
             let until = Instant::now() + UNANSWERED_TIME;
-            entry.unanswered_until.set(until);
+            hand.unanswered_until.set(until);
         }
-        entry.is_asking.set(false);
-        entry.answered.notify_waiters();
+        hand.is_asking.set(false);
+        hand.answered.notify_waiters();
     }
 
-    async fn ask_counters(&self, entry: &AccountHand) -> bool {
-        for address in self.askable_counters(&entry.account) {
+    async fn ask_counters(&self, hand: &AccountHand) -> bool {
+        for address in self.askable_counters(&hand.account) {
             let asked_at = Instant::now();
             let rules = self.fleet.rules();
-            let waiting = entry.waiting.get();
-            let wanted = entry.hand.borrow_mut().wanted(asked_at, waiting, rules);
+            let waiting = hand.waiting.get();
+            let wanted = hand.tokens.borrow_mut().wanted(asked_at, waiting, rules);
             let purpose = TokenPurpose::Requests;
-            let ask = self.fleet.token_ask(&entry.account, wanted, purpose);
+            let ask = self.fleet.token_ask(&hand.account, wanted, purpose);
             let answer = self.send(address, ask, asked_at + ASK_TIMEOUT).await;
             self.record_answer(address, answer.as_ref().err());
             match answer {
                 Ok(TokenGrant::Granted { tokens, short_ms }) => {
                     let short_for = Duration::from_millis(short_ms.into());
-                    entry.add(asked_at, tokens, short_for, &self.fleet);
+                    hand.add(asked_at, tokens, short_for, &self.fleet);
                     return true;
                 }
                 Ok(TokenGrant::NotCounter) | Err(_) => {}
