Drop a partial request in one place

Cause: two functions took the id of a partial request alike, and fields of a connection had no comment. Change: drop_partial; comments with what the fields count.

--- a/crates/relay/src/http1/server_connection/mod.rs
+++ b/crates/relay/src/http1/server_connection/mod.rs
@@ -74,13 +74,16 @@
     pending: VecDeque<PendingResponse>,
     /// Start of the request being received; `None` between requests.
     receiving_since: Option<Instant>,
+    /// Time of the latest read, response or write.
     idle_since: Instant,
     is_input_closed: bool,
     /// Whether the connection closes after the requests in progress, since its place is needed.
     is_place_given_up: bool,
+    /// Time for which input is discarded after the write side was closed.
     discard_time: Duration,
-    /// Input that arrived after the last request that is read.
+    /// Bytes of input that arrived after the last request that is read.
     discarded_bytes: usize,
+    /// Reads since other connections last had their turn.
     reads_in_turn: u32,
     /// Memory of the unparsed input.
     input_memory: MemoryShare,
--- a/crates/relay/src/http1/server_connection/refusing.rs
+++ b/crates/relay/src/http1/server_connection/refusing.rs
@@ -7,6 +7,7 @@
     request_handler::{ServerResponse, UnreadReason, UnreadRequest},
 };
 
+use compact_str::CompactString;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -25,9 +26,15 @@
 
     /// Answers input that is no complete request with `status`.
     pub(super) fn refuse_unread(&mut self, status: u16, reason: UnreadReason) {
+        let id = self.drop_partial();
+        self.refuse_with(status, reason, &id);
+    }
+
+    /// Drops the request whose body is being received; returns its id, empty if it is not known.
+    fn drop_partial(&mut self) -> CompactString {
         let partial = self.partial.take();
         let id = partial.and_then(|partial| partial.head.id);
-        self.refuse_with(status, reason, &id.unwrap_or_default());
+        id.unwrap_or_default()
     }
 
     /// Answers the request `id`, which was not read, and stops reading, since the start of a following
@@ -88,10 +95,9 @@
             return false;
         }
         if self.receiving_since.is_some() {
-            let partial = self.partial.take();
-            let id = partial.and_then(|partial| partial.head.id);
+            let id = self.drop_partial();
             let reason = UnreadReason::GivenUp;
-            let response = self.unread_response(reason.status(), reason, &id.unwrap_or_default());
+            let response = self.unread_response(reason.status(), reason, &id);
             self.output.push(response, true, false);
             // The connection is dropped either way.
             let _ = self.write_some();
