Name the plan for a late completion

Cause: the field and the arguments called `late` held a WaitPlan beside WaitTimes::late and WaitClass::Late, and `postpone` returned Some for a failure. The comment on the module told a story of load.

Change: `late_plan`; `postpone` returns a Result with the expected wait as its error; shorter reasons. No change of behaviour.

--- a/crates/coordination/src/forwarding/slot_queue.rs
+++ b/crates/coordination/src/forwarding/slot_queue.rs
@@ -207,21 +207,22 @@
             wait_until: now + request.wait_max,
             hold_time: self.hold_time(request.route),
         };
-        let late = times.late(now);
-        let decision = self.enqueue(now, &request, times.in_time(now), late);
-        match (decision, late) {
-            (SlotDecision::Refused(_), Some(late)) => self.enqueue(now, &request, late, None),
+        let late_plan = times.late(now);
+        let decision = self.enqueue(now, &request, times.in_time(now), late_plan);
+        match (decision, late_plan) {
+            (SlotDecision::Refused(_), Some(plan)) => self.enqueue(now, &request, plan, None),
             _ => decision,
         }
     }
 
-    /// Queues a request by `plan` unless its expected wait is longer. It follows `late` afterwards.
+    /// Queues a request by `plan`, and by `late_plan` once it cannot meet that one; refuses it if its
+    /// expected wait is too long for `plan`.
     fn enqueue(
         &mut self,
         now: Instant,
         request: &SlotRequest,
         plan: WaitPlan,
-        late: Option<WaitPlan>,
+        late_plan: Option<WaitPlan>,
     ) -> SlotDecision {
         let excess = if request.rank.is_new {
             self.shares.excess(now, request.account)
@@ -240,7 +241,7 @@
         let waiting = WaitingRequest {
             route: request.route,
             account: request.account,
-            late,
+            late_plan,
         };
         SlotDecision::Queued(self.waiting.push(position, plan.start_by, waiting))
     }
@@ -294,13 +295,14 @@
     fn refuse_expired(&mut self, now: Instant, change: &mut SlotChange) {
         for key in self.expired(now) {
             if let Some(waiting) = self.waiting.remove(key.ticket)
-                && let Some(wait) = self.postpone(now, key, waiting)
+                && let Err(wait) = self.postpone(now, key, waiting)
             {
                 change.refused.push((key.ticket, wait));
             }
         }
     }
 
+    /// Keys of the requests that can no longer start in time.
     fn expired(&self, now: Instant) -> Vec<QueueKey> {
         let mut ahead = 0;
         let mut expired = Vec::new();
@@ -314,16 +316,18 @@
         expired
     }
 
-    /// Makes a request follow its plan for a late completion; returns its expected wait if it has
-    /// none that can be met.
+    /// Queues a request again by its plan for a late completion.
+    ///
+    /// # Errors
+    /// The expected wait if the request has no such plan, or cannot meet it.
     fn postpone(
         &mut self,
         now: Instant,
         key: QueueKey,
         waiting: WaitingRequest,
-    ) -> Option<Duration> {
-        let Some(plan) = waiting.late else {
-            return Some(self.wait_of(now, key.position));
+    ) -> Result<(), Duration> {
+        let Some(plan) = waiting.late_plan else {
+            return Err(self.wait_of(now, key.position));
         };
         let position = QueuePosition {
             class: plan.class,
@@ -331,7 +335,7 @@
         };
         let wait = self.wait_of(now, position);
         if now + wait > plan.start_by {
-            return Some(wait);
+            return Err(wait);
         }
         let key = QueueKey {
             position,
@@ -339,11 +343,11 @@
             ..key
         };
         let waiting = WaitingRequest {
-            late: None,
+            late_plan: None,
             ..waiting
         };
         self.waiting.insert(key, waiting);
-        None
+        Ok(())
     }
 
     /// Returns whether a request with `ahead` others before it can no longer start in time. A late one
--- a/crates/coordination/src/forwarding/wait_plan.rs
+++ b/crates/coordination/src/forwarding/wait_plan.rs
@@ -1,11 +1,10 @@
 //! Where a request waits for a slot, and until when.
 //!
-//! It is made for this load: for some seconds more arrives than the slots can serve, and callers that were
-//! refused come back when most of their target latency has passed. They cannot be served within it any
-//! more, and each slot that they took from a request that can would make that one late as well. Yet
-//! their deadlines are far away. So they wait behind all requests of their rank that can still complete
-//! within the target, and get the slots that these leave. A first attempt is refused instead, as its
-//! caller can come back.
+//! While more arrives than the slots can serve, callers that were refused come back when most of their
+//! target latency has passed. Serving such a request before one that can still complete within the target
+//! would make both late, but its deadline is later than the target. So it waits behind all requests of its
+//! rank that can complete within the target, and gets the slots that these leave. A first attempt is
+//! refused instead, as its caller can come back.
 
 use std::time::Duration;
 use tokio::time::Instant;
@@ -29,7 +28,7 @@
     pub start_by: Instant,
 }
 
-/// `WaitTimes` holds the times that a request of some route has.
+/// `WaitTimes` holds the times that bound the wait of a request for a slot.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitTimes {
     /// Time by which the request should have completed.
--- a/crates/coordination/src/forwarding/waiting_list.rs
+++ b/crates/coordination/src/forwarding/waiting_list.rs
@@ -37,7 +37,7 @@
     pub(super) route: RouteId,
     pub(super) account: Option<AccountHash>,
     /// Plan that it follows once it can only complete late.
-    pub(super) late: Option<WaitPlan>,
+    pub(super) late_plan: Option<WaitPlan>,
 }
 
 /// `WaitingList` holds the requests that wait for the slots of one upstream.
