Say what the bound of the return table counts

Cause: RETURNS_MAX was documented as a bound of expected returns, but it bounds the refusals remembered, which count until they are overdue even if the caller came back.

Change: REFUSALS_MAX, with that comment.

--- a/crates/coordination/src/forwarding/return_table.rs
+++ b/crates/coordination/src/forwarding/return_table.rs
@@ -6,8 +6,7 @@
 //! when the return is due, and whose caller waits until the same time, is that return; its latency counts
 //! from the first attempt.
 //!
-//! The load is demand above what can be served. While nothing is refused the table is empty, and
-//! requests are not compared with it.
+//! While nothing is refused, the table is empty and requests are not compared with it.
 
 use crate::protection::fingerprint::RequestFingerprint;
 
@@ -26,8 +25,9 @@
 const DEADLINE_DIFFERENCE_MAX: Duration = Duration::from_millis(100);
 /// Share of the time left that a caller waits at most.
 const WAIT_SHARE_MAX: f64 = 1.0 / 3.0;
-/// Largest number of returns that are expected.
-const RETURNS_MAX: usize = 8192;
+/// Largest number of refusals that are remembered. One counts until its return is overdue, even if the
+/// caller has come back.
+const REFUSALS_MAX: usize = 8192;
 /// Largest number of returns with the same fingerprint that are expected.
 const EQUAL_RETURNS_MAX: usize = 256;
 
@@ -84,7 +84,7 @@
     ) {
         self.forget_overdue(now);
         let time_left = attempt.caller_deadline.saturating_duration_since(now);
-        if self.order.len() >= RETURNS_MAX || time_left.is_zero() {
+        if self.order.len() >= REFUSALS_MAX || time_left.is_zero() {
             return;
         }
         let due = now + attempt.retry_after.min(time_left.mul_f64(WAIT_SHARE_MAX));
