Name the subject of explanations and reserves

Cause: in ExpectedAdmission "it" was the instance and the request by turns; the divisors of the memory reserve were documented as parts.

Change: comments only.

--- a/crates/coordination/src/placing/explanation.rs
+++ b/crates/coordination/src/placing/explanation.rs
@@ -49,13 +49,13 @@
 pub enum ExpectedAdmission {
     /// The instance is not healthy, and others are.
     NotSent,
-    /// It has not reported its load lately.
+    /// The instance has not reported its load lately.
     Unknown,
-    /// It would end after the time that is left, so that it may be refused.
+    /// The request would end after the time that is left, so that it may be refused.
     TooLate,
-    /// It waits for a slot.
+    /// The request would wait for a slot.
     Waits,
-    /// It gets a slot at once.
+    /// The request would get a slot at once.
     Runs,
 }
 
--- a/crates/coordination/src/protection/memory_reserve.rs
+++ b/crates/coordination/src/protection/memory_reserve.rs
@@ -1,20 +1,21 @@
 //! Part of the memory of messages that a message has to leave free for others.
 //!
-//! Requests leave room for responses, for which work was done, and large messages for small ones. Beside
-//! callers that ask for large responses and do not read them, the memory that one of their responses frees
-//! would go to the next one, and requests of others would find none. So while responses hold half of the
-//! memory, a further large one leaves room for requests, and no request that is arriving is given up for it.
+//! Requests leave room for responses, for which work was done, and large messages for small ones. If callers
+//! ask for large responses and do not read them, the memory that one of these frees would go to the next,
+//! and requests of other callers would find none. So while responses hold half of the memory, a further
+//! large one leaves room for requests, and no request that is arriving is given up for it.
 
 /// Size up to which a message is small, in bytes.
 const SMALL_BYTES: usize = 64 * 1024;
-/// Part of the memory that is left to others by large responses, and by small requests.
+/// Part of the memory that large responses and small requests leave free, as a divisor.
 const RESERVE_DIVISOR: usize = 16;
-/// Number of these parts that a large request leaves.
+/// Number of these parts that a large request leaves free.
 const REQUEST_RESERVES: usize = 2;
-/// Number of them that a large response leaves while others hold too much. It is below the quarter from which
-/// callers have to keep their pace of reading, so that responses that are not read are given up for it.
+/// Number of these parts that a large response leaves free while others hold too much. Callers have to keep
+/// their pace of reading while less than a quarter is free; with less than that left free here, responses that
+/// are not read are given up first.
 const CROWDED_RESERVES: usize = 3;
-/// Part of the memory from which other responses hold too much.
+/// Part of the memory from which other responses hold too much, as a divisor.
 const CROWDED_DIVISOR: usize = 2;
 
 /// `MessageClaim` is a message that asks for memory.
