Give the parts of quota counting their names

Cause: the choice of a counter worked on unnamed triples and repeated the search for the own counter; the least and longest pause of loans were fields of a tuple; the tokens of a request were a bare 1.0; demand ahead was computed twice. RETURN_MIN and RETURN_MAX of the token hand bounded different things, and TURN_MIN had another meaning than in the counter.

Change: WeighedMember, own_counter, LOAN_PAUSE_MIN and _MAX, REQUEST_TOKENS, demand_ahead, EARNED_MIN, SPREAD_MAX, ASK_PAUSE_MIN, COUNT_TTL.

--- a/crates/coordination/src/quota/account_counter.rs
+++ b/crates/coordination/src/quota/account_counter.rs
@@ -9,13 +9,17 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Least and longest pause after a loan that did not suffice.
-const LOAN_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
+/// Least pause after a loan that did not suffice; each further one doubles it.
+const LOAN_PAUSE_MIN: Duration = Duration::from_millis(50);
+/// Longest pause after a loan that did not suffice.
+const LOAN_PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Least time after which a node that got too few tokens may ask again; messages hold whole
 /// milliseconds, and zero means that nothing is missing.
 const TURN_MIN: Duration = Duration::from_millis(1);
 /// Longest time after which a node that got too few tokens may ask again.
 const TURN_MAX: Duration = Duration::from_millis(200);
+/// Tokens that one request takes.
+const REQUEST_TOKENS: f64 = 1.0;
 /// Smallest loan, in tokens, that is asked for; fractions of the bucket complete it.
 const LOAN_MIN: f64 = 1.0;
 
@@ -52,7 +56,7 @@
             demand: DemandMeter::new(now),
             next_turn: now,
             loan_allowed_at: now,
-            loan_pause: LOAN_PAUSES.0,
+            loan_pause: LOAN_PAUSE_MIN,
             totals: CounterTotals {
                 granted: 0.0,
                 lent: 0.0,
@@ -95,10 +99,10 @@
     }
 
     /// Returns what the counter of another zone gets: what the demand of this zone leaves, and in any case
-    /// up to one token: a request waits there, and none here.
+    /// up to the token of one request, since a request waits there and none here.
     pub fn lend(&mut self, now: Instant, wanted: f64, rules: &QuotaRules) -> f64 {
-        let needed = self.demand.rate(now) * rules.prefetch_time().as_secs_f64();
-        let reserve = needed.min((self.bucket.tokens(now) - 1.0).max(0.0));
+        let spare = (self.bucket.tokens(now) - REQUEST_TOKENS).max(0.0);
+        let reserve = self.demand_ahead(now, rules).min(spare);
         let lent = self.bucket.take_above(now, wanted, reserve);
         self.totals.lent += lent;
         lent
@@ -109,7 +113,7 @@
         if now < self.loan_allowed_at {
             return None;
         }
-        let ahead = self.demand.rate(now) * rules.prefetch_time().as_secs_f64();
+        let ahead = self.demand_ahead(now, rules);
         let room = self.bucket.part().capacity - self.bucket.tokens(now);
         let amount = missing.max(ahead).min(room);
         (amount > 0.0).then_some(amount.max(LOAN_MIN.min(room)))
@@ -120,11 +124,11 @@
         self.bucket.add(now, got);
         self.totals.borrowed += got;
         if got >= asked {
-            self.loan_pause = LOAN_PAUSES.0;
+            self.loan_pause = LOAN_PAUSE_MIN;
             return;
         }
         self.loan_allowed_at = now + self.loan_pause;
-        self.loan_pause = (self.loan_pause * 2).min(LOAN_PAUSES.1);
+        self.loan_pause = (self.loan_pause * 2).min(LOAN_PAUSE_MAX);
     }
 
     /// Returns the time after which a node that still wants `missing` tokens should ask again: not before
@@ -134,12 +138,18 @@
         let turn = Duration::try_from_secs_f64(missing / rate).unwrap_or(TURN_MAX);
         let after = self.next_turn.max(now) + turn.clamp(TURN_MIN, TURN_MAX);
         self.next_turn = after.min(now + TURN_MAX);
-        let refill = Duration::try_from_secs_f64((1.0 - self.bucket.tokens(now)).max(0.0) / rate);
+        let lacking = (REQUEST_TOKENS - self.bucket.tokens(now)).max(0.0);
+        let refill = Duration::try_from_secs_f64(lacking / rate);
         let loan = self.loan_allowed_at.saturating_duration_since(now);
         let earliest = refill.map_or(loan, |refill| refill.min(loan));
         (self.next_turn - now).max(earliest)
     }
 
+    /// Tokens that nodes want in the time that is fetched ahead of need.
+    fn demand_ahead(&self, now: Instant, rules: &QuotaRules) -> f64 {
+        self.demand.rate(now) * rules.prefetch_time().as_secs_f64()
+    }
+
     /// Tokens in the bucket, and the part of the quota that it holds.
     pub fn stock(&mut self, now: Instant) -> (f64, QuotaPart) {
         (self.bucket.tokens(now), self.bucket.part())
--- a/crates/coordination/src/quota/counter_choice.rs
+++ b/crates/coordination/src/quota/counter_choice.rs
@@ -20,7 +20,7 @@
 };
 use tokio::time::Instant;
 
-/// Most accounts of which a node that has just started remembers what the other one said.
+/// Largest number of accounts for which a node that has just started remembers from when it counts.
 const TAKEN_OVER_MAX: usize = 4096;
 
 /// `CounterChoice` knows the nodes of each availability zone, and since when.
@@ -55,6 +55,14 @@
     }
 }
 
+/// `WeighedMember` is a node with its weight for one account.
+#[derive(Clone, Copy, Debug)]
+struct WeighedMember {
+    weight: u64,
+    address: SocketAddr,
+    member: ZoneMember,
+}
+
 impl CounterChoice {
     /// Creates a choice among no nodes.
     #[must_use]
@@ -126,8 +134,8 @@
     #[must_use]
     pub fn counter(&mut self, now: Instant, account: &str, zone: &str) -> Option<SocketAddr> {
         let counters = self.counters(now, account);
-        let own = counters.iter().find(|counter| counter.zone == zone)?;
-        Some(own.address)
+        let counter = counters.iter().find(|counter| counter.zone == zone)?;
+        Some(counter.address)
     }
 
     /// Returns the time from which the node at `own` may count the requests of `account` in `zone`, which
@@ -141,8 +149,7 @@
         own: SocketAddr,
     ) -> Option<Instant> {
         let counters = self.counters(now, account);
-        let mut counters = counters.iter();
-        let counter = counters.find(|counter| counter.zone == zone && counter.address == own)?;
+        let counter = own_counter(&counters, zone, own)?;
         if !self.is_start(counter) {
             return Some(counter.since);
         }
@@ -165,8 +172,7 @@
         own: SocketAddr,
     ) -> Option<SocketAddr> {
         let counters = self.counters(now, account);
-        let mut counters = counters.iter();
-        let counter = counters.find(|counter| counter.zone == zone && counter.address == own)?;
+        let counter = own_counter(&counters, zone, own)?;
         let is_held = now < self.started_at? + self.times.member_hold;
         let taken_over = self.taken_over.get(account);
         let is_open = taken_over.is_none_or(|since| now < *since);
@@ -290,29 +296,33 @@
         counters
     }
 
+    /// Returns the counter of `account` in `zone`; `None` if no node of the zone has its place.
     fn zone_counter(&self, now: Instant, account: &str, zone: &ZoneName) -> Option<ZoneCounter> {
         let members = self.zones.get(zone)?.iter();
-        let weighted =
-            members.map(|(address, member)| (weight(account, *address), address, member));
-        let weighted: Vec<_> = weighted.collect();
-        let (highest, address, member) = weighted
+        let weighed = members.map(|(address, member)| WeighedMember {
+            weight: weight(account, *address),
+            address: *address,
+            member: *member,
+        });
+        let (present, removed): (Vec<_>, Vec<_>) =
+            weighed.partition(|weighed| weighed.member.is_present(now));
+        let counter = present.iter().max_by_key(|weighed| weighed.weight)?;
+        let others = present
             .iter()
-            .filter(|(_, _, member)| member.is_present(now))
-            .max_by_key(|(weight, _, _)| weight)?;
-        let before = weighted
+            .filter(|other| other.address != counter.address);
+        let next = others.max_by_key(|other| other.weight);
+        // The nodes that counted before this one.
+        let former = removed
             .iter()
-            .filter(|(weight, _, member)| weight > highest && !member.is_present(now));
-        let removed = before.filter_map(|(_, _, member)| member.removed_at).max();
-        let settled = removed.map(|removed| removed + self.times.settle_time);
-        let others = weighted
-            .iter()
-            .filter(|(_, other, member)| other != address && member.is_present(now));
-        let next = others.max_by_key(|(weight, _, _)| weight);
+            .filter(|former| former.weight > counter.weight);
+        let removed_at = former.filter_map(|former| former.member.removed_at).max();
+        let succeeds_at = removed_at.map(|removed_at| removed_at + self.times.settle_time);
+        let settled_at = counter.member.settled_at;
         Some(ZoneCounter {
             zone: zone.clone(),
-            address: **address,
-            since: settled.map_or(member.settled_at, |settled| settled.max(member.settled_at)),
-            next: next.map(|(_, address, _)| **address),
+            address: counter.address,
+            since: succeeds_at.map_or(settled_at, |succeeds_at| succeeds_at.max(settled_at)),
+            next: next.map(|next| next.address),
         })
     }
 
@@ -327,6 +337,16 @@
     }
 }
 
+/// Returns the counter in `zone`; `None` if it is not the node at `own`.
+fn own_counter<'a>(
+    counters: &'a [ZoneCounter],
+    zone: &str,
+    own: SocketAddr,
+) -> Option<&'a ZoneCounter> {
+    let mut counters = counters.iter();
+    counters.find(|counter| counter.zone == zone && counter.address == own)
+}
+
 /// Weight of a node for an account; the node with the highest one counts.
 fn weight(account: &str, address: SocketAddr) -> u64 {
     let mut hasher = SipHasher13::new();
--- a/crates/coordination/src/quota/heard_zones.rs
+++ b/crates/coordination/src/quota/heard_zones.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time for which a number is remembered; nodes that use a quota tell theirs several times a second.
-const KEPT_TIME: Duration = Duration::from_secs(2);
+/// Time for which a number is remembered; nodes that use a quota send theirs several times a second.
+const COUNT_TTL: Duration = Duration::from_secs(2);
 
-/// `HeardZones` remembers the largest number of zones that another node has told of a short time ago. A
+/// `HeardZones` remembers the largest number of zones that another node has sent within the last seconds. A
 /// node that has restarted does not know of zones that vanished before, and that still have their parts.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HeardZones {
@@ -24,7 +24,7 @@
     /// Largest number heard a short time ago; 0 if there is none.
     #[must_use]
     pub fn count(&self, now: Instant) -> u32 {
-        let heard = self.heard.filter(|(_, at)| now < *at + KEPT_TIME);
+        let heard = self.heard.filter(|(_, at)| now < *at + COUNT_TTL);
         heard.map_or(0, |(zones, _)| zones)
     }
 }
--- a/crates/coordination/src/quota/token_hand.rs
+++ b/crates/coordination/src/quota/token_hand.rs
@@ -5,20 +5,20 @@
 use std::{collections::VecDeque, time::Duration};
 use tokio::time::Instant;
 
-/// Longest time by which refused callers are spread; a caller whose turn would be later gets that of the
-/// first one.
-const RETURN_MAX: Duration = Duration::from_secs(1);
-/// Longest time after which a refused caller is asked to return.
+/// Longest time by which the returns of refused callers are spread; a caller whose turn would be later
+/// gets that of the first one.
+const SPREAD_MAX: Duration = Duration::from_secs(1);
+/// Longest time in which an account is taken to earn a token.
 const EARNED_MAX: Duration = Duration::from_mins(1);
+/// Least time in which an account is taken to earn a token.
+const EARNED_MIN: Duration = Duration::from_millis(50);
 /// Share of the time in which an account earns a token that a caller waits in addition, as the parts of
 /// the token may be in different zones whose clocks differ.
 const EARNED_MARGIN: f64 = 0.05;
 /// Largest share of that time by which the returns of unlike accounts are spread.
 const EARNED_SPREAD: f64 = 0.1;
-/// Least time after which a refused caller is asked to return.
-const RETURN_MIN: Duration = Duration::from_millis(50);
 /// Least time between two messages of a node whose account has no tokens left.
-const TURN_MIN: Duration = Duration::from_millis(20);
+const ASK_PAUSE_MIN: Duration = Duration::from_millis(20);
 /// Fewest tokens that are fetched ahead of need.
 const AHEAD_MIN: f64 = 3.0;
 /// Share of the tokens fetched ahead that are left when more are fetched.
@@ -133,10 +133,10 @@
             });
         }
         if !short_for.is_zero() {
-            let turn = short_for.max(TURN_MIN);
+            let turn = short_for.max(ASK_PAUSE_MIN);
             self.short_until = now + turn;
             // A counter that granted a part of the ask may only lack what is fetched ahead.
-            self.asks_again_at = now + if granted > 0 { TURN_MIN } else { turn };
+            self.asks_again_at = now + if granted > 0 { ASK_PAUSE_MIN } else { turn };
         }
     }
 
@@ -152,12 +152,12 @@
     #[must_use]
     pub fn next_return(&self, now: Instant, rate: f64, nodes: u32) -> Instant {
         let node_rate = self.granted.rate(now).max(rate / f64::from(nodes.max(1)));
-        let earned = token_time(rate, EARNED_MAX).max(RETURN_MIN);
+        let earned = token_time(rate, EARNED_MAX).max(EARNED_MIN);
         let margin = EARNED_MARGIN + EARNED_SPREAD * self.phase;
         let short = self.short_until.saturating_duration_since(now);
         let first = now + short.max(earned).mul_f64(1.0 + margin);
-        let next = first.max(self.last_return + token_time(node_rate, RETURN_MAX));
-        if next > now + RETURN_MAX { first } else { next }
+        let next = first.max(self.last_return + token_time(node_rate, SPREAD_MAX));
+        if next > now + SPREAD_MAX { first } else { next }
     }
 
     /// Number of tokens that have not expired.
@@ -166,7 +166,7 @@
         self.batches.iter().map(|batch| batch.count).sum()
     }
 
-    /// Requests a second, tokens a second.
+    /// Demand in requests a second, and what was granted in tokens a second.
     #[must_use]
     pub fn rates(&self, now: Instant) -> (f64, f64) {
         (self.demand.rate(now), self.granted.rate(now))
