--- a/crates/coordination/tests/support/quota_fleet/counting.rs
+++ b/crates/coordination/tests/support/quota_fleet/counting.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Part of a token that a sum of loans may lack.
+const ROUNDING: f64 = 1e-9;
+
 /// A node that waits for tokens of the counter, with what it got so far.
 pub(super) struct PendingGrant {
     pub(super) node: usize,
@@ -88,13 +91,13 @@
         let node = &mut self.nodes[index];
         let counter = node.counter.as_mut().expect("opened");
         let granted = counter.take(now, wanted);
+        let missing = wanted - granted;
         node.pending.push(PendingGrant {
             node: from,
             ask,
             granted,
-            missing: wanted - granted,
+            missing,
         });
-        let missing = wanted - granted;
         if missing > 0.0 && node.loan.is_some() {
             return;
         }
@@ -130,7 +133,7 @@
         };
         let wanted = loan.asked - loan.got;
         loan.lender_until = lender_deadline(now, loan.ends_at, loan.others.len());
-        if wanted > 1e-9
+        if wanted > ROUNDING
             && let Some(lender) = loan.others.pop()
         {
             loan.id = serial;
@@ -151,7 +154,7 @@
         let Some(counter) = node.counter.as_mut() else {
             return;
         };
-        counter.finish_loan(now, loan.asked - 1e-9, loan.got);
+        counter.finish_loan(now, loan.asked - ROUNDING, loan.got);
         let mut pending = std::mem::take(&mut node.pending);
         for grant in &mut pending {
             let more = counter.take_again(now, grant.missing);
--- a/crates/coordination/tests/support/quota_fleet/links.rs
+++ b/crates/coordination/tests/support/quota_fleet/links.rs
@@ -6,6 +6,13 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Delay of a message within a zone, in milliseconds.
+const ZONE_DELAY_MS: f64 = 0.3;
+/// Delay of a message between zones, in milliseconds.
+const LINK_DELAY_MS: f64 = 0.8;
+/// Longest further delay of a message that arrives late, in milliseconds.
+const LATE_DELAY_MAX_MS: f64 = 300.0;
+
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Message {
     Ask {
@@ -50,11 +57,15 @@
         let copies = 1 + u32::from(self.random.random_bool(self.faults.doubled));
         for _ in 0..copies {
             let is_same_zone = self.nodes[from].zone == self.nodes[to].zone;
-            let mut delay = if is_same_zone { 0.3 } else { 0.8 };
+            let mut delay_ms = if is_same_zone {
+                ZONE_DELAY_MS
+            } else {
+                LINK_DELAY_MS
+            };
             if self.random.random_bool(self.faults.late) {
-                delay += self.random.random_range(0.0..300.0);
+                delay_ms += self.random.random_range(0.0..LATE_DELAY_MAX_MS);
             }
-            let at = self.now + Duration::from_secs_f64(delay / 1000.0);
+            let at = self.now + Duration::from_secs_f64(delay_ms / 1000.0);
             self.post(at, Envelope { from, to, message });
         }
     }
