Build the error for a wrong count of addresses once

Cause: the message stood twice; the comment on page_path left out queries, for which it is used as well; that on sidecar_page did not say what happens to a query.

Change: address_count_error, and comments. The test commands of the CLI passes.

--- a/crates/cli/src/argument_parser.rs
+++ b/crates/cli/src/argument_parser.rs
@@ -1,6 +1,6 @@
 //! Parsers of arguments that several subcommands take.
 
-use crate::error::{Result, usage_error};
+use crate::error::{CliError, Result, usage_error};
 
 use pico_args::Arguments;
 use std::{net::SocketAddr, str::FromStr};
@@ -46,7 +46,7 @@
 /// Parses the remaining arguments as one socket address and, if there is another one, a name.
 ///
 /// # Errors
-/// [`crate::CliError::Usage`] if there is no address, or if there are further arguments.
+/// [`crate::CliError::Usage`] if there is no valid address, or if there are further arguments.
 pub fn parse_address_and_name(arguments: Arguments) -> Result<(SocketAddr, Option<String>)> {
     let rest = arguments.finish();
     let mut texts = rest
@@ -56,7 +56,7 @@
     if let Some(further) = texts.next() {
         return Err(usage_error(format!("unexpected argument {further}")));
     }
-    let address = address.ok_or_else(|| usage_error("expected one address, found 0"))?;
+    let address = address.ok_or_else(|| address_count_error(0))?;
     Ok((parse_address_text(&address)?, name))
 }
 
@@ -67,9 +67,10 @@
 pub fn parse_address(arguments: Arguments) -> Result<SocketAddr> {
     match parse_addresses(arguments)?[..] {
         [address] => Ok(address),
-        ref found => Err(usage_error(format!(
-            "expected one address, found {}",
-            found.len()
-        ))),
+        ref found => Err(address_count_error(found.len())),
     }
 }
+
+fn address_count_error(found: usize) -> CliError {
+    usage_error(format!("expected one address, found {found}"))
+}
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -24,7 +24,8 @@
     }))
 }
 
-/// Page of a sidecar. Routes do not depend on the query of a path, whose place the account takes.
+/// Path of the page of a sidecar. The query of `path` is left out, since routes do not depend on it and the
+/// page has a query of its own.
 fn sidecar_page(host: &str, path: &str, account: Option<&str>) -> String {
     let path = path.split('?').next().unwrap_or_default();
     let account = account.map(|account| format!("?account={}", page_path::encode(account)));
--- a/crates/cli/src/page_path.rs
+++ b/crates/cli/src/page_path.rs
@@ -1,8 +1,9 @@
-//! Names in the paths of pages (RFC 3986).
+//! Percent-encoding of names in the paths and queries of pages (RFC 3986, section 2.1).
 
 use std::fmt::Write;
 
-/// Returns `name` with each byte percent-encoded that is neither a letter, nor a digit, nor one of `-._~`.
+/// Returns `name` with each byte percent-encoded that is not an unreserved character: an ASCII letter, a digit
+/// or one of `-._~`.
 #[must_use]
 pub fn encode(name: &str) -> String {
     let mut encoded = String::with_capacity(name.len());
