--- a/crates/daemon/src/node/keyed_executions.rs
+++ b/crates/daemon/src/node/keyed_executions.rs
@@ -50,7 +50,7 @@
     incarnation: IncarnationId,
 }
 
-/// `HomeMembers` are the instances among which the home of a caller-made key is chosen.
+/// `HomeMembers` holds the instances among which the home of a caller-made key is chosen.
 pub(crate) struct HomeMembers {
     /// The node's own instance.
     pub(crate) own: InstanceName,
--- a/crates/state/src/counters.rs
+++ b/crates/state/src/counters.rs
@@ -6,7 +6,7 @@
     pub struct NodeCounters {
         /// Requests received by the inbound listener and the peer listener.
         pub offered: u64,
-        /// Requests dispatched to the upstream.
+        /// Requests dispatched to the upstream. The key in the state dump is a published name.
         #[serde(rename = "handed_over")]
         pub dispatched: u64,
         /// Complete responses of the upstream.
