Tell digests of idempotency keys from those of account keys

Cause: KeyDigest was both a hash of an idempotency key and, in state, one of the key of an account. The first number of connections of a node had no name.

Change: IdempotencyDigest for the former, CONNECTIONS_INITIAL. No change of behaviour.

--- a/crates/coordination/src/at_most_once/execution_ledger.rs
+++ b/crates/coordination/src/at_most_once/execution_ledger.rs
@@ -5,7 +5,7 @@
 //! evicted earlier. A key without a record has therefore either never run or is refused.
 
 use crate::{
-    at_most_once::idempotency_key::{KeyDigest, RequestDigest},
+    at_most_once::idempotency_key::{IdempotencyDigest, RequestDigest},
     request::{
         outcome::{CallOutcome, RefusalReason},
         request_lifecycle::CallRefusal,
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct KeyClaim {
     /// Digest of the key.
-    pub key: KeyDigest,
+    pub key: IdempotencyDigest,
     /// Digest of the request that carries the key.
     pub request: RequestDigest,
     /// Time at which the key was made, if the key states it.
@@ -46,12 +46,12 @@
 /// consumes it.
 #[derive(Debug)]
 pub struct RunTicket {
-    key: KeyDigest,
+    key: IdempotencyDigest,
 }
 
 impl RunTicket {
     /// Consumes the ticket and returns its key.
-    const fn into_key(self) -> KeyDigest {
+    const fn into_key(self) -> IdempotencyDigest {
         self.key
     }
 }
@@ -140,9 +140,9 @@
 #[derive(Debug)]
 pub struct ExecutionLedger<A> {
     bounds: LedgerBounds,
-    records: BTreeMap<KeyDigest, LedgerRecord<A>>,
-    expiries: BTreeSet<(Instant, KeyDigest)>,
-    answer_order: VecDeque<KeyDigest>,
+    records: BTreeMap<IdempotencyDigest, LedgerRecord<A>>,
+    expiries: BTreeSet<(Instant, IdempotencyDigest)>,
+    answer_order: VecDeque<IdempotencyDigest>,
     counts: LedgerCounts,
 }
 
@@ -284,7 +284,7 @@
         }
     }
 
-    fn remove_record(&mut self, key: KeyDigest) {
+    fn remove_record(&mut self, key: IdempotencyDigest) {
         let Some(record) = self.records.remove(&key) else {
             return;
         };
--- a/crates/coordination/src/at_most_once/idempotency_key.rs
+++ b/crates/coordination/src/at_most_once/idempotency_key.rs
@@ -19,8 +19,8 @@
 /// Maximum length of an accepted key, in bytes.
 const KEY_BYTES_MAX: usize = 255;
 
-/// `KeyDigest` identifies a key in tables; it is a hash under the secret of the incarnation.
-pub type KeyDigest = u128;
+/// `IdempotencyDigest` identifies an idempotency key in tables; it is a hash under the secret of the incarnation.
+pub type IdempotencyDigest = u128;
 /// `RequestDigest` identifies the method, path and body of a request.
 pub type RequestDigest = u128;
 
--- a/crates/daemon/src/node/keyed_executions.rs
+++ b/crates/daemon/src/node/keyed_executions.rs
@@ -5,7 +5,7 @@
     at_most_once::{
         execution_ledger::{ExecutionLedger, KeyClaim, LedgerBounds, LedgerCounts},
         executor_binding::ExecutorBindings,
-        idempotency_key::{IdempotencyKey, KeyDigest, KeyIssuer, KeyOrigin, OfferedKey},
+        idempotency_key::{IdempotencyDigest, IdempotencyKey, KeyIssuer, KeyOrigin, OfferedKey},
         key_home::{self, KeyHoldDown},
         message_age::AgeEstimator,
     },
@@ -42,7 +42,7 @@
 pub struct KeyedExecutions {
     pub(crate) issuer: RefCell<KeyIssuer>,
     pub(crate) ledger: RefCell<ExecutionLedger<CallResult>>,
-    pub(crate) running: RefCell<BTreeMap<KeyDigest, RunReceiver>>,
+    pub(crate) running: RefCell<BTreeMap<IdempotencyDigest, RunReceiver>>,
     pub(crate) bindings: RefCell<ExecutorBindings>,
     hold_down: RefCell<KeyHoldDown>,
     age_estimator: Rc<RefCell<AgeEstimator>>,
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -50,6 +50,9 @@
 /// Maximum size of a response of the upstream, in bytes.
 pub const RESPONSE_BYTES_MAX: usize = 4 * 1024 * 1024;
 
+/// Maximum number of inbound connections until a policy is in force.
+const CONNECTIONS_INITIAL: u32 = 1024;
+
 /// `SharedNode` is a reference to the node, as its listeners and tasks hold it.
 pub type SharedNode = Rc<Node>;
 
@@ -151,7 +154,7 @@
             refusals: RefCell::default(),
             platform: RefCell::default(),
             random: RefCell::new(SmallRng::seed_from_u64(incarnation)),
-            connections: Rc::new(Cell::new(1024)),
+            connections: Rc::new(Cell::new(CONNECTIONS_INITIAL)),
             levels: RefCell::default(),
             settings,
         }))
--- a/crates/daemon/src/serving/keyed_server.rs
+++ b/crates/daemon/src/serving/keyed_server.rs
@@ -10,7 +10,7 @@
 use lagoonshore_coordination::{
     at_most_once::{
         execution_ledger::{KeyClaim, LedgerDecision, RunResult, RunTicket},
-        idempotency_key::KeyDigest,
+        idempotency_key::IdempotencyDigest,
     },
     request::{
         outcome::{CallOutcome, RefusalReason},
@@ -123,7 +123,7 @@
 fn start(
     node: &SharedNode,
     request: CallRequest,
-    key: KeyDigest,
+    key: IdempotencyDigest,
     ticket: RunTicket,
     deadline: Instant,
 ) -> FirstRequest {
@@ -202,7 +202,7 @@
     }
 }
 
-async fn join(node: &SharedNode, key: KeyDigest, deadline: Instant) -> CallResult {
+async fn join(node: &SharedNode, key: IdempotencyDigest, deadline: Instant) -> CallResult {
     let receiver = node.executions.running.borrow().get(&key).cloned();
     match receiver {
         Some(receiver) => wait(receiver, deadline).await,
