Name the draws of the quota model

Cause: a bare chance of 0.1, a comment that was false when a node starts, and the draw of a time that stood twice.

Change: ARRIVAL_CHANCE_MAX, draw_key; the order of the draws is the same.

--- a/crates/coordination/tests/support/quota_fleet/mod.rs
+++ b/crates/coordination/tests/support/quota_fleet/mod.rs
@@ -28,8 +28,10 @@
 const ACCOUNT: &str = "account";
 /// One step of the model.
 pub(crate) const STEP: Duration = Duration::from_millis(1);
-/// Time in which each node learns of a change.
+/// Longest time until a node learns of a change.
 pub(crate) const VIEW_LAG: Duration = Duration::from_millis(2500);
+/// Largest chance that a request arrives at one draw; the arrivals of many rare draws are close to a Poisson process.
+const ARRIVAL_CHANCE_MAX: f64 = 0.1;
 /// Time after which a node that is cut off admits nothing more, since its keys may be revoked.
 const PROOF_LIFE: Duration = Duration::from_secs(5);
 
@@ -167,7 +169,7 @@
         }
     }
 
-    /// Stops a node, and starts it again with nothing.
+    /// Stops or starts a node; either way it loses its state.
     pub(crate) fn set_down(&mut self, index: usize, is_down: bool) {
         let now = self.local(index);
         let node = &mut self.nodes[index];
@@ -190,34 +192,38 @@
             self.listed.remove(&index);
         }
         for node in 0..self.nodes.len() {
-            let at = self.now + lag.mul_f64(self.random.random_range(0.0..=1.0));
-            self.serial += 1;
+            let key = self.draw_key(lag);
             let view = (node, self.listed.clone());
-            self.views.insert((at, self.serial), view);
+            self.views.insert(key, view);
         }
     }
 
     /// Changes the quota; each node learns of it within `lag`.
     pub(crate) fn set_quota(&mut self, quota: AccountQuota, lag: Duration) {
         for node in 0..self.nodes.len() {
-            let at = self.now + lag.mul_f64(self.random.random_range(0.0..=1.0));
-            self.serial += 1;
-            self.quotas.insert((at, self.serial), (node, quota));
+            let key = self.draw_key(lag);
+            self.quotas.insert(key, (node, quota));
         }
     }
 
+    /// Draws a time within `lag` from now, with a serial number that orders changes of the same time.
+    fn draw_key(&mut self, lag: Duration) -> (Instant, u64) {
+        let at = self.now + lag.mul_f64(self.random.random_range(0.0..=1.0));
+        self.serial += 1;
+        (at, self.serial)
+    }
+
     /// Runs one step in which `demand` requests a second arrive, each at one of `at`.
     pub(crate) fn step(&mut self, demand: f64, at: &[usize]) {
         self.now += STEP;
         self.deliver();
         let mut expected = demand * STEP.as_secs_f64();
-        // The sum of many rare events is a Poisson process.
         while expected > 0.0 {
-            if self.random.random_bool(expected.min(0.1)) {
+            if self.random.random_bool(expected.min(ARRIVAL_CHANCE_MAX)) {
                 let node = at[self.random.random_range(0..at.len())];
                 self.arrive(node);
             }
-            expected -= 0.1;
+            expected -= ARRIVAL_CHANCE_MAX;
         }
         for index in 0..self.nodes.len() {
             self.expire(index);
