--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -30,6 +30,12 @@
         status.and_then(|text| text.parse().ok()).unwrap_or(0)
     }
 
+    /// Value of a field in milliseconds; zero if it is missing.
+    pub fn millis(&self, name: &str) -> Duration {
+        let millis = self.field(name).and_then(|text| text.parse().ok());
+        Duration::from_millis(millis.unwrap_or(0))
+    }
+
     pub fn length(&self) -> usize {
         let length = self.field("content-length");
         length.and_then(|text| text.parse().ok()).unwrap_or(0)
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod left_behind;
+mod long_limit;
 mod proxy;
 mod record;
 mod silent_links;
@@ -34,6 +35,7 @@
         "silent-links" => silent_links::play(has_trouble),
         "left-behind" => left_behind::play(has_trouble),
         "stale-route" => stale_route::play(has_trouble),
+        "long-limit" => long_limit::play(has_trouble),
         "cut-upload" => cut_upload::play(has_trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standin-2/src/upstream.rs
+++ b/review/standin-2/src/upstream.rs
@@ -23,6 +23,8 @@
     /// Id of the upstream.
     pub upstream: String,
     pub started: Instant,
+    /// Time for which the upstream may work, by `X-Deadline-Ms`.
+    pub time_left: Duration,
     /// End of the work; `None` while it goes on.
     pub ended: Option<Instant>,
 }
@@ -55,10 +57,11 @@
         let _ = stream.set_nodelay(true);
         let mut reader = MessageReader::new(stream);
         while let Ok(Some(head)) = reader.read_head() {
+            let received = Instant::now();
             let Ok(body) = reader.read_body(head.length()) else {
                 return;
             };
-            let Some(text) = self.respond(&reader.stream, &head, body.len()) else {
+            let Some(text) = self.respond(&reader.stream, &head, received, body.len()) else {
                 return;
             };
             if reader.stream.write_all(text.as_bytes()).is_err() {
@@ -68,7 +71,13 @@
     }
 
     /// Runs a request and returns the answer; `None` if its connection was closed meanwhile.
-    fn respond(&self, stream: &TcpStream, head: &Head, body: usize) -> Option<String> {
+    fn respond(
+        &self,
+        stream: &TcpStream,
+        head: &Head,
+        received: Instant,
+        body: usize,
+    ) -> Option<String> {
         let own = &self.id;
         if head.target() == "/health" {
             return Some(format!(
@@ -85,7 +94,7 @@
                  Content-Length: 0\r\n\r\n"
             ));
         }
-        let started = Instant::now();
+        let started = received;
         record::line(&format!("run   {id} at {own}: {} body {body}", head.first));
         let index = {
             let mut runs = self.runs.lock().unwrap();
@@ -93,6 +102,7 @@
             known.push(Run {
                 upstream: own.clone(),
                 started,
+                time_left: head.millis("x-deadline-ms"),
                 ended: None,
             });
             known.len() - 1
