Log removals that are held back

The log of a node could not tell a removal that it knew and held back from one that it did not know: the revision counts as applied in both cases.

PendingRemovals returns that time. No decision is changed; the tests of reads and of the reader pass.

--- a/crates/coordination/src/forwarding/pending_removals.rs
+++ b/crates/coordination/src/forwarding/pending_removals.rs
@@ -68,20 +68,19 @@
         self.recovered_at = Some(recovered_at);
     }
 
-    /// Records that the list no longer contains an entry. A removal that is already pending keeps
-    /// its confirmation time.
-    pub fn record_removal(&mut self, now: Instant, entry: RemovedEntry) {
-        if self
-            .entries
-            .iter()
-            .any(|(pending, _)| pending.name == entry.name)
-        {
-            return;
+    /// Records that the list no longer contains an entry; returns for how long the removal is held back.
+    /// One that is already pending keeps its confirmation time.
+    pub fn record_removal(&mut self, now: Instant, entry: RemovedEntry) -> Duration {
+        let mut pending = self.entries.iter();
+        let known = pending.find(|(pending, _)| pending.name == entry.name);
+        if let Some((_, confirmed_at)) = known {
+            return confirmed_at.saturating_duration_since(now);
         }
         let confirmed_at = self
             .recovered_at
             .map_or(now, |recovered| recovered.max(now));
         self.entries.push((entry, confirmed_at));
+        confirmed_at - now
     }
 
     /// Records that an entry is listed again, which cancels its removal.
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -44,6 +44,8 @@
 pub const PROOF_STALE: u16 = 3115;
 /// The proof of the document in force is new enough again.
 pub const PROOF_RENEWED: u16 = 3116;
+/// The removal of an upstream is held back.
+pub const REMOVAL_HELD: u16 = 3117;
 /// A request was refused; it did not run.
 pub const REQUEST_REFUSED: u16 = 3201;
 /// A request got no complete response; it may have run.
