Bound the hold of removals by the end of a cut, not of an outage

Cause: a node cannot tell an outage of the store from a cut of its own path. Removals seen after either were held back for 2.3 s from the next read, or until settle time + drain time after the start of the failed one. The second bound holds for an outage only: a node that was cut off has to be up to date one settle time after the cut. And the end of the cut was known only to within a read that was lost (up to 1.5 s) and the pause after it (up to 1 s), so that 2.3 s from the next read may be 4.8 s after the cut.

Change: while the store does not respond, reads begin every 0.3 s on average without waiting for the timeout of those before, so that the end of a cut or an outage is known to 0.4 s. A removal is held back for 2.3 s from the first response, and at most until the settle time, less 0.2 s, has passed since the start of the latest read that got none. So entries that expired in an outage still have the time to return, and the bound holds for both causes.

--- a/crates/coordination/src/forwarding/pending_removals.rs
+++ b/crates/coordination/src/forwarding/pending_removals.rs
@@ -4,9 +4,11 @@
 //! again soon after the store is back. A removal that is seen shortly after an outage is therefore
 //! confirmed only when that recovery time is over; any other removal is confirmed immediately.
 //!
-//! The end of an outage is known only to lie within the last failed read. A removal is therefore
-//! never held back longer than it may be if the store returned right after the start of that read. A
-//! failed read is no outage in this sense if the store is known to have answered, this node or another
+//! A node cannot tell an outage of the store from a cut of its own path to it, in which no entry expires
+//! without cause and removals have to be applied once the node has settled. The end of either is known only to
+//! lie between the start of the last failed read and the first response. A removal is therefore held back for
+//! the recovery time from that response, and never longer than it may be if a cut ended right after the
+//! start of that read. A failed read is no outage in this sense if the store is known to have answered, this node or another
 //! one, more recently than an entry can have expired for lack of a heartbeat.
 
 use lagoonshore_state::ids::InstanceName;
@@ -36,7 +38,7 @@
 }
 
 impl PendingRemovals {
-    /// Creates an empty set. A removal has to be applied within `hold_max` of the return of the store.
+    /// Creates an empty set. A removal has to be applied within `hold_max` of the end of a cut.
     #[must_use]
     pub const fn new(hold_max: Duration) -> Self {
         Self {
@@ -54,15 +56,15 @@
         self
     }
 
-    /// Records a read that began at `started` and failed; the next one begins at `now`, and the store is
-    /// known to have answered at `answered`.
+    /// Records a read that began at `started` and failed. The first response comes at `now`, and the store is
+    /// known to have answered at `answered` before.
     pub fn record_failed_read(&mut self, answered: Instant, started: Instant, now: Instant) {
         if now.saturating_duration_since(answered) >= self.expiry_min {
             self.record_outage(started, now);
         }
     }
 
-    /// Records a failed read of the store that began at `started`; the next read begins at `now`.
+    /// Records a failed read of the store that began at `started`; the first response comes at `now`.
     pub fn record_outage(&mut self, started: Instant, now: Instant) {
         let recovered_at = (now + RECOVERY_TIME).min(started + self.hold_max);
         self.recovered_at = Some(recovered_at);
--- a/crates/coordination/src/forwarding/read_schedule.rs
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -3,13 +3,13 @@
 //!
 //! The request of a watch that begins in an outage, or on a connection that has gone silent, is lost,
 //! and its silence looks like a store without changes. Three rules bound the time until such a watch is
-//! noticed. After a failed read the node makes short reads until one succeeds. The watchers of each
+//! noticed. After a failed read the node makes short reads, which overlap, until one succeeds. The watchers of each
 //! availability zone use short watches. All others are told the newest revision, by their watcher and by
 //! the nodes that they talk to, and abandon a watch that does not deliver it; see
 //! [`store_watchers`](super::store_watchers).
 
 use rand::{Rng, RngCore};
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 use tokio::time::Instant;
 
 /// Time after which a watch is abandoned if other nodes know of newer changes.
@@ -32,8 +32,11 @@
 pub const READ_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Pause after the first of consecutive failures.
 const PAUSE_MIN: Duration = Duration::from_millis(60);
-/// Longest pause after consecutive failures.
-const PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Mean time between the starts of two reads to which the store responds without waiting for a change, while
+/// it does not. The end of a cut is known to within that time.
+const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Spread of pauses and intervals around their mean, so that nodes do not read in step.
+const SPREAD: Range<f64> = 0.7..1.3;
 
 /// `WatchLength` says how long the watches of a node wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,13 +115,17 @@
         self.is_immediate = true;
     }
 
-    /// Records a read that failed. Returns the pause before the next one, with jitter around its
-    /// mean so that nodes do not read in step.
+    /// Records a read that failed. Returns the pause before the next one.
     pub fn record_failure(&mut self, random: &mut dyn RngCore) -> Duration {
         let pause = self.pause;
-        self.pause = (pause * 2).min(PAUSE_MAX);
+        self.pause = (pause * 2).min(READ_INTERVAL);
         self.is_immediate = true;
-        pause.mul_f64(random.random_range(0.7..1.3))
+        pause.mul_f64(random.random_range(SPREAD))
+    }
+
+    /// Returns the time after which another read begins though none of those in progress has ended.
+    pub fn read_interval(&self, random: &mut dyn RngCore) -> Duration {
+        READ_INTERVAL.mul_f64(random.random_range(SPREAD))
     }
 
     /// Times of the next watch; see [`Self::watch_wait`].
--- a/crates/relay/src/store_view/mod.rs
+++ b/crates/relay/src/store_view/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod document_proofs;
 pub mod known_versions;
+pub mod overlapping_reads;
 pub(crate) mod proof_seeker;
 pub(crate) mod store_follower;
 pub mod store_health;
