Apply a removal when it is due, not after the pause for changes

Cause: after a response with changes a node waits for 0.7 s, so that the next ones come together, and only then looks for removals that are due. Where many upstreams change, as after a cut, a removal that was held back is late by up to that pause.

--- a/crates/coordination/src/forwarding/read_schedule.rs
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -103,6 +103,14 @@
         self.is_immediate
     }
 
+    /// Pause after a response with changes. It ends early if the node has something to do at `next`.
+    #[must_use]
+    pub fn batch_pause(now: Instant, next: Option<Instant>) -> Duration {
+        next.map_or(BATCH_TIME, |next| {
+            BATCH_TIME.min(next.saturating_duration_since(now))
+        })
+    }
+
     /// Records a read that succeeded at `now`.
     pub const fn record_success(&mut self, now: Instant) {
         self.pause = PAUSE_MIN;
--- a/crates/coordination/tests/store_reads.rs
+++ b/crates/coordination/tests/store_reads.rs
@@ -89,6 +89,20 @@
     assert_eq!(wait(due, Some(now)), Duration::from_millis(1));
 }
 
+/// Guards against a removal that waits for the end of the pause in which changes are collected.
+#[test]
+fn the_pause_after_changes_ends_when_the_next_step_is_due() {
+    let now = Instant::now();
+    let due = now + BATCH_TIME / 2;
+    assert_eq!(ReadSchedule::batch_pause(now, None), BATCH_TIME);
+    assert_eq!(
+        ReadSchedule::batch_pause(now, Some(now + BATCH_TIME * 2)),
+        BATCH_TIME
+    );
+    assert_eq!(ReadSchedule::batch_pause(now, Some(due)), BATCH_TIME / 2);
+    assert_eq!(ReadSchedule::batch_pause(due, Some(now)), Duration::ZERO);
+}
+
 #[test]
 fn a_short_watch_that_died_is_followed_by_a_read_within_the_settle_time() {
     let mut random = SmallRng::seed_from_u64(1);
