Refuse responses whose status is no HTTP status code

A status below 100 passed for that of an interim response: the body behind it was taken for the response, so that a caller could get a 200 that the upstream had sent as the body of a 000 (MIXED); with no body the request hung until its deadline. Statuses of 600 and more were passed on.

Cause: every status below 200 counted as interim, and no status was out of range.

Change: a head with a status outside 100 to 599 (RFC 9110, section 15) is malformed. The connection is closed and the attempt counts as a broken answer, which may have run: 502, or a retry where the route allows it.

--- a/crates/daemon/tests/incomplete_responses.rs
+++ b/crates/daemon/tests/incomplete_responses.rs
@@ -50,6 +50,19 @@
     assert_eq!(requests.get(), 1);
 }
 
+#[actix_rt::test]
+async fn a_response_without_a_valid_status_is_not_relayed() {
+    let bytes = b"HTTP/1.1 000 x\r\ncontent-length: 4\r\n\r\ndose";
+    let (upstream, requests) = start_raw_upstream(bytes).await;
+    let node = support::start_node("medication-log", "izmit", upstream, &[RECORD]).await;
+    let key = request_key(&node).await;
+    for _ in 0..2 {
+        let response = post(node.addresses.inbound, "/doses/7", &key, "5 ml").await;
+        response.assert_outcome(502, "unknown connection-lost");
+    }
+    assert_eq!(requests.get(), 1);
+}
+
 #[rstest]
 #[case::length(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndose", "dose")]
 #[case::chunked(
--- a/crates/relay/src/http1/head.rs
+++ b/crates/relay/src/http1/head.rs
@@ -13,13 +13,15 @@
 use compact_str::CompactString;
 use httparse::Status;
 use lagoonshore_coordination::forwarding::rate_limiter::LimitNotice;
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 use tokio::time::Instant;
 
 /// Most header fields in one head.
 const FIELDS_MAX: usize = 100;
 /// Value of the field by which an upstream announces its departure.
 const DEPARTURE_VALUE: &str = "1";
+/// Status codes of HTTP (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 /// Lowest status of a final response; lower ones are interim.
 const FINAL_STATUS_MIN: u16 = 200;
 
@@ -169,6 +171,9 @@
             Err(_) => return Err(HeadError::Malformed),
         };
         let status = parsed.code.unwrap_or_default();
+        if !STATUS_CODES.contains(&status) {
+            return Err(HeadError::Malformed);
+        }
         if status < FINAL_STATUS_MIN {
             *interim_left = interim_left.checked_sub(1).ok_or(HeadError::TooLarge)?;
             let _ = buffer.split_to(used);
