--- a/crates/coordination/tests/store_reads.rs
+++ b/crates/coordination/tests/store_reads.rs
@@ -62,6 +62,26 @@
     assert_eq!(entries.take_confirmed(late), vec![removed("u1")]);
 }
 
+/// Guards against a hold that ends before entries may have returned, or after a node that was cut off has to be up to
+/// date, wherever the end of the cut lies between the last read without a response and the first with one.
+#[test]
+fn a_removal_is_held_back_for_as_long_as_both_causes_of_failed_reads_allow() {
+    const RETURN_TIME: Duration = Duration::from_secs(2);
+    let hold_max = SETTLE_TIME - Duration::from_millis(200);
+    let lost = Instant::now();
+    for gap in [0, 100, 300, 390, 490].map(Duration::from_millis) {
+        let answered = lost + gap;
+        let mut entries = PendingRemovals::new(hold_max);
+        entries.record_outage(lost, answered);
+        entries.record_removal(answered, removed("u1"));
+        let confirmed = entries
+            .next_confirmation()
+            .expect("the removal is held back");
+        assert!(confirmed >= answered + RETURN_TIME, "{gap:?}");
+        assert!(confirmed <= lost + hold_max, "{gap:?}");
+    }
+}
+
 #[test]
 fn pauses_after_failed_reads_grow_to_a_maximum_and_reset() {
     let mut random = SmallRng::seed_from_u64(1);
