--- a/crates/coordination/src/forwarding/pending_removals.rs
+++ b/crates/coordination/src/forwarding/pending_removals.rs
@@ -4,12 +4,12 @@
 //! again soon after the store is back. A removal that is seen shortly after an outage is therefore
 //! confirmed only when that recovery time is over; any other removal is confirmed immediately.
 //!
-//! A node cannot tell an outage of the store from a cut of its own path to it, in which no entry expires
-//! without cause and removals have to be applied once the node has settled. The end of either is known only to
-//! lie between the start of the last failed read and the first response. A removal is therefore held back for
-//! the recovery time from that response, and never longer than it may be if a cut ended right after the
-//! start of that read. A failed read is no outage in this sense if the store is known to have answered, this node or another
-//! one, more recently than an entry can have expired for lack of a heartbeat.
+//! A node cannot tell an outage of the store from a cut of its own path to it. In a cut no entry expires
+//! without cause, and removals have to be applied once the node has settled. The end of either is known only
+//! to lie between the start of the last failed read and the first response. A removal is therefore held back
+//! for the recovery time from that response, and never longer than it may be if a cut ended right after the
+//! start of that read. A failed read is no outage in this sense if the store is known to have answered, this
+//! node or another one, more recently than an entry can have expired for lack of a heartbeat.
 
 use lagoonshore_state::ids::InstanceName;
 
--- a/crates/coordination/src/forwarding/read_schedule.rs
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -3,9 +3,9 @@
 //!
 //! The request of a watch that begins in an outage, or on a connection that has gone silent, is lost,
 //! and its silence looks like a store without changes. Three rules bound the time until such a watch is
-//! noticed. After a failed read the node makes short reads, which overlap, until one succeeds. The watchers of each
-//! availability zone use short watches. All others are told the newest revision, by their watcher and by
-//! the nodes that they talk to, and abandon a watch that does not deliver it; see
+//! noticed. After a failed read the node makes short reads, which overlap, until one succeeds. The watchers
+//! of each availability zone use short watches. All others are told the newest revision, by their watcher
+//! and by the nodes that they talk to, and abandon a watch that does not deliver it; see
 //! [`store_watchers`](super::store_watchers).
 
 use rand::{Rng, RngCore};
