Keep the reads of a large fleet in an outage within what the store allows

Change: the interval is 0.43 s, spread by a tenth, so that the end of a cut is still known to within 0.5 s, as the hold of removals needs: 1,907 reads a second.

--- a/crates/coordination/src/forwarding/read_schedule.rs
+++ b/crates/coordination/src/forwarding/read_schedule.rs
@@ -33,10 +33,11 @@
 /// Pause after the first of consecutive failures.
 const PAUSE_MIN: Duration = Duration::from_millis(60);
 /// Mean time between the starts of two reads to which the store responds without waiting for a change, while
-/// it does not. The end of a cut is known to within that time.
-const READ_INTERVAL: Duration = Duration::from_millis(300);
+/// it does not. The end of a cut is known to within that time, and the reads of the largest fleet stay within what
+/// the store allows.
+const READ_INTERVAL: Duration = Duration::from_millis(430);
 /// Spread of pauses and intervals around their mean, so that nodes do not read in step.
-const SPREAD: Range<f64> = 0.7..1.3;
+const SPREAD: Range<f64> = 0.9..1.1;
 
 /// `WatchLength` says how long the watches of a node wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
