Read the processor time of hostile_responses from the clock of its thread

Cause: the test read /proc/thread-self/schedstat. The kernel brings that figure up to date only when the thread is switched out or at a tick, so that a reading thread that got its response without waiting had used "0 ns", and the check that the time is counted at all failed.

On this machine, without load, the cases of this test failed in 20 of 1,000 runs of the binary, all with "the processor time is counted", three of them in case 7, the others in cases 1, 2, 4, 5 and 8.

Change: the test reads CLOCK_THREAD_CPUTIME_ID, which counts up to the moment of the call. Bound and checks are as before; the check is a little stricter, as no time is left out.

--- a/crates/relay/tests/hostile_responses.rs
+++ b/crates/relay/tests/hostile_responses.rs
@@ -9,6 +9,7 @@
     },
 };
 use rstest::rstest;
+use rustix::time::{ClockId, clock_gettime};
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -65,9 +66,8 @@
 
 /// Processor time of this thread so far.
 fn processor_time() -> Duration {
-    let text = std::fs::read_to_string("/proc/thread-self/schedstat").expect("statistics");
-    let nanoseconds = text.split(' ').next().map(str::parse);
-    Duration::from_nanos(nanoseconds.expect("a field").expect("a number"))
+    let used = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::try_from(used).expect("a time that does not run backwards")
 }
 
 /// Guards against a reader whose work grows faster than what it reads.
