Play one tick of the budget's tests in one place

Seen: both tests of the quota in every window hold the same twelve lines that take requests and retries at each node, and two ways to make a node without counts. Nothing that callers see changes.

Change: play_tick, SimulatedNode::new and SimulatedNode::restart. The draws of random numbers keep their order, so that both tests play the same runs as before; checks and seeds are the same.

--- a/crates/coordination/tests/arrival_budget.rs
+++ b/crates/coordination/tests/arrival_budget.rs
@@ -180,6 +180,38 @@
     rate: u32,
 }
 
+impl SimulatedNode {
+    fn new(now: Instant, quota: RetryQuota) -> Self {
+        let mut budget = ArrivalBudget::new(now, quota);
+        budget.set_upstreams(now, 4);
+        Self { budget, rate: 0 }
+    }
+
+    /// Starts again without its counts.
+    fn restart(&mut self, now: Instant, quota: RetryQuota) {
+        let rate = self.rate;
+        *self = Self {
+            rate,
+            ..Self::new(now, quota)
+        };
+    }
+}
+
+/// Takes the requests of one tick at each node, and as many retries as are allowed; returns both counts.
+fn play_tick(nodes: &mut [SimulatedNode], now: Instant) -> (u32, u32) {
+    let (mut requests, mut retries) = (0, 0);
+    for node in nodes {
+        for _ in 0..node.rate {
+            node.budget.record_request(now);
+            requests += 1;
+        }
+        while node.budget.spend(now, MOST_IMPORTANT) {
+            retries += 1;
+        }
+    }
+    (requests, retries)
+}
+
 /// Guards against a service that gets more retries than its quota in any window while requests and
 /// retries arrive at its upstreams unevenly, and nodes restart and lose their counts.
 #[test]
@@ -187,13 +219,8 @@
     for seed in 0..8 {
         let mut random = SmallRng::seed_from_u64(seed);
         let start = Instant::now();
-        let mut nodes: Vec<SimulatedNode> = (0..4)
-            .map(|_| {
-                let mut budget = ArrivalBudget::new(start, quota());
-                budget.set_upstreams(start, 4);
-                SimulatedNode { budget, rate: 0 }
-            })
-            .collect();
+        let mut nodes: Vec<SimulatedNode> =
+            (0..4).map(|_| SimulatedNode::new(start, quota())).collect();
         let mut arrivals: Vec<(u32, u32)> = Vec::new();
         for tick in 0..3000_u32 {
             let now = start + TICK * tick;
@@ -206,21 +233,10 @@
             let restarted = random.random_bool(0.002).then(|| random.random_range(0..4));
             for (index, node) in nodes.iter_mut().enumerate() {
                 if is_mass_restart || restarted == Some(index) {
-                    node.budget = ArrivalBudget::new(now, quota());
-                    node.budget.set_upstreams(now, 4);
-                }
-            }
-            let (mut requests, mut retries) = (0, 0);
-            for node in &mut nodes {
-                for _ in 0..node.rate {
-                    node.budget.record_request(now);
-                    requests += 1;
-                }
-                while node.budget.spend(now, MOST_IMPORTANT) {
-                    retries += 1;
+                    node.restart(now, quota());
                 }
             }
-            arrivals.push((requests, retries));
+            arrivals.push(play_tick(&mut nodes, now));
         }
         assert_within_quota(&arrivals, seed);
     }
@@ -259,17 +275,8 @@
     for seed in 0..8 {
         let mut random = SmallRng::seed_from_u64(seed);
         let start = Instant::now();
-        let new_budget = |now| {
-            let mut budget = ArrivalBudget::new(now, quota);
-            budget.set_upstreams(now, 4);
-            budget
-        };
-        let mut nodes: Vec<_> = (0..4)
-            .map(|_| SimulatedNode {
-                budget: new_budget(start),
-                rate: 0,
-            })
-            .collect();
+        let mut nodes: Vec<SimulatedNode> =
+            (0..4).map(|_| SimulatedNode::new(start, quota)).collect();
         let mut arrivals: Vec<(u32, u32)> = Vec::new();
         for tick in 0..3000_u32 {
             let now = start + TICK * tick;
@@ -281,19 +288,9 @@
                 }
             }
             if random.random_bool(0.002) {
-                nodes[random.random_range(0..4)].budget = new_budget(now);
-            }
-            let (mut requests, mut retries) = (0, 0);
-            for node in &mut nodes {
-                for _ in 0..node.rate {
-                    node.budget.record_request(now);
-                    requests += 1;
-                }
-                while node.budget.spend(now, MOST_IMPORTANT) {
-                    retries += 1;
-                }
+                nodes[random.random_range(0..4)].restart(now, quota);
             }
-            arrivals.push((requests, retries));
+            arrivals.push(play_tick(&mut nodes, now));
         }
         assert_within_earlier_quota(&arrivals, seed);
     }
